--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+
+# A thin wrapper around CMake and Ninja.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build demo test lint format clean
+
+all: build
+
+deps:
+	@src/build-scripts/install-deps.sh
+
+$(BUILD)/build.ninja: | deps
+	@cmake -G Ninja -S . -B $(BUILD) $(CMAKE_FLAGS) > /dev/null
+
+build: $(BUILD)/build.ninja
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	@python3 testsuite/demo/run.py $(BUILD)
+
+test: build
+	@cd $(BUILD) && ctest --output-on-failure -j 4
+
+lint: build
+	@src/build-scripts/lint.sh $(BUILD)
+
+format:
+	@src/build-scripts/lint.sh --fix
+
+clean:
+	@rm -rf $(BUILD)
--- /dev/null
+++ b/src/adaptive.router/adaptive.cpp
@@ -0,0 +1,112 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Least expected completion time among two random choices, or the upstream
+/// that holds the session's cache as long as it is not over its bounded load.
+/// Two choices instead of all: many daemons that read the same late report
+/// would otherwise all run to the same upstream.
+
+#include <cypressford/registry.h>
+#include <cypressford/router.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace cypressford {
+
+namespace {
+
+// Bounded-load factor: an upstream keeps its sessions up to this multiple of
+// the average load (Mirrokni et al., "Consistent Hashing with Bounded Loads").
+constexpr double kBoundedLoad = 1.25;
+// A call into another hall must be worth this much expected time.
+constexpr double kRemotePenalty = 1.5;
+// Stands in for the latency of an upstream that has not answered yet.
+constexpr double kUnknownLatency = 1000;
+
+double
+load(const Candidate& c)
+{
+    return c.in_flight + c.others + c.queued;
+}
+
+/// Expected time until a call sent now is answered, up to a common factor.
+double
+expected_time(const Candidate& c)
+{
+    const double latency = c.latency > 0 ? static_cast<double>(c.latency) : kUnknownLatency;
+    const double waves = (load(c) + 1) / std::max(1, c.slots);
+    return latency * std::max(1.0, waves) * (1 + 0.1 * waves)
+        * (c.remote ? kRemotePenalty : 1.0);
+}
+
+std::uint64_t
+mix(std::uint64_t x)
+{
+    // Finalizer of SplitMix64.
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+} // namespace
+
+class AdaptiveRouter final : public Router {
+public:
+    std::size_t pick(std::span<const Candidate> candidates,
+                     const RouteContext& context) const override
+    {
+        const std::size_t two = best_of_two(candidates, context.random);
+        if (context.affinity == 0)
+            return two;
+        const std::size_t home = rendezvous(candidates, context.affinity);
+        return keeps(candidates, home) ? home : two;
+    }
+
+private:
+    static std::size_t best_of_two(std::span<const Candidate> candidates,
+                                   std::uint64_t random)
+    {
+        const std::size_t n = candidates.size();
+        const std::size_t first = random % n;
+        const std::size_t second
+            = (first + 1 + (random >> 32) % std::max<std::size_t>(1, n - 1)) % n;
+        return expected_time(candidates[second]) < expected_time(candidates[first]) ? second
+                                                                                    : first;
+    }
+
+    static std::size_t rendezvous(std::span<const Candidate> candidates,
+                                  std::uint64_t affinity)
+    {
+        std::size_t best = 0;
+        std::uint64_t best_weight = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const std::uint64_t weight = mix(candidates[i].address_hash ^ affinity);
+            if (weight >= best_weight) {
+                best_weight = weight;
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    static bool keeps(std::span<const Candidate> candidates, std::size_t home)
+    {
+        double total = 1;
+        double latency = 0;
+        for (const Candidate& c : candidates) {
+            total += load(c);
+            latency += static_cast<double>(c.latency);
+        }
+        const auto n = static_cast<double>(candidates.size());
+        const double bound = std::ceil(kBoundedLoad * total / n);
+        const Candidate& c = candidates[home];
+        const bool slow = static_cast<double>(c.latency) > 2 * latency / n;
+        return load(c) + 1 <= std::max(bound, static_cast<double>(c.slots)) && !slow;
+    }
+};
+
+static const Registration<Router, AdaptiveRouter> s_registration("adaptive");
+
+} // namespace cypressford
--- /dev/null
+++ b/src/budget.admission/budget.cpp
@@ -0,0 +1,66 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The deadline as one budget over the stages: a request comes in only if its
+/// stages, waits included, are expected to fit into what is left.
+
+#include <cypressford/admission.h>
+#include <cypressford/registry.h>
+
+#include <algorithm>
+
+namespace cypressford {
+
+namespace {
+
+// Part of the budget that waits may use up before a large account is held to
+// its fair share of what is in progress.
+constexpr double kPressure = 0.5;
+// How far over its fair share an account may be under pressure.
+constexpr double kShareSlack = 1.5;
+constexpr Micros kShortestRetry = 200 * kMillisecond;
+
+} // namespace
+
+class BudgetAdmission final : public Admission {
+public:
+    AdmissionVerdict admit(const AdmissionQuery& query) const override
+    {
+        const Micros budget = query.deadline - query.now;
+        Micros finish = 0;
+        Micros service = 0;
+        Micros tail = 0;
+        for (const StageOutlook& stage : query.stages) {
+            if (stage.usable == 0)
+                return {false, ErrorKind::NoUpstream, kSecond};
+            // Backlogs of later stages drain while earlier ones run.
+            finish = std::max(finish, stage.backlog) + stage.typical;
+            service += stage.typical;
+            tail = std::max(tail, stage.tail - stage.typical);
+        }
+        const Micros late = finish + tail - budget;
+        if (late > 0)
+            return {false, ErrorKind::DeadlineUnreachable, std::max(late, kShortestRetry)};
+        const Micros wait = finish - service;
+        const auto slack = static_cast<double>(budget - service);
+        if (static_cast<double>(wait) > kPressure * slack && over_share(query))
+            return {false, ErrorKind::AccountLimit, std::max(wait, kShortestRetry)};
+        return {};
+    }
+    bool queues_here() const override { return true; }
+    bool drops_hopeless() const override { return true; }
+
+private:
+    static bool over_share(const AdmissionQuery& query)
+    {
+        if (query.active_accounts < 2)
+            return false;
+        const double fair = static_cast<double>(query.in_progress) / query.active_accounts;
+        return query.account_in_progress > kShareSlack * fair + 1;
+    }
+};
+
+static const Registration<Admission, BudgetAdmission> s_registration("budget");
+
+} // namespace cypressford
--- /dev/null
+++ b/src/build-scripts/lint.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+#
+# clang-format and clang-tidy over the project's own sources; any finding fails.
+#   lint.sh BUILD_DIRECTORY   checks
+#   lint.sh --fix             formats in place
+
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+
+mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
+  'testsuite/*.cpp' 'testsuite/*.h' | grep -v '/gen/')
+
+if [ "${1:-}" = --fix ]; then
+  clang-format-16 -i "${files[@]}"
+  exit 0
+fi
+
+build=${1:-build}
+clang-format-16 --dry-run --Werror "${files[@]}"
+printf '%s\n' "${files[@]}" | grep '\.cpp$' |
+  xargs -P "$(nproc)" -n 1 clang-tidy-16 -p "$build" --quiet --extra-arg=-Wno-unknown-warning-option --warnings-as-errors='*' \
+    2> >(grep -vE 'warnings? generated|^Suppressed|^Use -header-filter' >&2 || true)
+echo "lint: clean, ${#files[@]} files"
--- /dev/null
+++ b/src/cmake/compiler.cmake
@@ -0,0 +1,33 @@
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+
+# Language level, warnings and sanitizers for all targets.
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE Release)
+endif()
+set(CMAKE_CXX_FLAGS_RELEASE "-O2")
+
+set(CYPRESSFORD_SANITIZE "" CACHE STRING "Sanitizer to build with: thread or address")
+if(CYPRESSFORD_SANITIZE)
+  add_compile_options(-fsanitize=${CYPRESSFORD_SANITIZE} -fno-omit-frame-pointer -g -O1)
+  add_link_options(-fsanitize=${CYPRESSFORD_SANITIZE})
+endif()
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+
+# Warnings are for the project's own code, not for generated files.
+add_library(cypressford_warnings INTERFACE)
+target_compile_options(cypressford_warnings INTERFACE -Wall -Wextra -Wpedantic -Werror)
+# GCC 12 reports this of std::optional inside std::variant, wrongly (GCC bug 80635).
+target_compile_options(cypressford_warnings INTERFACE -Wno-maybe-uninitialized)
+if(CYPRESSFORD_SANITIZE STREQUAL "thread")
+  target_compile_options(cypressford_warnings INTERFACE -Wno-tsan)
+endif()
--- /dev/null
+++ b/src/cypressfordd/cypressfordd.cpp
@@ -0,0 +1,59 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// cypressfordd: the daemon of every entry node.
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include "libserve/daemon.h"
+
+ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this daemon");
+
+namespace {
+
+/// Exit codes, as INSTALL.md lists them.
+enum ExitCode : int { kOk = 0, kBadSettings = 2, kCannotStart = 3 };
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+    using namespace cypressford;
+    absl::SetProgramUsageMessage("Serves multi-stage model pipelines.\n"
+                                 "Example: cypressfordd --settings=/etc/cypressford.yaml");
+    absl::ParseCommandLine(argc, argv);
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        std::cerr << "cypressfordd: can't read '" << path << "'\n";
+        return kBadSettings;
+    }
+    auto settings = parse_settings(text.str());
+    if (!settings) {
+        std::cerr << format_faults(path, settings.error());
+        return kBadSettings;
+    }
+    open_log({settings->hall, settings->node}, settings->log_file, settings->log_level);
+    int code = kOk;
+    {
+        Daemon daemon(*std::move(settings));
+        if (const auto started = daemon.start()) {
+            daemon.run_until_stopped();
+        } else {
+            std::cerr << "cypressfordd: " << started.error().detail << '\n';
+            code = kCannotStart;
+        }
+    }
+    close_log();
+    return code;
+}
--- /dev/null
+++ b/src/httplog.platform/httplog.cpp
@@ -0,0 +1,105 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The platform over HTTP with JSON pages.
+
+#include <cypressford/platform.h>
+#include <cypressford/registry.h>
+
+#include "libutil/crypto.h"
+#include "libutil/http_client.h"
+#include "libutil/hybrid_clock.h"
+#include "libutil/json_fields.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+class HttpLogClient final : public PlatformClient {
+public:
+    void open(asio::io_context& io, const PlatformSettings& settings) override
+    {
+        m_settings = settings;
+        m_client = std::make_unique<HttpClient>(io);
+    }
+
+    asio::awaitable<Result<Offset>> append(std::string stream, std::string record) override
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/streams/" + stream;
+        request.body = std::move(record);
+        const auto body = co_await exchange(m_settings.log, std::move(request), 0);
+        if (!body)
+            co_return tl::unexpected(body.error());
+        const auto offset = json_integer<Offset>(*body, "offset", -1);
+        if (offset < 0)
+            co_return fail(ErrorKind::Internal, "append without an offset");
+        co_return offset;
+    }
+
+    asio::awaitable<Result<LogPage>> read(std::string stream, Offset from,
+                                          Micros wait) override
+    {
+        HttpRequest request;
+        request.target = "/streams/" + stream + "?from=" + std::to_string(from)
+            + "&wait_ms=" + std::to_string(wait / kMillisecond);
+        const auto body = co_await exchange(m_settings.log, std::move(request), wait);
+        if (!body)
+            co_return tl::unexpected(body.error());
+        LogPage page;
+        page.first = json_integer<Offset>(*body, "first", 0);
+        page.from = json_integer<Offset>(*body, "from", from);
+        page.next = json_integer<Offset>(*body, "next", from);
+        if (const auto* records = body->if_contains("records");
+            records && records->is_array())
+            for (const auto& record : records->as_array())
+                if (record.is_string())
+                    page.records.push_back(from_base64url(record.as_string()));
+        co_return page;
+    }
+
+    asio::awaitable<Result<std::vector<NodeEntry>>> nodes() override
+    {
+        HttpRequest request;
+        request.target = "/nodes";
+        const auto body = co_await exchange(m_settings.nodes, std::move(request), 0);
+        if (!body)
+            co_return tl::unexpected(body.error());
+        std::vector<NodeEntry> entries;
+        if (const auto* nodes = body->if_contains("nodes"); nodes && nodes->is_array())
+            for (const auto& node : nodes->as_array())
+                if (node.is_object())
+                    entries.push_back({json_text(node.as_object(), "address"),
+                                       json_text(node.as_object(), "state") == "leaving"});
+        co_return entries;
+    }
+
+private:
+    asio::awaitable<Result<boost::json::object>> exchange(std::string address,
+                                                          HttpRequest request, Micros extra)
+    {
+        request.headers.add("X-Hall", m_settings.hall);
+        CallOptions options;
+        options.deadline_us = monotonic_us() + m_settings.timeout + extra;
+        // An append that was repeated unseen would only be a second copy, but
+        // whether it took effect is for the caller to find out.
+        options.fresh_connection = false;
+        const CallResult result
+            = co_await m_client->call(std::move(address), std::move(request), options);
+        if (result.status != CallStatus::Answered || result.response.status != 200)
+            co_return fail(ErrorKind::Internal, "the platform did not answer");
+        auto body = parse_json_object(result.response.body);
+        if (!body)
+            co_return fail(ErrorKind::Internal, "the platform's answer is no JSON object");
+        co_return *std::move(body);
+    }
+
+    PlatformSettings m_settings;
+    std::unique_ptr<HttpClient> m_client;
+};
+
+static const Registration<PlatformClient, HttpLogClient> s_registration("httplog");
+
+} // namespace cypressford
--- /dev/null
+++ b/src/include/cypressford/bundle_fold.h
@@ -0,0 +1,124 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which bundle is in force: a deterministic fold over the records of the
+/// bundles stream.  Every daemon that has read the same records says the same.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cypressford/bundle.h>
+#include <cypressford/claims.h>
+
+namespace cypressford {
+
+/// What an operator does with a bundle version.
+enum class BundleAction : unsigned char { Publish, Roll, Retire };
+
+/// One signed record of an operator.
+struct BundleRecord {
+    BundleAction action = BundleAction::Publish;
+    std::string name;
+    std::uint64_t version = 0;
+    std::string bundle; ///< canonical form, with Publish
+    std::string key; ///< operator's public key, hex
+    std::string signature; ///< over signed_text(), hex
+};
+
+/// The live state as a record: a daemon appends it when the records that made
+/// it are about to be dropped from the log.
+struct BundleSnapshot {
+    Offset covers = -1; ///< last offset folded in
+    std::uint64_t newest = 0; ///< newest version accepted
+    std::uint64_t in_force = 0; ///< 0 for none
+    std::vector<BundleRecord> accepted; ///< not retired, in order of version
+    std::string mac; ///< by the daemons' common key, hex
+};
+
+/// What a record did.
+enum class FoldResult : unsigned char {
+    Accepted,
+    Repeated, ///< already so; nothing changed
+    BadSignature, ///< not signed by a known operator
+    BadBundle, ///< can't be parsed or fails its checks
+    Conflict, ///< does not build on the newest version, or is older
+    NoBase, ///< earlier records are gone and no snapshot was met yet
+};
+
+std::string_view to_string(FoldResult result);
+
+/// The bytes that an operator signs.
+std::string signed_text(const BundleRecord& record);
+/// The bytes that the daemons' key authenticates.
+std::string authenticated_text(const BundleSnapshot& snapshot);
+
+/// Signs a record with an operator's private key.
+Result<BundleRecord> sign_record(BundleRecord record, std::string_view private_key_pem);
+
+/// Text form of records in the log.
+std::string encode(const BundleRecord& record);
+std::string encode(const BundleSnapshot& snapshot);
+
+/// Keys that the fold trusts.
+struct BundleTrust {
+    std::vector<std::string> operators; ///< public keys, hex
+    std::string daemon_key; ///< common to all daemons, raw bytes
+};
+
+/// The fold itself.
+class BundleFold {
+public:
+    explicit BundleFold(BundleTrust trust)
+        : m_trust(std::move(trust))
+    {
+    }
+
+    /// Takes the record at `offset`.
+    FoldResult apply(Offset offset, std::string_view record);
+
+    /// Says that records before `first` can't be read any more.
+    void note_first_retained(Offset first);
+
+    /// Takes a peer's state, if it covers more than is known here.
+    FoldResult adopt(std::string_view encoded_snapshot);
+
+    /// The live state, authenticated.
+    BundleSnapshot snapshot() const;
+
+    const Bundle* in_force() const;
+    std::uint64_t in_force_version() const { return m_in_force; }
+    std::uint64_t newest_version() const { return m_newest; }
+    Offset next() const { return m_next; }
+    /// Offset of the oldest record that the live state still rests on.
+    Offset rests_on() const { return m_rests_on; }
+    bool has_base() const { return m_has_base; }
+
+private:
+    struct Accepted {
+        BundleRecord record;
+        Bundle bundle;
+    };
+
+    FoldResult apply_operator(const BundleRecord& record);
+    FoldResult publish(const BundleRecord& record);
+    FoldResult roll(std::uint64_t version);
+    FoldResult retire(std::uint64_t version);
+    FoldResult load(const BundleSnapshot& snapshot);
+    bool authentic(const BundleSnapshot& snapshot) const;
+    bool trusts(const BundleRecord& record) const;
+
+    BundleTrust m_trust;
+    bool m_has_base = true;
+    Offset m_next = 0;
+    Offset m_rests_on = 0;
+    std::uint64_t m_newest = 0;
+    std::uint64_t m_in_force = 0;
+    std::map<std::uint64_t, Accepted> m_accepted;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/include/cypressford/error.h
@@ -0,0 +1,113 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The closed list of error kinds and the one table that says how each is
+/// answered.  Every refusal a caller sees is a row of this table, so what the
+/// system promises ("not run", "come back in 2 s") is decided in one place.
+
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include <tl/expected.hpp>
+
+namespace cypressford {
+
+/// Every way in which a request can end other than with its whole answer.
+enum class ErrorKind : unsigned char {
+    BadRequest, ///< malformed header, body or parameter
+    Unauthorized, ///< no or unknown credential
+    Forbidden, ///< credential is known but may not do this
+    NotFound, ///< no such pipeline or path
+    TooLarge, ///< header or body over its bound
+    SlowRequest, ///< the caller did not send its request in time
+    TooManyConnections, ///< the daemon's bound on connections is reached
+    NotReady, ///< the daemon has no bundle in force yet
+    Stopping, ///< the daemon is in a planned stop
+    AccountLimit, ///< the client account is over its share
+    DeadlineUnreachable, ///< refused before anything was sent: it would be late
+    QueueFull, ///< the bounded queue is full
+    NoUpstream, ///< no usable upstream for a stage
+    UpstreamFailed, ///< upstreams failed and the retry budget is spent
+    UpstreamRejected, ///< an upstream finds the request itself wrong
+    DeadlineExceeded, ///< the deadline passed after something was sent
+    KeyRequired, ///< non-repeatable pipeline called without a key
+    KeyInvalid, ///< the key is no UUIDv7 or lies in the future
+    KeyExpired, ///< the key is older than what the log still proves
+    KeyMismatch, ///< the key was used before with another request
+    KeyInProgress, ///< another attempt holds the claim, no outcome yet
+    ClaimUnavailable, ///< the log could not record the claim in time
+    OutcomeUnknown, ///< the one permitted run may or may not have happened
+    TokenInvalid, ///< resume token is forged, damaged or of another version
+    TokenExpired, ///< resume token is past its lifetime
+    TokenForeign, ///< resume token belongs to another client account
+    SessionLost, ///< the stream can't be continued exactly where it stopped
+    CallerGone, ///< the caller closed its connection
+    Internal, ///< a fault of this program
+};
+
+/// Number of kinds; the table has exactly this many rows.
+inline constexpr std::size_t kErrorKindCount
+    = static_cast<std::size_t>(ErrorKind::Internal) + 1;
+
+/// What a caller may conclude about the effects of its request.
+enum class Ran : unsigned char {
+    NotRun, ///< nothing was sent to any upstream that may have run
+    Ran, ///< it ran
+    Unknown, ///< it may have run
+};
+
+/// What the caller should do next.
+enum class RetryAdvice : unsigned char {
+    No, ///< the same request will fail again
+    Later, ///< the same request, after the time in Retry-After
+    SameKey, ///< ask again with the same Idempotency-Key to learn the outcome
+};
+
+/// One row of the table: how a kind is answered.
+struct ErrorRow {
+    ErrorKind kind;
+    std::string_view name; ///< stable name, used in answers, logs and metrics
+    int http_status;
+    int grpc_code; ///< numeric grpc::StatusCode
+    Ran ran; ///< the strongest statement this kind alone allows
+    RetryAdvice retry;
+    std::string_view title; ///< one sentence for a person
+};
+
+/// The whole table, in the order of ErrorKind.
+std::span<const ErrorRow> error_table();
+
+/// The row of one kind.
+const ErrorRow& error_row(ErrorKind kind);
+
+/// Names as they stand in answers.
+std::string_view to_string(Ran ran);
+std::string_view to_string(RetryAdvice advice);
+
+/// An error with its detail for a person.
+struct Error {
+    ErrorKind kind = ErrorKind::Internal;
+    std::string detail;
+};
+
+/// One fault in a text that a person wrote.
+struct Fault {
+    int line = 0; ///< 1-based; 0 if the fault has no line
+    std::string message;
+};
+
+template <class T> using Result = tl::expected<T, Error>;
+
+/// Shorthand to return an error from a function of type Result<T>.
+inline tl::unexpected<Error>
+fail(ErrorKind kind, std::string detail = {})
+{
+    return tl::unexpected<Error>(Error {kind, std::move(detail)});
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/include/cypressford/router.h
@@ -0,0 +1,46 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Interface of router plug-ins: which upstream gets an attempt.
+
+#pragma once
+
+#include <span>
+
+#include <cypressford/upstream.h>
+
+namespace cypressford {
+
+/// One upstream that may take the attempt.  A plain value, so that a router
+/// decides on figures that don't change under it.
+struct Candidate {
+    std::uint32_t index = 0; ///< into the caller's list
+    int in_flight = 0; ///< ours
+    int others = 0; ///< of other daemons, as last reported
+    int queued = 0; ///< queued there, as last reported
+    int slots = 1;
+    Micros latency = 0; ///< moving average, 0 while unknown
+    bool remote = false; ///< in another hall
+    std::uint64_t address_hash = 0;
+};
+
+/// What the choice may depend on besides the candidates.
+struct RouteContext {
+    std::uint64_t affinity = 0; ///< hash of session or prefix; 0 for none
+    std::uint64_t random = 0; ///< fresh random bits for this decision
+    std::uint64_t sequence = 0; ///< counts decisions for this set
+};
+
+/// Chooses among candidates.  Holds no state: all of it comes in.
+class Router {
+public:
+    virtual ~Router() = default;
+
+    /// Index into `candidates`, which is never empty.
+    virtual std::size_t pick(std::span<const Candidate> candidates,
+                             const RouteContext& context) const
+        = 0;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/include/cypressford/upstream.h
@@ -0,0 +1,154 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What a daemon knows of upstreams, and the immutable snapshot of bundle and
+/// upstreams that a request reads from its first byte to its last.
+
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include <cypressford/bundle.h>
+
+namespace cypressford {
+
+/// Dense ids that stay the same over all snapshots of one process.
+using SetId = std::uint32_t;
+using StageId = std::uint32_t;
+
+/// A load report, as an upstream gave it to some daemon of the hall.
+struct LoadReport {
+    int in_flight = 0;
+    int queued = 0;
+    std::uint64_t incarnation = 0;
+    bool leaving = false;
+};
+
+/// Live state of one upstream.  Shared by all threads; every member is atomic
+/// because it is read and written on the path of a request.
+struct UpstreamState {
+    UpstreamState(std::string address_, std::string hall_)
+        : address(std::move(address_))
+        , hall(std::move(hall_))
+    {
+    }
+
+    const std::string address; ///< "ip:port"
+    const std::string hall;
+    const std::uint64_t address_hash = std::hash<std::string> {}(address);
+
+    std::atomic<int> in_flight {0}; ///< calls of this daemon
+    std::atomic<int> others {0}; ///< calls of other daemons, as last reported
+    std::atomic<int> queued {0}; ///< calls queued there, as last reported
+    std::atomic<Micros> reported_at {-1}; ///< when the report was made; -1 for never
+    std::atomic<std::uint64_t> incarnation {0};
+    std::atomic<bool> leaving {false};
+    std::atomic<Micros> ejected_until {0};
+    std::atomic<int> failures {0}; ///< consecutive
+    std::atomic<int> ejections {0}; ///< since the last success
+    std::atomic<bool> probing {false}; ///< one trial call is under way
+    std::atomic<Micros> latency {0}; ///< moving average; 0 while unknown
+    std::atomic<Micros> answered_at {0}; ///< time of the last whole answer
+
+    /// Takes over a load report that was made at `at`.  Older ones are ignored.
+    void apply_report(const LoadReport& report, Micros at);
+
+    /// A whole answer came after `service_time`.
+    void note_success(Micros service_time, Micros now);
+
+    /// A call failed.  After `limit` of them in a row the upstream is taken out
+    /// for a while that doubles each time; true if that happened now.
+    bool note_failure(int limit, Micros now);
+
+    /// Marks it as leaving in its present incarnation.  Only a report of a
+    /// later incarnation takes the mark away again.
+    void mark_leaving() { leaving.store(true, std::memory_order_relaxed); }
+};
+
+/// Live state of one client account's share on this daemon.
+struct AccountState {
+    std::atomic<Micros> next_allowed {0}; ///< theoretical arrival time (GCRA)
+    std::atomic<double> share {1.0}; ///< part of the account's rate that is ours
+    std::atomic<std::uint64_t> admitted {0};
+
+    /// Takes one request out of the share, or returns how long until it may come.
+    Micros take(const AccountSpec& spec, Micros now);
+};
+
+/// The upstreams of one set, own hall first.
+struct UpstreamSet {
+    SetId id = 0;
+    UpstreamSetSpec spec;
+    std::vector<std::shared_ptr<UpstreamState>> own; ///< in this daemon's hall
+    std::vector<std::shared_ptr<UpstreamState>> remote; ///< in other halls
+};
+
+/// One pipeline with its stages resolved.
+struct ResolvedPipeline {
+    PipelineSpec spec;
+    bool repeatable = true;
+    std::vector<std::size_t> sets; ///< per stage: index into Snapshot::sets
+    std::vector<StageId> stage_ids; ///< per stage: id for learned latencies
+};
+
+/// One account with its live state.
+struct ResolvedAccount {
+    AccountSpec spec;
+    std::shared_ptr<AccountState> state;
+};
+
+/// Bundle in force and upstreams, resolved.  Never changes once made.
+struct Snapshot {
+    std::string bundle_name;
+    std::uint64_t version = 0;
+    std::uint64_t generation = 0; ///< counts snapshots of this process
+    std::vector<UpstreamSet> sets;
+    std::vector<ResolvedPipeline> pipelines;
+    std::vector<ResolvedAccount> accounts;
+    std::unordered_map<std::string, std::size_t> pipeline_by_name;
+    std::unordered_map<std::string, std::size_t> account_by_digest;
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+/// Makes snapshots and carries live state over from one to the next.
+class UpstreamTable {
+public:
+    explicit UpstreamTable(std::string hall)
+        : m_hall(std::move(hall))
+    {
+    }
+
+    /// Resolves a bundle.  Not on the path of a request.
+    SnapshotPtr build(const Bundle& bundle);
+
+    /// The upstream with that address, or null.
+    std::shared_ptr<UpstreamState> find(std::string_view address) const;
+
+    /// All upstreams met so far.
+    std::vector<std::shared_ptr<UpstreamState>> all() const;
+
+private:
+    std::shared_ptr<UpstreamState> upstream(const std::string& address,
+                                            const std::string& hall);
+    std::uint32_t id_of(const std::string& name);
+    UpstreamSet resolve(const UpstreamSetSpec& spec);
+
+    const std::string m_hall;
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
+    std::map<std::string, std::shared_ptr<AccountState>> m_accounts;
+    std::map<std::string, std::uint32_t> m_ids;
+    std::uint64_t m_generation = 0;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/candidates.cpp
@@ -0,0 +1,143 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "candidates.h"
+
+#include <algorithm>
+
+namespace cypressford {
+
+namespace {
+
+// The learned latency of an upstream without answers is halved this often, so
+// that one that was slow is tried again.
+constexpr Micros kLatencyHalfLife = 5 * kSecond;
+constexpr int kMaxHalvings = 20;
+
+bool
+has_slot(const UpstreamState& upstream, int slots, int daemons)
+{
+    return upstream.in_flight.load(std::memory_order_relaxed)
+        < slot_limit(upstream, slots, daemons);
+}
+
+/// An upstream that failed lately and is due for one trial call.
+bool
+needs_probe(const UpstreamState& upstream)
+{
+    return upstream.ejections.load(std::memory_order_relaxed) > 0;
+}
+
+Micros
+aged_latency(const UpstreamState& upstream, Micros now)
+{
+    const Micros latency = upstream.latency.load(std::memory_order_relaxed);
+    const Micros idle = now - upstream.answered_at.load(std::memory_order_relaxed);
+    const auto halvings = std::clamp<Micros>(idle / kLatencyHalfLife, 0, kMaxHalvings);
+    return latency >> halvings;
+}
+
+Candidate
+candidate(const UpstreamState& upstream, std::uint32_t index, int slots, bool remote,
+          Micros now)
+{
+    Candidate c;
+    c.index = index;
+    c.in_flight = upstream.in_flight.load(std::memory_order_relaxed);
+    c.others = upstream.others.load(std::memory_order_relaxed);
+    c.queued = upstream.queued.load(std::memory_order_relaxed);
+    c.slots = slots;
+    c.latency = aged_latency(upstream, now);
+    c.remote = remote;
+    c.address_hash = upstream.address_hash;
+    return c;
+}
+
+bool
+was_tried(const UpstreamState& upstream, const CandidateQuery& query)
+{
+    return std::find(query.tried.begin(), query.tried.end(), &upstream)
+        != query.tried.end();
+}
+
+void
+collect(const std::vector<std::shared_ptr<UpstreamState>>& upstreams,
+        const UpstreamSet& set, const CandidateQuery& query, bool remote, Candidates& out)
+{
+    for (const auto& upstream : upstreams) {
+        if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
+            continue;
+        if (query.limit_slots
+            && !has_slot(*upstream, set.spec.slots, query.daemons_in_hall))
+            continue;
+        const bool probing = needs_probe(*upstream);
+        if (probing
+            && (!query.allow_probe || upstream->probing.load(std::memory_order_relaxed)))
+            continue;
+        const auto index = static_cast<std::uint32_t>(out.values.size());
+        out.values.push_back(
+            candidate(*upstream, index, set.spec.slots, remote, query.now));
+        out.states.push_back(&upstream);
+    }
+}
+
+} // namespace
+
+void
+Candidates::clear()
+{
+    values.clear();
+    states.clear();
+}
+
+int
+slot_limit(const UpstreamState& upstream, int slots, int daemons_in_hall)
+{
+    // The report on others lags.  A daemon may use what they seem to leave, but
+    // no more than twice its even part, so that all of them together overshoot
+    // the slots by a factor of two at most.
+    const int even = (slots + daemons_in_hall - 1) / std::max(1, daemons_in_hall);
+    const int left = slots - upstream.others.load(std::memory_order_relaxed);
+    return std::clamp(left, even, std::min(slots, 2 * even));
+}
+
+bool
+is_usable(const UpstreamState& upstream, Micros now)
+{
+    return !upstream.leaving.load(std::memory_order_relaxed)
+        && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
+}
+
+void
+collect_candidates(const UpstreamSet& set, const CandidateQuery& query, Candidates& out)
+{
+    out.clear();
+    collect(set.own, set, query, false, out);
+    if (out.empty())
+        collect(set.remote, set, query, true, out);
+}
+
+double
+share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now)
+{
+    double share = 0;
+    const double even = static_cast<double>(set.spec.slots) / std::max(1, daemons_in_hall);
+    for (const auto& upstream : set.own) {
+        if (!is_usable(*upstream, now))
+            continue;
+        const int left = set.spec.slots - upstream->others.load(std::memory_order_relaxed);
+        share += std::clamp(static_cast<double>(left), even, 2 * even);
+    }
+    return share;
+}
+
+int
+count_usable(const UpstreamSet& set, Micros now)
+{
+    const auto usable = [now](const auto& upstream) { return is_usable(*upstream, now); };
+    const auto own = std::count_if(set.own.begin(), set.own.end(), usable);
+    const auto remote = std::count_if(set.remote.begin(), set.remote.end(), usable);
+    return static_cast<int>(own + remote);
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/candidates.h
@@ -0,0 +1,51 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which upstreams of a set can take a call now.
+
+#pragma once
+
+#include <vector>
+
+#include <cypressford/router.h>
+#include <cypressford/upstream.h>
+
+namespace cypressford {
+
+/// What limits the choice.
+struct CandidateQuery {
+    Micros now = 0;
+    int daemons_in_hall = 1;
+    bool limit_slots = true; ///< leave out upstreams without a free slot
+    bool allow_probe = true; ///< an ejected upstream may get one trial call
+    std::span<const UpstreamState* const> tried; ///< already had this stage
+};
+
+/// Upstreams that can take a call, with the states behind them.
+struct Candidates {
+    std::vector<Candidate> values;
+    std::vector<const std::shared_ptr<UpstreamState>*> states;
+
+    void clear();
+    bool empty() const { return values.empty(); }
+};
+
+/// Calls that this daemon may have in flight to one upstream.
+int slot_limit(const UpstreamState& upstream, int slots, int daemons_in_hall);
+
+/// True unless the upstream is leaving or taken out after failures.
+bool is_usable(const UpstreamState& upstream, Micros now);
+
+/// Fills `out` with the upstreams of the own hall, or, if none of them can
+/// take the call, with those of other halls.
+void collect_candidates(const UpstreamSet& set, const CandidateQuery& query,
+                        Candidates& out);
+
+/// Calls the own hall's part of this daemon can run at a time, as a fraction.
+double share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now);
+
+/// Usable upstreams anywhere.
+int count_usable(const UpstreamSet& set, Micros now);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/claim_ledger.cpp
@@ -0,0 +1,120 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/claims.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace cypressford {
+
+namespace {
+
+constexpr WallMs kNever = std::numeric_limits<WallMs>::max();
+
+} // namespace
+
+void
+ClaimLedger::apply(Offset offset, const ClaimBatch& batch)
+{
+    if (offset < m_next)
+        return;
+    note_first_retained(offset);
+    m_next = offset + 1;
+    // The maker had read past the gap when it made this record, so all records
+    // in the gap were appended before `made_at` by its clock, and no key in
+    // them lies further ahead than daemons accept.
+    if (m_gap_end > 0 && batch.seen + 1 >= m_gap_end) {
+        const WallMs bound
+            = batch.made_at + 2 * m_options.clock_error + m_options.future_keys;
+        m_gap_floor = std::min(m_gap_floor.value_or(kNever), bound);
+    }
+    for (const ClaimMade& claim : batch.claims)
+        apply_claim(claim);
+    for (const ClaimEnded& end : batch.ends)
+        apply_end(end);
+    bound_memory();
+}
+
+void
+ClaimLedger::note_first_retained(Offset first)
+{
+    if (first <= m_next)
+        return;
+    m_gap_end = first;
+    m_next = first;
+    m_gap_floor.reset();
+}
+
+ClaimLedger::KeyState&
+ClaimLedger::state_of(const std::string& key, WallMs key_time)
+{
+    auto [it, fresh] = m_keys.try_emplace(key);
+    if (fresh) {
+        it->second.key_time = key_time;
+        m_by_time.emplace(key_time, key);
+    }
+    return it->second;
+}
+
+void
+ClaimLedger::apply_claim(const ClaimMade& claim)
+{
+    KeyState& state = state_of(claim.key, claim.key_time);
+    const auto& released = state.released;
+    if (state.claimed
+        || std::find(released.begin(), released.end(), claim.id) != released.end())
+        return;
+    state.claimed = true;
+    state.winner = claim.id;
+    state.fingerprint = claim.fingerprint;
+    state.outcome.reset();
+    state.answer.reset();
+}
+
+void
+ClaimLedger::apply_end(const ClaimEnded& end)
+{
+    KeyState& state = state_of(end.key, end.key_time);
+    const bool holds = state.claimed && state.winner == end.id;
+    if (end.outcome == ClaimOutcome::NotRun) {
+        if (std::find(state.released.begin(), state.released.end(), end.id)
+            == state.released.end())
+            state.released.push_back(end.id);
+        if (holds && !state.outcome)
+            state.claimed = false;
+        return;
+    }
+    if (!holds || state.outcome == ClaimOutcome::Done)
+        return;
+    state.outcome = end.outcome;
+    state.answer = end.answer;
+}
+
+void
+ClaimLedger::bound_memory()
+{
+    while (m_keys.size() > m_options.max_keys) {
+        auto oldest = m_by_time.begin();
+        m_dropped_floor = std::max(m_dropped_floor, oldest->first);
+        m_keys.erase(oldest->second);
+        m_by_time.erase(oldest);
+    }
+}
+
+const ClaimLedger::KeyState*
+ClaimLedger::find(const std::string& key) const
+{
+    auto it = m_keys.find(key);
+    return it == m_keys.end() ? nullptr : &it->second;
+}
+
+WallMs
+ClaimLedger::floor() const
+{
+    if (m_gap_end == 0)
+        return m_dropped_floor;
+    return std::max(m_dropped_floor, m_gap_floor.value_or(kNever));
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/claimer.cpp
@@ -0,0 +1,326 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/claims.h>
+
+#include <algorithm>
+
+#include <boost/uuid/string_generator.hpp>
+#include <boost/uuid/uuid.hpp>
+
+namespace cypressford {
+
+std::optional<WallMs>
+uuid7_time(std::string_view text)
+{
+    constexpr std::size_t kUuidLength = 36;
+    constexpr int kVersion = 7;
+    if (text.size() != kUuidLength)
+        return std::nullopt;
+    try {
+        const auto uuid = boost::uuids::string_generator {}(text.begin(), text.end());
+        if (uuid.data[6] >> 4 != kVersion)
+            return std::nullopt;
+        // RFC 9562: the first 48 bits are milliseconds since 1970.
+        WallMs time = 0;
+        for (int i = 0; i < 6; ++i)
+            time = (time << 8) | uuid.data[i];
+        return time;
+    } catch (const std::runtime_error&) {
+        return std::nullopt;
+    }
+}
+
+Claimer::Claimer(std::uint64_t maker, ClaimOptions options)
+    : m_options(options)
+    , m_maker(maker)
+    , m_ledger(options)
+{
+}
+
+void
+Claimer::handle(const ClaimEvent& event, ClaimTime time, ClaimActions& out)
+{
+    m_time = time;
+    m_out = &out;
+    std::visit([this](const auto& e) { on(e); }, event);
+    drop_finished();
+    append_if_due();
+}
+
+void
+Claimer::on(const ClaimWanted& event)
+{
+    Pending pending;
+    pending.want = event;
+    pending.id = {m_maker, m_next_number++};
+    auto& stored = m_pending.emplace(event.request, std::move(pending)).first->second;
+    m_by_id.emplace(stored.id, event.request);
+    m_by_key.emplace(event.key, event.request);
+    const auto* state = m_ledger.find(event.key);
+    if (state && state->claimed)
+        decide_from_ledger(stored);
+    else if (event.key_time <= m_ledger.floor())
+        decide(stored, ClaimResult::Expired, std::nullopt);
+    else if (log_is_out(m_time.now))
+        decide(stored, ClaimResult::Unavailable, std::nullopt);
+}
+
+void
+Claimer::on(const ClaimOver& event)
+{
+    auto it = m_pending.find(event.request);
+    if (it == m_pending.end())
+        return;
+    Pending& pending = it->second;
+    pending.over = true;
+    if (pending.won) {
+        const ClaimWanted& want = pending.want;
+        ClaimEnded end {pending.id, want.key, want.key_time, event.outcome, event.answer};
+        if (end.answer && end.answer->body.size() > m_options.max_answer)
+            end.answer.reset();
+        m_ends[pending.id] = {std::move(end), false};
+    } else {
+        release_if_needed(pending);
+    }
+    m_finished.push_back(event.request);
+}
+
+void
+Claimer::on(const AppendEnded& event)
+{
+    m_append_running = false;
+    for (const RequestId request : m_appending_claims) {
+        auto it = m_pending.find(request);
+        if (it != m_pending.end())
+            (event.stored ? it->second.stored : it->second.in_doubt) = true;
+    }
+    for (const ClaimId& id : m_appending_ends) {
+        auto it = m_ends.find(id);
+        if (it != m_ends.end())
+            it->second.stored |= event.stored;
+    }
+    if (event.stored) {
+        m_failing_since.reset();
+        return;
+    }
+    if (!m_failing_since)
+        m_failing_since = m_time.now;
+    m_retry_at = m_time.now + m_options.retry_append;
+}
+
+void
+Claimer::on(const ClaimRecordRead& event)
+{
+    if (event.offset < m_ledger.next())
+        return;
+    m_ledger.apply(event.offset, event.batch);
+    for (const ClaimMade& claim : event.batch.claims)
+        if (claim.id.maker == m_maker)
+            meet_own_claim(claim);
+    for (const ClaimEnded& end : event.batch.ends) {
+        if (end.id.maker == m_maker)
+            m_ends.erase(end.id);
+        revisit(end.key);
+    }
+}
+
+void
+Claimer::on(const FirstRetained& event)
+{
+    m_ledger.note_first_retained(event.offset);
+}
+
+void
+Claimer::on(const ClaimTick&)
+{
+    expire_pending();
+}
+
+/// Decides a request whose key is claimed already, by whomever.
+void
+Claimer::decide_from_ledger(Pending& pending)
+{
+    const auto& state = *m_ledger.find(pending.want.key);
+    if (state.fingerprint != pending.want.fingerprint)
+        return decide(pending, ClaimResult::Mismatch, std::nullopt);
+    if (!state.outcome)
+        return; // its outcome may still come before the deadline
+    const bool replayable = state.outcome == ClaimOutcome::Done && state.answer;
+    decide(pending, replayable ? ClaimResult::Replayed : ClaimResult::Unknown,
+           state.answer);
+}
+
+void
+Claimer::decide(Pending& pending, ClaimResult result, std::optional<RecordedAnswer> answer)
+{
+    DecideClaim decision {pending.want.request, result, std::move(answer), 0};
+    if (result == ClaimResult::Won) {
+        pending.won = true;
+        decision.fence = m_ledger.next();
+    } else {
+        pending.over = true;
+        release_if_needed(pending);
+        m_finished.push_back(pending.want.request);
+    }
+    m_out->push_back(std::move(decision));
+}
+
+void
+Claimer::meet_own_claim(const ClaimMade& claim)
+{
+    auto it = m_by_id.find(claim.id);
+    if (it == m_by_id.end())
+        return;
+    Pending& pending = m_pending.at(it->second);
+    if (pending.won)
+        return;
+    pending.seen = true;
+    const auto* state = m_ledger.find(claim.key);
+    const bool held = state && state->claimed;
+    if (held && state->winner == claim.id) {
+        // Records that could not be read may hold an earlier claim.
+        const bool certain = claim.key_time > m_ledger.floor();
+        decide(pending, certain ? ClaimResult::Won : ClaimResult::Expired, std::nullopt);
+    } else if (held) {
+        decide_from_ledger(pending);
+    } else {
+        decide(pending, ClaimResult::Unavailable, std::nullopt);
+    }
+}
+
+/// The outcome for a key has come: whoever waits for it is decided, or, if the
+/// key was released, gets a new chance.
+void
+Claimer::revisit(const std::string& key)
+{
+    const auto* state = m_ledger.find(key);
+    if (!state)
+        return;
+    auto [first, last] = m_by_key.equal_range(key);
+    for (auto it = first; it != last; ++it) {
+        Pending& pending = m_pending.at(it->second);
+        if (pending.over || pending.won)
+            continue;
+        if (state->claimed)
+            decide_from_ledger(pending);
+        else
+            pending.seen = pending.stored = false; // claim again, under the same id
+    }
+}
+
+/// Takes back a claim that will not be used.  Not needed if it never left, nor
+/// if its only copy was met in the log and lost.
+void
+Claimer::release_if_needed(const Pending& pending)
+{
+    const auto* state = m_ledger.find(pending.want.key);
+    const bool lost = state && state->claimed && state->winner != pending.id;
+    if (!pending.appended || (pending.seen && lost && !pending.in_doubt))
+        return;
+    const ClaimWanted& want = pending.want;
+    m_ends[pending.id] = {
+        {pending.id, want.key, want.key_time, ClaimOutcome::NotRun, std::nullopt}, false};
+}
+
+/// Requests whose deadline has come are answered, decided or not.
+void
+Claimer::expire_pending()
+{
+    for (auto& [request, pending] : m_pending) {
+        if (pending.over || pending.won || m_time.now < pending.want.deadline)
+            continue;
+        const auto* state = m_ledger.find(pending.want.key);
+        const bool held = state && state->claimed;
+        decide(pending, held ? ClaimResult::InProgress : ClaimResult::Unavailable,
+               std::nullopt);
+    }
+    if (!log_is_out(m_time.now))
+        return;
+    for (auto& [request, pending] : m_pending)
+        if (!pending.over && !pending.won && !m_ledger.find(pending.want.key))
+            decide(pending, ClaimResult::Unavailable, std::nullopt);
+}
+
+void
+Claimer::drop_finished()
+{
+    for (const RequestId request : m_finished) {
+        auto it = m_pending.find(request);
+        if (it == m_pending.end())
+            continue;
+        m_by_id.erase(it->second.id);
+        auto [first, last] = m_by_key.equal_range(it->second.want.key);
+        for (auto entry = first; entry != last; ++entry) {
+            if (entry->second == request) {
+                m_by_key.erase(entry);
+                break;
+            }
+        }
+        m_pending.erase(it);
+    }
+    m_finished.clear();
+}
+
+void
+Claimer::append_if_due()
+{
+    if (m_append_running || m_time.now < m_retry_at)
+        return;
+    const Micros burst = m_options.min_append_gap * (m_options.append_burst - 1);
+    if (m_time.now < m_next_append - burst)
+        return;
+    ClaimBatch batch = make_batch();
+    // While the log is out an empty record finds out when it is back.
+    if (batch.empty() && !m_failing_since)
+        return;
+    m_next_append = std::max(m_next_append, m_time.now) + m_options.min_append_gap;
+    m_append_running = true;
+    m_out->push_back(StartAppend {std::move(batch)});
+}
+
+ClaimBatch
+Claimer::make_batch()
+{
+    ClaimBatch batch;
+    batch.maker = m_maker;
+    batch.made_at = m_time.wall;
+    batch.seen = m_ledger.next() - 1;
+    m_appending_claims.clear();
+    m_appending_ends.clear();
+    for (const auto& [id, pending] : m_ends) {
+        if (batch.ends.size() == m_options.max_batch)
+            break;
+        if (pending.stored)
+            continue;
+        batch.ends.push_back(pending.end);
+        m_appending_ends.push_back(id);
+    }
+    for (auto& [request, pending] : m_pending) {
+        if (batch.claims.size() == m_options.max_batch)
+            break;
+        const auto* state = m_ledger.find(pending.want.key);
+        const bool held = state && state->claimed;
+        if (pending.over || pending.won || pending.seen || pending.stored || held)
+            continue;
+        pending.appended = true;
+        m_appending_claims.push_back(request);
+        const ClaimWanted& want = pending.want;
+        batch.claims.push_back({pending.id, want.key, want.fingerprint, want.key_time});
+    }
+    return batch;
+}
+
+bool
+Claimer::idle() const
+{
+    return m_ends.empty() && m_pending.empty() && !m_append_running;
+}
+
+bool
+Claimer::log_is_out(Micros now) const
+{
+    return m_failing_since && now - *m_failing_since >= m_options.outage_patience;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/request.cpp
@@ -0,0 +1,35 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "request.h"
+
+namespace cypressford {
+
+ErrorKind
+settle_kind(ErrorKind kind, const Request& request)
+{
+    const bool sent = request.may_have_run > 0;
+    if (request.once_may_have_run
+        && (kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::UpstreamFailed))
+        return ErrorKind::OutcomeUnknown;
+    if (sent && kind == ErrorKind::DeadlineUnreachable)
+        return ErrorKind::DeadlineExceeded;
+    if (sent && kind == ErrorKind::NoUpstream)
+        return ErrorKind::UpstreamFailed;
+    if (!sent && kind == ErrorKind::DeadlineExceeded)
+        return ErrorKind::DeadlineUnreachable;
+    if (!sent && kind == ErrorKind::UpstreamFailed)
+        return ErrorKind::NoUpstream;
+    return kind;
+}
+
+Ran
+settle_ran(ErrorKind kind, const Request& request)
+{
+    const Ran stated = error_row(kind).ran;
+    if (stated == Ran::NotRun && request.may_have_run > 0)
+        return Ran::Unknown;
+    return stated;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/request_machine.cpp
@@ -0,0 +1,179 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "request_machine.h"
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace cypressford {
+
+namespace {
+
+namespace msm = boost::msm;
+namespace mpl = boost::mpl;
+
+// Events of the machine.
+struct ClaimRequired { };
+struct ClaimWon { };
+struct SlotGranted { };
+struct HedgeDue { };
+struct StageDone { };
+struct AttemptLost { };
+struct GiveUp {
+    ErrorKind kind;
+};
+
+struct Definition : msm::front::state_machine_def<Definition> {
+    explicit Definition(RequestHost& host_)
+        : host(&host_)
+    {
+    }
+    RequestHost* host;
+
+    // In the order of RequestState.
+    struct Waiting : msm::front::state<> { };
+    struct Claiming : msm::front::state<> { };
+    struct Running : msm::front::state<> { };
+    struct Detached : msm::front::state<> { };
+    struct Finished : msm::front::state<> { };
+    using initial_state = Waiting;
+
+    void send(const SlotGranted&) { host->send(); }
+    void hedge(const HedgeDue&) { host->send(); }
+    void begin_claim(const ClaimRequired&) { host->begin_claim(); }
+    void keep_claim(const ClaimWon&) { }
+    void next_stage(const StageDone&) { host->next_stage(); }
+    void complete(const StageDone&) { host->complete(); }
+    void wait_for_others(const AttemptLost&) { }
+    void retry(const AttemptLost&) { }
+    void fail(const AttemptLost&) { host->give_up(host->failure_kind()); }
+    void abandon(const GiveUp& event) { host->give_up(event.kind); }
+    void detach(const GiveUp&) { host->reply_unknown(); }
+    void settle_done(const StageDone&) { host->settle(true); }
+    void settle_lost(const AttemptLost&) { host->settle(false); }
+    void settle_given_up(const GiveUp&) { host->settle(false); }
+
+    bool is_last(const StageDone&) { return host->at_last_stage(); }
+    bool is_not_last(const StageDone&) { return !host->at_last_stage(); }
+    bool has_others(const AttemptLost&) { return host->others_running(); }
+    bool can_retry(const AttemptLost&)
+    {
+        return !host->others_running() && host->may_retry();
+    }
+    bool runs_once(const GiveUp&) { return host->once_running(); }
+    bool runs_not_once(const GiveUp&) { return !host->once_running(); }
+
+    using D = Definition;
+    // Rows with the same source and event are tried from the last to the first.
+    // MSM gives the table its name.
+    // clang-format off
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    struct transition_table : mpl::vector<
+        a_row<Waiting,  SlotGranted,   Running,  &D::send>,
+        a_row<Waiting,  ClaimRequired, Claiming, &D::begin_claim>,
+        a_row<Waiting,  GiveUp,        Finished, &D::abandon>,
+        a_row<Claiming, ClaimWon,      Waiting,  &D::keep_claim>,
+        a_row<Claiming, GiveUp,        Finished, &D::abandon>,
+        a_irow<Running, HedgeDue,                &D::hedge>,
+          row<Running,  StageDone,     Finished, &D::complete,   &D::is_last>,
+          row<Running,  StageDone,     Waiting,  &D::next_stage, &D::is_not_last>,
+        a_row<Running,  AttemptLost,   Finished, &D::fail>,
+          row<Running,  AttemptLost,   Waiting,  &D::retry,      &D::can_retry>,
+         irow<Running,  AttemptLost,             &D::wait_for_others, &D::has_others>,
+          row<Running,  GiveUp,        Finished, &D::abandon,    &D::runs_not_once>,
+          row<Running,  GiveUp,        Detached, &D::detach,     &D::runs_once>,
+        a_row<Detached, StageDone,     Finished, &D::settle_done>,
+        a_row<Detached, AttemptLost,   Finished, &D::settle_lost>,
+        a_row<Detached, GiveUp,        Finished, &D::settle_given_up>
+    > { };
+    // clang-format on
+
+    /// Events that come too late for the state are expected and ignored.
+    template <class Machine, class Event>
+    void no_transition(const Event&, Machine&, int) { }
+};
+
+using Backend = msm::back::state_machine<Definition>;
+
+} // namespace
+
+struct RequestMachine::Impl {
+    explicit Impl(RequestHost& host)
+        : backend(host)
+    {
+        backend.start();
+    }
+    Backend backend;
+};
+
+RequestMachine::RequestMachine(RequestHost& host)
+    : m_impl(std::make_unique<Impl>(host))
+{
+}
+
+RequestMachine::~RequestMachine() = default;
+
+void
+RequestMachine::claim_required()
+{
+    m_impl->backend.process_event(ClaimRequired {});
+}
+
+void
+RequestMachine::claim_won()
+{
+    m_impl->backend.process_event(ClaimWon {});
+}
+
+void
+RequestMachine::slot_granted()
+{
+    m_impl->backend.process_event(SlotGranted {});
+}
+
+void
+RequestMachine::hedge_due()
+{
+    m_impl->backend.process_event(HedgeDue {});
+}
+
+void
+RequestMachine::stage_done()
+{
+    m_impl->backend.process_event(StageDone {});
+}
+
+void
+RequestMachine::attempt_lost()
+{
+    m_impl->backend.process_event(AttemptLost {});
+}
+
+void
+RequestMachine::give_up(ErrorKind kind)
+{
+    m_impl->backend.process_event(GiveUp {kind});
+}
+
+RequestState
+RequestMachine::state() const
+{
+    // MSM numbers the states by their first appearance in the table, so the
+    // order of ids is asked of the back end instead of being assumed.
+    using Table = Backend::stt;
+    namespace back = msm::back;
+    const int id = m_impl->backend.current_state()[0];
+    if (id == back::get_state_id<Table, Definition::Waiting>::value)
+        return RequestState::Waiting;
+    if (id == back::get_state_id<Table, Definition::Claiming>::value)
+        return RequestState::Claiming;
+    if (id == back::get_state_id<Table, Definition::Running>::value)
+        return RequestState::Running;
+    if (id == back::get_state_id<Table, Definition::Detached>::value)
+        return RequestState::Detached;
+    return RequestState::Finished;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/scheduler_impl.h
@@ -0,0 +1,242 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Inside of the scheduler: its tables, and the host of each request's machine.
+
+#pragma once
+
+#include <queue>
+#include <unordered_map>
+
+#include <cypressford/scheduler.h>
+
+#include "candidates.h"
+#include "request.h"
+#include "retry_budget.h"
+#include "stage_queue.h"
+
+namespace cypressford {
+
+/// Timeout of a repeatable attempt: this many times its usual tail ...
+inline constexpr Micros kTimeoutOverTail = 4;
+/// ... and this much more.
+inline constexpr Micros kTimeoutFloor = 100 * kMillisecond;
+/// Failures in a row after which an upstream is taken out.
+inline constexpr int kFailuresToEject = 3;
+/// Requests without a slot that a search through a queue passes over.
+inline constexpr int kMaxPassedOver = 4;
+/// Keeps divisions finite when no upstream is usable.
+inline constexpr double kSmallestShare = 0.1;
+
+struct Scheduler::Impl {
+    enum class TimerKind : unsigned char { Deadline, Hedge };
+
+    /// Something to look at later.
+    struct Timer {
+        Micros at = 0;
+        TimerKind kind = TimerKind::Deadline;
+        RequestId request = 0;
+        AttemptId attempt = 0;
+
+        bool operator>(const Timer& other) const { return at > other.at; }
+    };
+
+    /// Retries and hedges are paid for by first attempts of the same pipeline.
+    struct Budgets {
+        RetryBudget retries;
+        RetryBudget hedges;
+
+        void earn()
+        {
+            retries.earn();
+            hedges.earn();
+        }
+        bool spend_hedge() { return hedges.spend(); }
+    };
+
+    /// One request with its machine; the machine calls back here.
+    struct Entry final : RequestHost {
+        Entry(Impl& owner_, RequestSpec spec)
+            : owner(owner_)
+            , machine(*this)
+        {
+            request.spec = std::move(spec);
+        }
+
+        void send() override { owner.send(request); }
+        void begin_claim() override
+        {
+            request.claim = ClaimState::Pending;
+            owner.out->push_back(BeginClaim {request.spec.id, request.spec.deadline});
+        }
+        void next_stage() override
+        {
+            owner.release_commitment(request, request.stage);
+            ++request.stage;
+            request.attempts_of_stage = 0;
+            request.tried.clear();
+        }
+        void complete() override
+        {
+            owner.answer(request, Reply {0, std::nullopt, Ran::Ran, 0, false});
+            owner.end_claim(request, ClaimOutcome::Done);
+            owner.finish(request);
+        }
+        void give_up(ErrorKind kind) override
+        {
+            const ErrorKind settled = settle_kind(kind, request);
+            owner.answer(request,
+                         Reply {0, settled, settle_ran(settled, request),
+                                kRetryAfterGivingUp, false});
+            owner.end_claim(request,
+                            request.once_may_have_run ? ClaimOutcome::Unknown
+                                                      : ClaimOutcome::NotRun);
+            owner.finish(request);
+        }
+        void reply_unknown() override
+        {
+            owner.answer(request,
+                         Reply {0, ErrorKind::OutcomeUnknown, Ran::Unknown,
+                                kRetryAfterGivingUp, false});
+            owner.timers.push({owner.now + owner.options.detached_limit,
+                               TimerKind::Deadline, request.spec.id, 0});
+        }
+        void settle(bool done) override
+        {
+            const ClaimOutcome lost
+                = request.once_may_have_run ? ClaimOutcome::Unknown : ClaimOutcome::NotRun;
+            const bool whole = done && at_last_stage();
+            owner.end_claim(request, whole ? ClaimOutcome::Done : lost);
+            owner.finish(request);
+        }
+        bool at_last_stage() const override
+        {
+            return request.stage + 1 == request.pipeline().spec.stages.size();
+        }
+        bool may_retry() override
+        {
+            if (request.last_failure == ErrorKind::OutcomeUnknown)
+                return false;
+            if (request.attempts_of_stage >= owner.options.max_attempts
+                || owner.now >= request.spec.deadline)
+                return false;
+            if (!owner.budgets_of(request).retries.spend())
+                return false;
+            ++owner.counters.retries;
+            return true;
+        }
+        bool others_running() const override { return !request.running.empty(); }
+        bool once_running() const override
+        {
+            return request.once_may_have_run && !request.running.empty();
+        }
+        ErrorKind failure_kind() const override { return request.last_failure; }
+
+        Impl& owner;
+        Request request;
+        RequestMachine machine;
+    };
+
+    /// Advice to callers whose request was given up after it was admitted.
+    static constexpr Micros kRetryAfterGivingUp = kSecond;
+
+    Impl(SchedulerOptions options, const Router& router, const Admission& admission,
+         RandomBits random);
+
+    void on(const RequestArrived& event);
+    void on(const AttemptEnded& event);
+    void on(const ClaimDecided& event);
+    void on(const CallerClosed& event);
+    void on(const Tick& event);
+
+    AdmissionVerdict check_admission(const Request& request);
+    StageOutlook outlook(const Request& request, std::size_t at) const;
+    void commit(Request& request);
+    void release_commitment(Request& request, std::size_t at);
+
+    void advance(Entry& entry);
+    void leave_queue(Request& request);
+    void pump_dirty();
+    void pump(SetId id);
+    bool is_hopeless(const Request& request) const;
+    bool try_start(Entry& entry);
+    bool choose_upstream(const Request& request);
+    void send(Request& request);
+    Micros attempt_deadline(const Request& request) const;
+    void arm_hedge(const Request& request, AttemptId attempt);
+    void hedge(Entry& entry, AttemptId attempt);
+
+    void observe(const Attempt& attempt, AttemptStatus status);
+    bool may_eject(const Attempt& attempt) const;
+    void settle_attempt(Entry& entry, const Attempt& attempt, AttemptStatus status);
+    static ErrorKind failure_of(AttemptStatus status, bool once);
+    static ErrorKind claim_error(ClaimResult result);
+    void cancel_running(Request& request);
+    void end_claim(Request& request, ClaimOutcome outcome);
+    void answer(Request& request, Reply reply);
+    void reply_replayed(Entry& entry);
+    void finish(Request& request);
+    void forget_if_over(Entry& entry);
+
+    void mark_dirty(SetId id) { dirty.push_back(id); }
+    StageQueue& queue_of(SetId id)
+    {
+        if (id >= queues.size())
+            queues.resize(id + 1);
+        return queues[id];
+    }
+    Budgets& budgets_of(const Request& request)
+    {
+        const StageId id = request.pipeline().stage_ids.front();
+        return budgets
+            .try_emplace(id,
+                         Budgets {{options.retry_ratio, options.retry_burst},
+                                  {options.hedge_ratio, 2}})
+            .first->second;
+    }
+    static std::size_t priority_index(const Request& request)
+    {
+        return static_cast<std::size_t>(request.priority());
+    }
+    static WaitingRequest waiting_key(const Request& request)
+    {
+        return {request.priority(), request.spec.deadline, request.spec.id};
+    }
+    /// True if some stage of the pipeline runs once and relies on the claim.
+    static bool request_needs_claim(const Request& request)
+    {
+        const auto& pipeline = request.pipeline();
+        for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at)
+            if (!pipeline.spec.stages[at].repeatable
+                && !request.set_of(at).spec.deduplicates)
+                return true;
+        return false;
+    }
+
+    SchedulerOptions options;
+    const Router& router;
+    const Admission& admission;
+    RandomBits random;
+    SchedulerStats counters;
+    LatencyModel model;
+
+    std::unordered_map<RequestId, std::unique_ptr<Entry>> entries;
+    std::unordered_map<AttemptId, Attempt> attempts;
+    std::vector<StageQueue> queues;
+    std::unordered_map<StageId, Budgets> budgets; ///< by the pipeline's first stage
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
+    std::vector<SetId> dirty;
+    Candidates candidates; ///< scratch space
+    std::shared_ptr<UpstreamState> chosen; ///< last choice of choose_upstream()
+    AttemptId next_attempt = 1;
+    std::size_t unanswered = 0;
+    std::size_t waiting_count = 0;
+    /// Unanswered requests of each account; accounts without any are left out.
+    std::unordered_map<const AccountState*, int> by_account;
+
+    Micros now = 0; ///< time of the event in hand
+    Actions* out = nullptr; ///< where its actions go
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/stage_queue.h
@@ -0,0 +1,41 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <array>
+#include <compare>
+#include <set>
+
+#include <cypressford/scheduler.h>
+
+namespace cypressford {
+
+/// A request that waits for a free slot of an upstream set.
+struct WaitingRequest {
+    int priority = 0;
+    Micros deadline = 0;
+    RequestId request = 0;
+
+    auto operator<=>(const WaitingRequest&) const = default;
+};
+
+/// What one scheduler has in hand for one upstream set.
+struct StageQueue {
+    /// Most urgent first; within a priority the earliest deadline.
+    std::set<WaitingRequest> waiting;
+    /// Service time admitted and not yet done, by priority.
+    std::array<Micros, kLowestPriority + 1> committed {};
+    std::uint64_t decisions = 0; ///< routing decisions made for this set
+
+    /// Committed service time that goes before a request of this priority.
+    Micros ahead_of(int priority) const
+    {
+        Micros sum = 0;
+        for (int p = 0; p <= priority; ++p)
+            sum += committed.at(static_cast<std::size_t>(p));
+        return sum;
+    }
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/upstream.cpp
@@ -0,0 +1,165 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/upstream.h>
+
+#include <algorithm>
+
+namespace cypressford {
+
+namespace {
+
+constexpr Micros kFirstEjection = 500 * kMillisecond;
+constexpr int kMaxDoublings = 5;
+// Weight of a new sample in the moving average: 1 / kAverageWeight.
+constexpr Micros kAverageWeight = 8;
+
+} // namespace
+
+void
+UpstreamState::note_success(Micros service_time, Micros now)
+{
+    failures.store(0, std::memory_order_relaxed);
+    ejections.store(0, std::memory_order_relaxed);
+    const Micros old = latency.load(std::memory_order_relaxed);
+    const Micros next
+        = old == 0 ? service_time : old + (service_time - old) / kAverageWeight;
+    latency.store(std::max<Micros>(1, next), std::memory_order_relaxed);
+    answered_at.store(now, std::memory_order_relaxed);
+}
+
+bool
+UpstreamState::note_failure(int limit, Micros now)
+{
+    const int in_row = failures.fetch_add(1, std::memory_order_relaxed) + 1;
+    const int before = ejections.load(std::memory_order_relaxed);
+    if (in_row < limit && before == 0)
+        return false;
+    if (ejected_until.load(std::memory_order_relaxed) > now)
+        return false;
+    const Micros span = kFirstEjection << std::min(before, kMaxDoublings);
+    ejected_until.store(now + span, std::memory_order_relaxed);
+    ejections.store(before + 1, std::memory_order_relaxed);
+    return true;
+}
+
+void
+UpstreamState::apply_report(const LoadReport& report, Micros at)
+{
+    if (at <= reported_at.load(std::memory_order_relaxed))
+        return;
+    const std::uint64_t known = incarnation.load(std::memory_order_relaxed);
+    if (report.incarnation < known)
+        return;
+    if (report.incarnation > known) {
+        incarnation.store(report.incarnation, std::memory_order_relaxed);
+        leaving.store(report.leaving, std::memory_order_relaxed);
+    } else if (report.leaving) {
+        mark_leaving();
+    }
+    const int own = in_flight.load(std::memory_order_relaxed);
+    others.store(std::max(0, report.in_flight - own), std::memory_order_relaxed);
+    queued.store(report.queued, std::memory_order_relaxed);
+    reported_at.store(at, std::memory_order_relaxed);
+}
+
+Micros
+AccountState::take(const AccountSpec& spec, Micros now)
+{
+    const double rate = spec.rate * share.load(std::memory_order_relaxed);
+    const auto gap
+        = static_cast<Micros>(static_cast<double>(kSecond) / std::max(rate, 1e-6));
+    const auto tolerance = static_cast<Micros>(
+        static_cast<double>(gap) * std::max(0.0, spec.burst * share.load() - 1));
+    Micros expected = next_allowed.load(std::memory_order_relaxed);
+    for (;;) {
+        const Micros wait = expected - tolerance - now;
+        if (wait > 0)
+            return wait;
+        const Micros next = std::max(expected, now) + gap;
+        if (next_allowed.compare_exchange_weak(expected, next, std::memory_order_relaxed))
+            return 0;
+    }
+}
+
+SnapshotPtr
+UpstreamTable::build(const Bundle& bundle)
+{
+    const std::lock_guard lock(m_mutex);
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->bundle_name = bundle.name;
+    snapshot->version = bundle.version;
+    snapshot->generation = ++m_generation;
+    std::map<std::string, std::size_t> set_index;
+    for (const auto& spec : bundle.upstream_sets) {
+        set_index[spec.name] = snapshot->sets.size();
+        snapshot->sets.push_back(resolve(spec));
+    }
+    for (const auto& spec : bundle.pipelines) {
+        ResolvedPipeline pipeline;
+        pipeline.spec = spec;
+        pipeline.repeatable = spec.repeatable();
+        for (const auto& stage : spec.stages) {
+            pipeline.sets.push_back(set_index.at(stage.upstream_set));
+            pipeline.stage_ids.push_back(id_of("stage/" + spec.name + "/" + stage.name));
+        }
+        snapshot->pipeline_by_name[spec.name] = snapshot->pipelines.size();
+        snapshot->pipelines.push_back(std::move(pipeline));
+    }
+    for (const auto& spec : bundle.accounts) {
+        auto& state = m_accounts[spec.name];
+        if (!state)
+            state = std::make_shared<AccountState>();
+        snapshot->account_by_digest[spec.credential_sha256] = snapshot->accounts.size();
+        snapshot->accounts.push_back({spec, state});
+    }
+    return snapshot;
+}
+
+UpstreamSet
+UpstreamTable::resolve(const UpstreamSetSpec& spec)
+{
+    UpstreamSet set;
+    set.id = id_of("set/" + spec.name);
+    set.spec = spec;
+    for (const auto& [hall, addresses] : spec.halls)
+        for (const auto& address : addresses)
+            (hall == m_hall ? set.own : set.remote).push_back(upstream(address, hall));
+    return set;
+}
+
+std::shared_ptr<UpstreamState>
+UpstreamTable::upstream(const std::string& address, const std::string& hall)
+{
+    auto& state = m_upstreams[address];
+    if (!state)
+        state = std::make_shared<UpstreamState>(address, hall);
+    return state;
+}
+
+std::uint32_t
+UpstreamTable::id_of(const std::string& name)
+{
+    return m_ids.emplace(name, static_cast<std::uint32_t>(m_ids.size())).first->second;
+}
+
+std::shared_ptr<UpstreamState>
+UpstreamTable::find(std::string_view address) const
+{
+    const std::lock_guard lock(m_mutex);
+    auto it = m_upstreams.find(address);
+    return it == m_upstreams.end() ? nullptr : it->second;
+}
+
+std::vector<std::shared_ptr<UpstreamState>>
+UpstreamTable::all() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::shared_ptr<UpstreamState>> result;
+    result.reserve(m_upstreams.size());
+    for (const auto& [address, state] : m_upstreams)
+        result.push_back(state);
+    return result;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/bundle_service.cpp
@@ -0,0 +1,117 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "bundle_service.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Micros kReadWait = 5 * kSecond;
+constexpr std::chrono::milliseconds kReadRetry {300};
+constexpr std::chrono::milliseconds kReaderCheck {500};
+
+} // namespace
+
+BundleService::BundleService(asio::io_context& io, Kernel& kernel, PlatformClient& platform)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_platform(platform)
+    , m_fold({kernel.settings.operators, kernel.settings.daemon_key})
+{
+}
+
+void
+BundleService::start()
+{
+    asio::co_spawn(m_io, read_loop(), asio::detached);
+    asio::co_spawn(m_io, snapshot_loop(), asio::detached);
+}
+
+void
+BundleService::adopt(const std::string& encoded_snapshot)
+{
+    const FoldResult result = m_fold.adopt(encoded_snapshot);
+    if (result == FoldResult::Repeated)
+        return;
+    LogEvent("bundle_adopt",
+             result == FoldResult::Accepted ? LogLevel::Info : LogLevel::Warn)
+        .kv("result", to_string(result))
+        .kv("in_force", m_fold.in_force_version());
+    bring_into_force();
+}
+
+asio::awaitable<void>
+BundleService::read_loop()
+{
+    asio::steady_timer pause(m_io);
+    for (;;) {
+        if (!m_reader) {
+            pause.expires_after(kReaderCheck);
+            co_await pause.async_wait(kToTuple);
+            continue;
+        }
+        const auto page = co_await m_platform.read(kStream, m_fold.next(), kReadWait);
+        if (!page) {
+            pause.expires_after(kReadRetry);
+            co_await pause.async_wait(kToTuple);
+            continue;
+        }
+        m_fold.note_first_retained(page->first);
+        Offset offset = page->from;
+        for (const std::string& record : page->records) {
+            const FoldResult result = m_fold.apply(offset, record);
+            LogEvent("bundle_record").kv("offset", offset).kv("result", to_string(result));
+            ++offset;
+        }
+        bring_into_force();
+    }
+}
+
+/// The records that made the live state are dropped by the log some day, so the
+/// state is appended anew from time to time, by whichever daemon is first.
+asio::awaitable<void>
+BundleService::snapshot_loop()
+{
+    asio::steady_timer timer(m_io);
+    Offset last_rest = m_fold.rests_on();
+    for (;;) {
+        // Daemons that start together must not all append at once.
+        const auto spread = static_cast<Micros>(m_kernel.incarnation % 1000) * kMillisecond;
+        const Micros interval = m_kernel.settings.snapshot_interval;
+        timer.expires_after(
+            std::chrono::microseconds(interval + spread * (interval / kSecond) / 4));
+        co_await timer.async_wait(kToTuple);
+        const bool fresh = m_fold.rests_on() != last_rest;
+        last_rest = m_fold.rests_on();
+        if (fresh || !m_reader || !m_fold.has_base() || m_fold.newest_version() == 0)
+            continue;
+        const auto offset = co_await m_platform.append(kStream, encode(m_fold.snapshot()));
+        LogEvent("bundle_snapshot").kv("stored", offset.has_value());
+    }
+}
+
+void
+BundleService::bring_into_force()
+{
+    const Bundle* bundle = m_fold.in_force();
+    if (!bundle || m_fold.in_force_version() <= m_applied_version)
+        return;
+    m_applied_version = m_fold.in_force_version();
+    m_kernel.snapshot.store(m_kernel.upstreams.build(*bundle));
+    LogEvent("bundle_in_force").kv("bundle", bundle->name).kv("version", m_applied_version);
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/bundle_service.h
@@ -0,0 +1,47 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cypressford/bundle_fold.h>
+#include <cypressford/platform.h>
+
+#include "kernel.h"
+
+namespace cypressford {
+
+/// Follows the bundles stream and brings each version that is rolled into force
+/// on all workers.  Lives on the control thread.
+class BundleService {
+public:
+    BundleService(boost::asio::io_context& io, Kernel& kernel, PlatformClient& platform);
+
+    void start();
+
+    const BundleFold& fold() const { return m_fold; }
+
+    /// Takes over a peer's state if it is newer.
+    void adopt(const std::string& encoded_snapshot);
+
+    /// Whether this daemon reads the log itself or learns from its peers.
+    void set_reader(bool reader) { m_reader = reader; }
+
+    static constexpr const char* kStream = "bundles";
+
+private:
+    boost::asio::awaitable<void> read_loop();
+    boost::asio::awaitable<void> snapshot_loop();
+    void bring_into_force();
+
+    boost::asio::io_context& m_io;
+    Kernel& m_kernel;
+    PlatformClient& m_platform;
+    BundleFold m_fold;
+    std::uint64_t m_applied_version = 0;
+    bool m_reader = true;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/claim_service.cpp
@@ -0,0 +1,150 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "claim_service.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cypressford/codec.h>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Micros kReadWait = 5 * kSecond;
+constexpr std::chrono::milliseconds kTick {5};
+constexpr std::chrono::milliseconds kReadRetry {200};
+
+} // namespace
+
+ClaimService::ClaimService(asio::io_context& io, Kernel& kernel, PlatformClient& platform)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_platform(platform)
+    , m_claimer(kernel.incarnation, kernel.settings.claims)
+{
+}
+
+void
+ClaimService::start()
+{
+    asio::co_spawn(m_io, read_loop(), asio::detached);
+    asio::co_spawn(m_io, tick_loop(), asio::detached);
+}
+
+void
+ClaimService::want(ClaimWanted wanted, Decided decided)
+{
+    asio::post(m_io,
+               [this, wanted = std::move(wanted), decided = std::move(decided)]() mutable {
+                   m_waiting.emplace(wanted.request, std::move(decided));
+                   handle(std::move(wanted));
+               });
+}
+
+void
+ClaimService::over(ClaimOver over)
+{
+    asio::post(m_io, [this, over = std::move(over)] {
+        handle(over);
+        m_waiting.erase(over.request);
+    });
+}
+
+asio::awaitable<bool>
+ClaimService::is_claimed(std::string key)
+{
+    const auto look = [this, &key]() -> asio::awaitable<bool> {
+        const auto* state = m_claimer.ledger().find(key);
+        co_return state && state->claimed;
+    };
+    co_return co_await asio::co_spawn(m_io, look(), asio::use_awaitable);
+}
+
+asio::awaitable<bool>
+ClaimService::is_idle()
+{
+    const auto look = [this]() -> asio::awaitable<bool> { co_return m_claimer.idle(); };
+    co_return co_await asio::co_spawn(m_io, look(), asio::use_awaitable);
+}
+
+void
+ClaimService::handle(const ClaimEvent& event)
+{
+    ClaimActions actions;
+    const Micros now = monotonic_us();
+    m_claimer.handle(event, {now, wall_ms()}, actions);
+    m_kernel.log_out.store(m_claimer.log_is_out(now));
+    for (ClaimAction& action : actions) {
+        if (auto* start = std::get_if<StartAppend>(&action)) {
+            asio::co_spawn(m_io, append(std::move(start->batch)), asio::detached);
+            continue;
+        }
+        auto& decision = std::get<DecideClaim>(action);
+        auto it = m_waiting.find(decision.request);
+        if (it == m_waiting.end())
+            continue;
+        const Decided decided = std::move(it->second);
+        m_waiting.erase(it);
+        decided(std::move(decision));
+    }
+}
+
+asio::awaitable<void>
+ClaimService::append(ClaimBatch batch)
+{
+    const std::size_t claims = batch.claims.size();
+    const std::size_t ends = batch.ends.size();
+    const auto offset = co_await m_platform.append(kStream, encode(batch));
+    LogEvent("claims_append", offset ? LogLevel::Debug : LogLevel::Warn)
+        .kv("claims", claims)
+        .kv("ends", ends)
+        .kv("stored", offset.has_value())
+        .kv("offset", offset.value_or(-1));
+    handle(AppendEnded {offset.has_value()});
+}
+
+asio::awaitable<void>
+ClaimService::read_loop()
+{
+    asio::steady_timer pause(m_io);
+    for (;;) {
+        const auto page
+            = co_await m_platform.read(kStream, m_claimer.ledger().next(), kReadWait);
+        if (!page) {
+            pause.expires_after(kReadRetry);
+            co_await pause.async_wait(kToTuple);
+            continue;
+        }
+        handle(FirstRetained {page->first});
+        Offset offset = page->from;
+        for (const std::string& record : page->records) {
+            // A record that can't be read is one without entries, for everybody.
+            handle(ClaimRecordRead {offset, decode_claims(record).value_or(ClaimBatch {})});
+            ++offset;
+        }
+    }
+}
+
+asio::awaitable<void>
+ClaimService::tick_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        timer.expires_after(kTick);
+        co_await timer.async_wait(kToTuple);
+        handle(ClaimTick {});
+    }
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/daemon.cpp
@@ -0,0 +1,161 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "daemon.h"
+
+#include <csignal>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cypressford/registry.h>
+
+#include "bundle_service.h"
+#include "claim_service.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+#include "watch_service.h"
+#include "worker.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kStopCheck {20};
+
+} // namespace
+
+struct Daemon::Impl {
+    explicit Impl(Settings settings)
+        : kernel(std::move(settings))
+        , platform(Registry<PlatformClient>::instance().make(kernel.settings.platform.kind))
+        , claims(control, kernel, *platform)
+        , bundles(control, kernel, *platform)
+        , watch(control, kernel, *platform)
+        , signals(control, SIGINT, SIGTERM)
+    {
+        kernel.claims = &claims;
+        platform->open(control, kernel.settings.platform);
+        for (int i = 0; i < kernel.settings.threads; ++i) {
+            workers.push_back(std::make_unique<Worker>(kernel, static_cast<unsigned>(i)));
+            kernel.workers.push_back(workers.back().get());
+        }
+    }
+
+    template <class F> void on_workers(F&& action)
+    {
+        for (auto& worker : workers)
+            asio::post(worker->io(), [w = worker.get(), action] { action(*w); });
+    }
+
+    asio::awaitable<bool> workers_idle()
+    {
+        for (auto& worker : workers) {
+            Worker* w = worker.get();
+            const auto look = [w]() -> asio::awaitable<bool> { co_return w->is_idle(); };
+            if (!co_await asio::co_spawn(w->io(), look(), asio::use_awaitable))
+                co_return false;
+        }
+        co_return true;
+    }
+
+    asio::awaitable<void> wait_for_signal()
+    {
+        auto [ec, number] = co_await signals.async_wait(kToTuple);
+        if (ec)
+            co_return;
+        asio::co_spawn(control, planned_stop(), asio::detached);
+        co_await signals.async_wait(kToTuple);
+        LogEvent("stop_forced", LogLevel::Warn);
+        control.stop();
+    }
+
+    /// Readiness falls first; the balancer then sends nothing new, and what is
+    /// here is finished.
+    asio::awaitable<void> planned_stop()
+    {
+        LogEvent("stop_begin");
+        kernel.stopping.store(true);
+        on_workers([](Worker& worker) { worker.close_after_answers(); });
+        watch.announce_stop();
+        asio::steady_timer timer(control);
+        timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
+        co_await timer.async_wait(kToTuple);
+        on_workers([](Worker& worker) { worker.stop_accepting(); });
+        const Micros limit = monotonic_us() + kernel.settings.stop_limit;
+        bool idle = false;
+        while (!idle && monotonic_us() < limit) {
+            on_workers([](Worker& worker) { worker.close_idle(); });
+            timer.expires_after(kStopCheck);
+            co_await timer.async_wait(kToTuple);
+            idle = co_await workers_idle() && co_await claims.is_idle();
+        }
+        LogEvent("stop_end").kv("idle", idle);
+        control.stop();
+    }
+
+    asio::io_context control {1};
+    Kernel kernel;
+    std::unique_ptr<PlatformClient> platform;
+    ClaimService claims;
+    BundleService bundles;
+    WatchService watch;
+    asio::signal_set signals;
+    std::vector<std::unique_ptr<Worker>> workers;
+};
+
+Daemon::Daemon(Settings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Daemon::~Daemon()
+{
+    for (auto& worker : m_impl->workers)
+        worker->stop();
+}
+
+Result<void>
+Daemon::start()
+{
+    Impl& impl = *m_impl;
+    const Address address = parse_address(impl.kernel.settings.callers_address);
+    for (auto& worker : impl.workers)
+        if (auto port = worker->listen(address); !port)
+            return tl::unexpected(port.error());
+    impl.claims.start();
+    impl.bundles.start();
+    if (auto started = impl.watch.start(impl.bundles); !started)
+        return started;
+    for (auto& worker : impl.workers)
+        worker->start();
+    asio::co_spawn(impl.control, impl.wait_for_signal(), asio::detached);
+    const Settings& settings = impl.kernel.settings;
+    LogEvent("daemon_start")
+        .kv("callers", settings.callers_address)
+        .kv("peers", settings.peers_address)
+        .kv("router", settings.router)
+        .kv("admission", settings.admission)
+        .kv("peer_tls", !settings.tls.certificate.empty());
+    return {};
+}
+
+void
+Daemon::run_until_stopped()
+{
+    const RcuThread registered;
+    m_impl->control.run();
+    for (auto& worker : m_impl->workers)
+        worker->stop();
+    LogEvent("daemon_end");
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/kernel.h
@@ -0,0 +1,51 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What all threads of a daemon share.
+
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <cypressford/admission.h>
+#include <cypressford/router.h>
+#include <cypressford/session_token.h>
+#include <cypressford/upstream.h>
+#include <cypressford/upstream_kind.h>
+
+#include "libutil/rcu_cell.h"
+#include "settings.h"
+
+namespace cypressford {
+
+class ClaimService;
+class Worker;
+
+/// Plug-ins, snapshot and flags.  The plug-ins are made once and never change.
+struct Kernel {
+    explicit Kernel(Settings settings_);
+
+    const Settings settings;
+    const std::unique_ptr<Router> router;
+    const std::unique_ptr<Admission> admission;
+    const std::map<std::string, std::unique_ptr<UpstreamKind>> kinds;
+    const SessionTokens tokens;
+    const std::uint64_t incarnation; ///< drawn at random for this process
+
+    UpstreamTable upstreams;
+    RcuCell<Snapshot> snapshot;
+    std::atomic<bool> stopping {false};
+    std::atomic<int> daemons_in_hall {1};
+    std::atomic<bool> log_out {false}; ///< the log takes no appends at present
+
+    ClaimService* claims = nullptr;
+    std::vector<Worker*> workers;
+
+    bool is_ready() const { return !stopping.load() && snapshot.load() != nullptr; }
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/metrics.h
@@ -0,0 +1,68 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// What one worker counts.  Each worker writes its own without a lock; a scrape
+/// collects copies by message.
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cypressford/scheduler.h>
+
+namespace cypressford {
+
+/// Times as a histogram (Boost.Histogram behind it).
+class TimeHistogram {
+public:
+    TimeHistogram();
+    ~TimeHistogram();
+    TimeHistogram(const TimeHistogram& other);
+    TimeHistogram& operator=(const TimeHistogram& other);
+
+    void record(Micros time);
+    void merge(const TimeHistogram& other);
+
+    /// One bucket, cumulative as Prometheus wants it.
+    struct Bucket {
+        double upper_s = 0;
+        std::uint64_t count = 0;
+    };
+    std::vector<Bucket> buckets() const;
+    double sum_s() const;
+    std::uint64_t count() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// Counters of one worker, or of several merged.
+struct MetricsSnapshot {
+    std::map<std::pair<std::string, std::string>, std::uint64_t>
+        requests; ///< pipeline, outcome
+    std::map<std::string, TimeHistogram> request_time; ///< by pipeline, answered ones
+    std::map<std::string, TimeHistogram> attempt_time; ///< by upstream set
+    SchedulerStats scheduler;
+    std::uint64_t connections = 0;
+    std::uint64_t in_progress = 0;
+
+    void merge(const MetricsSnapshot& other);
+};
+
+/// A figure that has no history.
+struct Gauge {
+    std::string name;
+    std::string help;
+    double value = 0;
+};
+
+/// Prometheus text format.
+std::string render_metrics(const MetricsSnapshot& snapshot,
+                           const std::vector<Gauge>& gauges);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/problem.cpp
@@ -0,0 +1,52 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "problem.h"
+
+#include <boost/json.hpp>
+
+namespace cypressford {
+
+namespace json = boost::json;
+
+Problem
+problem_of(ErrorKind kind, std::string detail)
+{
+    const ErrorRow& row = error_row(kind);
+    const Micros after = row.retry == RetryAdvice::No ? 0 : kSecond;
+    return {kind, row.ran, after, std::move(detail)};
+}
+
+std::string
+problem_body(const Problem& problem)
+{
+    const ErrorRow& row = error_row(problem.kind);
+    json::object body {{"type", "urn:cypressford:error:" + std::string(row.name)},
+                       {"title", row.title},
+                       {"status", row.http_status},
+                       {"kind", row.name},
+                       {"ran", to_string(problem.ran)},
+                       {"retry", to_string(row.retry)}};
+    if (problem.retry_after > 0)
+        body["retry_after_ms"] = problem.retry_after / kMillisecond;
+    if (!problem.detail.empty())
+        body["detail"] = problem.detail;
+    return json::serialize(body);
+}
+
+HttpResponse
+problem_response(const Problem& problem)
+{
+    HttpResponse response;
+    response.status = error_row(problem.kind).http_status;
+    response.content_type = "application/problem+json";
+    response.body = problem_body(problem);
+    if (problem.retry_after > 0) {
+        // Retry-After counts whole seconds (RFC 9110); the body is finer.
+        const Micros seconds = (problem.retry_after + kSecond - 1) / kSecond;
+        response.headers.add("Retry-After", std::to_string(seconds));
+    }
+    return response;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/problem.h
@@ -0,0 +1,29 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cypressford/scheduler.h>
+
+#include "libutil/http.h"
+
+namespace cypressford {
+
+/// What an error answer says.
+struct Problem {
+    ErrorKind kind = ErrorKind::Internal;
+    Ran ran = Ran::Unknown;
+    Micros retry_after = 0; ///< 0 for none
+    std::string detail;
+};
+
+/// A problem whose kind alone says it all.
+Problem problem_of(ErrorKind kind, std::string detail = {});
+
+/// The body of an error answer (RFC 9457).
+std::string problem_body(const Problem& problem);
+
+/// The error answer itself.
+HttpResponse problem_response(const Problem& problem);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/settings.cpp
@@ -0,0 +1,267 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "settings.h"
+
+#include <algorithm>
+#include <optional>
+
+#include <cypressford/registry.h>
+
+#include "libutil/crypto.h"
+#include "libutil/yaml_reader.h"
+
+namespace cypressford {
+
+namespace {
+
+constexpr std::size_t kDaemonKeyBytes = 32;
+constexpr std::size_t kPublicKeyHex = 64;
+
+/// Reads a number and holds it to a range.
+template <class T>
+void
+read_range(YamlMapReader& reader, const char* key, T lowest, T highest, T& out)
+{
+    T value = out;
+    reader.read(key, value);
+    if (value < lowest || value > highest)
+        reader.add(reader.child(key),
+                   std::string(key) + " must be " + std::to_string(lowest) + " to "
+                       + std::to_string(highest));
+    else
+        out = value;
+}
+
+/// A time that stands in milliseconds in the file.
+void
+read_ms(YamlMapReader& reader, const char* key, Micros& out)
+{
+    constexpr Micros longest = 24 * 3600 * 1000;
+    Micros ms = out / kMillisecond;
+    read_range<Micros>(reader, key, 1, longest, ms);
+    out = ms * kMillisecond;
+}
+
+void
+read_duration(YamlMapReader& reader, const char* key, std::chrono::milliseconds& out)
+{
+    Micros value = out.count() * kMillisecond;
+    read_ms(reader, key, value);
+    out = std::chrono::milliseconds(value / kMillisecond);
+}
+
+void
+read_address(YamlMapReader& reader, const char* key, bool required, std::string& out)
+{
+    reader.read(key, out, required);
+    if (!out.empty() && parse_address(out).ip.empty())
+        reader.add(reader.child(key), std::string(key) + ": '" + out + "' is no ip:port");
+}
+
+/// Reads a sub-mapping if it is there.
+template <class F>
+void
+section(YamlMapReader& parent, const char* key, std::vector<Fault>& faults, F&& visit)
+{
+    const YAML::Node node = parent.child(key);
+    if (!node)
+        return;
+    YamlMapReader reader(node, key, faults);
+    visit(reader);
+    reader.refuse_unknown_keys();
+}
+
+template <class Interface>
+void
+read_plugin(YamlMapReader& reader, const char* key, std::string& out)
+{
+    reader.read(key, out);
+    const auto names = Registry<Interface>::instance().names();
+    if (std::find(names.begin(), names.end(), out) != names.end())
+        return;
+    std::string known;
+    for (const std::string& name : names)
+        known += " " + name;
+    reader.add(reader.child(key), std::string(key) + ": no '" + out + "' among:" + known);
+}
+
+void
+read_platform(YamlMapReader& reader, Settings& settings)
+{
+    read_plugin<PlatformClient>(reader, "kind", settings.platform.kind);
+    read_address(reader, "log", true, settings.platform.log);
+    read_address(reader, "nodes", true, settings.platform.nodes);
+    read_ms(reader, "timeout_ms", settings.platform.timeout);
+    read_ms(reader, "snapshot_interval_ms", settings.snapshot_interval);
+}
+
+void
+read_limits(YamlMapReader& reader, Settings& settings)
+{
+    HttpLimits& limits = settings.limits;
+    read_range<std::size_t>(reader, "header_bytes", 1024, 1 << 20, limits.header_bytes);
+    read_range<std::size_t>(reader, "body_bytes", 1024, 1 << 26, limits.body_bytes);
+    read_range(reader, "connections", 1, 1'000'000, limits.connections);
+    read_duration(reader, "header_ms", limits.header_time);
+    read_duration(reader, "body_ms", limits.body_time);
+    read_duration(reader, "idle_ms", limits.idle_time);
+    read_duration(reader, "write_ms", limits.write_time);
+}
+
+void
+read_policy(YamlMapReader& reader, Settings& settings)
+{
+    SchedulerOptions& options = settings.scheduler;
+    read_plugin<Router>(reader, "router", settings.router);
+    read_plugin<Admission>(reader, "admission", settings.admission);
+    reader.read("hedging", options.hedging);
+    reader.read("eject", options.eject);
+    read_range<std::size_t>(reader, "max_waiting", 1, 1'000'000, options.max_waiting);
+    read_range(reader, "retry_ratio", 0.0, 1.0, options.retry_ratio);
+    read_range(reader, "hedge_ratio", 0.0, 1.0, options.hedge_ratio);
+    read_range(reader, "max_attempts", 1, 10, options.max_attempts);
+    read_ms(reader, "token_life_ms", settings.token_life);
+}
+
+void
+read_claims(YamlMapReader& reader, Settings& settings)
+{
+    ClaimOptions& options = settings.claims;
+    read_ms(reader, "append_gap_ms", options.min_append_gap);
+    read_range(reader, "append_burst", 1, 100, options.append_burst);
+    read_range<std::size_t>(reader, "max_keys", 100, 10'000'000, options.max_keys);
+    read_ms(reader, "outage_patience_ms", options.outage_patience);
+    read_range<WallMs>(reader, "clock_error_ms", 0, 60'000, options.clock_error);
+}
+
+void
+read_hall(YamlMapReader& reader, Settings& settings)
+{
+    read_ms(reader, "watch_ms", settings.watch_interval);
+    read_ms(reader, "gossip_ms", settings.gossip_interval);
+    read_ms(reader, "suspect_ms", settings.suspect_after);
+}
+
+void
+read_log(YamlMapReader& reader, Settings& settings)
+{
+    reader.read("file", settings.log_file);
+    std::string level = "info";
+    reader.read("level", level);
+    const std::vector<std::string> names {"debug", "info", "warn", "error"};
+    const auto it = std::find(names.begin(), names.end(), level);
+    if (it == names.end())
+        reader.add(reader.child("level"), "level must be debug, info, warn or error");
+    else
+        settings.log_level = static_cast<LogLevel>(it - names.begin());
+}
+
+void
+read_keys(YamlMapReader& reader, Settings& settings)
+{
+    reader.read("operators", settings.operators, true);
+    for (const std::string& key : settings.operators)
+        if (key.size() != kPublicKeyHex || from_hex(key).empty())
+            reader.add(reader.child("operators"), "'" + key + "' is no public key in hex");
+    std::string hex;
+    reader.read("daemon_key", hex, true);
+    settings.daemon_key = from_hex(hex);
+    if (settings.daemon_key.size() != kDaemonKeyBytes)
+        reader.add(reader.child("daemon_key"), "daemon_key must be 32 bytes in hex");
+}
+
+bool
+is_loopback(const std::string& address)
+{
+    return address.starts_with("127.") || address.starts_with("::1");
+}
+
+void
+check_tls(YamlMapReader& reader, const Settings& settings)
+{
+    const TlsSettings& tls = settings.tls;
+    const int given
+        = !tls.certificate.empty() + !tls.private_key.empty() + !tls.authority.empty();
+    if (given != 0 && given != 3)
+        reader.add(reader.child("tls"), "tls needs certificate, private_key and authority");
+    if (given == 0 && !settings.peers_address.empty()
+        && !is_loopback(settings.peers_address))
+        reader.add(reader.child("listen"), "peers off loopback need tls");
+}
+
+void
+read_root(YamlMapReader& reader, Settings& settings, std::vector<Fault>& faults)
+{
+    reader.read("node", settings.node, true);
+    reader.read("hall", settings.hall, true);
+    read_range(reader, "threads", 1, 64, settings.threads);
+    section(reader, "listen", faults, [&](YamlMapReader& r) {
+        read_address(r, "callers", true, settings.callers_address);
+        read_address(r, "peers", false, settings.peers_address);
+    });
+    reader.read("peers", settings.peers);
+    for (const std::string& peer : settings.peers)
+        if (parse_address(peer).ip.empty())
+            reader.add(reader.child("peers"), "peers: '" + peer + "' is no ip:port");
+    section(reader, "platform", faults,
+            [&](YamlMapReader& r) { read_platform(r, settings); });
+    section(reader, "tls", faults, [&](YamlMapReader& r) {
+        r.read("certificate", settings.tls.certificate);
+        r.read("private_key", settings.tls.private_key);
+        r.read("authority", settings.tls.authority);
+    });
+    read_keys(reader, settings);
+    section(reader, "limits", faults, [&](YamlMapReader& r) { read_limits(r, settings); });
+    section(reader, "policy", faults, [&](YamlMapReader& r) { read_policy(r, settings); });
+    section(reader, "claims", faults, [&](YamlMapReader& r) { read_claims(r, settings); });
+    section(reader, "hall_control", faults,
+            [&](YamlMapReader& r) { read_hall(r, settings); });
+    section(reader, "log", faults, [&](YamlMapReader& r) { read_log(r, settings); });
+    section(reader, "stop", faults, [&](YamlMapReader& r) {
+        read_ms(r, "grace_ms", settings.stop_grace);
+        read_ms(r, "limit_ms", settings.stop_limit);
+    });
+    check_tls(reader, settings);
+    if (settings.callers_address.empty())
+        reader.add(reader.child("listen"), "settings need listen: callers");
+    if (settings.platform.log.empty())
+        reader.add(reader.child("platform"), "settings need platform: log");
+    settings.platform.hall = settings.hall;
+    settings.scheduler.schedulers = settings.threads;
+}
+
+} // namespace
+
+tl::expected<Settings, std::vector<Fault>>
+parse_settings(std::string_view text)
+{
+    std::vector<Fault> faults;
+    Settings settings;
+    try {
+        const YAML::Node root = YAML::Load(std::string(text));
+        YamlMapReader reader(root, "settings", faults);
+        read_root(reader, settings, faults);
+        reader.refuse_unknown_keys();
+    } catch (const YAML::Exception& error) {
+        faults.push_back({error.mark.line + 1, error.msg});
+    }
+    if (!faults.empty())
+        return tl::unexpected(std::move(faults));
+    return settings;
+}
+
+std::string
+format_faults(std::string_view file, const std::vector<Fault>& faults)
+{
+    std::string text;
+    for (const Fault& fault : faults) {
+        text += std::string(file) + ":";
+        if (fault.line > 0)
+            text += std::to_string(fault.line) + ":";
+        text += " " + fault.message + "\n";
+    }
+    return text;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/settings.h
@@ -0,0 +1,61 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Settings of a daemon: one YAML file, checked whole before anything starts.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <cypressford/platform.h>
+#include <cypressford/scheduler.h>
+
+#include "libutil/event_log.h"
+#include "libutil/http_server.h"
+
+namespace cypressford {
+
+/// Keys for TLS between daemons; all empty for plain text on loopback.
+struct TlsSettings {
+    std::string certificate; ///< file, PEM
+    std::string private_key; ///< file, PEM
+    std::string authority; ///< file, PEM
+};
+
+struct Settings {
+    std::string node;
+    std::string hall;
+    std::string callers_address; ///< "ip:port" for callers
+    std::string peers_address; ///< "ip:port" for other daemons; empty for none
+    std::vector<std::string> peers; ///< addresses of other daemons of the hall
+    int threads = 2;
+    std::string router = "adaptive";
+    std::string admission = "budget";
+    PlatformSettings platform;
+    Micros snapshot_interval = 300 * kSecond; ///< bundle state is re-appended this often
+    std::vector<std::string> operators; ///< public keys, hex
+    std::string daemon_key; ///< raw bytes, common to all daemons
+    TlsSettings tls;
+    HttpLimits limits;
+    SchedulerOptions scheduler;
+    ClaimOptions claims;
+    Micros watch_interval = 500 * kMillisecond; ///< between load reports of an upstream
+    Micros gossip_interval = 500 * kMillisecond; ///< between exchanges with a peer
+    Micros suspect_after = 3 * kSecond; ///< a silent peer is not counted then
+    Micros token_life = 600 * kSecond; ///< of resume tokens
+    Micros stop_grace = 2 * kSecond; ///< answering goes on so long after readiness fell
+    Micros stop_limit = 30 * kSecond; ///< then a planned stop ends in any case
+    std::string log_file;
+    LogLevel log_level = LogLevel::Info;
+};
+
+/// Parses and checks; reports all faults at once.
+tl::expected<Settings, std::vector<Fault>> parse_settings(std::string_view text);
+
+/// Faults as lines "file:line: message".
+std::string format_faults(std::string_view file, const std::vector<Fault>& faults);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/worker.cpp
@@ -0,0 +1,204 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "worker.h"
+
+#include <random>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "claim_service.h"
+#include "libutil/crypto.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// Between looks at timers and queues, with and without requests in hand.
+constexpr std::chrono::milliseconds kBusyTick {2};
+constexpr std::chrono::milliseconds kIdleTick {50};
+/// Request ids of one worker start at its index, this far up.
+constexpr int kIndexShift = 48;
+
+Scheduler::RandomBits
+random_source()
+{
+    return [engine = std::mt19937_64(random_u64())]() mutable { return engine(); };
+}
+
+} // namespace
+
+Worker::Worker(Kernel& kernel, unsigned index)
+    : m_kernel(kernel)
+    , m_index(index)
+    , m_scheduler(kernel.settings.scheduler, *kernel.router, *kernel.admission,
+                  random_source())
+    , m_client(m_io)
+    , m_server(
+          m_io, kernel.settings.limits,
+          [this](HttpExchange& exchange) { return serve(exchange); },
+          [](ErrorKind kind) { return problem_response(problem_of(kind)); })
+    , m_next_request((static_cast<RequestId>(index) << kIndexShift) + 1)
+    , m_tick(m_io)
+{
+}
+
+Worker::~Worker()
+{
+    stop();
+}
+
+Result<unsigned short>
+Worker::listen(const Address& address)
+{
+    return m_server.listen(address);
+}
+
+void
+Worker::start()
+{
+    asio::co_spawn(m_io, tick_loop(), asio::detached);
+    m_thread = std::thread([this] {
+        const RcuThread registered;
+        m_io.run();
+    });
+}
+
+void
+Worker::stop()
+{
+    m_io.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+asio::awaitable<void>
+Worker::tick_loop()
+{
+    for (;;) {
+        m_tick.expires_after(m_scheduler.live() > 0 ? kBusyTick : kIdleTick);
+        co_await m_tick.async_wait(kToTuple);
+        m_scheduler.set_daemons_in_hall(m_kernel.daemons_in_hall.load());
+        feed(Tick {});
+    }
+}
+
+void
+Worker::feed(const Event& event)
+{
+    const bool was_idle = m_scheduler.live() == 0;
+    Actions actions;
+    m_scheduler.handle(event, monotonic_us(), actions);
+    act(actions);
+    if (was_idle && m_scheduler.live() > 0)
+        m_tick.cancel();
+}
+
+void
+Worker::act(Actions& actions)
+{
+    for (const Action& action : actions)
+        std::visit([this](const auto& a) { act(a); }, action);
+}
+
+void
+Worker::act(const SendAttempt& action)
+{
+    auto it = m_contexts.find(action.request);
+    if (it == m_contexts.end())
+        return;
+    const ContextPtr context = it->second;
+    auto handle = std::make_shared<CallHandle>();
+    context->calls[action.attempt] = handle;
+    m_attempts[action.attempt] = action.request;
+    asio::co_spawn(m_io, run_attempt(action, context, std::move(handle)), asio::detached);
+}
+
+void
+Worker::act(const CancelAttempt& action)
+{
+    auto it = m_attempts.find(action.attempt);
+    if (it == m_attempts.end())
+        return;
+    auto& calls = m_contexts.at(it->second)->calls;
+    auto call = calls.find(action.attempt);
+    // Posted, since the call may be what is running now.
+    if (call != calls.end())
+        asio::post(m_io, [handle = call->second] { handle->cancel(); });
+}
+
+void
+Worker::act(const BeginClaim& action)
+{
+    const ContextPtr context = m_contexts.at(action.request);
+    ClaimWanted wanted;
+    wanted.request = action.request;
+    wanted.key = context->account + "/" + context->key;
+    wanted.fingerprint = fast_hash(context->pipeline + "\n" + context->body);
+    wanted.key_time = context->key_time;
+    wanted.deadline = action.deadline;
+    m_kernel.claims->want(std::move(wanted), [this](DecideClaim decision) {
+        asio::post(m_io, [this, decision = std::move(decision)]() mutable {
+            claim_decided(std::move(decision));
+        });
+    });
+}
+
+void
+Worker::claim_decided(DecideClaim decision)
+{
+    auto it = m_contexts.find(decision.request);
+    if (it != m_contexts.end()) {
+        it->second->recorded = std::move(decision.answer);
+        it->second->fence = decision.fence;
+    }
+    feed(ClaimDecided {decision.request, decision.result});
+}
+
+void
+Worker::act(const EndClaim& action)
+{
+    const ContextPtr context = m_contexts.at(action.request);
+    ClaimOver over {action.request, action.outcome, std::nullopt};
+    if (action.outcome == ClaimOutcome::Done)
+        over.answer = RecordedAnswer {
+            "application/json",
+            boost::json::serialize(boost::json::object {{"output", context->input}})};
+    m_kernel.claims->over(std::move(over));
+}
+
+void
+Worker::act(const Reply& action)
+{
+    const ContextPtr context = m_contexts.at(action.request);
+    context->reply = action;
+    context->changed.cancel();
+}
+
+void
+Worker::act(const Forget& action)
+{
+    m_contexts.erase(action.request);
+}
+
+MetricsSnapshot
+Worker::metrics() const
+{
+    MetricsSnapshot copy = m_metrics;
+    copy.scheduler = m_scheduler.stats();
+    copy.connections = static_cast<std::uint64_t>(m_server.connections());
+    copy.in_progress = m_scheduler.in_progress();
+    return copy;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/worker.h
@@ -0,0 +1,153 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// One thread of a daemon: it takes requests in, feeds the scheduler with
+/// events and carries out its actions.
+
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cypressford/claims.h>
+#include <cypressford/scheduler.h>
+#include <cypressford/session_token.h>
+
+#include "kernel.h"
+#include "libutil/http_client.h"
+#include "libutil/http_server.h"
+#include "metrics.h"
+#include "problem.h"
+
+namespace cypressford {
+
+/// A request while a worker has it: its data, which the scheduler never sees.
+struct RequestContext {
+    explicit RequestContext(boost::asio::io_context& io)
+        : changed(io, boost::asio::steady_timer::time_point::max())
+    {
+    }
+
+    RequestSpec spec;
+    Micros arrived = 0;
+    std::string account;
+    std::string pipeline;
+    std::string body;
+    std::string key; ///< Idempotency-Key as the caller gave it
+    WallMs key_time = 0;
+    std::string input; ///< of the present stage; the output once it is done
+    std::int64_t fence = 0;
+
+    SessionState session; ///< where the stream stands, for resume tokens
+    std::vector<std::string> tokens; ///< of the generated text
+    std::size_t delivered = 0; ///< tokens that the caller has
+    std::size_t skip = 0; ///< tokens that it had before it came to us
+    std::uint64_t skip_hash = 0; ///< their hash, to check a text made anew
+    bool caller_gone = false;
+
+    std::optional<Reply> reply;
+    std::optional<RecordedAnswer> recorded;
+    std::unordered_map<AttemptId, std::shared_ptr<CallHandle>> calls;
+    boost::asio::steady_timer changed; ///< cancelled when there is news
+
+    const ResolvedPipeline& resolved() const
+    {
+        return spec.snapshot->pipelines[spec.pipeline];
+    }
+    const ResolvedAccount& resolved_account() const
+    {
+        return spec.snapshot->accounts[spec.account];
+    }
+};
+using ContextPtr = std::shared_ptr<RequestContext>;
+
+class Worker {
+public:
+    Worker(Kernel& kernel, unsigned index);
+    ~Worker();
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+
+    /// Binds the callers' address.
+    Result<unsigned short> listen(const Address& address);
+    void start();
+    void stop();
+
+    boost::asio::io_context& io() { return m_io; }
+
+    // The following run on the worker's thread.
+    void close_after_answers() { m_server.close_after_answers(); }
+    void stop_accepting() { m_server.stop_accepting(); }
+    void close_idle() { m_server.close_idle(); }
+    bool is_idle() const { return m_server.connections() == 0 && m_scheduler.live() == 0; }
+    MetricsSnapshot metrics() const;
+
+private:
+    // front_door.cpp: from the caller to the scheduler and back.
+    boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    boost::asio::awaitable<void> serve_pipeline(HttpExchange& exchange, std::string name);
+    boost::asio::awaitable<void> serve_metrics(HttpExchange& exchange);
+    Result<ContextPtr> make_context(const HttpRequest& request,
+                                    const std::string& pipeline);
+    Result<void> read_key(const HttpRequest& request, RequestContext& context);
+    Result<void> read_session(const HttpRequest& request, RequestContext& context);
+    boost::asio::awaitable<void> answer_whole(HttpExchange& exchange, ContextPtr context);
+    boost::asio::awaitable<void> answer_stream(HttpExchange& exchange, ContextPtr context);
+    boost::asio::awaitable<bool> write_tokens(HttpExchange& exchange,
+                                              RequestContext& context);
+    boost::asio::awaitable<Problem> settle_problem(ContextPtr context);
+    boost::asio::awaitable<bool> resume_at_engine(HttpExchange& exchange,
+                                                  ContextPtr context);
+    void finish_metrics(const RequestContext& context, std::string_view outcome);
+
+    // worker.cpp: events and actions.
+    void feed(const Event& event);
+    void act(Actions& actions);
+    void act(const SendAttempt& action);
+    void act(const CancelAttempt& action);
+    void act(const BeginClaim& action);
+    void act(const EndClaim& action);
+    void act(const Reply& action);
+    void act(const Forget& action);
+    void claim_decided(DecideClaim decision);
+    boost::asio::awaitable<void> tick_loop();
+
+    // attempt.cpp: calls to upstreams.
+    boost::asio::awaitable<void> run_attempt(SendAttempt send, ContextPtr context,
+                                             std::shared_ptr<CallHandle> handle);
+    boost::asio::awaitable<AttemptStatus> call_once(const SendAttempt& send,
+                                                    ContextPtr context,
+                                                    const UpstreamKind& kind,
+                                                    std::shared_ptr<CallHandle> handle);
+    boost::asio::awaitable<AttemptStatus> call_stream(const SendAttempt& send,
+                                                      ContextPtr context,
+                                                      const UpstreamKind& kind,
+                                                      std::shared_ptr<CallHandle> handle);
+    bool take_tokens(RequestContext& context, std::vector<StreamToken> tokens);
+    StageCall stage_call(const SendAttempt& send, const RequestContext& context) const;
+    void cancel_stream(const std::string& address, const UpstreamKind& kind,
+                       std::uint64_t stream);
+
+    Kernel& m_kernel;
+    const unsigned m_index;
+    boost::asio::io_context m_io {1};
+    std::thread m_thread;
+    Scheduler m_scheduler;
+    HttpClient m_client;
+    HttpServer m_server;
+    std::unordered_map<RequestId, ContextPtr> m_contexts;
+    std::unordered_map<AttemptId, RequestId> m_attempts;
+    RequestId m_next_request;
+    MetricsSnapshot m_metrics;
+    boost::asio::steady_timer m_tick;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/crypto.h
@@ -0,0 +1,50 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The little of OpenSSL that the project needs, behind plain functions.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <cypressford/error.h>
+
+namespace cypressford {
+
+std::string to_hex(std::string_view bytes);
+/// Empty for text that is no hex.
+std::string from_hex(std::string_view text);
+std::string to_base64url(std::string_view bytes);
+/// Empty for text that is no unpadded base64url.
+std::string from_base64url(std::string_view text);
+
+std::string sha256(std::string_view bytes);
+std::string hmac_sha256(std::string_view key, std::string_view bytes);
+/// Compares in constant time.
+bool equal_secret(std::string_view a, std::string_view b);
+
+/// `count` bytes from the system's generator.
+std::string random_bytes(std::size_t count);
+std::uint64_t random_u64();
+
+/// An Ed25519 key pair.
+struct KeyPair {
+    std::string private_pem;
+    std::string public_hex;
+};
+
+Result<KeyPair> make_key_pair();
+/// The public half of a private key, hex.
+Result<std::string> public_key_of(std::string_view private_pem);
+/// An Ed25519 signature, hex.
+Result<std::string> sign(std::string_view private_pem, std::string_view bytes);
+bool verify(std::string_view public_hex, std::string_view bytes,
+            std::string_view signature_hex);
+
+/// XXH3, for hashes that no adversary matters to.
+std::uint64_t fast_hash(std::string_view bytes, std::uint64_t seed = 0);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/http.cpp
@@ -0,0 +1,64 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "http.h"
+
+#include <charconv>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace cypressford {
+
+std::string_view
+HttpHeaders::get(std::string_view name) const
+{
+    for (const auto& [key, value] : m_fields)
+        if (boost::algorithm::iequals(key, name))
+            return value;
+    return {};
+}
+
+std::string_view
+HttpRequest::path() const
+{
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+std::string_view
+HttpRequest::query(std::string_view name) const
+{
+    const std::size_t mark = target.find('?');
+    if (mark == std::string::npos)
+        return {};
+    std::string_view rest = std::string_view(target).substr(mark + 1);
+    while (!rest.empty()) {
+        const std::string_view pair = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        const std::size_t equals = pair.find('=');
+        if (equals != std::string_view::npos && pair.substr(0, equals) == name)
+            return pair.substr(equals + 1);
+    }
+    return {};
+}
+
+Address
+parse_address(std::string_view text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+        return {};
+    const std::string_view digits = text.substr(colon + 1);
+    Address address;
+    const auto [end, error]
+        = std::from_chars(digits.data(), digits.data() + digits.size(), address.port);
+    if (error != std::errc {} || end != digits.data() + digits.size())
+        return {};
+    boost::system::error_code ec;
+    boost::asio::ip::make_address(std::string(text.substr(0, colon)), ec);
+    if (!ec)
+        address.ip = text.substr(0, colon);
+    return address;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/http.h
@@ -0,0 +1,62 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// HTTP/1.1 messages as plain values, so that no other header needs Beast.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cypressford {
+
+/// Header fields in the order they came.
+class HttpHeaders {
+public:
+    void add(std::string name, std::string value)
+    {
+        m_fields.emplace_back(std::move(name), std::move(value));
+    }
+    /// Value of the first field of that name, any case; empty if there is none.
+    std::string_view get(std::string_view name) const;
+    const std::vector<std::pair<std::string, std::string>>& fields() const
+    {
+        return m_fields;
+    }
+
+private:
+    std::vector<std::pair<std::string, std::string>> m_fields;
+};
+
+struct HttpRequest {
+    std::string method = "GET";
+    std::string target = "/";
+    HttpHeaders headers;
+    std::string body;
+
+    /// The target without its query.
+    std::string_view path() const;
+    /// Value of a query parameter, not decoded; empty if there is none.
+    std::string_view query(std::string_view name) const;
+};
+
+struct HttpResponse {
+    int status = 200;
+    std::string content_type = "application/json";
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// An address as "ip:port".
+struct Address {
+    std::string ip;
+    unsigned short port = 0;
+};
+
+/// Nothing is thrown: an empty ip means that the text is no address.
+Address parse_address(std::string_view text);
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/http_client.cpp
@@ -0,0 +1,242 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "http_client.h"
+
+#include <array>
+#include <chrono>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kMaxIdle = 64; ///< kept connections to one address
+constexpr std::size_t kMaxAnswer = 8 * 1024 * 1024; ///< bytes
+constexpr std::size_t kChunk = 8 * 1024; ///< bytes
+
+std::chrono::steady_clock::time_point
+time_point_of(std::int64_t monotonic)
+{
+    return std::chrono::steady_clock::time_point(std::chrono::microseconds(monotonic));
+}
+
+http::request<http::string_body>
+to_beast(const std::string& host, const HttpRequest& request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, host);
+    for (const auto& [name, value] : request.headers.fields())
+        message.set(name, value);
+    message.body() = request.body;
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+template <class Message>
+HttpResponse
+head_of(const Message& message)
+{
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    response.content_type = std::string(message[http::field::content_type]);
+    for (const auto& field : message)
+        response.headers.add(std::string(field.name_string()), std::string(field.value()));
+    return response;
+}
+
+} // namespace
+
+class HttpClient::Connection {
+public:
+    Connection(asio::io_context& io, std::string address)
+        : m_stream(io)
+        , m_address(std::move(address))
+    {
+    }
+
+    asio::awaitable<bool> connect()
+    {
+        const Address address = parse_address(m_address);
+        if (address.ip.empty())
+            co_return false;
+        const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
+        auto [ec] = co_await m_stream.async_connect(endpoint, kToTuple);
+        if (ec)
+            co_return false;
+        boost::system::error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        co_return true;
+    }
+
+    void set_deadline(std::int64_t deadline)
+    {
+        m_stream.expires_at(time_point_of(deadline));
+    }
+    void clear_deadline() { m_stream.expires_never(); }
+    void abort() { m_stream.close(); }
+    bool reusable() const { return m_reusable; }
+    bool got_bytes() const { return m_got_bytes; }
+
+    /// True if the far side has closed a kept connection.
+    bool is_stale()
+    {
+        boost::system::error_code ec;
+        m_stream.socket().non_blocking(true, ec);
+        char byte = 0;
+        m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        return ec != asio::error::would_block;
+    }
+
+    asio::awaitable<CallResult> exchange(const HttpRequest& request,
+                                         const CallOptions& options)
+    {
+        m_reusable = false;
+        m_got_bytes = false;
+        const auto message = to_beast(m_address, request);
+        auto [write_error, written]
+            = co_await http::async_write(m_stream, message, kToTuple);
+        if (write_error)
+            co_return CallResult {CallStatus::Lost, {}};
+        http::response_parser<http::buffer_body> parser;
+        parser.body_limit(kMaxAnswer);
+        auto [ec, read]
+            = co_await http::async_read_header(m_stream, m_buffer, parser, kToTuple);
+        m_got_bytes = m_buffer.size() > 0 || parser.got_some();
+        if (ec)
+            co_return CallResult {CallStatus::Lost, {}};
+        CallResult result {CallStatus::Lost, head_of(parser.get())};
+        const bool whole = co_await read_body(parser, options, result.response);
+        if (whole) {
+            result.status = CallStatus::Answered;
+            m_reusable = parser.keep_alive();
+        }
+        co_return result;
+    }
+
+private:
+    asio::awaitable<bool> read_body(http::response_parser<http::buffer_body>& parser,
+                                    const CallOptions& options, HttpResponse& response)
+    {
+        std::array<char, kChunk> chunk {};
+        while (!parser.is_done()) {
+            parser.get().body().data = chunk.data();
+            parser.get().body().size = chunk.size();
+            auto [ec, size]
+                = co_await http::async_read_some(m_stream, m_buffer, parser, kToTuple);
+            const std::size_t got = chunk.size() - parser.get().body().size;
+            const std::string_view text(chunk.data(), got);
+            if (options.on_chunk && response.status == 200)
+                options.on_chunk(text);
+            else
+                response.body += text;
+            if (ec && ec != http::error::need_buffer)
+                co_return false;
+        }
+        co_return true;
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::string m_address;
+    bool m_reusable = false;
+    bool m_got_bytes = false;
+};
+
+HttpClient::HttpClient(asio::io_context& io)
+    : m_io(io)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<CallResult>
+HttpClient::call(std::string address, HttpRequest request, CallOptions options)
+{
+    request.headers.add(std::string(kClockHeader),
+                        format_stamp(HybridClock::instance().tick()));
+    if (!options.handle)
+        options.handle = std::make_shared<CallHandle>();
+    if (!options.fresh_connection) {
+        if (auto kept = take_idle(address)) {
+            CallResult result = co_await attempt(*kept, request, options);
+            const bool stale = result.status == CallStatus::Lost && !kept->got_bytes()
+                && !options.handle->cancelled() && monotonic_us() < options.deadline_us;
+            if (!stale) {
+                keep(address, std::move(kept));
+                co_return result;
+            }
+        }
+    }
+    auto connection = std::make_unique<Connection>(m_io, address);
+    options.handle->m_abort = [raw = connection.get()] { raw->abort(); };
+    connection->set_deadline(options.deadline_us);
+    const bool connected = !options.handle->cancelled() && co_await connection->connect();
+    options.handle->m_abort = nullptr;
+    if (!connected || options.handle->cancelled())
+        co_return CallResult {CallStatus::NotSent, {}};
+    CallResult result = co_await attempt(*connection, request, options);
+    keep(address, std::move(connection));
+    co_return result;
+}
+
+asio::awaitable<CallResult>
+HttpClient::attempt(Connection& connection, const HttpRequest& request,
+                    const CallOptions& options)
+{
+    connection.set_deadline(options.deadline_us);
+    options.handle->m_abort = [&connection] { connection.abort(); };
+    CallResult result = co_await connection.exchange(request, options);
+    options.handle->m_abort = nullptr;
+    connection.clear_deadline();
+    const std::uint64_t stamp = parse_stamp(result.response.headers.get(kClockHeader));
+    if (stamp != 0)
+        HybridClock::instance().observe(stamp);
+    co_return result;
+}
+
+std::unique_ptr<HttpClient::Connection>
+HttpClient::take_idle(const std::string& address)
+{
+    auto it = m_idle.find(address);
+    while (it != m_idle.end() && !it->second.empty()) {
+        auto connection = std::move(it->second.back());
+        it->second.pop_back();
+        if (!connection->is_stale())
+            return connection;
+    }
+    return nullptr;
+}
+
+void
+HttpClient::keep(const std::string& address, std::unique_ptr<Connection> connection)
+{
+    auto& idle = m_idle[address];
+    if (connection->reusable() && idle.size() < kMaxIdle)
+        idle.push_back(std::move(connection));
+}
+
+void
+HttpClient::close_idle()
+{
+    m_idle.clear();
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/http_client.h
@@ -0,0 +1,87 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// An HTTP/1.1 client on one io_context, with kept connections.  It tells
+/// apart what was certainly not sent from what may have been.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "http.h"
+
+namespace cypressford {
+
+/// How far a call came.
+enum class CallStatus : unsigned char {
+    Answered, ///< a whole answer was read
+    NotSent, ///< no connection, so nothing left
+    Lost, ///< something was sent and no whole answer came
+};
+
+struct CallResult {
+    CallStatus status = CallStatus::NotSent;
+    HttpResponse response;
+};
+
+/// Lets another coroutine of the same thread end a call.
+class CallHandle {
+public:
+    void cancel()
+    {
+        m_cancelled = true;
+        if (m_abort)
+            m_abort();
+    }
+    bool cancelled() const { return m_cancelled; }
+
+private:
+    friend class HttpClient;
+    std::function<void()> m_abort;
+    bool m_cancelled = false;
+};
+
+struct CallOptions {
+    std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
+    bool fresh_connection = false; ///< for calls that may not be repeated
+    std::shared_ptr<CallHandle> handle;
+    /// Gets the body piece by piece if the answer is a 200; the body is empty then.
+    std::function<void(std::string_view)> on_chunk;
+};
+
+/// Not thread-safe: one for each thread.
+class HttpClient {
+public:
+    explicit HttpClient(boost::asio::io_context& io);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    boost::asio::awaitable<CallResult> call(std::string address, HttpRequest request,
+                                            CallOptions options);
+
+    /// Closes kept connections.
+    void close_idle();
+
+private:
+    class Connection;
+    struct Impl;
+
+    boost::asio::awaitable<CallResult>
+    attempt(Connection& connection, const HttpRequest& request, const CallOptions& options);
+    std::unique_ptr<Connection> take_idle(const std::string& address);
+    void keep(const std::string& address, std::unique_ptr<Connection> connection);
+
+    boost::asio::io_context& m_io;
+    std::map<std::string, std::vector<std::unique_ptr<Connection>>> m_idle;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/http_server.cpp
@@ -0,0 +1,352 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "http_server.h"
+
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kBacklog = 1024;
+/// Accepting goes on this long after a failure such as too many open files.
+constexpr std::chrono::milliseconds kAcceptPause {10};
+
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Cancels what a socket waits for when time is up; the socket stays open, so
+/// that a slow caller can still be told.
+class Watchdog {
+public:
+    explicit Watchdog(tcp::socket& socket)
+        : m_socket(socket)
+        , m_timer(socket.get_executor())
+    {
+    }
+
+    void arm(std::chrono::milliseconds time)
+    {
+        m_fired = false;
+        m_timer.expires_after(time);
+        m_timer.async_wait([this](boost::system::error_code ec) {
+            if (ec)
+                return;
+            m_fired = true;
+            m_socket.cancel(ec);
+        });
+    }
+    void disarm() { m_timer.cancel(); }
+    bool fired() const { return m_fired; }
+
+private:
+    tcp::socket& m_socket;
+    asio::steady_timer m_timer;
+    bool m_fired = false;
+};
+
+HttpRequest
+to_plain(http::request<http::string_body>&& message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+/// One connection with the request that is being answered on it.
+class Connection final : public HttpExchange {
+public:
+    Connection(tcp::socket socket, const HttpLimits& limits)
+        : m_socket(std::move(socket))
+        , m_limits(limits)
+    {
+    }
+
+    const HttpRequest& request() const override { return m_request; }
+
+    asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message(
+            static_cast<http::status>(response.status), 11, std::move(response.body));
+        message.set(http::field::content_type, response.content_type);
+        for (const auto& [name, value] : response.headers.fields())
+            message.set(name, value);
+        message.keep_alive(m_keep_alive);
+        message.prepare_payload();
+        Watchdog watchdog(m_socket);
+        watchdog.arm(m_limits.write_time);
+        auto [ec, size] = co_await http::async_write(m_socket, message, kToTuple);
+        watchdog.disarm();
+        co_return finish_write(ec);
+    }
+
+    asio::awaitable<bool> begin_stream(std::string content_type) override
+    {
+        http::response<http::empty_body> head(http::status::ok, 11);
+        head.set(http::field::content_type, content_type);
+        head.set(http::field::cache_control, "no-store");
+        head.keep_alive(m_keep_alive);
+        head.chunked(true);
+        http::response_serializer<http::empty_body> serializer(head);
+        auto [ec, size] = co_await http::async_write_header(m_socket, serializer, kToTuple);
+        co_return finish_write(ec);
+    }
+
+    asio::awaitable<bool> write(std::string_view text) override
+    {
+        const auto chunk = http::make_chunk(asio::const_buffer(text.data(), text.size()));
+        Watchdog watchdog(m_socket);
+        watchdog.arm(m_limits.write_time);
+        auto [ec, size] = co_await asio::async_write(m_socket, chunk, kToTuple);
+        watchdog.disarm();
+        co_return finish_write(ec);
+    }
+
+    asio::awaitable<bool> end() override
+    {
+        auto [ec, size]
+            = co_await asio::async_write(m_socket, http::make_chunk_last(), kToTuple);
+        co_return finish_write(ec);
+    }
+
+    void drop() override { m_keep_alive = false; }
+
+    enum class ReadResult : unsigned char { Ok, Closed, Refused };
+
+    /// Reads the next request.  Refused leaves the kind in refusal().
+    asio::awaitable<ReadResult> read()
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
+        parser.body_limit(m_limits.body_bytes);
+        Watchdog watchdog(m_socket);
+        if (m_buffer.size() == 0) {
+            m_idle = true;
+            watchdog.arm(m_limits.idle_time);
+            auto [ec] = co_await m_socket.async_wait(tcp::socket::wait_read, kToTuple);
+            m_idle = false;
+            if (ec)
+                co_return ReadResult::Closed;
+        }
+        watchdog.arm(m_limits.header_time);
+        auto [ec, size]
+            = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
+        if (!ec) {
+            watchdog.arm(m_limits.body_time);
+            std::tie(ec, size)
+                = co_await http::async_read(m_socket, m_buffer, parser, kToTuple);
+        }
+        watchdog.disarm();
+        if (ec)
+            co_return refuse(ec, watchdog.fired());
+        m_keep_alive = parser.get().keep_alive();
+        m_request = to_plain(parser.release());
+        co_return ReadResult::Ok;
+    }
+
+    ErrorKind refusal() const { return m_refusal; }
+    bool keep_alive() const { return m_keep_alive; }
+    void set_close() { m_keep_alive = false; }
+
+    void close_if_idle()
+    {
+        if (!m_idle)
+            return;
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
+private:
+    bool finish_write(const boost::system::error_code& ec)
+    {
+        if (ec)
+            m_keep_alive = false;
+        return !ec;
+    }
+
+    ReadResult refuse(const boost::system::error_code& ec, bool timed_out)
+    {
+        m_keep_alive = false;
+        if (timed_out)
+            m_refusal = ErrorKind::SlowRequest;
+        else if (ec == http::error::header_limit || ec == http::error::body_limit)
+            m_refusal = ErrorKind::TooLarge;
+        else if (ec.category() == make_error_code(http::error::bad_method).category()
+                 && ec != http::error::end_of_stream && ec != http::error::partial_message)
+            m_refusal = ErrorKind::BadRequest;
+        else
+            return ReadResult::Closed;
+        return ReadResult::Refused;
+    }
+
+    tcp::socket m_socket;
+    HttpLimits m_limits;
+    beast::flat_buffer m_buffer;
+    HttpRequest m_request;
+    ErrorKind m_refusal = ErrorKind::BadRequest;
+    bool m_keep_alive = true;
+    bool m_idle = false;
+};
+
+} // namespace
+
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(asio::io_context& io_, HttpLimits limits_, Handler handler_, Refusal refusal_)
+        : io(io_)
+        , acceptor(io_)
+        , limits(limits_)
+        , handler(std::move(handler_))
+        , refusal(std::move(refusal_))
+    {
+    }
+
+    asio::awaitable<void> accept_loop()
+    {
+        auto self = shared_from_this();
+        while (acceptor.is_open()) {
+            auto [ec, socket] = co_await acceptor.async_accept(kToTuple);
+            if (!ec) {
+                start(std::move(socket));
+                continue;
+            }
+            if (ec == asio::error::operation_aborted)
+                break;
+            asio::steady_timer pause(io, kAcceptPause);
+            co_await pause.async_wait(kToTuple);
+        }
+    }
+
+    void start(tcp::socket socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(io, serve(std::move(socket)), asio::detached);
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        auto self = shared_from_this();
+        Connection connection(std::move(socket), limits);
+        connections.insert(&connection);
+        if (static_cast<int>(connections.size()) > limits.connections) {
+            connection.set_close();
+            co_await connection.respond(refusal(ErrorKind::TooManyConnections));
+        } else {
+            co_await serve_requests(connection);
+        }
+        connections.erase(&connection);
+    }
+
+    asio::awaitable<void> serve_requests(Connection& connection)
+    {
+        while (connection.keep_alive()) {
+            const auto result = co_await connection.read();
+            if (result == Connection::ReadResult::Closed)
+                break;
+            if (result == Connection::ReadResult::Refused) {
+                co_await connection.respond(refusal(connection.refusal()));
+                break;
+            }
+            if (closing)
+                connection.set_close();
+            co_await handler(connection);
+            if (closing)
+                connection.set_close();
+        }
+    }
+
+    asio::io_context& io;
+    tcp::acceptor acceptor;
+    HttpLimits limits;
+    Handler handler;
+    Refusal refusal;
+    std::set<Connection*> connections;
+    bool closing = false;
+};
+
+HttpServer::HttpServer(asio::io_context& io, HttpLimits limits, Handler handler,
+                       Refusal refusal)
+    : m_impl(std::make_shared<Impl>(io, limits, std::move(handler), std::move(refusal)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<unsigned short>
+HttpServer::listen(const Address& address)
+{
+    boost::system::error_code ec;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.ip, ec), address.port);
+    auto& acceptor = m_impl->acceptor;
+    if (!ec)
+        acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    if (!ec)
+        acceptor.set_option(ReusePort(true), ec);
+    if (!ec)
+        acceptor.bind(endpoint, ec);
+    if (!ec)
+        acceptor.listen(kBacklog, ec);
+    if (ec)
+        return fail(ErrorKind::Internal, address.ip + ": " + ec.message());
+    asio::co_spawn(m_impl->io, m_impl->accept_loop(), asio::detached);
+    return acceptor.local_endpoint().port();
+}
+
+void
+HttpServer::close_after_answers()
+{
+    m_impl->closing = true;
+}
+
+void
+HttpServer::stop_accepting()
+{
+    auto& acceptor = m_impl->acceptor;
+    boost::system::error_code ec;
+    acceptor.cancel(ec);
+    acceptor.non_blocking(true, ec);
+    for (;;) {
+        tcp::socket socket(m_impl->io);
+        acceptor.accept(socket, ec);
+        if (ec)
+            break;
+        m_impl->start(std::move(socket));
+    }
+    acceptor.close(ec);
+}
+
+void
+HttpServer::close_idle()
+{
+    for (Connection* connection : m_impl->connections)
+        connection->close_if_idle();
+}
+
+int
+HttpServer::connections() const
+{
+    return static_cast<int>(m_impl->connections.size());
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libutil/yaml_reader.h
@@ -0,0 +1,87 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <yaml-cpp/yaml.h>
+
+#include <cypressford/error.h>
+
+namespace cypressford {
+
+/// Reads one YAML mapping, noting every fault with its line.
+class YamlMapReader {
+public:
+    YamlMapReader(const YAML::Node& node, std::string what, std::vector<Fault>& faults)
+        : m_node(node)
+        , m_what(std::move(what))
+        , m_faults(faults)
+    {
+        if (!node.IsMap())
+            add(node, m_what + " must be a mapping");
+    }
+
+    template <class T> void read(const char* key, T& out, bool required = false)
+    {
+        m_known.insert(key);
+        const YAML::Node value = child(key);
+        if (!value) {
+            if (required)
+                add(m_node, m_what + " needs '" + key + "'");
+            return;
+        }
+        try {
+            out = value.as<T>();
+        } catch (const YAML::Exception&) {
+            add(value, m_what + ": '" + key + "' has the wrong type");
+        }
+    }
+
+    template <class F> void each(const char* key, F&& visit)
+    {
+        m_known.insert(key);
+        const YAML::Node value = child(key);
+        if (!value)
+            return;
+        if (!value.IsSequence()) {
+            add(value, m_what + ": '" + key + "' must be a list");
+            return;
+        }
+        for (const auto& item : value)
+            visit(item);
+    }
+
+    YAML::Node child(const char* key)
+    {
+        m_known.insert(key);
+        return m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
+    }
+
+    void refuse_unknown_keys()
+    {
+        if (!m_node.IsMap())
+            return;
+        for (const auto& entry : m_node) {
+            const auto key = entry.first.as<std::string>("");
+            if (m_known.count(key) == 0)
+                add(entry.first, m_what + ": unknown key '" + key + "'");
+        }
+    }
+
+    void add(const YAML::Node& where, std::string message)
+    {
+        m_faults.push_back({where.Mark().line + 1, std::move(message)});
+    }
+
+private:
+    const YAML::Node m_node;
+    std::string m_what;
+    std::vector<Fault>& m_faults;
+    std::set<std::string> m_known;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/open.admission/open.cpp
@@ -0,0 +1,21 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Takes everything in.  A baseline to measure against.
+
+#include <cypressford/admission.h>
+#include <cypressford/registry.h>
+
+namespace cypressford {
+
+class OpenAdmission final : public Admission {
+public:
+    AdmissionVerdict admit(const AdmissionQuery&) const override { return {}; }
+    bool queues_here() const override { return false; }
+    bool drops_hopeless() const override { return false; }
+};
+
+static const Registration<Admission, OpenAdmission> s_registration("open");
+
+} // namespace cypressford
--- /dev/null
+++ b/src/roundrobin.router/roundrobin.cpp
@@ -0,0 +1,23 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Each upstream in turn.  A baseline to measure against.
+
+#include <cypressford/registry.h>
+#include <cypressford/router.h>
+
+namespace cypressford {
+
+class RoundRobinRouter final : public Router {
+public:
+    std::size_t pick(std::span<const Candidate> candidates,
+                     const RouteContext& context) const override
+    {
+        return context.sequence % candidates.size();
+    }
+};
+
+static const Registration<Router, RoundRobinRouter> s_registration("roundrobin");
+
+} // namespace cypressford
