Stateful fuzzing of claims and requests, membership, and nine daemons under faults

Cause: nothing proved yet that a key runs at most once, that "not run" is true and that daemons act as one when processes die and the log misbehaves.

Change: RapidCheck state machines drive three daemons' decision cores over fakes of log and upstreams in virtual time, against an oracle; twelve deliberate faults behind a test-only switch must each be caught. Membership, shared load reports, bundle spread and account shares go over gRPC within a hall.

Found by the fuzzer, each with a test now: - an outcome record that the log dropped before its maker read it kept the claimer busy for ever (now: an end is done once its append is stored); - after a gap in the log no daemon could claim any more, since each waited for a record of another to bound the age of what was missed (now: the time of noticing bounds it, about 9 s later keys are taken again).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build demo test lint format clean
+.PHONY: all deps build demo test fuzz lint format clean
 
 all: build
 
@@ -25,6 +25,11 @@
 test: build
 	@cd $(BUILD) && ctest --output-on-failure -j 4
 
+# Fuzzes for SECONDS with seeds that differ each time.
+SECONDS ?= 60
+fuzz: build
+	@$(BUILD)/testsuite/fuzz/cypressford_fuzz --seconds=$(SECONDS) --seed=$$(date +%s)
+
 lint: build
 	@src/build-scripts/lint.sh $(BUILD)
 
--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -60,7 +60,7 @@
     std::string kind; ///< name of an upstream-kind plug-in
     int slots = 1; ///< calls that one upstream runs at a time
     bool checks_fence = false; ///< refuses orders with an older fencing token
-    bool deduplicates = false; ///< runs one Idempotency-Key at most once
+    bool deduplicates = false; ///< runs a key at most once, refuses it with another body
     std::map<std::string, std::vector<std::string>> halls; ///< hall to "ip:port"
 };
 
--- a/src/include/cypressford/claims.h
+++ b/src/include/cypressford/claims.h
@@ -104,11 +104,12 @@
     {
     }
 
-    /// Takes the record at `offset`.  Records already taken change nothing.
-    void apply(Offset offset, const ClaimBatch& batch);
+    /// Takes the record at `offset`, read at wall-clock time `now`.  Records
+    /// already taken change nothing.
+    void apply(Offset offset, const ClaimBatch& batch, WallMs now);
 
-    /// Says that records before `first` can't be read any more.
-    void note_first_retained(Offset first);
+    /// Says that at time `now` records before `first` can't be read any more.
+    void note_first_retained(Offset first, WallMs now);
 
     const KeyState* find(const std::string& key) const;
 
@@ -123,12 +124,13 @@
     void apply_claim(const ClaimMade& claim);
     void apply_end(const ClaimEnded& end);
     KeyState& state_of(const std::string& key, WallMs key_time);
+    WallMs latest_key_before(WallMs time) const;
     void bound_memory();
 
     ClaimOptions m_options;
     Offset m_next = 0; ///< offset of the next record to take
     Offset m_gap_end = 0; ///< records before this one were not read
-    std::optional<WallMs> m_gap_floor; ///< bound on times of keys in the gap
+    WallMs m_gap_floor = 0; ///< bound on times of keys in the gap
     WallMs m_dropped_floor = 0; ///< latest key time dropped for memory
     std::unordered_map<std::string, KeyState> m_keys;
     std::multimap<WallMs, std::string> m_by_time;
@@ -205,12 +207,6 @@
     bool log_is_out(Micros now) const;
 
 private:
-    /// The end of a claim, until it is met in the log.
-    struct PendingEnd {
-        ClaimEnded end;
-        bool stored = false;
-    };
-
     /// A request of this daemon that has a claim.
     struct Pending {
         ClaimWanted want;
@@ -247,7 +243,7 @@
     std::map<RequestId, Pending> m_pending;
     std::map<ClaimId, RequestId> m_by_id;
     std::unordered_multimap<std::string, RequestId> m_by_key;
-    std::map<ClaimId, PendingEnd> m_ends;
+    std::map<ClaimId, ClaimEnded> m_ends; ///< not in the log for certain
     std::vector<RequestId> m_appending_claims; ///< in the append under way
     std::vector<ClaimId> m_appending_ends; ///< in the append under way
     std::vector<RequestId> m_finished; ///< to be dropped from m_pending
--- /dev/null
+++ b/src/include/cypressford/mutation.h
@@ -0,0 +1,46 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Deliberate faults, to show that the fuzzer catches them.  Only code built
+/// with CYPRESSFORD_MUTATIONS can switch one on; elsewhere mutated() is a
+/// constant and costs nothing.
+
+#pragma once
+
+namespace cypressford {
+
+/// Each breaks one property that must always hold.
+enum class Mutation : unsigned char {
+    None,
+    SendUnclaimed, ///< sends before the log has decided the claim
+    LastClaimWins, ///< a later claim takes a key over
+    RetryOnce, ///< retries what may have run and may not run twice
+    ReleaseAfterLost, ///< frees the key of a run whose end is not known
+    IgnoreFloor, ///< takes keys that are older than the readable log
+    IgnoreReleased, ///< a copy of a released claim can win
+    SendToLeaving, ///< routes to upstreams that are leaving
+    TrustLateAnswer, ///< the end of a cancelled attempt still counts
+    FalseNotRun, ///< says "not run" whatever was sent
+    BundleGoesBack, ///< an older bundle can be rolled over a newer one
+    SkipStage, ///< ends a pipeline one stage early
+    DoubleReply, ///< answers a request again
+};
+
+#ifdef CYPRESSFORD_MUTATIONS
+inline Mutation g_mutation = Mutation::None;
+
+inline bool
+mutated(Mutation mutation)
+{
+    return g_mutation == mutation;
+}
+#else
+constexpr bool
+mutated(Mutation)
+{
+    return false;
+}
+#endif
+
+} // namespace cypressford
--- a/src/libcypressford/bundle_fold.cpp
+++ b/src/libcypressford/bundle_fold.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <cypressford/bundle_fold.h>
+#include <cypressford/mutation.h>
 
 #include <algorithm>
 #include <array>
@@ -250,12 +251,14 @@
 {
     if (version == m_in_force)
         return FoldResult::Repeated;
-    if (version < m_in_force || m_accepted.count(version) == 0)
+    const bool older = version < m_in_force && !mutated(Mutation::BundleGoesBack);
+    if (older || m_accepted.count(version) == 0)
         return FoldResult::Conflict;
     m_in_force = version;
     // Versions before the one in force can't come back; requests that live in
     // them hold their own snapshot.
-    m_accepted.erase(m_accepted.begin(), m_accepted.find(version));
+    if (!mutated(Mutation::BundleGoesBack))
+        m_accepted.erase(m_accepted.begin(), m_accepted.find(version));
     return FoldResult::Accepted;
 }
 
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include <cypressford/mutation.h>
+
 namespace cypressford {
 
 namespace {
@@ -104,8 +106,9 @@
 bool
 is_usable(const UpstreamState& upstream, Micros now)
 {
-    return !upstream.leaving.load(std::memory_order_relaxed)
-        && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
+    const bool leaving = upstream.leaving.load(std::memory_order_relaxed)
+        && !mutated(Mutation::SendToLeaving);
+    return !leaving && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
 }
 
 void
--- a/src/libcypressford/claim_ledger.cpp
+++ b/src/libcypressford/claim_ledger.cpp
@@ -2,32 +2,24 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <cypressford/claims.h>
+#include <cypressford/mutation.h>
 
 #include <algorithm>
-#include <limits>
 
 namespace cypressford {
 
-namespace {
-
-constexpr WallMs kNever = std::numeric_limits<WallMs>::max();
-
-} // namespace
-
 void
-ClaimLedger::apply(Offset offset, const ClaimBatch& batch)
+ClaimLedger::apply(Offset offset, const ClaimBatch& batch, WallMs now)
 {
     if (offset < m_next)
         return;
-    note_first_retained(offset);
+    note_first_retained(offset, now);
     m_next = offset + 1;
     // The maker had read past the gap when it made this record, so all records
     // in the gap were appended before `made_at` by its clock, and no key in
     // them lies further ahead than daemons accept.
     if (m_gap_end > 0 && batch.seen + 1 >= m_gap_end) {
-        const WallMs bound
-            = batch.made_at + 2 * m_options.clock_error + m_options.future_keys;
-        m_gap_floor = std::min(m_gap_floor.value_or(kNever), bound);
+        m_gap_floor = std::min(m_gap_floor, latest_key_before(batch.made_at));
     }
     for (const ClaimMade& claim : batch.claims)
         apply_claim(claim);
@@ -37,13 +29,22 @@
 }
 
 void
-ClaimLedger::note_first_retained(Offset first)
+ClaimLedger::note_first_retained(Offset first, WallMs now)
 {
     if (first <= m_next)
         return;
     m_gap_end = first;
     m_next = first;
-    m_gap_floor.reset();
+    // Until a record tells more: all that was missed was appended before now.
+    m_gap_floor = latest_key_before(now);
+}
+
+/// The latest time of a key in a record that was appended before `time`, by
+/// whichever clocks.
+WallMs
+ClaimLedger::latest_key_before(WallMs time) const
+{
+    return time + 2 * m_options.clock_error + m_options.future_keys;
 }
 
 ClaimLedger::KeyState&
@@ -62,8 +63,11 @@
 {
     KeyState& state = state_of(claim.key, claim.key_time);
     const auto& released = state.released;
-    if (state.claimed
-        || std::find(released.begin(), released.end(), claim.id) != released.end())
+    const bool was_released
+        = std::find(released.begin(), released.end(), claim.id) != released.end();
+    if (was_released && !mutated(Mutation::IgnoreReleased))
+        return;
+    if (state.claimed && !mutated(Mutation::LastClaimWins))
         return;
     state.claimed = true;
     state.winner = claim.id;
@@ -112,9 +116,9 @@
 WallMs
 ClaimLedger::floor() const
 {
-    if (m_gap_end == 0)
-        return m_dropped_floor;
-    return std::max(m_dropped_floor, m_gap_floor.value_or(kNever));
+    if (mutated(Mutation::IgnoreFloor))
+        return 0;
+    return std::max(m_dropped_floor, m_gap_floor);
 }
 
 } // namespace cypressford
--- a/src/libcypressford/claimer.cpp
+++ b/src/libcypressford/claimer.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <cypressford/claims.h>
+#include <cypressford/mutation.h>
 
 #include <algorithm>
 
@@ -58,7 +59,9 @@
     m_by_id.emplace(stored.id, event.request);
     m_by_key.emplace(event.key, event.request);
     const auto* state = m_ledger.find(event.key);
-    if (state && state->claimed)
+    if (mutated(Mutation::SendUnclaimed))
+        decide(stored, ClaimResult::Won, std::nullopt);
+    else if (state && state->claimed)
         decide_from_ledger(stored);
     else if (event.key_time <= m_ledger.floor())
         decide(stored, ClaimResult::Expired, std::nullopt);
@@ -79,7 +82,7 @@
         ClaimEnded end {pending.id, want.key, want.key_time, event.outcome, event.answer};
         if (end.answer && end.answer->body.size() > m_options.max_answer)
             end.answer.reset();
-        m_ends[pending.id] = {std::move(end), false};
+        m_ends[pending.id] = std::move(end);
     } else {
         release_if_needed(pending);
     }
@@ -95,11 +98,10 @@
         if (it != m_pending.end())
             (event.stored ? it->second.stored : it->second.in_doubt) = true;
     }
-    for (const ClaimId& id : m_appending_ends) {
-        auto it = m_ends.find(id);
-        if (it != m_ends.end())
-            it->second.stored |= event.stored;
-    }
+    // An end that is in the log for certain has done its work.
+    if (event.stored)
+        for (const ClaimId& id : m_appending_ends)
+            m_ends.erase(id);
     if (event.stored) {
         m_failing_since.reset();
         return;
@@ -114,7 +116,7 @@
 {
     if (event.offset < m_ledger.next())
         return;
-    m_ledger.apply(event.offset, event.batch);
+    m_ledger.apply(event.offset, event.batch, m_time.wall);
     for (const ClaimMade& claim : event.batch.claims)
         if (claim.id.maker == m_maker)
             meet_own_claim(claim);
@@ -128,7 +130,7 @@
 void
 Claimer::on(const FirstRetained& event)
 {
-    m_ledger.note_first_retained(event.offset);
+    m_ledger.note_first_retained(event.offset, m_time.wall);
 }
 
 void
@@ -219,8 +221,8 @@
     if (!pending.appended || (pending.seen && lost && !pending.in_doubt))
         return;
     const ClaimWanted& want = pending.want;
-    m_ends[pending.id] = {
-        {pending.id, want.key, want.key_time, ClaimOutcome::NotRun, std::nullopt}, false};
+    m_ends[pending.id]
+        = {pending.id, want.key, want.key_time, ClaimOutcome::NotRun, std::nullopt};
 }
 
 /// Requests whose deadline has come are answered, decided or not.
@@ -288,12 +290,10 @@
     batch.seen = m_ledger.next() - 1;
     m_appending_claims.clear();
     m_appending_ends.clear();
-    for (const auto& [id, pending] : m_ends) {
+    for (const auto& [id, end] : m_ends) {
         if (batch.ends.size() == m_options.max_batch)
             break;
-        if (pending.stored)
-            continue;
-        batch.ends.push_back(pending.end);
+        batch.ends.push_back(end);
         m_appending_ends.push_back(id);
     }
     for (auto& [request, pending] : m_pending) {
--- /dev/null
+++ b/src/libcypressford/membership_test.cpp
@@ -0,0 +1,108 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/membership.h>
+
+#include <doctest/doctest.h>
+
+using namespace cypressford;
+
+namespace {
+
+MemberInfo
+info(const std::string& address, std::uint64_t heartbeat, std::uint64_t incarnation = 1,
+     std::uint64_t started = 100)
+{
+    return {address, "n", incarnation, started, heartbeat, false};
+}
+
+} // namespace
+
+TEST_CASE("a silent member is suspected before it is given up, and may come back")
+{
+    Membership view(info("a", 0), {});
+    view.beat(0);
+    view.hear(info("b", 5), 0);
+    CHECK(view.state("b", 2 * kSecond) == MemberState::Alive);
+    CHECK(view.state("b", 4 * kSecond) == MemberState::Suspect);
+    CHECK(view.serving(4 * kSecond) == 1);
+    CHECK(view.others(4 * kSecond).size() == 1);
+    // An old heartbeat that another passes on is no sign of life.
+    view.hear(info("b", 5), 5 * kSecond);
+    CHECK(view.state("b", 5 * kSecond) == MemberState::Suspect);
+    // It was only paused.
+    view.hear(info("b", 6), 8 * kSecond);
+    CHECK(view.state("b", 8 * kSecond) == MemberState::Alive);
+    CHECK(view.state("b", 24 * kSecond) == MemberState::Dead);
+    CHECK(view.others(24 * kSecond).empty());
+}
+
+TEST_CASE("a process that was paused itself does not take the others for dead")
+{
+    Membership view(info("a", 0), {});
+    view.beat(0);
+    view.hear(info("b", 5), 0);
+    view.beat(kSecond);
+    view.beat(61 * kSecond);
+    CHECK(view.state("b", 61 * kSecond) == MemberState::Alive);
+}
+
+TEST_CASE("a later process replaces an earlier one, never the other way round")
+{
+    Membership view(info("a", 0), {});
+    view.beat(0);
+    view.hear(info("b", 900, 1, 100), 0);
+    view.hear(info("b", 1, 2, 200), kSecond);
+    view.hear(info("b", 901, 1, 100), 2 * kSecond);
+    CHECK(view.all(2 * kSecond).at(1).incarnation == 2);
+    CHECK(view.state("b", kSecond + 3 * kSecond) == MemberState::Suspect);
+}
+
+TEST_CASE("each task has its daemons, and another one when they are gone")
+{
+    std::vector<Membership> views;
+    const std::vector<std::string> names {"a", "b", "c", "d", "e"};
+    for (const auto& self : names) {
+        views.emplace_back(info(self, 0), MembershipOptions {});
+        views.back().beat(0);
+        for (const auto& other : names)
+            views.back().hear(info(other, 1), 0);
+    }
+    for (int task = 0; task < 50; ++task) {
+        const std::string name = "task" + std::to_string(task);
+        int chosen = 0;
+        std::size_t first = 0;
+        for (std::size_t i = 0; i < views.size(); ++i)
+            if (views[i].is_chosen(name, 1, 0)) {
+                ++chosen;
+                first = i;
+            }
+        CHECK(chosen == 1);
+        // The chosen one falls silent; exactly one other takes over.
+        int heirs = 0;
+        for (std::size_t i = 0; i < views.size(); ++i) {
+            if (i == first)
+                continue;
+            Membership later = views[i];
+            later.beat(2 * kSecond);
+            for (const auto& other : names)
+                if (other != names[first])
+                    later.hear(info(other, 2), 4 * kSecond);
+            heirs += later.is_chosen(name, 1, 4 * kSecond);
+        }
+        CHECK(heirs == 1);
+    }
+}
+
+TEST_CASE("shares of an account stay below one and a half times its rate")
+{
+    CHECK(account_share(0, 0, 4) == doctest::Approx(0.25));
+    for (int busy = 1; busy <= 8; ++busy) {
+        double sum = 0;
+        for (int d = 0; d < 8; ++d)
+            sum += account_share(d < busy ? 10.0 : 0.0, 10.0 * busy, 8);
+        CAPTURE(busy);
+        CHECK(sum <= 1.5);
+        CHECK(sum >= 1.0);
+    }
+}
--- a/src/libcypressford/request.cpp
+++ b/src/libcypressford/request.cpp
@@ -3,11 +3,15 @@
 
 #include "request.h"
 
+#include <cypressford/mutation.h>
+
 namespace cypressford {
 
 ErrorKind
 settle_kind(ErrorKind kind, const Request& request)
 {
+    if (mutated(Mutation::FalseNotRun))
+        return kind == ErrorKind::DeadlineExceeded ? ErrorKind::DeadlineUnreachable : kind;
     const bool sent = request.may_have_run > 0;
     if (request.once_may_have_run
         && (kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::UpstreamFailed))
@@ -27,7 +31,8 @@
 settle_ran(ErrorKind kind, const Request& request)
 {
     const Ran stated = error_row(kind).ran;
-    if (stated == Ran::NotRun && request.may_have_run > 0)
+    if (stated == Ran::NotRun && request.may_have_run > 0
+        && !mutated(Mutation::FalseNotRun))
         return Ran::Unknown;
     return stated;
 }
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -436,7 +436,7 @@
             request.once_may_have_run = false;
     }
     std::erase(request.running, attempt.id);
-    if (attempt.cancelled)
+    if (attempt.cancelled && !mutated(Mutation::TrustLateAnswer))
         return;
     if (status == AttemptStatus::Ok) {
         model.record(request.pipeline().stage_ids[attempt.stage], now - attempt.sent_at,
@@ -455,7 +455,9 @@
 ErrorKind
 Scheduler::Impl::failure_of(AttemptStatus status, bool once)
 {
-    if (once && (status == AttemptStatus::Failed || status == AttemptStatus::Lost))
+    const bool may_not_repeat = once && !mutated(Mutation::RetryOnce);
+    if (may_not_repeat
+        && (status == AttemptStatus::Failed || status == AttemptStatus::Lost))
         return ErrorKind::OutcomeUnknown;
     return ErrorKind::UpstreamFailed;
 }
@@ -506,11 +508,14 @@
 void
 Scheduler::Impl::answer(Request& request, Reply reply)
 {
-    if (request.replied)
+    reply.request = request.spec.id;
+    if (request.replied) {
+        if (mutated(Mutation::DoubleReply))
+            out->push_back(reply);
         return;
+    }
     request.replied = true;
     --unanswered;
-    reply.request = request.spec.id;
     auto of_account = by_account.find(request.account().state.get());
     if (--of_account->second == 0)
         by_account.erase(of_account);
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -9,6 +9,7 @@
 #include <queue>
 #include <unordered_map>
 
+#include <cypressford/mutation.h>
 #include <cypressford/scheduler.h>
 
 #include "candidates.h"
@@ -89,9 +90,10 @@
             owner.answer(request,
                          Reply {0, settled, settle_ran(settled, request),
                                 kRetryAfterGivingUp, false});
+            const bool in_doubt
+                = request.once_may_have_run && !mutated(Mutation::ReleaseAfterLost);
             owner.end_claim(request,
-                            request.once_may_have_run ? ClaimOutcome::Unknown
-                                                      : ClaimOutcome::NotRun);
+                            in_doubt ? ClaimOutcome::Unknown : ClaimOutcome::NotRun);
             owner.finish(request);
         }
         void reply_unknown() override
@@ -112,7 +114,8 @@
         }
         bool at_last_stage() const override
         {
-            return request.stage + 1 == request.pipeline().spec.stages.size();
+            const std::size_t skipped = mutated(Mutation::SkipStage) ? 1 : 0;
+            return request.stage + 1 + skipped >= request.pipeline().spec.stages.size();
         }
         bool may_retry() override
         {
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -77,8 +77,10 @@
         if (wait > 0)
             return wait;
         const Micros next = std::max(expected, now) + gap;
-        if (next_allowed.compare_exchange_weak(expected, next, std::memory_order_relaxed))
+        if (next_allowed.compare_exchange_weak(expected, next, std::memory_order_relaxed)) {
+            admitted.fetch_add(1, std::memory_order_relaxed);
             return 0;
+        }
     }
 }
 
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -17,9 +17,9 @@
 
 #include "bundle_service.h"
 #include "claim_service.h"
+#include "hall_service.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
-#include "watch_service.h"
 #include "worker.h"
 
 namespace cypressford {
@@ -39,7 +39,7 @@
         , platform(Registry<PlatformClient>::instance().make(kernel.settings.platform.kind))
         , claims(control, kernel, *platform)
         , bundles(control, kernel, *platform)
-        , watch(control, kernel, *platform)
+        , hall(control, kernel, *platform, bundles)
         , signals(control, SIGINT, SIGTERM)
     {
         kernel.claims = &claims;
@@ -85,7 +85,7 @@
         LogEvent("stop_begin");
         kernel.stopping.store(true);
         on_workers([](Worker& worker) { worker.close_after_answers(); });
-        watch.announce_stop();
+        hall.announce_stop();
         asio::steady_timer timer(control);
         timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
         co_await timer.async_wait(kToTuple);
@@ -107,7 +107,7 @@
     std::unique_ptr<PlatformClient> platform;
     ClaimService claims;
     BundleService bundles;
-    WatchService watch;
+    HallService hall;
     asio::signal_set signals;
     std::vector<std::unique_ptr<Worker>> workers;
 };
@@ -133,7 +133,7 @@
             return tl::unexpected(port.error());
     impl.claims.start();
     impl.bundles.start();
-    if (auto started = impl.watch.start(impl.bundles); !started)
+    if (auto started = impl.hall.start(); !started)
         return started;
     for (auto& worker : impl.workers)
         worker->start();
--- /dev/null
+++ b/src/libserve/hall_service.cpp
@@ -0,0 +1,393 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "hall_service.h"
+
+#include <algorithm>
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cypressford/session_token.h>
+
+#include "bundle_service.h"
+#include "cypressford.pb.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t kProtocol = 1;
+constexpr Micros kAskTimeout = 500 * kMillisecond;
+constexpr std::chrono::milliseconds kListInterval {500};
+/// Peers that are told in each round.
+constexpr std::size_t kFanOut = 2;
+/// Daemons that follow the log for the hall, and watch one upstream.
+constexpr int kReaders = 2;
+constexpr int kWatchers = 1;
+/// Reports whose figures are this close to the last ones are no news.
+constexpr int kQuantum = 1;
+/// Weight of the newest interval in an account's rate.
+constexpr double kRateWeight = 0.3;
+
+MemberInfo
+self_info(const Kernel& kernel)
+{
+    MemberInfo info;
+    info.address = kernel.settings.peers_address;
+    info.node = kernel.settings.node;
+    info.incarnation = kernel.incarnation;
+    info.started_ms = static_cast<std::uint64_t>(wall_ms());
+    return info;
+}
+
+MembershipOptions
+membership_options(const Settings& settings)
+{
+    MembershipOptions options;
+    options.suspect_after = settings.suspect_after;
+    options.dead_after = 5 * settings.suspect_after;
+    return options;
+}
+
+bool
+is_news(const LoadReport& a, const LoadReport& b)
+{
+    return a.leaving != b.leaving || a.incarnation != b.incarnation
+        || std::abs(a.in_flight - b.in_flight) > kQuantum
+        || std::abs(a.queued - b.queued) > kQuantum;
+}
+
+MemberInfo
+member_from(const proto::Member& message)
+{
+    return {message.address(),    message.node(),      message.incarnation(),
+            message.started_ms(), message.heartbeat(), message.stopping()};
+}
+
+} // namespace
+
+HallService::HallService(asio::io_context& io, Kernel& kernel, PlatformClient& platform,
+                         BundleService& bundles)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_platform(platform)
+    , m_bundles(bundles)
+    , m_client(io)
+    , m_membership(self_info(kernel), membership_options(kernel.settings))
+    , m_transport(kernel.settings.tls,
+                  [this](const proto::PeerState& state, PeerTransport::Answer answer) {
+                      asio::post(m_io, [this, state, answer = std::move(answer)] {
+                          receive(state, false);
+                          answer(own_state(state.address(), state.bundle_next()));
+                      });
+                  })
+    , m_random(kernel.incarnation)
+{
+}
+
+HallService::~HallService() = default;
+
+Result<void>
+HallService::start()
+{
+    const Settings& settings = m_kernel.settings;
+    if (!settings.peers_address.empty()) {
+        if (auto listening = m_transport.listen(settings.peers_address); !listening)
+            return listening;
+        if (settings.tls.certificate.empty())
+            LogEvent("peers_without_tls", LogLevel::Warn)
+                .kv("address", settings.peers_address);
+        asio::co_spawn(m_io, gossip_loop(), asio::detached);
+    }
+    asio::co_spawn(m_io, list_loop(), asio::detached);
+    asio::co_spawn(m_io, watch_loop(), asio::detached);
+    return {};
+}
+
+void
+HallService::announce_stop()
+{
+    m_membership.set_stopping();
+    tell_everyone();
+}
+
+// ------------------------------------------------------------ who is alive
+
+asio::awaitable<void>
+HallService::gossip_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        gossip_once();
+        // Spread, so that daemons that start together do not stay in step.
+        const Micros interval = m_kernel.settings.gossip_interval;
+        const auto spread = static_cast<Micros>(m_random() % std::uint64_t(interval));
+        timer.expires_after(std::chrono::microseconds(interval / 2 + spread));
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
+void
+HallService::gossip_once()
+{
+    const Micros now = monotonic_us();
+    m_membership.beat(now);
+    m_kernel.daemons_in_hall.store(m_membership.serving(now));
+    m_bundles.set_reader(m_membership.is_chosen("bundles", kReaders, now));
+    update_shares(now);
+    spread_marks();
+    // Known members, and from time to time one of the settings, so that halves
+    // of a hall that lost each other meet again.
+    std::vector<std::string> targets = m_membership.others(now);
+    std::shuffle(targets.begin(), targets.end(), m_random);
+    if (targets.size() > kFanOut)
+        targets.resize(kFanOut);
+    const auto& peers = m_kernel.settings.peers;
+    if (!peers.empty() && (targets.size() < kFanOut || m_random() % 8 == 0))
+        targets.push_back(peers[m_random() % peers.size()]);
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    for (const std::string& address : targets)
+        exchange_with(address);
+}
+
+void
+HallService::exchange_with(const std::string& address)
+{
+    m_transport.exchange(address, own_state(address, m_bundles.fold().next()),
+                         [this, address](bool ok, const proto::PeerState& state) {
+                             if (!ok)
+                                 return;
+                             asio::post(m_io, [this, state] { receive(state, true); });
+                         });
+}
+
+void
+HallService::tell_everyone()
+{
+    if (m_kernel.settings.peers_address.empty())
+        return;
+    std::set<std::string> targets(m_kernel.settings.peers.begin(),
+                                  m_kernel.settings.peers.end());
+    for (const std::string& address : m_membership.others(monotonic_us()))
+        targets.insert(address);
+    for (const std::string& address : targets)
+        exchange_with(address);
+}
+
+proto::PeerState
+HallService::own_state(const std::string& peer, Offset peer_bundle_next)
+{
+    const Micros now = monotonic_us();
+    proto::PeerState state;
+    const MemberInfo& self = m_membership.self();
+    state.set_protocol(kProtocol);
+    state.set_node(self.node);
+    state.set_hall(m_kernel.settings.hall);
+    state.set_address(self.address);
+    state.set_clock(HybridClock::instance().tick());
+    state.set_in_force(m_bundles.fold().in_force_version());
+    state.set_bundle_next(m_bundles.fold().next());
+    if (peer_bundle_next < m_bundles.fold().next() && m_bundles.fold().has_base())
+        state.set_bundle_snapshot(encode(m_bundles.fold().snapshot()));
+    for (const MemberInfo& info : m_membership.all(now)) {
+        proto::Member* member = state.add_members();
+        member->set_node(info.node);
+        member->set_address(info.address);
+        member->set_incarnation(info.incarnation);
+        member->set_started_ms(info.started_ms);
+        member->set_heartbeat(info.heartbeat);
+        member->set_stopping(info.stopping);
+    }
+    // Twice the time since we last told this peer: one lost message is made up
+    // for by the next.
+    Micros& last = m_last_sent[peer];
+    const Micros since = last == 0 ? 0 : last - (now - last);
+    for (const auto& [address, seen] : m_observations) {
+        if (seen.changed < since)
+            continue;
+        proto::UpstreamReport* report = state.add_reports();
+        report->set_address(address);
+        report->set_in_flight(seen.report.in_flight);
+        report->set_queued(seen.report.queued);
+        report->set_incarnation(seen.report.incarnation);
+        report->set_leaving(seen.report.leaving);
+        report->set_age_ms(static_cast<std::uint32_t>((now - seen.at) / kMillisecond));
+    }
+    last = now;
+    for (const auto& [account, rate] : m_own_rates) {
+        proto::AccountUse* use = state.add_accounts();
+        use->set_account(account);
+        use->set_admitted_per_s(rate);
+    }
+    return state;
+}
+
+void
+HallService::receive(const proto::PeerState& state, bool is_answer)
+{
+    if (state.hall() != m_kernel.settings.hall)
+        return;
+    const Micros now = monotonic_us();
+    HybridClock::instance().observe(state.clock());
+    for (const proto::Member& member : state.members())
+        m_membership.hear(member_from(member), now);
+    if (!state.bundle_snapshot().empty())
+        m_bundles.adopt(state.bundle_snapshot());
+    else if (!is_answer && state.bundle_next() > m_bundles.fold().next())
+        exchange_with(state.address());
+    for (const proto::UpstreamReport& report : state.reports())
+        observe(
+            report.address(),
+            {report.in_flight(), report.queued(), report.incarnation(), report.leaving()},
+            now - static_cast<Micros>(report.age_ms()) * kMillisecond, "peer");
+    auto& rates = m_peer_rates[state.address()];
+    rates.clear();
+    for (const proto::AccountUse& use : state.accounts())
+        rates[use.account()] = use.admitted_per_s();
+}
+
+// ------------------------------------------------- what upstreams report
+
+asio::awaitable<void>
+HallService::list_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        const auto nodes = co_await m_platform.nodes();
+        if (nodes) {
+            for (const NodeEntry& node : *nodes) {
+                auto upstream = m_kernel.upstreams.find(node.address);
+                if (upstream && node.leaving && !upstream->leaving.load()) {
+                    upstream->mark_leaving();
+                    LogEvent("upstream_leaving")
+                        .kv("upstream", node.address)
+                        .kv("by", "list");
+                }
+            }
+        }
+        timer.expires_after(kListInterval);
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
+/// Each upstream of the hall is asked by the daemon that is chosen for it.
+asio::awaitable<void>
+HallService::watch_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        const Micros now = monotonic_us();
+        if (const SnapshotPtr snapshot = m_kernel.snapshot.load()) {
+            for (const UpstreamSet& set : snapshot->sets) {
+                const auto kind = m_kernel.kinds.find(set.spec.kind);
+                if (kind == m_kernel.kinds.end())
+                    continue;
+                for (const auto& upstream : set.own)
+                    if (m_membership.is_chosen(upstream->address, kWatchers, now))
+                        asio::co_spawn(m_io, ask(upstream, *kind->second), asio::detached);
+            }
+        }
+        timer.expires_after(std::chrono::microseconds(m_kernel.settings.watch_interval));
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
+asio::awaitable<void>
+HallService::ask(std::shared_ptr<UpstreamState> upstream, const UpstreamKind& kind)
+{
+    const Micros asked = monotonic_us();
+    CallOptions options;
+    options.deadline_us = asked + kAskTimeout;
+    const CallResult result = co_await m_client.call(upstream->address, kind.load_request(),
+                                                     std::move(options));
+    if (result.status != CallStatus::Answered)
+        co_return;
+    if (const auto report = kind.decode_load(result.response))
+        observe(upstream->address, *report, asked, "report");
+}
+
+void
+HallService::observe(const std::string& address, const LoadReport& report, Micros at,
+                     const char* source)
+{
+    Observation& seen = m_observations[address];
+    if (at <= seen.at || report.incarnation < seen.report.incarnation)
+        return;
+    const bool news = seen.at == 0 || is_news(report, seen.report);
+    const bool leaves = report.leaving && !seen.report.leaving;
+    seen.at = at;
+    if (news) {
+        seen.report = report;
+        seen.changed = monotonic_us();
+    }
+    const auto upstream = m_kernel.upstreams.find(address);
+    if (!upstream)
+        return;
+    upstream->apply_report(report, at);
+    if (leaves) {
+        LogEvent("upstream_leaving").kv("upstream", address).kv("by", source);
+        tell_everyone();
+    }
+}
+
+/// An upstream may have told a worker, in an answer, that it is leaving; the
+/// hall hears of it from here.
+void
+HallService::spread_marks()
+{
+    for (const auto& upstream : m_kernel.upstreams.all()) {
+        if (!upstream->leaving.load(std::memory_order_relaxed))
+            continue;
+        LoadReport report = m_observations[upstream->address].report;
+        report.leaving = true;
+        report.incarnation = std::max(report.incarnation, upstream->incarnation.load());
+        observe(upstream->address, report, monotonic_us(), "answer");
+    }
+}
+
+// ------------------------------------------------- how accounts are shared
+
+void
+HallService::update_shares(Micros now)
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot)
+        return;
+    const double seconds = static_cast<double>(now - m_rates_at) / kSecond;
+    m_rates_at = now;
+    const int daemons = m_kernel.daemons_in_hall.load();
+    for (const ResolvedAccount& account : snapshot->accounts) {
+        const std::uint64_t id = session_hash(account.spec.name);
+        const std::uint64_t admitted
+            = account.state->admitted.load(std::memory_order_relaxed);
+        std::uint64_t& before = m_admitted_before[id];
+        const double rate
+            = static_cast<double>(admitted - before) / std::max(seconds, 1e-3);
+        before = admitted;
+        double& own = m_own_rates[id];
+        own += kRateWeight * (rate - own);
+        double all = own;
+        for (const auto& [peer, rates] : m_peer_rates) {
+            const bool alive = m_membership.state(peer, now) == MemberState::Alive;
+            auto it = rates.find(id);
+            if (alive && it != rates.end())
+                all += it->second;
+        }
+        account.state->share.store(account_share(own, all, daemons),
+                                   std::memory_order_relaxed);
+    }
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/peer_transport.cpp
@@ -0,0 +1,150 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer_transport.h"
+
+#include <chrono>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <sstream>
+
+#include <grpcpp/grpcpp.h>
+
+#include "cypressford.grpc.pb.h"
+
+namespace cypressford {
+
+namespace {
+
+constexpr std::chrono::milliseconds kExchangeTimeout {1000};
+/// Name that the certificates of all daemons carry: they are reached by IP
+/// number, so the name says what they are, not where.
+constexpr const char* kCertificateName = "cypressford";
+constexpr int kMaxMessage = 8 * 1024 * 1024;
+constexpr int kMaxReconnectMs = 2000;
+
+std::string
+read_pem(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+class PeerServer final : public proto::Peer::CallbackService {
+public:
+    explicit PeerServer(PeerTransport::Handler handler)
+        : m_handler(std::move(handler))
+    {
+    }
+
+    grpc::ServerUnaryReactor* Exchange(grpc::CallbackServerContext* context,
+                                       const proto::PeerState* request,
+                                       proto::PeerState* response) override
+    {
+        auto* reactor = context->DefaultReactor();
+        m_handler(*request, [reactor, response](const proto::PeerState& state) {
+            *response = state;
+            reactor->Finish(grpc::Status::OK);
+        });
+        return reactor;
+    }
+
+private:
+    PeerTransport::Handler m_handler;
+};
+
+/// What one call needs until it ends.
+struct Call {
+    grpc::ClientContext context;
+    proto::PeerState request;
+    proto::PeerState response;
+};
+
+} // namespace
+
+struct PeerTransport::Impl {
+    Impl(const TlsSettings& tls, Handler handler)
+        : service(std::move(handler))
+    {
+        if (tls.certificate.empty()) {
+            server_credentials = grpc::InsecureServerCredentials();
+            channel_credentials = grpc::InsecureChannelCredentials();
+            return;
+        }
+        const std::string certificate = read_pem(tls.certificate);
+        const std::string key = read_pem(tls.private_key);
+        const std::string authority = read_pem(tls.authority);
+        grpc::SslServerCredentialsOptions server(
+            GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY);
+        server.pem_root_certs = authority;
+        server.pem_key_cert_pairs.push_back({key, certificate});
+        server_credentials = grpc::SslServerCredentials(server);
+        channel_credentials = grpc::SslCredentials({authority, key, certificate});
+    }
+
+    std::shared_ptr<proto::Peer::Stub> stub_for(const std::string& address)
+    {
+        const std::lock_guard lock(mutex);
+        auto& stub = stubs[address];
+        if (!stub) {
+            grpc::ChannelArguments arguments;
+            arguments.SetMaxReceiveMessageSize(kMaxMessage);
+            arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectMs);
+            arguments.SetSslTargetNameOverride(kCertificateName);
+            stub = proto::Peer::NewStub(
+                grpc::CreateCustomChannel(address, channel_credentials, arguments));
+        }
+        return stub;
+    }
+
+    PeerServer service;
+    std::shared_ptr<grpc::ServerCredentials> server_credentials;
+    std::shared_ptr<grpc::ChannelCredentials> channel_credentials;
+    std::unique_ptr<grpc::Server> server;
+    std::mutex mutex;
+    std::map<std::string, std::shared_ptr<proto::Peer::Stub>> stubs;
+};
+
+PeerTransport::PeerTransport(const TlsSettings& tls, Handler handler)
+    : m_impl(std::make_unique<Impl>(tls, std::move(handler)))
+{
+}
+
+PeerTransport::~PeerTransport()
+{
+    if (m_impl->server)
+        m_impl->server->Shutdown(std::chrono::system_clock::now() + kExchangeTimeout);
+}
+
+Result<void>
+PeerTransport::listen(const std::string& address)
+{
+    grpc::ServerBuilder builder;
+    builder.SetMaxReceiveMessageSize(kMaxMessage);
+    builder.AddListeningPort(address, m_impl->server_credentials);
+    builder.RegisterService(&m_impl->service);
+    m_impl->server = builder.BuildAndStart();
+    if (!m_impl->server)
+        return fail(ErrorKind::Internal, "can't listen for peers on " + address);
+    return {};
+}
+
+void
+PeerTransport::exchange(const std::string& address, const proto::PeerState& state,
+                        Done done)
+{
+    auto call = std::make_shared<Call>();
+    call->request = state;
+    call->context.set_deadline(std::chrono::system_clock::now() + kExchangeTimeout);
+    const auto stub = m_impl->stub_for(address);
+    stub->async()->Exchange(
+        &call->context, &call->request, &call->response,
+        [call, stub, done = std::move(done)](const grpc::Status& status) {
+            done(status.ok(), call->response);
+        });
+}
+
+} // namespace cypressford
--- a/src/load/caller.cpp
+++ b/src/load/caller.cpp
@@ -23,6 +23,7 @@
 /// A caller waits this much longer than its deadline before it calls it cut.
 constexpr std::int64_t kPatienceUs = 5'000'000;
 constexpr int kMaxResumes = 8;
+constexpr int kMaxTries = 5;
 
 void
 judge_problem(const HttpResponse& response, Record& record)
@@ -156,7 +157,13 @@
     CallOptions options;
     options.deadline_us
         = monotonic_us() + static_cast<std::int64_t>(load.deadline_ms * 1000) + kPatienceUs;
-    const CallResult result = co_await m_client.call(m_balancer.pick(), request, options);
+    // The client must not repeat a call by itself: whether a keyed request is
+    // asked again is what is tested here.
+    options.fresh_connection = load.keyed;
+    CallResult result;
+    const int tries = m_config.retry_lost ? kMaxTries : 1;
+    for (int i = 0; i < tries && result.status != CallStatus::Answered; ++i)
+        result = co_await m_client.call(m_balancer.pick(), request, options);
     if (result.status != CallStatus::Answered) {
         record.outcome = Outcome::Cut;
         co_return;
@@ -250,7 +257,10 @@
             = co_await m_client.call(m_balancer.pick(), request, options);
         if (result.status == CallStatus::Answered && result.response.status != 200) {
             judge_problem(result.response, record);
-            co_return;
+            // A stream that has begun is tried elsewhere when told to come back.
+            const bool again = !state.last_id.empty() && result.response.status >= 500;
+            if (!again)
+                co_return;
         }
         if (!state.error.empty() && state.last_id.empty()) {
             HttpResponse problem;
--- a/src/load/config.h
+++ b/src/load/config.h
@@ -35,6 +35,7 @@
 struct LoadConfig {
     std::vector<std::string> daemons;
     unsigned seed = 1;
+    bool retry_lost = false; ///< ask again, at another daemon, when no answer came
     double duration_s = 10;
     std::vector<PipelineLoad> pipelines;
     std::map<std::string, std::vector<std::string>> standins; ///< upstream set to addresses
--- a/src/load/load.cpp
+++ b/src/load/load.cpp
@@ -204,6 +204,7 @@
     LoadConfig config;
     config.daemons = root["daemons"].as<std::vector<std::string>>();
     config.seed = value_or(root, "seed", config.seed);
+    config.retry_lost = value_or(root, "retry_lost", config.retry_lost);
     config.duration_s = value_or(root, "duration_s", config.duration_s);
     for (const auto& node : root["pipelines"])
         config.pipelines.push_back(read_pipeline(node));
--- a/src/standin/pool.cpp
+++ b/src/standin/pool.cpp
@@ -29,15 +29,21 @@
             co_await refuse(exchange, 400, "no input");
             co_return;
         }
+        const auto known = m_inputs.find(key);
+        if (m_config.deduplicates && known != m_inputs.end() && known->second != input) {
+            co_await refuse(exchange, 422, "key used with another input");
+            co_return;
+        }
         if (!co_await take_slot(exchange,
                                 static_cast<int>(json_number(body, "priority", 9))))
             co_return;
-        const bool repeat = m_config.deduplicates && !key.empty() && m_done.count(key) > 0;
+        const bool repeat
+            = m_config.deduplicates && !key.empty() && m_inputs.count(key) > 0;
         if (!repeat) {
             ++m_counters.runs;
             if (!key.empty()) {
                 ++m_counters.runs_by_key[key];
-                m_done[key] = stage_output(operation, input);
+                m_inputs[key] = input;
                 LogEvent("run").kv("address", m_config.address).kv("key", key);
             }
             co_await work(m_config.service_ms);
@@ -47,13 +53,13 @@
             exchange.drop();
             co_return;
         }
-        const std::string output = repeat ? m_done[key] : stage_output(operation, input);
+        const std::string output = stage_output(operation, input);
         const boost::json::object answer {{"output", output}};
         co_await exchange.respond(json_response(200, answer));
     }
 
 private:
-    std::map<std::string, std::string> m_done;
+    std::map<std::string, std::string> m_inputs; ///< by key
 };
 
 std::unique_ptr<Upstream>
--- /dev/null
+++ b/testsuite/fuzz/world.h
@@ -0,0 +1,207 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A few daemons' decision cores over fakes of log and upstreams, in virtual
+/// time, with an oracle that knows what must never happen.
+
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <cypressford/bundle_fold.h>
+#include <cypressford/claims.h>
+#include <cypressford/scheduler.h>
+
+#include "libutil/crypto.h"
+
+namespace cypressford::fuzz {
+
+/// Pipelines of the fuzzed bundle, by index.
+enum Pipeline : std::size_t { Lookup, Label, Alert, Summary, Dedup, kPipelines };
+
+inline constexpr std::size_t kDaemons = 3; ///< two in hall A, one in hall B
+
+/// How a fake upstream treats calls.
+enum class Behaviour : unsigned char {
+    Good,
+    Lagging, ///< takes a good deal longer than usual
+    Slow, ///< takes seconds
+    Refuse, ///< not reachable, nothing is sent
+    Overloaded, ///< says 429, does not run
+    Fail, ///< runs, then answers with an error
+    FailUnrun, ///< answers with an error without running
+    Cut, ///< runs, then the connection breaks
+    Silent, ///< runs, and answers after half a minute
+};
+inline constexpr int kBehaviours = 9;
+
+/// Deterministic events in virtual time.
+class Timeline {
+public:
+    Micros now() const { return m_now; }
+    void at(Micros time, std::function<void()> action);
+    void after(Micros span, std::function<void()> action)
+    {
+        at(m_now + span, std::move(action));
+    }
+    void run_for(Micros span);
+
+private:
+    struct Entry {
+        Micros time;
+        std::uint64_t number;
+        std::function<void()> action;
+        bool operator>(const Entry& o) const
+        {
+            return std::tie(time, number) > std::tie(o.time, o.number);
+        }
+    };
+    std::priority_queue<Entry, std::vector<Entry>, std::greater<>> m_entries;
+    Micros m_now = 0;
+    std::uint64_t m_next = 0;
+};
+
+/// The log service, with the faults that the brief names.
+struct FakeLog {
+    struct Stream {
+        Offset first = 0;
+        std::deque<std::string> records;
+        Offset next() const { return first + static_cast<Offset>(records.size()); }
+    };
+    std::map<std::string, Stream> streams;
+    bool outage = false;
+    bool lose_answers = false;
+    bool slow = false;
+    std::set<std::string> cut_halls;
+};
+
+struct FakeUpstream {
+    std::string address;
+    std::string hall;
+    bool deduplicates = false;
+    Behaviour behaviour = Behaviour::Good;
+    bool leaving = false;
+    Micros leaving_since = 0;
+};
+
+/// What the oracle keeps of one request.
+struct CallFacts {
+    std::size_t daemon = 0;
+    std::uint64_t incarnation = 0;
+    std::size_t pipeline = 0;
+    std::string key;
+    std::string body;
+    int replies = 0;
+    bool said_not_run = false;
+    bool ran = false;
+    Micros deadline = 0;
+};
+
+/// A key that callers may come back with.
+struct UsedKey {
+    std::string key;
+    std::size_t pipeline = 0;
+    std::string body;
+    WallMs time = 0;
+};
+
+class World {
+public:
+    explicit World(std::uint64_t seed);
+    ~World();
+    World(const World&) = delete;
+    World& operator=(const World&) = delete;
+
+    // Steps.
+    void call(std::size_t daemon, std::size_t pipeline);
+    void call_again(std::size_t daemon, std::size_t which, bool other_body);
+    void advance(Micros span) { m_time.run_for(span); }
+    void set_behaviour(std::size_t upstream, Behaviour behaviour);
+    void leave(std::size_t upstream);
+    void kill(std::size_t daemon);
+    void pause(std::size_t daemon);
+    void resume(std::size_t daemon);
+    void stop(std::size_t daemon);
+    void race_bundles(bool first_wins);
+    void repeat_last_answers();
+    void trim_claims();
+    FakeLog& log() { return m_log; }
+
+    /// Ends all faults, lets time pass, and checks what must hold in the end.
+    void settle();
+
+    /// The first property that was broken; empty for none.
+    const std::string& violation() const { return m_violation; }
+
+    std::size_t upstream_count() const { return m_upstreams.size(); }
+    std::size_t replies() const { return m_replies; }
+
+private:
+    struct Daemon;
+    struct RequestData;
+
+    void start_daemon(std::size_t index);
+    void deliver(std::size_t daemon, std::uint64_t incarnation, Micros delay,
+                 std::function<void(Daemon&)> action);
+    void issue(std::size_t daemon, std::size_t pipeline, const std::string& key,
+               const std::string& body);
+    void feed(Daemon& daemon, const Event& event);
+    void feed_claims(Daemon& daemon, const ClaimEvent& event);
+    void act(Daemon& daemon, const SendAttempt& action);
+    void act(Daemon& daemon, const CancelAttempt& action);
+    void act(Daemon& daemon, const BeginClaim& action);
+    void act(Daemon& daemon, const EndClaim& action);
+    void act(Daemon& daemon, const Reply& action);
+    void act(Daemon& daemon, const Forget& action);
+    void end_attempt(Daemon& daemon, AttemptId attempt, AttemptStatus status,
+                     const std::string& output);
+    void arrive(std::size_t daemon, std::uint64_t incarnation, const SendAttempt& send,
+                std::size_t upstream, const std::string& input);
+    bool knows_other_body(const std::string& key, const std::string& input) const;
+    std::string run(FakeUpstream& upstream, const SendAttempt& send, CallFacts& facts,
+                    const std::string& input);
+    void append(Daemon& daemon, const ClaimBatch& batch);
+    void poll(Daemon& daemon);
+    void read_claims(Daemon& daemon);
+    void read_list(Daemon& daemon);
+    void read_bundles(Daemon& daemon);
+    void tick(std::size_t daemon, std::uint64_t incarnation);
+    void check_reply(Daemon& daemon, const Reply& action, CallFacts& facts);
+    void check_leaving(const Daemon& daemon, const FakeUpstream& upstream);
+    void check_free_keys();
+    void append_bundle(const BundleRecord& record);
+    Bundle make_bundle(std::uint64_t version, std::uint64_t builds_on, int priority) const;
+    bool can_reach_log(const Daemon& daemon) const;
+    Micros transit();
+    WallMs wall(const Daemon& daemon) const;
+    void violate(const std::string& what);
+
+    Timeline m_time;
+    std::mt19937_64 m_random;
+    FakeLog m_log;
+    KeyPair m_operator;
+    std::vector<FakeUpstream> m_upstreams;
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::map<RequestId, CallFacts> m_facts;
+    std::map<std::string, std::string> m_deduplicated; ///< key to body, over the whole set
+    std::map<std::string, int> m_once_runs; ///< runs of non-repeatable stages, by key
+    std::vector<UsedKey> m_keys;
+    std::map<std::uint64_t, std::string> m_content; ///< bundle version to its bytes
+    std::uint64_t m_newest_version = 0;
+    std::uint64_t m_next_incarnation = 1;
+    RequestId m_next_request = 1;
+    std::uint64_t m_next_body = 1;
+    std::size_t m_replies = 0;
+    std::string m_violation;
+};
+
+} // namespace cypressford::fuzz
