Routing: cost of a decision no longer grows with the hall

Cause: a decision looked at every upstream of a set three times: to count the usable ones, to add up slots, and to list candidates.

Change: counts and slots are kept for 1 ms; of sets above 32 upstreams the adaptive router gets six random usable ones, which two choices need no more than. Calls with a home (session affinity) still see all. Benchmarks of the decision and of control work come with it, and `make capacity` for slopes of real daemons.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build demo test fuzz lint format clean
+.PHONY: all deps build demo test fuzz capacity measure bench lint format clean
 
 all: build
 
@@ -30,6 +30,14 @@
 fuzz: build
 	@$(BUILD)/testsuite/fuzz/cypressford_fuzz --seconds=$(SECONDS) --seed=$$(date +%s)
 
+# The slopes of docs/CAPACITY.md, about three minutes.
+capacity: build
+	@$(BUILD)/src/bench/cypressford-bench
+	@python3 testsuite/capacity/run.py $(BUILD)
+
+bench: build
+	@$(BUILD)/src/bench/cypressford-bench
+
 lint: build
 	@src/build-scripts/lint.sh $(BUILD)
 
--- a/src/adaptive.router/adaptive.cpp
+++ b/src/adaptive.router/adaptive.cpp
@@ -54,6 +54,8 @@
 
 class AdaptiveRouter final : public Router {
 public:
+    bool samples() const override { return true; }
+
     std::size_t pick(std::span<const Candidate> candidates,
                      const RouteContext& context) const override
     {
--- a/src/include/cypressford/router.h
+++ b/src/include/cypressford/router.h
@@ -37,6 +37,9 @@
 public:
     virtual ~Router() = default;
 
+    /// True if a random part of a large set is enough to choose from.
+    virtual bool samples() const { return false; }
+
     /// Index into `candidates`, which is never empty.
     virtual std::size_t pick(std::span<const Candidate> candidates,
                              const RouteContext& context) const
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -62,25 +62,41 @@
         != query.tried.end();
 }
 
+/// Adds the upstream to `out` if it can take the call.
+void
+consider(const std::shared_ptr<UpstreamState>& upstream, const UpstreamSet& set,
+         const CandidateQuery& query, bool remote, Candidates& out)
+{
+    if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
+        return;
+    if (query.limit_slots && !has_slot(*upstream, set.spec.slots, query.daemons_in_hall))
+        return;
+    const bool probing = needs_probe(*upstream);
+    if (probing
+        && (!query.allow_probe || upstream->probing.load(std::memory_order_relaxed)))
+        return;
+    const auto index = static_cast<std::uint32_t>(out.values.size());
+    out.values.push_back(candidate(*upstream, index, set.spec.slots, remote, query.now));
+    out.states.push_back(&upstream);
+}
+
 void
 collect(const std::vector<std::shared_ptr<UpstreamState>>& upstreams,
         const UpstreamSet& set, const CandidateQuery& query, bool remote, Candidates& out)
 {
-    for (const auto& upstream : upstreams) {
-        if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
-            continue;
-        if (query.limit_slots
-            && !has_slot(*upstream, set.spec.slots, query.daemons_in_hall))
-            continue;
-        const bool probing = needs_probe(*upstream);
-        if (probing
-            && (!query.allow_probe || upstream->probing.load(std::memory_order_relaxed)))
-            continue;
-        const auto index = static_cast<std::uint32_t>(out.values.size());
-        out.values.push_back(
-            candidate(*upstream, index, set.spec.slots, remote, query.now));
-        out.states.push_back(&upstream);
+    const std::size_t count = upstreams.size();
+    if (!query.want_all && count > kWholeScan) {
+        // Two random choices are nearly as good as a look at all of them
+        // (Mitzenmacher), and their cost does not grow with the hall.
+        const std::size_t start = query.random % count;
+        const std::size_t stride = 1 + (query.random >> 32) % (count - 1);
+        for (std::size_t i = 0; i < 2 * kSample && out.values.size() < kSample; ++i)
+            consider(upstreams[(start + i * stride) % count], set, query, remote, out);
+        if (!out.empty())
+            return;
     }
+    for (const auto& upstream : upstreams)
+        consider(upstream, set, query, remote, out);
 }
 
 } // namespace
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -20,6 +20,8 @@
     bool limit_slots = true; ///< leave out upstreams without a free slot
     bool allow_probe = true; ///< an ejected upstream may get one trial call
     std::span<const UpstreamState* const> tried; ///< already had this stage
+    bool want_all = true; ///< false: a random part of a large set will do
+    std::uint64_t random = 0; ///< chooses that part
 };
 
 /// Upstreams that can take a call, with the states behind them.
@@ -37,6 +39,11 @@
 /// True unless the upstream is leaving or taken out after failures.
 bool is_usable(const UpstreamState& upstream, Micros now);
 
+/// Sets up to this size are always looked at whole.
+inline constexpr std::size_t kWholeScan = 32;
+/// Usable upstreams that are enough to choose from in a larger set.
+inline constexpr std::size_t kSample = 6;
+
 /// Fills `out` with the upstreams of the own hall, or, if none of them can
 /// take the call, with those of other halls.
 void collect_candidates(const UpstreamSet& set, const CandidateQuery& query,
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -153,20 +153,17 @@
 }
 
 StageOutlook
-Scheduler::Impl::outlook(const Request& request, std::size_t at) const
+Scheduler::Impl::outlook(const Request& request, std::size_t at)
 {
-    const UpstreamSet& set = request.set_of(at);
     const StageId id = request.pipeline().stage_ids[at];
     StageOutlook result;
     result.typical = model.p50(id).value_or(0);
     result.tail = model.p95(id).value_or(result.typical);
-    result.usable = count_usable(set, now);
-    if (set.id >= queues.size())
-        return result;
-    const StageQueue& queue = queues[set.id];
+    const StageQueue::Capacity& capacity = capacity_of(request, at);
+    result.usable = capacity.usable;
+    const StageQueue& queue = queue_of(request.set_of(at).id);
     result.waiting = static_cast<int>(queue.waiting.size());
-    const double share = share_of_slots(set, options.daemons_in_hall, now)
-        / std::max(1, options.schedulers);
+    const double share = capacity.share / std::max(1, options.schedulers);
     // Work that runs in the slots already is ahead of nobody.
     const double ahead = static_cast<double>(queue.ahead_of(request.priority()))
         - share * static_cast<double>(result.typical);
@@ -175,6 +172,20 @@
     return result;
 }
 
+const StageQueue::Capacity&
+Scheduler::Impl::capacity_of(const Request& request, std::size_t at)
+{
+    const UpstreamSet& set = request.set_of(at);
+    StageQueue::Capacity& capacity = queue_of(set.id).capacity;
+    const std::uint64_t generation = request.spec.snapshot->generation;
+    const bool fresh = capacity.generation == generation && capacity.at >= 0
+        && now - capacity.at < kCapacityAge;
+    if (!fresh)
+        capacity = {now, generation, count_usable(set, now),
+                    share_of_slots(set, options.daemons_in_hall, now)};
+    return capacity;
+}
+
 void
 Scheduler::Impl::commit(Request& request)
 {
@@ -295,6 +306,10 @@
     query.limit_slots = admission.queues_here();
     query.allow_probe = request.stage_spec().repeatable;
     query.tried = request.tried;
+    const bool generates = request.stage_spec().kind == StageKind::Generate;
+    const bool has_home = generates && request.spec.affinity != 0;
+    query.want_all = has_home || !router.samples();
+    query.random = random();
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
@@ -303,8 +318,7 @@
     if (candidates.empty())
         return false;
     RouteContext context;
-    const bool generates = request.stage_spec().kind == StageKind::Generate;
-    context.affinity = generates ? request.spec.affinity : 0;
+    context.affinity = has_home ? request.spec.affinity : 0;
     context.random = random();
     context.sequence = queue_of(set.id).decisions++;
     chosen = *candidates.states[router.pick(candidates.values, context)];
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -27,6 +27,8 @@
 inline constexpr int kFailuresToEject = 3;
 /// Requests without a slot that a search through a queue passes over.
 inline constexpr int kMaxPassedOver = 4;
+/// How long the count of usable upstreams of a set is kept.
+inline constexpr Micros kCapacityAge = kMillisecond;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
@@ -154,7 +156,8 @@
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
-    StageOutlook outlook(const Request& request, std::size_t at) const;
+    StageOutlook outlook(const Request& request, std::size_t at);
+    const StageQueue::Capacity& capacity_of(const Request& request, std::size_t at);
     void commit(Request& request);
     void release_commitment(Request& request, std::size_t at);
 
--- a/src/libcypressford/stage_queue.h
+++ b/src/libcypressford/stage_queue.h
@@ -28,6 +28,15 @@
     std::array<Micros, kLowestPriority + 1> committed {};
     std::uint64_t decisions = 0; ///< routing decisions made for this set
 
+    /// What a look over all upstreams of the set gave, kept for a moment.
+    struct Capacity {
+        Micros at = -1;
+        std::uint64_t generation = 0; ///< of the snapshot that was looked at
+        int usable = 0;
+        double share = 0; ///< calls that this daemon can run at a time
+    };
+    Capacity capacity;
+
     /// Committed service time that goes before a request of this priority.
     Micros ahead_of(int priority) const
     {
--- a/testsuite/common/cluster.py
+++ b/testsuite/common/cluster.py
@@ -82,7 +82,7 @@
         self.processes = {}
         self.daemons = {}
         self.keep = keep
-        self.ports = iter(free_ports(400))
+        self.ports = iter(free_ports(1500))
         self.platform = None
         self.public_key = self.cli("keygen", f"--out={self.dir}/operator.pem").strip()
 
