--- a/src/httplog.platform/httplog.cpp
+++ b/src/httplog.platform/httplog.cpp
@@ -64,7 +64,11 @@
     {
         HttpRequest request;
         request.target = "/nodes";
+        if (!m_nodes_tag.empty())
+            request.headers.add("If-None-Match", m_nodes_tag);
         const auto body = co_await exchange(m_settings.nodes, std::move(request), 0);
+        if (!body && m_last_status == kNotModified)
+            co_return m_nodes;
         if (!body)
             co_return tl::unexpected(body.error());
         std::vector<NodeEntry> entries;
@@ -73,6 +77,8 @@
                 if (node.is_object())
                     entries.push_back({json_text(node.as_object(), "address"),
                                        json_text(node.as_object(), "state") == "leaving"});
+        m_nodes = entries;
+        m_nodes_tag = m_last_tag;
         co_return entries;
     }
 
@@ -88,6 +94,8 @@
         options.fresh_connection = false;
         const CallResult result
             = co_await m_client->call(std::move(address), std::move(request), options);
+        m_last_status = result.response.status;
+        m_last_tag = std::string(result.response.headers.get("ETag"));
         if (result.status != CallStatus::Answered || result.response.status != 200)
             co_return fail(ErrorKind::Internal, "the platform did not answer");
         auto body = parse_json_object(result.response.body);
@@ -96,7 +104,13 @@
         co_return *std::move(body);
     }
 
+    static constexpr int kNotModified = 304;
+
     PlatformSettings m_settings;
+    std::vector<NodeEntry> m_nodes; ///< as last read
+    std::string m_nodes_tag; ///< names that state of the list
+    std::string m_last_tag; ///< of the last answer
+    int m_last_status = 0; ///< of the last answer
     std::unique_ptr<HttpClient> m_client;
 };
 
--- a/src/include/cypressford/membership.h
+++ b/src/include/cypressford/membership.h
@@ -32,8 +32,8 @@
 
 /// Times after which a silent member is doubted and given up.
 struct MembershipOptions {
-    Micros suspect_after = 3 * kSecond;
-    Micros dead_after = 15 * kSecond;
+    Micros suspect_after = 6 * kSecond;
+    Micros dead_after = 30 * kSecond;
     Micros forget_after = 600 * kSecond;
 };
 
@@ -54,6 +54,13 @@
     /// Takes what was heard of a member, at first or second hand.
     void hear(const MemberInfo& info, Micros now);
 
+    /// Takes a sign of life of a member that is known already; false if it is
+    /// not, so that it has to be asked for in full.
+    bool hear_beat(std::uint64_t id, std::uint64_t heartbeat, bool stopping, Micros now);
+
+    /// Names a process in signs of life.
+    static std::uint64_t id_of(const MemberInfo& info);
+
     MemberState state(std::string_view address, Micros now) const;
 
     /// Addresses of the others that are alive or only suspected.
@@ -81,6 +88,7 @@
     MemberInfo m_self;
     MembershipOptions m_options;
     std::map<std::string, Member, std::less<>> m_members;
+    std::map<std::uint64_t, std::string> m_by_id; ///< id to address
     Micros m_last_beat = -1;
 };
 
--- a/src/libcypressford/membership.cpp
+++ b/src/libcypressford/membership.cpp
@@ -37,6 +37,31 @@
     member.info = info;
     member.info.stopping = info.stopping || was_stopping;
     member.heard_at = now;
+    m_by_id[id_of(info)] = info.address;
+}
+
+bool
+Membership::hear_beat(std::uint64_t id, std::uint64_t heartbeat, bool stopping, Micros now)
+{
+    if (id == id_of(m_self))
+        return true;
+    auto it = m_by_id.find(id);
+    if (it == m_by_id.end())
+        return false;
+    const Member& member = m_members.at(it->second);
+    if (id_of(member.info) != id)
+        return true; // of a process that another one has replaced
+    MemberInfo info = member.info;
+    info.heartbeat = heartbeat;
+    info.stopping = stopping;
+    hear(info, now);
+    return true;
+}
+
+std::uint64_t
+Membership::id_of(const MemberInfo& info)
+{
+    return fast_hash(info.address, info.incarnation);
 }
 
 MemberState
--- a/src/libserve/claim_service.cpp
+++ b/src/libserve/claim_service.cpp
@@ -22,7 +22,9 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Micros kReadWait = 5 * kSecond;
-constexpr std::chrono::milliseconds kTick {5};
+/// Between looks at timers, with and without claims in hand.
+constexpr std::chrono::milliseconds kBusyTick {5};
+constexpr std::chrono::milliseconds kIdleTick {100};
 constexpr std::chrono::milliseconds kReadRetry {200};
 
 } // namespace
@@ -32,6 +34,7 @@
     , m_kernel(kernel)
     , m_platform(platform)
     , m_claimer(kernel.incarnation, kernel.settings.claims)
+    , m_tick(io)
 {
 }
 
@@ -81,6 +84,7 @@
 void
 ClaimService::handle(const ClaimEvent& event)
 {
+    const bool was_idle = m_claimer.idle();
     ClaimActions actions;
     const Micros now = monotonic_us();
     m_claimer.handle(event, {now, wall_ms()}, actions);
@@ -98,6 +102,8 @@
         m_waiting.erase(it);
         decided(std::move(decision));
     }
+    if (was_idle && !m_claimer.idle())
+        m_tick.cancel();
 }
 
 asio::awaitable<void>
@@ -139,10 +145,9 @@
 asio::awaitable<void>
 ClaimService::tick_loop()
 {
-    asio::steady_timer timer(m_io);
     for (;;) {
-        timer.expires_after(kTick);
-        co_await timer.async_wait(kToTuple);
+        m_tick.expires_after(m_claimer.idle() ? kIdleTick : kBusyTick);
+        co_await m_tick.async_wait(kToTuple);
         handle(ClaimTick {});
     }
 }
--- a/src/libserve/claim_service.h
+++ b/src/libserve/claim_service.h
@@ -51,6 +51,7 @@
     Kernel& m_kernel;
     PlatformClient& m_platform;
     Claimer m_claimer;
+    boost::asio::steady_timer m_tick;
     std::unordered_map<RequestId, Decided> m_waiting;
 };
 
--- a/src/libserve/hall_service.cpp
+++ b/src/libserve/hall_service.cpp
@@ -28,17 +28,21 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kProtocol = 1;
-constexpr Micros kAskTimeout = 500 * kMillisecond;
-constexpr std::chrono::milliseconds kListInterval {500};
 /// Peers that are told in each round.
-constexpr std::size_t kFanOut = 2;
-/// Daemons that follow the log for the hall, and watch one upstream.
+constexpr std::size_t kFanOut = 1;
+/// Daemons that follow the log for the hall.
 constexpr int kReaders = 2;
-constexpr int kWatchers = 1;
-/// Reports whose figures are this close to the last ones are no news.
-constexpr int kQuantum = 1;
+/// News of an upstream is passed on for so many rounds after it was learnt,
+/// which reaches a hall of 20 with one peer told in each.
+constexpr Micros kNewsRounds = 6;
+/// Reports in one message, which bounds the bytes whatever happens.
+constexpr std::size_t kMaxReports = 48;
+/// Every so many exchanges with a peer, members are named in full.
+constexpr int kMembersEvery = 30;
 /// Weight of the newest interval in an account's rate.
 constexpr double kRateWeight = 0.3;
+/// Accounts below this many requests a second are not told of.
+constexpr double kLeastRate = 0.05;
 
 MemberInfo
 self_info(const Kernel& kernel)
@@ -60,14 +64,6 @@
     return options;
 }
 
-bool
-is_news(const LoadReport& a, const LoadReport& b)
-{
-    return a.leaving != b.leaving || a.incarnation != b.incarnation
-        || std::abs(a.in_flight - b.in_flight) > kQuantum
-        || std::abs(a.queued - b.queued) > kQuantum;
-}
-
 MemberInfo
 member_from(const proto::Member& message)
 {
@@ -81,15 +77,20 @@
                          BundleService& bundles)
     : m_io(io)
     , m_kernel(kernel)
-    , m_platform(platform)
     , m_bundles(bundles)
-    , m_client(io)
     , m_membership(self_info(kernel), membership_options(kernel.settings))
+    , m_watch(
+          io, kernel, platform,
+          [this](const std::string& task, int count) {
+              return m_membership.is_chosen(task, count, monotonic_us());
+          },
+          [this] { tell_everyone(); })
     , m_transport(kernel.settings.tls,
                   [this](const proto::PeerState& state, PeerTransport::Answer answer) {
                       asio::post(m_io, [this, state, answer = std::move(answer)] {
                           receive(state, false);
-                          answer(own_state(state.address(), state.bundle_next()));
+                          answer(own_state(state.address(), state.bundle_next(),
+                                           state.wants_members()));
                       });
                   })
     , m_random(kernel.incarnation)
@@ -110,8 +111,7 @@
                 .kv("address", settings.peers_address);
         asio::co_spawn(m_io, gossip_loop(), asio::detached);
     }
-    asio::co_spawn(m_io, list_loop(), asio::detached);
-    asio::co_spawn(m_io, watch_loop(), asio::detached);
+    m_watch.start();
     return {};
 }
 
@@ -146,7 +146,7 @@
     m_kernel.daemons_in_hall.store(m_membership.serving(now));
     m_bundles.set_reader(m_membership.is_chosen("bundles", kReaders, now));
     update_shares(now);
-    spread_marks();
+    m_watch.spread_marks();
     // Known members, and from time to time one of the settings, so that halves
     // of a hall that lost each other meet again.
     std::vector<std::string> targets = m_membership.others(now);
@@ -165,7 +165,7 @@
 void
 HallService::exchange_with(const std::string& address)
 {
-    m_transport.exchange(address, own_state(address, m_bundles.fold().next()),
+    m_transport.exchange(address, own_state(address, m_bundles.fold().next(), false),
                          [this, address](bool ok, const proto::PeerState& state) {
                              if (!ok)
                                  return;
@@ -187,9 +187,9 @@
 }
 
 proto::PeerState
-HallService::own_state(const std::string& peer, Offset peer_bundle_next)
+HallService::own_state(const std::string& peer, Offset peer_bundle_next,
+                       bool members_in_full)
 {
-    const Micros now = monotonic_us();
     proto::PeerState state;
     const MemberInfo& self = m_membership.self();
     state.set_protocol(kProtocol);
@@ -201,7 +201,32 @@
     state.set_bundle_next(m_bundles.fold().next());
     if (peer_bundle_next < m_bundles.fold().next() && m_bundles.fold().has_base())
         state.set_bundle_snapshot(encode(m_bundles.fold().snapshot()));
-    for (const MemberInfo& info : m_membership.all(now)) {
+    int& told = m_told[peer];
+    add_members(state, told % kMembersEvery == 0 || members_in_full);
+    state.set_wants_members(std::exchange(m_wants_members, false));
+    add_reports(state);
+    ++told;
+    for (const auto& [account, rate] : m_own_rates) {
+        if (rate < kLeastRate)
+            continue;
+        proto::AccountUse* use = state.add_accounts();
+        use->set_account(account);
+        use->set_admitted_per_s(rate);
+    }
+    return state;
+}
+
+void
+HallService::add_members(proto::PeerState& state, bool in_full)
+{
+    for (const MemberInfo& info : m_membership.all(monotonic_us())) {
+        if (!in_full) {
+            proto::Beat* beat = state.add_beats();
+            beat->set_member(Membership::id_of(info));
+            beat->set_heartbeat(info.heartbeat);
+            beat->set_stopping(info.stopping);
+            continue;
+        }
         proto::Member* member = state.add_members();
         member->set_node(info.node);
         member->set_address(info.address);
@@ -210,28 +235,22 @@
         member->set_heartbeat(info.heartbeat);
         member->set_stopping(info.stopping);
     }
-    // Twice the time since we last told this peer: one lost message is made up
-    // for by the next.
-    Micros& last = m_last_sent[peer];
-    const Micros since = last == 0 ? 0 : last - (now - last);
-    for (const auto& [address, seen] : m_observations) {
-        if (seen.changed < since)
-            continue;
+}
+
+void
+HallService::add_reports(proto::PeerState& state)
+{
+    const Micros now = monotonic_us();
+    const Micros since = now - kNewsRounds * m_kernel.settings.gossip_interval;
+    for (const UpstreamWatch::Observation* seen : m_watch.news(since, kMaxReports)) {
         proto::UpstreamReport* report = state.add_reports();
-        report->set_address(address);
-        report->set_in_flight(seen.report.in_flight);
-        report->set_queued(seen.report.queued);
-        report->set_incarnation(seen.report.incarnation);
-        report->set_leaving(seen.report.leaving);
-        report->set_age_ms(static_cast<std::uint32_t>((now - seen.at) / kMillisecond));
+        report->set_upstream(seen->id);
+        report->set_in_flight(seen->report.in_flight);
+        report->set_queued(seen->report.queued);
+        report->set_incarnation(seen->report.incarnation);
+        report->set_leaving(seen->report.leaving);
+        report->set_age_ms(static_cast<std::uint32_t>((now - seen->at) / kMillisecond));
     }
-    last = now;
-    for (const auto& [account, rate] : m_own_rates) {
-        proto::AccountUse* use = state.add_accounts();
-        use->set_account(account);
-        use->set_admitted_per_s(rate);
-    }
-    return state;
 }
 
 void
@@ -247,116 +266,20 @@
         m_bundles.adopt(state.bundle_snapshot());
     else if (!is_answer && state.bundle_next() > m_bundles.fold().next())
         exchange_with(state.address());
+    for (const proto::Beat& beat : state.beats())
+        if (!m_membership.hear_beat(beat.member(), beat.heartbeat(), beat.stopping(), now))
+            m_wants_members = true;
     for (const proto::UpstreamReport& report : state.reports())
-        observe(
-            report.address(),
+        m_watch.observe(
+            report.upstream(),
             {report.in_flight(), report.queued(), report.incarnation(), report.leaving()},
-            now - static_cast<Micros>(report.age_ms()) * kMillisecond, "peer");
+            now - static_cast<Micros>(report.age_ms()) * kMillisecond);
     auto& rates = m_peer_rates[state.address()];
     rates.clear();
     for (const proto::AccountUse& use : state.accounts())
         rates[use.account()] = use.admitted_per_s();
 }
 
-// ------------------------------------------------- what upstreams report
-
-asio::awaitable<void>
-HallService::list_loop()
-{
-    asio::steady_timer timer(m_io);
-    for (;;) {
-        const auto nodes = co_await m_platform.nodes();
-        if (nodes) {
-            for (const NodeEntry& node : *nodes) {
-                auto upstream = m_kernel.upstreams.find(node.address);
-                if (upstream && node.leaving && !upstream->leaving.load()) {
-                    upstream->mark_leaving();
-                    LogEvent("upstream_leaving")
-                        .kv("upstream", node.address)
-                        .kv("by", "list");
-                }
-            }
-        }
-        timer.expires_after(kListInterval);
-        co_await timer.async_wait(kToTuple);
-    }
-}
-
-/// Each upstream of the hall is asked by the daemon that is chosen for it.
-asio::awaitable<void>
-HallService::watch_loop()
-{
-    asio::steady_timer timer(m_io);
-    for (;;) {
-        const Micros now = monotonic_us();
-        if (const SnapshotPtr snapshot = m_kernel.snapshot.load()) {
-            for (const UpstreamSet& set : snapshot->sets) {
-                const auto kind = m_kernel.kinds.find(set.spec.kind);
-                if (kind == m_kernel.kinds.end())
-                    continue;
-                for (const auto& upstream : set.own)
-                    if (m_membership.is_chosen(upstream->address, kWatchers, now))
-                        asio::co_spawn(m_io, ask(upstream, *kind->second), asio::detached);
-            }
-        }
-        timer.expires_after(std::chrono::microseconds(m_kernel.settings.watch_interval));
-        co_await timer.async_wait(kToTuple);
-    }
-}
-
-asio::awaitable<void>
-HallService::ask(std::shared_ptr<UpstreamState> upstream, const UpstreamKind& kind)
-{
-    const Micros asked = monotonic_us();
-    CallOptions options;
-    options.deadline_us = asked + kAskTimeout;
-    const CallResult result = co_await m_client.call(upstream->address, kind.load_request(),
-                                                     std::move(options));
-    if (result.status != CallStatus::Answered)
-        co_return;
-    if (const auto report = kind.decode_load(result.response))
-        observe(upstream->address, *report, asked, "report");
-}
-
-void
-HallService::observe(const std::string& address, const LoadReport& report, Micros at,
-                     const char* source)
-{
-    Observation& seen = m_observations[address];
-    if (at <= seen.at || report.incarnation < seen.report.incarnation)
-        return;
-    const bool news = seen.at == 0 || is_news(report, seen.report);
-    const bool leaves = report.leaving && !seen.report.leaving;
-    seen.at = at;
-    if (news) {
-        seen.report = report;
-        seen.changed = monotonic_us();
-    }
-    const auto upstream = m_kernel.upstreams.find(address);
-    if (!upstream)
-        return;
-    upstream->apply_report(report, at);
-    if (leaves) {
-        LogEvent("upstream_leaving").kv("upstream", address).kv("by", source);
-        tell_everyone();
-    }
-}
-
-/// An upstream may have told a worker, in an answer, that it is leaving; the
-/// hall hears of it from here.
-void
-HallService::spread_marks()
-{
-    for (const auto& upstream : m_kernel.upstreams.all()) {
-        if (!upstream->leaving.load(std::memory_order_relaxed))
-            continue;
-        LoadReport report = m_observations[upstream->address].report;
-        report.leaving = true;
-        report.incarnation = std::max(report.incarnation, upstream->incarnation.load());
-        observe(upstream->address, report, monotonic_us(), "answer");
-    }
-}
-
 // ------------------------------------------------- how accounts are shared
 
 void
@@ -368,6 +291,11 @@
     const double seconds = static_cast<double>(now - m_rates_at) / kSecond;
     m_rates_at = now;
     const int daemons = m_kernel.daemons_in_hall.load();
+    std::map<std::uint64_t, double> elsewhere;
+    for (const auto& [peer, rates] : m_peer_rates)
+        if (m_membership.state(peer, now) == MemberState::Alive)
+            for (const auto& [account, rate] : rates)
+                elsewhere[account] += rate;
     for (const ResolvedAccount& account : snapshot->accounts) {
         const std::uint64_t id = session_hash(account.spec.name);
         const std::uint64_t admitted
@@ -378,13 +306,8 @@
         before = admitted;
         double& own = m_own_rates[id];
         own += kRateWeight * (rate - own);
-        double all = own;
-        for (const auto& [peer, rates] : m_peer_rates) {
-            const bool alive = m_membership.state(peer, now) == MemberState::Alive;
-            auto it = rates.find(id);
-            if (alive && it != rates.end())
-                all += it->second;
-        }
+        const auto others = elsewhere.find(id);
+        const double all = own + (others == elsewhere.end() ? 0 : others->second);
         account.state->share.store(account_share(own, all, daemons),
                                    std::memory_order_relaxed);
     }
--- a/src/libserve/hall_service.h
+++ b/src/libserve/hall_service.h
@@ -14,8 +14,8 @@
 #include <cypressford/platform.h>
 
 #include "kernel.h"
-#include "libutil/http_client.h"
 #include "peer_transport.h"
+#include "upstream_watch.h"
 
 namespace cypressford {
 
@@ -36,28 +36,15 @@
     void announce_stop();
 
 private:
-    /// The newest report on an upstream, from whichever daemon.
-    struct Observation {
-        LoadReport report;
-        Micros at = 0; ///< when it was made, by our clock
-        Micros changed = 0; ///< when we learnt of it; newer than a peer's last look is news
-    };
-
-    // Who is alive.
     boost::asio::awaitable<void> gossip_loop();
     void gossip_once();
     void exchange_with(const std::string& address);
     void receive(const proto::PeerState& state, bool is_answer);
-    proto::PeerState own_state(const std::string& peer, Offset peer_bundle_next);
+    proto::PeerState own_state(const std::string& peer, Offset peer_bundle_next,
+                               bool members_in_full);
 
-    // What upstreams report.
-    boost::asio::awaitable<void> list_loop();
-    boost::asio::awaitable<void> watch_loop();
-    boost::asio::awaitable<void> ask(std::shared_ptr<UpstreamState> upstream,
-                                     const UpstreamKind& kind);
-    void observe(const std::string& address, const LoadReport& report, Micros at,
-                 const char* source);
-    void spread_marks();
+    void add_members(proto::PeerState& state, bool in_full);
+    void add_reports(proto::PeerState& state);
     void tell_everyone();
 
     // How accounts are shared out.
@@ -65,14 +52,13 @@
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
-    PlatformClient& m_platform;
     BundleService& m_bundles;
-    HttpClient m_client;
     Membership m_membership;
+    UpstreamWatch m_watch;
     PeerTransport m_transport;
     std::mt19937_64 m_random;
-    std::map<std::string, Observation> m_observations;
-    std::map<std::string, Micros> m_last_sent; ///< to each peer: when we last told it
+    std::map<std::string, int> m_told; ///< exchanges with each peer
+    bool m_wants_members = false; ///< a sign of life came of a member not known here
     std::map<std::string, std::map<std::uint64_t, double>>
         m_peer_rates; ///< by peer, account
     std::map<std::uint64_t, double> m_own_rates;
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -139,6 +139,7 @@
 read_hall(YamlMapReader& reader, Settings& settings)
 {
     read_ms(reader, "watch_ms", settings.watch_interval);
+    read_range(reader, "watch_rate", 0.1, 1000.0, settings.watch_rate);
     read_ms(reader, "gossip_ms", settings.gossip_interval);
     read_ms(reader, "suspect_ms", settings.suspect_after);
 }
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -43,8 +43,9 @@
     SchedulerOptions scheduler;
     ClaimOptions claims;
     Micros watch_interval = 500 * kMillisecond; ///< between load reports of an upstream
-    Micros gossip_interval = 500 * kMillisecond; ///< between exchanges with a peer
-    Micros suspect_after = 3 * kSecond; ///< a silent peer is not counted then
+    double watch_rate = 5; ///< load reports asked for in a second, at most
+    Micros gossip_interval = 1000 * kMillisecond; ///< between exchanges with a peer
+    Micros suspect_after = 6 * kSecond; ///< a silent peer is not counted then
     Micros token_life = 600 * kSecond; ///< of resume tokens
     Micros stop_grace = 2 * kSecond; ///< answering goes on so long after readiness fell
     Micros stop_limit = 30 * kSecond; ///< then a planned stop ends in any case
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -84,7 +84,7 @@
     }
     constexpr std::string_view prefix = "/streams/";
     if (path == "/nodes")
-        co_await exchange.respond(node_list());
+        co_await exchange.respond(node_list(request));
     else if (path.starts_with(prefix) && request.method == "POST")
         co_await append(exchange, path.substr(prefix.size()));
     else if (path.starts_with(prefix))
@@ -192,7 +192,7 @@
 
 /// The list as it was some time ago.
 HttpResponse
-Platform::node_list()
+Platform::node_list(const HttpRequest& request)
 {
     const auto lag = static_cast<std::int64_t>(m_config.list_lag_ms);
     std::map<std::string, std::string> states;
@@ -202,7 +202,14 @@
     json::array nodes;
     for (const auto& [address, state] : states)
         nodes.push_back(json::object {{"address", address}, {"state", state}});
-    return json_response(200, {{"nodes", std::move(nodes)}});
+    HttpResponse response = json_response(200, {{"nodes", std::move(nodes)}});
+    const std::string tag = '"' + format_stamp(fast_hash(response.body)) + '"';
+    response.headers.add("ETag", tag);
+    if (request.headers.get("If-None-Match") == tag) {
+        response.status = 304;
+        response.body.clear();
+    }
+    return response;
 }
 
 bool
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -51,7 +51,7 @@
     boost::asio::awaitable<void> append(HttpExchange& exchange, const std::string& stream);
     boost::asio::awaitable<void> read(HttpExchange& exchange, const std::string& stream);
     HttpResponse control(const HttpRequest& request);
-    HttpResponse node_list();
+    HttpResponse node_list(const HttpRequest& request);
     bool take_token();
     bool is_cut_off(const HttpRequest& request) const;
 
--- a/testsuite/capacity/run.py
+++ b/testsuite/capacity/run.py
@@ -16,9 +16,9 @@
 import deployments as d
 from cluster import Cluster, account, build_directory
 
-MEASURE_S = 8
-SETTLE_S = 4
-SIZES = [(3, 30), (9, 30), (20, 30), (64, 30), (20, 100), (20, 285), (20, 800)]
+MEASURE_S = 10
+SETTLE_S = 12
+SIZES = [(3, 30), (9, 30), (20, 30), (64, 30), (20, 285), (20, 800)]
 
 
 def loopback_bytes():
