Admission and slots: less wasted work under overload

Change: slots of a set are divided as a whole, with 1.3 of the share under way; queued calls count as others'; waits are worked out at the rate left after more urgent inflow, and at the concurrency that service times are learnt with; a deadline is no evidence unless the call took twice its usual tail; an account is held to its fair share at 0.8 of the slack (0.5 before).

--- a/src/budget.admission/budget.cpp
+++ b/src/budget.admission/budget.cpp
@@ -16,7 +16,7 @@
 
 // Part of the budget that waits may use up before a large account is held to
 // its fair share of what is in progress.
-constexpr double kPressure = 0.5;
+constexpr double kPressure = 0.8;
 // How far over its fair share an account may be under pressure.
 constexpr double kShareSlack = 1.5;
 constexpr Micros kShortestRetry = 200 * kMillisecond;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -47,7 +47,8 @@
     const std::uint64_t address_hash = std::hash<std::string> {}(address);
 
     std::atomic<int> in_flight {0}; ///< calls of this daemon
-    std::atomic<int> others {0}; ///< calls of other daemons, as last reported
+    std::atomic<int> others {
+        0}; ///< calls of other daemons, queued ones too, as last reported
     std::atomic<int> queued {0}; ///< calls queued there, as last reported
     std::atomic<Micros> reported_at {-1}; ///< when the report was made; -1 for never
     std::atomic<std::uint64_t> incarnation {0};
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -111,12 +111,11 @@
 int
 slot_limit(const UpstreamState& upstream, int slots, int daemons_in_hall)
 {
-    // The report on others lags.  A daemon may use what they seem to leave, but
-    // no more than twice its even part, so that all of them together overshoot
-    // the slots by a factor of two at most.
+    // The report on others lags, so what they seem to leave is used with care:
+    // one call beyond the even part at most.
     const int even = (slots + daemons_in_hall - 1) / std::max(1, daemons_in_hall);
     const int left = slots - upstream.others.load(std::memory_order_relaxed);
-    return std::clamp(left, even, std::min(slots, 2 * even));
+    return std::clamp(left, even, std::min(slots, even + 1));
 }
 
 bool
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -57,7 +57,9 @@
     if (entry_it == entries.end())
         return;
     Entry& entry = *entry_it->second;
-    mark_dirty(entry.request.set_of(attempt.stage).id);
+    const SetId set = entry.request.set_of(attempt.stage).id;
+    --queue_of(set).running;
+    mark_dirty(set);
     settle_attempt(entry, attempt, event.status);
     advance(entry);
     forget_if_over(entry);
@@ -163,12 +165,15 @@
     result.usable = capacity.usable;
     const StageQueue& queue = queue_of(request.set_of(at).id);
     result.waiting = static_cast<int>(queue.waiting.size());
-    const double share = capacity.share / std::max(1, options.schedulers);
+    // Service times are learnt with this many calls under way, so the rate at
+    // which work is done is this many per service time (Little's law).
+    const double share = kShareSlack * capacity.share / std::max(1, options.schedulers);
     // Work that runs in the slots already is ahead of nobody.
     const double ahead = static_cast<double>(queue.ahead_of(request.priority()))
         - share * static_cast<double>(result.typical);
-    result.backlog
-        = static_cast<Micros>(std::max(0.0, ahead) / std::max(share, kSmallestShare));
+    const double left = share - queue.busy_with_more_urgent(request.priority());
+    const double drain = std::max({left, kLeastDrain * share, kSmallestShare});
+    result.backlog = static_cast<Micros>(std::max(0.0, ahead) / drain);
     return result;
 }
 
@@ -193,7 +198,9 @@
     for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at) {
         const Micros work = model.mean(pipeline.stage_ids[at]).value_or(0);
         request.committed.at(at) = work;
-        queue_of(request.set_of(at).id).committed.at(priority_index(request)) += work;
+        StageQueue& queue = queue_of(request.set_of(at).id);
+        queue.committed.at(priority_index(request)) += work;
+        queue.note_inflow(priority_index(request), work, now);
     }
 }
 
@@ -283,7 +290,7 @@
 Scheduler::Impl::try_start(Entry& entry)
 {
     Request& request = entry.request;
-    if (!choose_upstream(request)) {
+    if (!has_share_left(request) || !choose_upstream(request)) {
         if (count_usable(request.set(), now) > 0)
             return false;
         entry.machine.give_up(ErrorKind::NoUpstream);
@@ -295,6 +302,20 @@
     return true;
 }
 
+/// The slots of a set are divided over the daemons as a whole: a part of each
+/// upstream's slots, rounded up, would add up to far more than there are.
+bool
+Scheduler::Impl::has_share_left(const Request& request)
+{
+    if (!admission.queues_here())
+        return true;
+    const double share
+        = capacity_of(request, request.stage).share / std::max(1, options.schedulers);
+    const int running = queue_of(request.set().id).running;
+    // One call is always allowed: the share may be less than a slot.
+    return running == 0 || running < kShareSlack * share;
+}
+
 /// Leaves the choice in `chosen`.
 bool
 Scheduler::Impl::choose_upstream(const Request& request)
@@ -342,6 +363,7 @@
     ++counters.attempts;
     if (request.attempts_of_stage++ == 0)
         budgets_of(request).earn();
+    ++queue_of(request.set().id).running;
     ++request.may_have_run;
     ++request.open_attempts;
     request.once_may_have_run |= attempt.once;
@@ -417,13 +439,26 @@
     case AttemptStatus::NotSent:
     case AttemptStatus::Failed:
     case AttemptStatus::Lost:
-        if (!attempt.cancelled && options.eject && may_eject(attempt)
-            && upstream.note_failure(kFailuresToEject, now))
+        if (!attempt.cancelled && options.eject && is_evidence(attempt, status)
+            && may_eject(attempt) && upstream.note_failure(kFailuresToEject, now))
             ++counters.ejections;
         break;
     }
 }
 
+/// A call that its own request's deadline cut short says little about the
+/// upstream, unless it had taken far longer than such calls take.
+bool
+Scheduler::Impl::is_evidence(const Attempt& attempt, AttemptStatus status) const
+{
+    auto it = entries.find(attempt.request);
+    if (status != AttemptStatus::Lost || it == entries.end()
+        || now < it->second->request.spec.deadline)
+        return true;
+    const auto tail = model.p95(it->second->request.pipeline().stage_ids[attempt.stage]);
+    return !tail || now - attempt.sent_at > 2 * *tail;
+}
+
 /// Never more than half of a set is taken out: when most of it fails, the
 /// fault is elsewhere, and trying is all that is left.
 bool
@@ -460,6 +495,9 @@
     } else if (status == AttemptStatus::Rejected) {
         cancel_running(request);
         entry.machine.give_up(ErrorKind::UpstreamRejected);
+    } else if (now >= request.spec.deadline && !attempt.once) {
+        cancel_running(request);
+        entry.machine.give_up(ErrorKind::DeadlineExceeded);
     } else {
         request.last_failure = failure_of(status, attempt.once);
         entry.machine.attempt_lost();
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -29,6 +29,12 @@
 inline constexpr int kMaxPassedOver = 4;
 /// How long the count of usable upstreams of a set is kept.
 inline constexpr Micros kCapacityAge = kMillisecond;
+/// A daemon may have this much more under way than its share of a set's slots,
+/// so that an upstream that frees a slot finds the next call waiting.
+inline constexpr double kShareSlack = 1.3;
+/// Part of a share that a priority is counted on to get, however much comes in
+/// above it.
+inline constexpr double kLeastDrain = 0.05;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
@@ -167,6 +173,7 @@
     void pump(SetId id);
     bool is_hopeless(const Request& request) const;
     bool try_start(Entry& entry);
+    bool has_share_left(const Request& request);
     bool choose_upstream(const Request& request);
     void send(Request& request);
     Micros attempt_deadline(const Request& request) const;
@@ -174,6 +181,7 @@
     void hedge(Entry& entry, AttemptId attempt);
 
     void observe(const Attempt& attempt, AttemptStatus status);
+    bool is_evidence(const Attempt& attempt, AttemptStatus status) const;
     bool may_eject(const Attempt& attempt) const;
     void settle_attempt(Entry& entry, const Attempt& attempt, AttemptStatus status);
     static ErrorKind failure_of(AttemptStatus status, bool once);
--- a/src/libcypressford/stage_queue.h
+++ b/src/libcypressford/stage_queue.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <array>
+#include <cmath>
 #include <compare>
 #include <set>
 
@@ -26,6 +27,7 @@
     std::set<WaitingRequest> waiting;
     /// Service time admitted and not yet done, by priority.
     std::array<Micros, kLowestPriority + 1> committed {};
+    int running = 0; ///< calls under way
     std::uint64_t decisions = 0; ///< routing decisions made for this set
 
     /// What a look over all upstreams of the set gave, kept for a moment.
@@ -37,6 +39,31 @@
     };
     Capacity capacity;
 
+    /// Service time that comes in per second, by priority, over about a second.
+    std::array<double, kLowestPriority + 1> inflow {};
+    Micros inflow_at = 0;
+
+    /// Lets the past fade and adds what was just committed.
+    void note_inflow(std::size_t priority, Micros work, Micros now)
+    {
+        constexpr double window = kSecond;
+        const double fade = std::exp(-static_cast<double>(now - inflow_at) / window);
+        inflow_at = now;
+        for (double& rate : inflow)
+            rate *= fade;
+        inflow.at(priority) += static_cast<double>(work) * kSecond / window;
+    }
+
+    /// Slots that more urgent requests keep busy, going by what came in lately:
+    /// they will overtake whatever waits now.
+    double busy_with_more_urgent(int priority) const
+    {
+        double sum = 0;
+        for (int p = 0; p < priority; ++p)
+            sum += inflow.at(static_cast<std::size_t>(p));
+        return sum / kSecond;
+    }
+
     /// Committed service time that goes before a request of this priority.
     Micros ahead_of(int priority) const
     {
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -58,7 +58,9 @@
         mark_leaving();
     }
     const int own = in_flight.load(std::memory_order_relaxed);
-    others.store(std::max(0, report.in_flight - own), std::memory_order_relaxed);
+    // What is queued there waits for slots as well, whoever sent it.
+    const int all = report.in_flight + report.queued;
+    others.store(std::max(0, all - own), std::memory_order_relaxed);
     queued.store(report.queued, std::memory_order_relaxed);
     reported_at.store(at, std::memory_order_relaxed);
 }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -9,7 +9,7 @@
 #include <numeric>
 #include <set>
 
-#include <boost/json.hpp>
+#include "libutil/json_fields.h"
 
 namespace cypressford::load {
 
@@ -171,18 +171,23 @@
 {
     namespace json = boost::json;
     json::array pipelines;
-    for (const PipelineReport& p : report.pipelines)
+    json::object kinds;
+    for (const PipelineReport& p : report.pipelines) {
+        for (const auto& [kind, count] : p.kinds)
+            kinds[kind] = json_integer<std::size_t>(kinds, kind, 0) + count;
         pipelines.push_back(json::object {{"name", p.name},
                                           {"sent", p.sent()},
                                           {"attainment", p.attainment()},
                                           {"refused", at(p, Outcome::NotRun)},
                                           {"p50_ms", p.p50_ms},
                                           {"p99_ms", p.p99_ms}});
+    }
     json::object cost;
     for (const auto& [set, ms] : report.cost_ms)
         cost[set] = ms;
     const Violations& v = report.violations;
     return json::serialize(json::object {{"pipelines", std::move(pipelines)},
+                                         {"kinds", std::move(kinds)},
                                          {"cost_ms", std::move(cost)},
                                          {"attainment", report.attainment},
                                          {"urgent", report.urgent_attainment},
--- a/testsuite/measure/run.py
+++ b/testsuite/measure/run.py
@@ -136,6 +136,8 @@
           f"attainment={report['attainment']:.4f} urgent={report['urgent']:.4f} "
           f"attained={report['attained']} refused={report['refused']} "
           f"cost_ms={sum(report['cost_ms'].values()):.1f} "
+          f"kinds={json.dumps(report['kinds'], separators=(',', ':'))} "
+          f"engine_s={report['cost_ms'][ENGINES[which]] * report['attained'] / 1000:.0f} "
           f"p99_model_ms={max(p['p99_ms'] for p in model):.0f} violations={bad}", flush=True)
     return report
 
