Placement under a lease from the log; bounds on what is remembered and told

Cause: engines are to be ordered to load models by one daemon of a hall at a time, also when holders sleep, die or the log is away.

Change: leases as records that replace one another by offset, with the offset of the take as fencing token; a placement service that orders missing models under one, at a bounded rate. At most 60,000 keys are remembered; tokens are sealed with a prepared key; the 32 accounts nearest their rate are told of; news of bundles goes to the whole hall at once.

--- a/src/bench/bench_control.cpp
+++ b/src/bench/bench_control.cpp
@@ -4,6 +4,8 @@
 /// \file
 /// What the control work of a daemon costs, by the size of what it handles.
 
+#include <fstream>
+
 #include <benchmark/benchmark.h>
 
 #include <cypressford/bundle_fold.h>
@@ -38,6 +40,18 @@
     return batch;
 }
 
+/// Resident memory of this process.
+std::size_t
+resident_bytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    constexpr std::size_t page = 4096;
+    return resident * page;
+}
+
 Bundle
 make_bundle(int upstreams)
 {
@@ -155,6 +169,27 @@
     ->Arg(200)
     ->Unit(benchmark::kMicrosecond);
 
+/// Memory of the ledger, over the number of keys.
+static void
+BM_LedgerMemory(benchmark::State& state)
+{
+    const int keys = static_cast<int>(state.range(0));
+    for (auto _ : state) {
+        const std::size_t before = resident_bytes();
+        ClaimLedger ledger {ClaimOptions {}};
+        for (int i = 0; i < keys; i += 100)
+            ledger.apply(i / 100, make_batch(100, static_cast<std::uint64_t>(i) + 1), 0);
+        const std::size_t after = resident_bytes();
+        state.counters["bytes_per_key"]
+            = static_cast<double>(after - before) / static_cast<double>(keys);
+    }
+}
+BENCHMARK(BM_LedgerMemory)
+    ->Arg(20'000)
+    ->Arg(200'000)
+    ->Iterations(1)
+    ->Unit(benchmark::kMillisecond);
+
 /// The token behind each streamed piece, on the path of data.
 static void
 BM_SealToken(benchmark::State& state)
--- a/src/engine.upstream/engine.cpp
+++ b/src/engine.upstream/engine.cpp
@@ -90,6 +90,39 @@
         return request;
     }
 
+    bool takes_orders() const override { return true; }
+
+    HttpRequest models_request() const override
+    {
+        HttpRequest request;
+        request.target = "/v1/models";
+        return request;
+    }
+
+    std::vector<std::string> decode_models(const HttpResponse& response) const override
+    {
+        std::vector<std::string> names;
+        const auto body = parse_json_object(response.body);
+        const auto* models = body ? body->if_contains("models") : nullptr;
+        if (models && models->is_array())
+            for (const auto& model : models->as_array())
+                if (model.is_string())
+                    names.emplace_back(model.as_string());
+        return names;
+    }
+
+    HttpRequest load_order(std::string_view model, std::string_view adapter,
+                           std::int64_t fence) const override
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/orders";
+        request.headers.add("Content-Type", "application/json");
+        request.body = boost::json::serialize(boost::json::object {
+            {"op", "load"}, {"model", model_name(model, adapter)}, {"fence", fence}});
+        return request;
+    }
+
     HttpRequest cancel(std::string_view stream) const override
     {
         HttpRequest request;
--- a/src/include/cypressford/claims.h
+++ b/src/include/cypressford/claims.h
@@ -75,7 +75,8 @@
 struct ClaimOptions {
     WallMs clock_error = 2000; ///< a daemon's clock is off by less than this
     WallMs future_keys = 5000; ///< a key's time may be this far ahead
-    std::size_t max_keys = 200'000; ///< keys remembered; older ones are refused
+    std::size_t max_keys
+        = 60'000; ///< keys remembered (about 600 B each); older ones are refused
     std::size_t max_answer = 4096; ///< larger answers are not recorded, in bytes
     Micros min_append_gap = 20 * kMillisecond; ///< between appends, after a burst
     int append_burst = 4; ///< appends that may come without the gap
--- a/src/include/cypressford/session_token.h
+++ b/src/include/cypressford/session_token.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,8 @@
 
 namespace cypressford {
 
+class MacKey;
+
 /// What a token says.
 struct SessionState {
     std::uint64_t account = 0; ///< hash of the client account's name
@@ -40,10 +43,8 @@
 /// Makes and checks tokens with the key common to all daemons.
 class SessionTokens {
 public:
-    explicit SessionTokens(std::string key)
-        : m_key(std::move(key))
-    {
-    }
+    explicit SessionTokens(std::string_view key);
+    ~SessionTokens();
 
     std::string seal(const SessionState& state) const;
 
@@ -53,7 +54,7 @@
                               WallMs now) const;
 
 private:
-    std::string m_key;
+    std::unique_ptr<MacKey> m_key;
 };
 
 } // namespace cypressford
--- a/src/include/cypressford/upstream_kind.h
+++ b/src/include/cypressford/upstream_kind.h
@@ -66,6 +66,17 @@
     /// Ends a stream whose reader is gone for good.
     virtual HttpRequest cancel(std::string_view) const { return {}; }
 
+    // Orders, for kinds that hold models.
+    virtual bool takes_orders() const { return false; }
+    virtual HttpRequest models_request() const { return {}; }
+    virtual std::vector<std::string> decode_models(const HttpResponse&) const { return {}; }
+    virtual HttpRequest load_order(std::string_view, std::string_view, std::int64_t) const
+    {
+        return {};
+    }
+    /// Name under which a model with an adapter is listed.
+    virtual std::string model_name(std::string_view model, std::string_view adapter) const;
+
     virtual HttpRequest load_request() const;
     virtual std::optional<LoadReport> decode_load(const HttpResponse& response) const;
 };
--- a/src/libcypressford/session_token.cpp
+++ b/src/libcypressford/session_token.cpp
@@ -16,9 +16,9 @@
 constexpr char kFormat = 1;
 
 std::string
-mac_of(std::string_view key, std::string_view payload)
+mac_of(const MacKey& key, std::string_view payload)
 {
-    return hmac_sha256(key, payload).substr(0, kMacBytes);
+    return key.mac(payload).substr(0, kMacBytes);
 }
 
 SessionState
@@ -51,6 +51,13 @@
     return fast_hash(text);
 }
 
+SessionTokens::SessionTokens(std::string_view key)
+    : m_key(std::make_unique<MacKey>(key))
+{
+}
+
+SessionTokens::~SessionTokens() = default;
+
 std::string
 SessionTokens::seal(const SessionState& state) const
 {
@@ -66,7 +73,7 @@
     message.set_bundle_version(state.bundle_version);
     std::string payload(1, kFormat);
     message.AppendToString(&payload);
-    return to_base64url(mac_of(m_key, payload) + payload);
+    return to_base64url(mac_of(*m_key, payload) + payload);
 }
 
 Result<SessionState>
@@ -79,7 +86,7 @@
         return fail(ErrorKind::TokenInvalid, "damaged");
     const std::string_view payload = std::string_view(raw).substr(kMacBytes);
     const std::string_view mac = std::string_view(raw).substr(0, kMacBytes);
-    if (!equal_secret(mac, mac_of(m_key, payload)))
+    if (!equal_secret(mac, mac_of(*m_key, payload)))
         return fail(ErrorKind::TokenInvalid, "not authentic");
     proto::SessionToken message;
     if (payload.front() != kFormat
--- a/src/libserve/bundle_service.cpp
+++ b/src/libserve/bundle_service.cpp
@@ -77,6 +77,8 @@
             ++offset;
         }
         bring_into_force();
+        if (!page->records.empty() && m_on_news)
+            m_on_news();
     }
 }
 
--- a/src/libserve/bundle_service.h
+++ b/src/libserve/bundle_service.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <functional>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -26,6 +28,9 @@
     /// Takes over a peer's state if it is newer.
     void adopt(const std::string& encoded_snapshot);
 
+    /// Called when the log brought something new.
+    void on_news(std::function<void()> call) { m_on_news = std::move(call); }
+
     /// Whether this daemon reads the log itself or learns from its peers.
     void set_reader(bool reader) { m_reader = reader; }
 
@@ -42,6 +47,7 @@
     BundleFold m_fold;
     std::uint64_t m_applied_version = 0;
     bool m_reader = true;
+    std::function<void()> m_on_news;
 };
 
 } // namespace cypressford
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -20,6 +20,7 @@
 #include "hall_service.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "placement_service.h"
 #include "worker.h"
 
 namespace cypressford {
@@ -30,6 +31,8 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kStopCheck {20};
+/// Daemons of a hall that follow the lease on placing models.
+constexpr int kPlacementCandidates = 2;
 
 } // namespace
 
@@ -40,9 +43,12 @@
         , claims(control, kernel, *platform)
         , bundles(control, kernel, *platform)
         , hall(control, kernel, *platform, bundles)
+        , placement(control, kernel, *platform,
+                    [this] { return hall.is_chosen("placement", kPlacementCandidates); })
         , signals(control, SIGINT, SIGTERM)
     {
         kernel.claims = &claims;
+        bundles.on_news([this] { hall.tell_everyone(); });
         platform->open(control, kernel.settings.platform);
         for (int i = 0; i < kernel.settings.threads; ++i) {
             workers.push_back(std::make_unique<Worker>(kernel, static_cast<unsigned>(i)));
@@ -108,6 +114,7 @@
     ClaimService claims;
     BundleService bundles;
     HallService hall;
+    PlacementService placement;
     asio::signal_set signals;
     std::vector<std::unique_ptr<Worker>> workers;
 };
@@ -135,6 +142,7 @@
     impl.bundles.start();
     if (auto started = impl.hall.start(); !started)
         return started;
+    impl.placement.start();
     for (auto& worker : impl.workers)
         worker->start();
     asio::co_spawn(impl.control, impl.wait_for_signal(), asio::detached);
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -113,6 +113,8 @@
          static_cast<double>(total.connections)},
         {"cypressford_hall_daemons", "Live daemons of the hall.",
          static_cast<double>(m_kernel.daemons_in_hall.load())},
+        {"cypressford_placement_holder", "1 while this daemon places models.",
+         m_kernel.holds_placement.load() ? 1.0 : 0.0},
         {"cypressford_log_out", "1 while the log takes no appends.",
          m_kernel.log_out.load() ? 1.0 : 0.0}};
     HttpResponse response = text_response(200, render_metrics(total, gauges));
--- a/src/libserve/hall_service.cpp
+++ b/src/libserve/hall_service.cpp
@@ -41,8 +41,10 @@
 constexpr int kMembersEvery = 30;
 /// Weight of the newest interval in an account's rate.
 constexpr double kRateWeight = 0.3;
-/// Accounts below this many requests a second are not told of.
-constexpr double kLeastRate = 0.05;
+/// Accounts that use less than this part of their rate are not told of, and of
+/// the others no more than so many in one message.
+constexpr double kLeastPressure = 0.25;
+constexpr std::size_t kMaxAccounts = 32;
 
 MemberInfo
 self_info(const Kernel& kernel)
@@ -115,6 +117,12 @@
     return {};
 }
 
+bool
+HallService::is_chosen(std::string_view task, int count) const
+{
+    return m_membership.is_chosen(task, count, monotonic_us());
+}
+
 void
 HallService::announce_stop()
 {
@@ -206,14 +214,27 @@
     state.set_wants_members(std::exchange(m_wants_members, false));
     add_reports(state);
     ++told;
-    for (const auto& [account, rate] : m_own_rates) {
-        if (rate < kLeastRate)
-            continue;
+    add_accounts(state);
+    return state;
+}
+
+/// Only accounts that come near their rate matter to others, so those that use
+/// the largest part of it here are told of, and no more than a bounded number.
+void
+HallService::add_accounts(proto::PeerState& state)
+{
+    std::vector<std::pair<double, std::uint64_t>> by_pressure;
+    for (const auto& [account, use] : m_own_use)
+        if (use.pressure >= kLeastPressure)
+            by_pressure.emplace_back(use.pressure, account);
+    const std::size_t count = std::min(kMaxAccounts, by_pressure.size());
+    const auto middle = by_pressure.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(by_pressure.begin(), middle, by_pressure.end(), std::greater<>());
+    for (auto it = by_pressure.begin(); it != middle; ++it) {
         proto::AccountUse* use = state.add_accounts();
-        use->set_account(account);
-        use->set_admitted_per_s(rate);
+        use->set_account(it->second);
+        use->set_admitted_per_s(m_own_use.at(it->second).rate);
     }
-    return state;
 }
 
 void
@@ -304,11 +325,12 @@
         const double rate
             = static_cast<double>(admitted - before) / std::max(seconds, 1e-3);
         before = admitted;
-        double& own = m_own_rates[id];
-        own += kRateWeight * (rate - own);
+        AccountRate& use = m_own_use[id];
+        use.rate += kRateWeight * (rate - use.rate);
+        use.pressure = use.rate * daemons / account.spec.rate;
         const auto others = elsewhere.find(id);
-        const double all = own + (others == elsewhere.end() ? 0 : others->second);
-        account.state->share.store(account_share(own, all, daemons),
+        const double all = use.rate + (others == elsewhere.end() ? 0 : others->second);
+        account.state->share.store(account_share(use.rate, all, daemons),
                                    std::memory_order_relaxed);
     }
 }
--- a/src/libserve/hall_service.h
+++ b/src/libserve/hall_service.h
@@ -32,10 +32,22 @@
 
     Result<void> start();
 
+    /// True if this daemon is one of `count` that see to a task.
+    bool is_chosen(std::string_view task, int count) const;
+
+    /// Tells the whole hall at once what is new.
+    void tell_everyone();
+
     /// Tells the whole hall at once that this daemon is stopping.
     void announce_stop();
 
 private:
+    /// What this daemon admits of one account.
+    struct AccountRate {
+        double rate = 0; ///< requests per second
+        double pressure = 0; ///< part of the account's rate, were all daemons like this one
+    };
+
     boost::asio::awaitable<void> gossip_loop();
     void gossip_once();
     void exchange_with(const std::string& address);
@@ -44,8 +56,8 @@
                                bool members_in_full);
 
     void add_members(proto::PeerState& state, bool in_full);
+    void add_accounts(proto::PeerState& state);
     void add_reports(proto::PeerState& state);
-    void tell_everyone();
 
     // How accounts are shared out.
     void update_shares(Micros now);
@@ -61,7 +73,7 @@
     bool m_wants_members = false; ///< a sign of life came of a member not known here
     std::map<std::string, std::map<std::uint64_t, double>>
         m_peer_rates; ///< by peer, account
-    std::map<std::uint64_t, double> m_own_rates;
+    std::map<std::uint64_t, AccountRate> m_own_use;
     std::map<std::uint64_t, std::uint64_t> m_admitted_before;
     Micros m_rates_at = 0;
 };
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -40,6 +40,7 @@
     RcuCell<Snapshot> snapshot;
     std::atomic<bool> stopping {false};
     std::atomic<int> daemons_in_hall {1};
+    std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
     ClaimService* claims = nullptr;
--- /dev/null
+++ b/src/libserve/placement_service.cpp
@@ -0,0 +1,206 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "placement_service.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::chrono::milliseconds kLeaseStep {200};
+constexpr std::chrono::milliseconds kWorkStep {1000};
+constexpr std::chrono::milliseconds kReadRetry {300};
+constexpr Micros kReadWait = 5 * kSecond;
+constexpr Micros kCallTimeout = 2 * kSecond;
+/// A daemon that begins to read starts this many records before the end: the
+/// holder's renewals are all among them.
+constexpr Offset kLookBack = 50;
+
+} // namespace
+
+PlacementService::PlacementService(asio::io_context& io, Kernel& kernel,
+                                   PlatformClient& platform, Candidate candidate)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_platform(platform)
+    , m_candidate(std::move(candidate))
+    , m_client(io)
+    , m_lease("placement/" + kernel.settings.hall, kernel.incarnation,
+              kernel.settings.lease)
+{
+}
+
+void
+PlacementService::start()
+{
+    asio::co_spawn(m_io, lease_loop(), asio::detached);
+    asio::co_spawn(m_io, read_loop(), asio::detached);
+    asio::co_spawn(m_io, work_loop(), asio::detached);
+}
+
+std::string
+PlacementService::stream() const
+{
+    return "leases-" + m_kernel.settings.hall;
+}
+
+asio::awaitable<void>
+PlacementService::lease_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        timer.expires_after(kLeaseStep);
+        co_await timer.async_wait(kToTuple);
+        const Micros now = monotonic_us();
+        const bool held = m_lease.held(now);
+        if (m_kernel.holds_placement.exchange(held) != held)
+            LogEvent("placement_lease").kv("held", held).kv("fence", m_lease.fence());
+        if (m_next < 0)
+            continue;
+        const bool wanted = m_candidate() && !m_kernel.stopping.load();
+        const auto record = m_lease.next_append(wanted, now);
+        if (!record)
+            continue;
+        co_await m_platform.append(stream(), encode(*record));
+        m_lease.append_ended();
+    }
+}
+
+asio::awaitable<void>
+PlacementService::read_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        if (!m_candidate() && !m_kernel.holds_placement.load()) {
+            m_next = -1;
+            timer.expires_after(kReadRetry);
+            co_await timer.async_wait(kToTuple);
+            continue;
+        }
+        const Offset from = std::max<Offset>(0, m_next);
+        const Micros wait = m_next < 0 ? 0 : kReadWait;
+        const auto page = co_await m_platform.read(stream(), from, wait);
+        if (!page) {
+            timer.expires_after(kReadRetry);
+            co_await timer.async_wait(kToTuple);
+            continue;
+        }
+        if (m_next < 0) {
+            m_next = std::max(page->first, page->next - kLookBack);
+            if (m_next > 0)
+                m_lease.note_gap(monotonic_us());
+            continue;
+        }
+        if (page->from > m_next)
+            m_lease.note_gap(monotonic_us());
+        m_next = page->from;
+        for (const std::string& text : page->records) {
+            if (const auto record = decode_lease(text))
+                m_lease.apply(m_next, *record, monotonic_us());
+            ++m_next;
+        }
+    }
+}
+
+asio::awaitable<void>
+PlacementService::work_loop()
+{
+    asio::steady_timer timer(m_io);
+    for (;;) {
+        timer.expires_after(kWorkStep);
+        co_await timer.async_wait(kToTuple);
+        if (m_lease.held(monotonic_us()))
+            co_await place_once();
+    }
+}
+
+std::vector<PlacementService::Wanted>
+PlacementService::wanted_models(const Snapshot& snapshot) const
+{
+    std::vector<Wanted> result;
+    for (const ResolvedPipeline& pipeline : snapshot.pipelines) {
+        for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at) {
+            const StageSpec& stage = pipeline.spec.stages[at];
+            const UpstreamSet& set = snapshot.sets[pipeline.sets[at]];
+            const auto kind = m_kernel.kinds.find(set.spec.kind);
+            if (stage.model.empty() || kind == m_kernel.kinds.end()
+                || !kind->second->takes_orders())
+                continue;
+            for (const auto& engine : set.own)
+                if (!engine->leaving.load())
+                    result.push_back(
+                        {engine, kind->second.get(), stage.model, stage.adapter});
+        }
+    }
+    return result;
+}
+
+/// Looks at what each engine has and orders what it lacks.
+asio::awaitable<void>
+PlacementService::place_once()
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot)
+        co_return;
+    std::map<std::string, std::vector<std::string>> present;
+    asio::steady_timer timer(m_io);
+    for (const Wanted& wanted : wanted_models(*snapshot)) {
+        const std::string& address = wanted.engine->address;
+        if (present.count(address) == 0)
+            present[address] = co_await models_of(wanted);
+        auto& models = present[address];
+        const std::string name = wanted.kind->model_name(wanted.model, wanted.adapter);
+        if (std::find(models.begin(), models.end(), name) != models.end())
+            continue;
+        // The holder may have slept since it last looked.
+        if (!m_lease.held(monotonic_us()))
+            co_return;
+        co_await order(wanted);
+        models.push_back(name);
+        timer.expires_after(std::chrono::microseconds(
+            static_cast<Micros>(kSecond / m_kernel.settings.orders_per_s)));
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
+asio::awaitable<std::vector<std::string>>
+PlacementService::models_of(const Wanted& wanted)
+{
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kCallTimeout;
+    const CallResult result = co_await m_client.call(
+        wanted.engine->address, wanted.kind->models_request(), std::move(options));
+    co_return wanted.kind->decode_models(result.response);
+}
+
+asio::awaitable<void>
+PlacementService::order(const Wanted& wanted)
+{
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kCallTimeout;
+    const CallResult result = co_await m_client.call(
+        wanted.engine->address,
+        wanted.kind->load_order(wanted.model, wanted.adapter, m_lease.fence()),
+        std::move(options));
+    LogEvent("placement_order")
+        .kv("engine", wanted.engine->address)
+        .kv("model", wanted.kind->model_name(wanted.model, wanted.adapter))
+        .kv("fence", m_lease.fence())
+        .kv("status", result.response.status);
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/placement_service.h
@@ -0,0 +1,62 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cypressford/lease.h>
+#include <cypressford/platform.h>
+
+#include "kernel.h"
+#include "libutil/http_client.h"
+
+namespace cypressford {
+
+/// Sees to it that the engines of a hall have the models of the bundle in force.
+/// One daemon of the hall does so at a time, under a lease from the log, with the
+/// lease's fencing token in each order, no faster than the weight store bears.
+/// Lives on the control thread.
+class PlacementService {
+public:
+    /// True if this daemon is one of those that may hold the lease.
+    using Candidate = std::function<bool()>;
+
+    PlacementService(boost::asio::io_context& io, Kernel& kernel, PlatformClient& platform,
+                     Candidate candidate);
+
+    void start();
+
+private:
+    /// A model that an engine should have.
+    struct Wanted {
+        std::shared_ptr<UpstreamState> engine;
+        const UpstreamKind* kind = nullptr;
+        std::string model;
+        std::string adapter;
+    };
+
+    boost::asio::awaitable<void> lease_loop();
+    boost::asio::awaitable<void> read_loop();
+    boost::asio::awaitable<void> work_loop();
+    boost::asio::awaitable<void> place_once();
+    boost::asio::awaitable<void> order(const Wanted& wanted);
+    boost::asio::awaitable<std::vector<std::string>> models_of(const Wanted& wanted);
+    std::vector<Wanted> wanted_models(const Snapshot& snapshot) const;
+    std::string stream() const;
+
+    boost::asio::io_context& m_io;
+    Kernel& m_kernel;
+    PlatformClient& m_platform;
+    Candidate m_candidate;
+    HttpClient m_client;
+    Lease m_lease;
+    Offset m_next = -1; ///< next record to read; -1 before the first look
+};
+
+} // namespace cypressford
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -144,6 +144,19 @@
     read_ms(reader, "suspect_ms", settings.suspect_after);
 }
 
+void
+read_placement(YamlMapReader& reader, Settings& settings)
+{
+    LeaseOptions& lease = settings.lease;
+    read_ms(reader, "lease_ms", lease.duration);
+    read_ms(reader, "renew_ms", lease.renew_every);
+    read_ms(reader, "margin_ms", lease.margin);
+    read_range(reader, "orders_per_s", 0.01, 1000.0, settings.orders_per_s);
+    if (lease.margin + 2 * lease.renew_every > lease.duration)
+        reader.add(reader.child("lease_ms"),
+                   "lease_ms must be above margin_ms + 2 * renew_ms");
+}
+
 void
 read_log(YamlMapReader& reader, Settings& settings)
 {
@@ -218,6 +231,8 @@
     section(reader, "claims", faults, [&](YamlMapReader& r) { read_claims(r, settings); });
     section(reader, "hall_control", faults,
             [&](YamlMapReader& r) { read_hall(r, settings); });
+    section(reader, "placement", faults,
+            [&](YamlMapReader& r) { read_placement(r, settings); });
     section(reader, "log", faults, [&](YamlMapReader& r) { read_log(r, settings); });
     section(reader, "stop", faults, [&](YamlMapReader& r) {
         read_ms(r, "grace_ms", settings.stop_grace);
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include <cypressford/lease.h>
 #include <cypressford/platform.h>
 #include <cypressford/scheduler.h>
 
@@ -46,6 +47,8 @@
     double watch_rate = 5; ///< load reports asked for in a second, at most
     Micros gossip_interval = 1000 * kMillisecond; ///< between exchanges with a peer
     Micros suspect_after = 6 * kSecond; ///< a silent peer is not counted then
+    LeaseOptions lease; ///< of the daemon that places models
+    double orders_per_s = 2; ///< orders to load models, so that the weight store bears it
     Micros token_life = 600 * kSecond; ///< of resume tokens
     Micros stop_grace = 2 * kSecond; ///< answering goes on so long after readiness fell
     Micros stop_limit = 30 * kSecond; ///< then a planned stop ends in any case
--- a/src/libserve/upstream_kind.cpp
+++ b/src/libserve/upstream_kind.cpp
@@ -7,6 +7,15 @@
 
 namespace cypressford {
 
+std::string
+UpstreamKind::model_name(std::string_view model, std::string_view adapter) const
+{
+    std::string name(model);
+    if (!adapter.empty())
+        name.append("+").append(adapter);
+    return name;
+}
+
 HttpRequest
 UpstreamKind::load_request() const
 {
--- a/src/libutil/crypto.cpp
+++ b/src/libutil/crypto.cpp
@@ -10,6 +10,7 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
+#include <openssl/params.h>
 #include <openssl/pem.h>
 #include <openssl/rand.h>
 #include <xxhash.h>
@@ -136,6 +137,45 @@
     return out;
 }
 
+struct FreeMac {
+    void operator()(EVP_MAC* mac) const { EVP_MAC_free(mac); }
+};
+struct FreeMacContext {
+    void operator()(EVP_MAC_CTX* context) const { EVP_MAC_CTX_free(context); }
+};
+
+struct MacKey::Context {
+    std::unique_ptr<EVP_MAC_CTX, FreeMacContext> prepared;
+};
+
+MacKey::MacKey(std::string_view key)
+    : m_context(std::make_unique<Context>())
+{
+    const std::unique_ptr<EVP_MAC, FreeMac> mac(EVP_MAC_fetch(nullptr, "HMAC", nullptr));
+    m_context->prepared.reset(EVP_MAC_CTX_new(mac.get()));
+    std::string digest = "SHA256";
+    const std::array<OSSL_PARAM, 2> params {
+        OSSL_PARAM_construct_utf8_string("digest", digest.data(), 0),
+        OSSL_PARAM_construct_end()};
+    EVP_MAC_init(m_context->prepared.get(), bytes_of(key), key.size(), params.data());
+}
+
+MacKey::~MacKey() = default;
+
+std::string
+MacKey::mac(std::string_view bytes) const
+{
+    // A copy of the prepared state, which is only read and so needs no lock.
+    const std::unique_ptr<EVP_MAC_CTX, FreeMacContext> context(
+        EVP_MAC_CTX_dup(m_context->prepared.get()));
+    std::string out(kKeyBytes, '\0');
+    std::size_t size = 0;
+    EVP_MAC_update(context.get(), bytes_of(bytes), bytes.size());
+    EVP_MAC_final(context.get(), reinterpret_cast<unsigned char*>(out.data()), &size,
+                  out.size());
+    return out;
+}
+
 bool
 equal_secret(std::string_view a, std::string_view b)
 {
--- a/src/libutil/crypto.h
+++ b/src/libutil/crypto.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -23,6 +24,22 @@
 
 std::string sha256(std::string_view bytes);
 std::string hmac_sha256(std::string_view key, std::string_view bytes);
+/// A key for HMAC-SHA-256 that is set up once: a message then costs its hashing
+/// alone.  May be used by several threads at a time.
+class MacKey {
+public:
+    explicit MacKey(std::string_view key);
+    ~MacKey();
+    MacKey(const MacKey&) = delete;
+    MacKey& operator=(const MacKey&) = delete;
+
+    std::string mac(std::string_view bytes) const;
+
+private:
+    struct Context;
+    std::unique_ptr<Context> m_context;
+};
+
 /// Compares in constant time.
 bool equal_secret(std::string_view a, std::string_view b);
 
--- a/testsuite/capacity/run.py
+++ b/testsuite/capacity/run.py
@@ -64,10 +64,15 @@
         span = time.monotonic() - start
         used = [(cpu_seconds(p) - c) / span for p, c in zip(pids, cpu)]
         rate = (loopback_bytes() - network) / span / daemons
+        bundle.update(version=2, builds_on=1)
+        began = time.monotonic()
+        cluster.publish(bundle)
+        cluster.wait_version(2)
+        roll_s = time.monotonic() - began
         print(f"daemons={daemons} upstreams={upstreams} accounts={accounts} "
               f"core_percent={100 * sum(used) / daemons:.2f} "
               f"resident_mb={max(resident_mb(p) for p in pids):.1f} "
-              f"kbytes_per_s={rate / 1000:.2f} in_force_s={in_force_s:.2f}", flush=True)
+              f"kbytes_per_s={rate / 1000:.2f} in_force_s={in_force_s:.2f} roll_s={roll_s:.2f}", flush=True)
 
 
 def main():
--- a/testsuite/fuzz/inputs_fuzz.cpp
+++ b/testsuite/fuzz/inputs_fuzz.cpp
@@ -88,8 +88,7 @@
 
 } // namespace cypressford
 
-// libFuzzer gives the function its name.
-extern "C" int // NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int
 LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     using namespace cypressford;
