--- a/testsuite/common/cluster.py
+++ b/testsuite/common/cluster.py
@@ -7,6 +7,7 @@
 library is used.  Everything that was started is ended by its process id.
 """
 
+import fcntl
 import hashlib
 import json
 import os
@@ -24,20 +25,36 @@
 DAEMON_KEY = "11" * 32
 
 
-def free_ports(count):
-    """Ports that are free at this moment, below the range the kernel gives out itself."""
-    ports = []
-    start = 12000 + (os.getpid() * 37) % 8000
-    for port in range(start, 32000):
-        if len(ports) == count:
-            return ports
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    raise RuntimeError("no free ports")
+PORT_BLOCK = 1500
+PORTS_FROM = 12000  # below the range that the kernel gives out itself
+PORT_BLOCKS = 12
+_held_blocks = []
+
+
+def free_ports():
+    """A block of ports that no other test on this machine uses.  Free ports alone
+    are not enough: daemons share a port on purpose, so two tests that took the same
+    one would not notice, and would answer each other's calls."""
+    for block in range(PORT_BLOCKS):
+        lock = open(pathlib.Path(tempfile.gettempdir()) / f"cypressford-ports-{block}.lock", "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        _held_blocks.append(lock)  # until this process ends
+        first = PORTS_FROM + block * PORT_BLOCK
+        return (port for port in range(first, first + PORT_BLOCK) if is_free(port))
+    raise RuntimeError("no free block of ports")
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 def wait_until(condition, what, seconds=30):
@@ -82,7 +99,7 @@
         self.processes = {}
         self.daemons = {}
         self.keep = keep
-        self.ports = iter(free_ports(1500))
+        self.ports = free_ports()
         self.platform = None
         self.public_key = self.cli("keygen", f"--out={self.dir}/operator.pem").strip()
 
