--- a/src/httplog.platform/httplog.cpp
+++ b/src/httplog.platform/httplog.cpp
@@ -120,8 +120,6 @@
     PlatformSettings m_settings;
     std::vector<NodeEntry> m_nodes; ///< as last read
     std::string m_nodes_tag; ///< names that state of the list
-    std::string m_last_tag; ///< of the last answer
-    int m_last_status = 0; ///< of the last answer
     std::unique_ptr<HttpClient> m_client;
 };
 
