--- a/src/cypressfordd/cypressfordd.cpp
+++ b/src/cypressfordd/cypressfordd.cpp
@@ -4,6 +4,7 @@
 /// \file
 /// cypressfordd: the daemon of every entry node.
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -14,13 +15,23 @@
 
 #include "libserve/daemon.h"
 
-ABSL_FLAG(std::string, settings, "", "YAML file with the settings of this daemon");
+ABSL_FLAG(std::string, settings, "",
+          "YAML file with the settings of this daemon; without it, the file that the "
+          "variable CYPRESSFORD_SETTINGS names");
 
 namespace {
 
 /// Exit codes, as INSTALL.md lists them.
 enum ExitCode : int { kOk = 0, kBadSettings = 2, kCannotStart = 3 };
 
+std::string
+settings_path()
+{
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    const char* variable = std::getenv("CYPRESSFORD_SETTINGS");
+    return path.empty() && variable ? variable : path;
+}
+
 } // namespace
 
 int
@@ -30,7 +41,7 @@
     absl::SetProgramUsageMessage("Serves multi-stage model pipelines.\n"
                                  "Example: cypressfordd --settings=/etc/cypressford.yaml");
     absl::ParseCommandLine(argc, argv);
-    const std::string path = absl::GetFlag(FLAGS_settings);
+    const std::string path = settings_path();
     std::ifstream file(path);
     std::stringstream text;
     text << file.rdbuf();
--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,14 @@
     bool repeatable = true; ///< false: may run at most once per key
 };
 
+/// Work in pieces that must be done before the stages of a relayed pipeline:
+/// each piece is an item of a batched call, and its result stays at its maker.
+struct PieceStageSpec {
+    std::string upstream_set; ///< a set with a BatchSpec
+    std::vector<std::size_t> after; ///< piece stages whose results it needs
+    std::int64_t result_bytes = 0; ///< size of one result, about
+};
+
 /// A named sequence of stages that answers one kind of request.
 struct PipelineSpec {
     std::string name;
@@ -50,10 +59,32 @@
     bool stream = false; ///< answer as server-sent events
     std::vector<StageSpec> stages;
 
+    /// True if the caller's request and the upstream's answer pass through
+    /// unchanged.  Such a pipeline has one stage, is found by host and path, and
+    /// needs no claim: each request is an attempt of its own and is sent once.
+    bool relayed = false;
+    std::string host; ///< relayed: value of the Host header
+    std::string path_prefix; ///< relayed: begins and ends with a slash
+    double weight = 1; ///< among pipelines of the same host and path prefix
+    bool anonymous = false; ///< relayed: needs no credential
+    bool resumable = false; ///< relayed stream: may go on at another upstream
+    int max_attempts = 0; ///< upstreams one request may be sent to; 0: the scheduler's
+    Micros target_latency = 0; ///< time of an answer that counts as prompt; 0: none
+    std::vector<PieceStageSpec> piece_stages;
+
     /// True if every stage may be repeated.
     bool repeatable() const;
 };
 
+/// How an upstream set takes pieces of several requests in one call.
+struct BatchSpec {
+    int items = 1; ///< pieces of one call at most
+    int queue = 0; ///< calls that may wait at one upstream
+    Micros call_time = 0; ///< of a call, whatever it holds
+    Micros item_time = 0; ///< and of each piece, about
+    double room_mb = 0; ///< for results at one upstream
+};
+
 /// Upstreams of one kind, by hall.
 struct UpstreamSetSpec {
     std::string name;
@@ -61,6 +92,8 @@
     int slots = 1; ///< calls that one upstream runs at a time
     bool checks_fence = false; ///< refuses orders with an older fencing token
     bool deduplicates = false; ///< runs a key at most once, refuses it with another body
+    int max_connections = 0; ///< one upstream takes from all daemons; 0: no bound known
+    std::optional<BatchSpec> batch; ///< for sets that make pieces
     std::map<std::string, std::vector<std::string>> halls; ///< hall to "ip:port"
 };
 
@@ -70,6 +103,8 @@
     std::string credential_sha256; ///< hex digest of the bearer credential
     double rate = 100; ///< requests per second over all daemons
     double burst = 100; ///< requests that may come at once
+    std::vector<std::string> more_credentials {}; ///< further digests like the first
+    int priority = 0; ///< stands before that of the pipeline
 };
 
 /// A model and the adapters that may be loaded beside it.
@@ -78,6 +113,14 @@
     std::vector<std::string> adapters;
 };
 
+/// Bounds on what one caller may send, as operators set them; 0: the settings'.
+struct CallerLimits {
+    std::size_t header_bytes = 0;
+    std::size_t body_bytes = 0;
+    Micros header_time = 0;
+    Micros idle_time = 0;
+};
+
 /// The unit that operators publish.
 struct Bundle {
     std::string name;
@@ -87,6 +130,7 @@
     std::vector<UpstreamSetSpec> upstream_sets;
     std::vector<PipelineSpec> pipelines;
     std::vector<AccountSpec> accounts;
+    CallerLimits limits;
 };
 
 /// Parses and checks the YAML form.  All faults are reported, not the first.
--- /dev/null
+++ b/src/include/cypressford/directory.h
@@ -0,0 +1,125 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A platform that keeps configuration, upstreams and daemons as records under
+/// keys of a log.  How it spells them is a plug-in's; what follows from them is
+/// decided by DirectoryFold.
+
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <cypressford/claims.h>
+#include <cypressford/upstream.h>
+
+#include "libutil/http.h"
+
+namespace cypressford {
+
+/// What is kept under keys.
+enum class DirectoryTopic : unsigned char { Configuration, Upstreams, Daemons };
+
+/// One record; a key without a value was dropped.
+struct DirectoryRecord {
+    std::string key;
+    std::string value;
+};
+
+/// Records from one offset on, or the newest record of each key.
+struct DirectoryPage {
+    std::vector<DirectoryRecord> records;
+    Offset end = 0; ///< where the topic ends
+    bool more = false; ///< newest: further keys follow behind the last one here
+    bool history_lost = false; ///< read: records from that offset on are gone
+};
+
+/// An upstream's own record.
+struct UpstreamRecord {
+    UpstreamMember member;
+    std::uint64_t sequence = 0; ///< counts the records of one identity
+};
+
+/// A daemon's own record.
+struct DaemonRecord {
+    std::string node;
+    std::string hall;
+    std::string peers_address; ///< "ip:port" for other daemons
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< counts this incarnation's records
+    bool stopping = false;
+};
+
+/// Names, formats and calls of such a platform.  Decides nothing.
+class DirectoryDialect {
+public:
+    virtual ~DirectoryDialect() = default;
+
+    virtual HttpRequest newest(DirectoryTopic topic, std::string_view after) const = 0;
+    virtual HttpRequest read(DirectoryTopic topic, Offset from, Micros wait) const = 0;
+    virtual HttpRequest append(DirectoryTopic topic, const DirectoryRecord& record) const
+        = 0;
+    virtual Result<DirectoryPage> decode_newest(const HttpResponse& response) const = 0;
+    virtual Result<DirectoryPage> decode_read(const HttpResponse& response) const = 0;
+
+    /// Nothing: the record is not the configuration.
+    virtual Result<Bundle> decode_configuration(const DirectoryRecord& record) const = 0;
+    virtual Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const = 0;
+};
+
+/// What a daemon believes of configuration and upstreams, from the records it
+/// has seen in the order of the log.  The version of the configuration only
+/// rises; an upstream that is leaving or gone comes back only as another run.
+class DirectoryFold {
+public:
+    /// `vanish_grace`: how long an upstream whose record went during an outage
+    /// of the platform is still believed in.
+    explicit DirectoryFold(Micros vanish_grace)
+        : m_vanish_grace(vanish_grace)
+    {
+    }
+
+    /// True if this version is now in force.
+    bool offer_configuration(Bundle bundle);
+    const Bundle* configuration() const
+    {
+        return m_configuration ? &*m_configuration : nullptr;
+    }
+
+    /// The listing that follows names all upstreams there are.
+    void begin_listing();
+    void end_listing(Micros now, bool after_outage);
+
+    void apply(const UpstreamRecord& record);
+    /// The record of that identity was dropped.
+    void drop(const std::string& identity, Micros now, bool after_outage);
+    /// Forgets upstreams whose grace is over.
+    void expire(Micros now);
+
+    /// Upstreams that are believed in.
+    std::vector<UpstreamMember> members() const;
+    /// Counts changes of members().
+    std::uint64_t revision() const { return m_revision; }
+
+private:
+    struct Known {
+        UpstreamMember member;
+        std::uint64_t sequence = 0;
+        bool present = true;
+        bool listed = false; ///< met in the listing that is under way
+        Micros gone_at = -1; ///< not present: when it is to be forgotten
+    };
+
+    void vanish(Known& known, Micros now, bool after_outage);
+
+    const Micros m_vanish_grace;
+    std::optional<Bundle> m_configuration;
+    std::map<std::string, Known> m_known;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace cypressford
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,6 +35,14 @@
     Micros deadline = 0; ///< point in time
     bool has_key = false; ///< the caller gave an Idempotency-Key
     std::uint64_t affinity = 0;
+    /// Pieces that must be made before the stages, by piece stage of the
+    /// pipeline; 0 leaves a piece stage out.
+    std::vector<int> pieces;
+
+    bool needs_pieces() const
+    {
+        return std::any_of(pieces.begin(), pieces.end(), [](int n) { return n > 0; });
+    }
 };
 
 /// How an attempt ended, as far as the driver can tell.
@@ -45,6 +54,7 @@
     Failed, ///< the upstream answered with an error; it may have run
     Lost, ///< no whole answer; it may have run
     Rejected, ///< the upstream finds the request itself wrong
+    InputGone, ///< not run: a result it was to read is gone
 };
 
 /// How the claim for a key was decided.
@@ -76,8 +86,15 @@
 struct CallerClosed {
     RequestId request = 0;
 };
+/// The pieces of a request are made, or can't be.
+struct PiecesEnded {
+    RequestId request = 0;
+    bool made = false;
+    std::string hall; ///< where most of the results are; empty if unknown
+};
 struct Tick { };
-using Event = std::variant<RequestArrived, AttemptEnded, ClaimDecided, CallerClosed, Tick>;
+using Event = std::variant<RequestArrived, AttemptEnded, ClaimDecided, CallerClosed,
+                           PiecesEnded, Tick>;
 
 // Actions.
 /// Send stage `stage` of `request` to `upstream`.
@@ -98,6 +115,15 @@
     RequestId request = 0;
     Micros deadline = 0;
 };
+/// Have the pieces of `request` made by `deadline`.
+struct BeginPieces {
+    RequestId request = 0;
+    Micros deadline = 0;
+};
+/// Give up on the pieces of `request`.
+struct CancelPieces {
+    RequestId request = 0;
+};
 /// Record what became of the claim of `request`.
 struct EndClaim {
     RequestId request = 0;
@@ -116,7 +142,8 @@
     RequestId request = 0;
 };
 using Action
-    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, Reply, Forget>;
+    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPieces,
+                   CancelPieces, Reply, Forget>;
 using Actions = std::vector<Action>;
 
 /// Settings of a scheduler; the bundle knows nothing of these.
@@ -128,6 +155,7 @@
     double retry_burst = 10; ///< retries that may come at once
     int max_attempts = 4; ///< of one stage of one request
     double hedge_ratio = 0.05; ///< hedges earned by each first attempt
+    double hedge_burst = 2; ///< hedges that may come at once
     bool hedging = true;
     bool eject = true; ///< take failing upstreams out for a while
     /// Non-repeatable attempts that outlive their caller are followed this long.
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -36,16 +37,19 @@
 /// Live state of one upstream.  Shared by all threads; every member is atomic
 /// because it is read and written on the path of a request.
 struct UpstreamState {
-    UpstreamState(std::string address_, std::string hall_)
+    UpstreamState(std::string address_, std::string hall_, std::string identity_ = {})
         : address(std::move(address_))
         , hall(std::move(hall_))
+        , identity(std::move(identity_))
     {
     }
 
     const std::string address; ///< "ip:port"
     const std::string hall;
+    const std::string identity; ///< of this run of it, if the platform tells; else empty
     const std::uint64_t address_hash = std::hash<std::string> {}(address);
 
+    std::atomic<int> slots {0}; ///< calls it runs at a time; 0: as its set says
     std::atomic<int> in_flight {0}; ///< calls of this daemon
     std::atomic<int> others {
         0}; ///< calls of other daemons, queued ones too, as last reported
@@ -99,6 +103,15 @@
     bool repeatable = true;
     std::vector<std::size_t> sets; ///< per stage: index into Snapshot::sets
     std::vector<StageId> stage_ids; ///< per stage: id for learned latencies
+    std::vector<std::size_t> piece_sets; ///< per piece stage: index into Snapshot::sets
+    std::vector<StageId> piece_stage_ids; ///< per piece stage
+};
+
+/// Pipelines that share a host and a path prefix.
+struct PathMatch {
+    std::string path_prefix;
+    std::vector<std::size_t> pipelines; ///< indices into Snapshot::pipelines
+    double total_weight = 0;
 };
 
 /// One account with its live state.
@@ -117,6 +130,27 @@
     std::vector<ResolvedAccount> accounts;
     std::unordered_map<std::string, std::size_t> pipeline_by_name;
     std::unordered_map<std::string, std::size_t> account_by_digest;
+    /// Relayed pipelines by host, longest path prefix first.
+    std::unordered_map<std::string, std::vector<PathMatch>> paths_by_host;
+    std::size_t nobody = 0; ///< index of the account of callers without a credential
+    CallerLimits limits;
+
+    /// The pipeline for a relayed request; `pick` chooses among those that
+    /// share the longest prefix, by weight.  Nothing: there is none.
+    std::optional<std::size_t> match(std::string_view host, std::string_view path,
+                                     std::uint64_t pick) const;
+};
+
+/// An upstream as the platform lists it.
+struct UpstreamMember {
+    std::string identity; ///< of this run of it
+    std::string upstream_set;
+    std::string address; ///< "ip:port"
+    std::string hall;
+    int slots = 0; ///< 0: as its set says
+    bool leaving = false;
+
+    bool operator==(const UpstreamMember&) const = default;
 };
 
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
@@ -132,6 +166,11 @@
     /// Resolves a bundle.  Not on the path of a request.
     SnapshotPtr build(const Bundle& bundle);
 
+    /// The same with upstreams that the platform lists, besides those that the
+    /// bundle names.  One that is listed no more gets nothing new from now on,
+    /// also under older snapshots.
+    SnapshotPtr build(const Bundle& bundle, const std::vector<UpstreamMember>& members);
+
     /// The upstream with that address, or null.
     std::shared_ptr<UpstreamState> find(std::string_view address) const;
 
@@ -140,9 +179,13 @@
 
 private:
     std::shared_ptr<UpstreamState> upstream(const std::string& address,
-                                            const std::string& hall);
+                                            const std::string& hall,
+                                            const std::string& identity = {});
     std::uint32_t id_of(const std::string& name);
     UpstreamSet resolve(const UpstreamSetSpec& spec);
+    void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members,
+                     const std::map<std::string, std::size_t>& set_index);
+    void retire_unlisted(const std::vector<UpstreamMember>& members);
 
     const std::string m_hall;
     mutable std::mutex m_mutex;
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -177,11 +177,35 @@
         faults.push_back({0, where + "a generate stage is always repeatable"});
 }
 
+void
+check_relayed(const Bundle& bundle, const PipelineSpec& pipeline,
+              std::vector<Fault>& faults)
+{
+    const std::string where = "pipeline '" + pipeline.name + "': ";
+    if (pipeline.stages.size() != 1)
+        faults.push_back({0, where + "a relayed pipeline has one stage"});
+    if (pipeline.host.empty() || !pipeline.path_prefix.starts_with('/')
+        || !pipeline.path_prefix.ends_with('/'))
+        faults.push_back({0, where + "needs a host and a path prefix between slashes"});
+    for (std::size_t at = 0; at < pipeline.piece_stages.size(); ++at) {
+        const PieceStageSpec& stage = pipeline.piece_stages[at];
+        const UpstreamSetSpec* set = find_named(bundle.upstream_sets, stage.upstream_set);
+        if (!set || !set->batch)
+            faults.push_back({0, where + "no upstreams for pieces '" + stage.upstream_set
+                                     + "'"});
+        for (const std::size_t before : stage.after)
+            if (before >= pipeline.piece_stages.size() || before == at)
+                faults.push_back({0, where + "a piece stage needs one that is not there"});
+    }
+}
+
 void
 check_pipeline(const Bundle& bundle, const PipelineSpec& pipeline,
                std::vector<Fault>& faults)
 {
     const std::string where = "pipeline '" + pipeline.name + "': ";
+    if (pipeline.relayed)
+        check_relayed(bundle, pipeline, faults);
     if (pipeline.stages.empty() || pipeline.stages.size() > kMaxStages)
         faults.push_back({0, where + "needs 1 to 6 stages"});
     if (pipeline.priority < 0 || pipeline.priority > kLowestPriority)
@@ -190,7 +214,7 @@
     for (const auto& stage : pipeline.stages) {
         if (!find_named(bundle.upstream_sets, stage.upstream_set))
             faults.push_back({0, where + "no upstreams '" + stage.upstream_set + "'"});
-        if (stage.kind == StageKind::Generate)
+        if (stage.kind == StageKind::Generate && !pipeline.relayed)
             check_generate(bundle, pipeline, stage, faults);
         once += stage.repeatable ? 0 : 1;
     }
@@ -198,7 +222,7 @@
         faults.push_back({0, where + "at most one stage may be non-repeatable"});
     const bool ends_in_generate
         = !pipeline.stages.empty() && pipeline.stages.back().kind == StageKind::Generate;
-    if (pipeline.stream && (!ends_in_generate || once > 0))
+    if (pipeline.stream && !pipeline.relayed && (!ends_in_generate || once > 0))
         faults.push_back({0, where + "a stream ends in generate and is repeatable"});
 }
 
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -16,6 +16,13 @@
 constexpr Micros kLatencyHalfLife = 5 * kSecond;
 constexpr int kMaxHalvings = 20;
 
+int
+slots_of(const UpstreamState& upstream, const UpstreamSet& set)
+{
+    const int own = upstream.slots.load(std::memory_order_relaxed);
+    return own > 0 ? own : set.spec.slots;
+}
+
 bool
 has_slot(const UpstreamState& upstream, int slots, int daemons)
 {
@@ -69,14 +76,14 @@
 {
     if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
         return;
-    if (query.limit_slots && !has_slot(*upstream, set.spec.slots, query.daemons_in_hall))
+    if (query.limit_slots && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
         return;
     const bool probing = needs_probe(*upstream);
     if (probing
         && (!query.allow_probe || upstream->probing.load(std::memory_order_relaxed)))
         return;
     const auto index = static_cast<std::uint32_t>(out.values.size());
-    out.values.push_back(candidate(*upstream, index, set.spec.slots, remote, query.now));
+    out.values.push_back(candidate(*upstream, index, slots_of(*upstream, set), remote, query.now));
     out.states.push_back(&upstream);
 }
 
@@ -139,11 +146,12 @@
 share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now)
 {
     double share = 0;
-    const double even = static_cast<double>(set.spec.slots) / std::max(1, daemons_in_hall);
     for (const auto& upstream : set.own) {
         if (!is_usable(*upstream, now))
             continue;
-        const int left = set.spec.slots - upstream->others.load(std::memory_order_relaxed);
+        const int slots = slots_of(*upstream, set);
+        const double even = static_cast<double>(slots) / std::max(1, daemons_in_hall);
+        const int left = slots - upstream->others.load(std::memory_order_relaxed);
         share += std::clamp(static_cast<double>(left), even, 2 * even);
     }
     return share;
--- /dev/null
+++ b/src/libcypressford/directory_fold.cpp
@@ -0,0 +1,103 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/directory.h>
+
+namespace cypressford {
+
+namespace {
+
+/// Identities that are gone are remembered this long, so that a late record of
+/// theirs does not bring them back.
+constexpr Micros kRememberGone = 120 * kSecond;
+
+} // namespace
+
+bool
+DirectoryFold::offer_configuration(Bundle bundle)
+{
+    if (m_configuration && bundle.version <= m_configuration->version)
+        return false;
+    m_configuration = std::move(bundle);
+    return true;
+}
+
+void
+DirectoryFold::begin_listing()
+{
+    for (auto& [identity, known] : m_known)
+        known.listed = false;
+}
+
+void
+DirectoryFold::end_listing(Micros now, bool after_outage)
+{
+    for (auto& [identity, known] : m_known)
+        if (!known.listed)
+            vanish(known, now, after_outage);
+}
+
+void
+DirectoryFold::apply(const UpstreamRecord& record)
+{
+    auto [it, is_new] = m_known.try_emplace(record.member.identity);
+    Known& known = it->second;
+    known.listed = true;
+    // A record that was written late is older than what is known.
+    if (!is_new && record.sequence < known.sequence)
+        return;
+    if (!known.present && record.sequence == known.sequence)
+        return;
+    UpstreamMember member = record.member;
+    member.leaving |= known.member.leaving;
+    const bool changed = is_new || !known.present || !(member == known.member);
+    known.sequence = record.sequence;
+    known.present = true;
+    known.gone_at = -1;
+    known.member = std::move(member);
+    if (changed)
+        ++m_revision;
+}
+
+void
+DirectoryFold::drop(const std::string& identity, Micros now, bool after_outage)
+{
+    auto it = m_known.find(identity);
+    if (it != m_known.end())
+        vanish(it->second, now, after_outage);
+}
+
+void
+DirectoryFold::vanish(Known& known, Micros now, bool after_outage)
+{
+    if (!known.present || known.gone_at >= 0)
+        return;
+    const bool believed = after_outage && !known.member.leaving;
+    known.gone_at = now + (believed ? m_vanish_grace : 0);
+}
+
+void
+DirectoryFold::expire(Micros now)
+{
+    for (auto it = m_known.begin(); it != m_known.end();) {
+        Known& known = it->second;
+        if (known.present && known.gone_at >= 0 && known.gone_at <= now) {
+            known.present = false;
+            ++m_revision;
+        }
+        const bool forgotten = !known.present && now - known.gone_at > kRememberGone;
+        it = forgotten ? m_known.erase(it) : std::next(it);
+    }
+}
+
+std::vector<UpstreamMember>
+DirectoryFold::members() const
+{
+    std::vector<UpstreamMember> result;
+    for (const auto& [identity, known] : m_known)
+        if (known.present)
+            result.push_back(known.member);
+    return result;
+}
+
+} // namespace cypressford
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -30,12 +30,18 @@
 /// Whether the claim for a request's key is ours to end.
 enum class ClaimState : unsigned char { None, Pending, Won, Ended };
 
+/// Whether the pieces that a request needs are there.
+enum class PiecesState : unsigned char { Wanted, Pending, Made };
+
 /// Facts of one request; the order of its steps is in RequestMachine.
 struct Request {
     RequestSpec spec;
     Micros arrived = 0;
     std::size_t stage = 0;
     ClaimState claim = ClaimState::None;
+    PiecesState pieces = PiecesState::Wanted;
+    Micros pieces_since = 0; ///< when they were asked for
+    std::string pieces_hall; ///< where most of the results are
     bool queued = false; ///< stands in the queue of its stage
     bool replied = false;
     bool ended = false; ///< to be forgotten once no attempt is left
@@ -67,6 +73,12 @@
     {
         return !stage_spec().repeatable && !set().spec.deduplicates;
     }
+    bool is_relayed() const { return pipeline().spec.relayed; }
+    /// Pieces are made before the first stage.
+    bool lacks_pieces() const
+    {
+        return pieces == PiecesState::Wanted && spec.needs_pieces();
+    }
 };
 
 /// The kind that is true of a request that is given up: whether anything was
--- a/src/libcypressford/request_machine.cpp
+++ b/src/libcypressford/request_machine.cpp
@@ -17,6 +17,8 @@
 // Events of the machine.
 struct ClaimRequired { };
 struct ClaimWon { };
+struct PiecesRequired { };
+struct PiecesMade { };
 struct SlotGranted { };
 struct HedgeDue { };
 struct StageDone { };
@@ -35,6 +37,7 @@
     // In the order of RequestState.
     struct Waiting : msm::front::state<> { };
     struct Claiming : msm::front::state<> { };
+    struct Preparing : msm::front::state<> { };
     struct Running : msm::front::state<> { };
     struct Detached : msm::front::state<> { };
     struct Finished : msm::front::state<> { };
@@ -44,6 +47,8 @@
     void hedge(const HedgeDue&) { host->send(); }
     void begin_claim(const ClaimRequired&) { host->begin_claim(); }
     void keep_claim(const ClaimWon&) { }
+    void begin_pieces(const PiecesRequired&) { host->begin_pieces(); }
+    void keep_pieces(const PiecesMade&) { }
     void next_stage(const StageDone&) { host->next_stage(); }
     void complete(const StageDone&) { host->complete(); }
     void wait_for_others(const AttemptLost&) { }
@@ -76,6 +81,9 @@
         a_row<Waiting,  GiveUp,        Finished, &D::abandon>,
         a_row<Claiming, ClaimWon,      Waiting,  &D::keep_claim>,
         a_row<Claiming, GiveUp,        Finished, &D::abandon>,
+        a_row<Waiting,  PiecesRequired, Preparing, &D::begin_pieces>,
+        a_row<Preparing, PiecesMade,   Waiting,  &D::keep_pieces>,
+        a_row<Preparing, GiveUp,       Finished, &D::abandon>,
         a_irow<Running, HedgeDue,                &D::hedge>,
           row<Running,  StageDone,     Finished, &D::complete,   &D::is_last>,
           row<Running,  StageDone,     Waiting,  &D::next_stage, &D::is_not_last>,
@@ -127,6 +135,18 @@
     m_impl->backend.process_event(ClaimWon {});
 }
 
+void
+RequestMachine::pieces_required()
+{
+    m_impl->backend.process_event(PiecesRequired {});
+}
+
+void
+RequestMachine::pieces_made()
+{
+    m_impl->backend.process_event(PiecesMade {});
+}
+
 void
 RequestMachine::slot_granted()
 {
@@ -169,6 +189,8 @@
         return RequestState::Waiting;
     if (id == back::get_state_id<Table, Definition::Claiming>::value)
         return RequestState::Claiming;
+    if (id == back::get_state_id<Table, Definition::Preparing>::value)
+        return RequestState::Preparing;
     if (id == back::get_state_id<Table, Definition::Running>::value)
         return RequestState::Running;
     if (id == back::get_state_id<Table, Definition::Detached>::value)
--- a/src/libcypressford/request_machine.h
+++ b/src/libcypressford/request_machine.h
@@ -20,6 +20,7 @@
 
     virtual void send() = 0; ///< one attempt of the present stage
     virtual void begin_claim() = 0;
+    virtual void begin_pieces() = 0;
     virtual void next_stage() = 0;
     virtual void complete() = 0; ///< the last stage is done
     virtual void give_up(ErrorKind kind) = 0;
@@ -34,7 +35,14 @@
 };
 
 /// Where a request is in its life.
-enum class RequestState : unsigned char { Waiting, Claiming, Running, Detached, Finished };
+enum class RequestState : unsigned char {
+    Waiting,
+    Claiming,
+    Preparing,
+    Running,
+    Detached,
+    Finished
+};
 
 /// State machine of one request (Boost.MSM behind it).
 class RequestMachine {
@@ -46,6 +54,8 @@
 
     void claim_required();
     void claim_won();
+    void pieces_required();
+    void pieces_made();
     void slot_granted();
     void hedge_due();
     void stage_done();
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -101,6 +101,28 @@
     forget_if_over(entry);
 }
 
+void
+Scheduler::Impl::on(const PiecesEnded& event)
+{
+    auto it = entries.find(event.request);
+    if (it == entries.end() || it->second->request.pieces != PiecesState::Pending)
+        return;
+    Entry& entry = *it->second;
+    Request& request = entry.request;
+    if (event.made) {
+        request.pieces = PiecesState::Made;
+        request.pieces_hall = event.hall;
+        model.record(request.pipeline().piece_stage_ids.front(),
+                     now - request.pieces_since, now);
+        entry.machine.pieces_made();
+    } else {
+        request.pieces = PiecesState::Wanted;
+        entry.machine.give_up(ErrorKind::NoUpstream);
+    }
+    advance(entry);
+    forget_if_over(entry);
+}
+
 void
 Scheduler::Impl::on(const Tick&)
 {
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -7,6 +7,7 @@
 #include "scheduler_impl.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cypressford {
 
@@ -14,7 +15,7 @@
 Scheduler::Impl::check_admission(const Request& request)
 {
     const ResolvedPipeline& pipeline = request.pipeline();
-    if (!pipeline.repeatable && !request.spec.has_key)
+    if (!pipeline.repeatable && !pipeline.spec.relayed && !request.spec.has_key)
         return {false, ErrorKind::KeyRequired, 0};
     if (waiting_count >= options.max_waiting)
         return {false, ErrorKind::QueueFull, kSecond};
@@ -27,10 +28,12 @@
     const auto of_account = by_account.find(account.state.get());
     query.account_in_progress = of_account == by_account.end() ? 0 : of_account->second;
     query.active_accounts = static_cast<int>(by_account.size());
-    std::array<StageOutlook, kMaxStages> outlooks;
-    const std::size_t count = pipeline.spec.stages.size();
-    for (std::size_t at = 0; at < count; ++at)
-        outlooks.at(at) = outlook(request, at);
+    std::array<StageOutlook, kMaxStages + 1> outlooks;
+    std::size_t count = 0;
+    if (request.lacks_pieces())
+        outlooks.at(count++) = pieces_outlook(request);
+    for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at)
+        outlooks.at(count++) = outlook(request, at);
     query.stages = std::span(outlooks).first(count);
     const AdmissionVerdict verdict = admission.admit(query);
     if (!verdict.admitted)
@@ -63,6 +66,26 @@
     return result;
 }
 
+/// The pieces of a request as one stage: their times are learnt together, waits
+/// included.
+StageOutlook
+Scheduler::Impl::pieces_outlook(const Request& request)
+{
+    const ResolvedPipeline& pipeline = request.pipeline();
+    const StageId id = pipeline.piece_stage_ids.front();
+    StageOutlook result;
+    result.typical = model.p50(id).value_or(0);
+    result.tail = model.p95(id).value_or(result.typical);
+    result.usable = std::numeric_limits<int>::max();
+    for (std::size_t at = 0; at < pipeline.piece_sets.size(); ++at) {
+        if (request.spec.pieces[at] == 0)
+            continue;
+        const UpstreamSet& set = request.spec.snapshot->sets[pipeline.piece_sets[at]];
+        result.usable = std::min(result.usable, count_usable(set, now));
+    }
+    return result;
+}
+
 const StageQueue::Capacity&
 Scheduler::Impl::capacity_of(const Request& request, std::size_t at)
 {
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -51,7 +51,7 @@
         bool operator>(const Timer& other) const { return at > other.at; }
     };
 
-    /// Retries and hedges are paid for by first attempts of the same pipeline.
+    /// Retries and hedges are paid for by first attempts at the same upstream set.
     struct Budgets {
         RetryBudget retries;
         RetryBudget hedges;
@@ -79,6 +79,12 @@
             request.claim = ClaimState::Pending;
             owner.out->push_back(BeginClaim {request.spec.id, request.spec.deadline});
         }
+        void begin_pieces() override
+        {
+            request.pieces = PiecesState::Pending;
+            request.pieces_since = owner.now;
+            owner.out->push_back(BeginPieces {request.spec.id, request.spec.deadline});
+        }
         void next_stage() override
         {
             owner.release_commitment(request, request.stage);
@@ -129,7 +135,7 @@
         {
             if (request.last_failure == ErrorKind::OutcomeUnknown)
                 return false;
-            if (request.attempts_of_stage >= owner.options.max_attempts
+            if (request.attempts_of_stage >= owner.max_attempts(request)
                 || owner.now >= request.spec.deadline)
                 return false;
             if (!owner.budgets_of(request).retries.spend())
@@ -138,9 +144,12 @@
             return true;
         }
         bool others_running() const override { return !request.running.empty(); }
+        /// Nobody learns how a relayed request ended but its caller, so it does
+        /// not outlive it.
         bool once_running() const override
         {
-            return request.once_may_have_run && !request.running.empty();
+            return request.once_may_have_run && !request.running.empty()
+                && !request.is_relayed();
         }
         ErrorKind failure_kind() const override { return request.last_failure; }
 
@@ -159,10 +168,12 @@
     void on(const AttemptEnded& event);
     void on(const ClaimDecided& event);
     void on(const CallerClosed& event);
+    void on(const PiecesEnded& event);
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
     StageOutlook outlook(const Request& request, std::size_t at);
+    StageOutlook pieces_outlook(const Request& request);
     const StageQueue::Capacity& capacity_of(const Request& request, std::size_t at);
     void commit(Request& request);
     void release_commitment(Request& request, std::size_t at);
@@ -202,13 +213,17 @@
     }
     Budgets& budgets_of(const Request& request)
     {
-        const StageId id = request.pipeline().stage_ids.front();
         return budgets
-            .try_emplace(id,
+            .try_emplace(request.set().id,
                          Budgets {{options.retry_ratio, options.retry_burst},
-                                  {options.hedge_ratio, 2}})
+                                  {options.hedge_ratio, options.hedge_burst}})
             .first->second;
     }
+    int max_attempts(const Request& request) const
+    {
+        const int own = request.pipeline().spec.max_attempts;
+        return own > 0 ? own : options.max_attempts;
+    }
     static std::size_t priority_index(const Request& request)
     {
         return static_cast<std::size_t>(request.priority());
@@ -221,6 +236,8 @@
     static bool request_needs_claim(const Request& request)
     {
         const auto& pipeline = request.pipeline();
+        if (pipeline.spec.relayed)
+            return false;
         for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at)
             if (!pipeline.spec.stages[at].repeatable
                 && !request.set_of(at).spec.deduplicates)
@@ -238,7 +255,7 @@
     std::unordered_map<RequestId, std::unique_ptr<Entry>> entries;
     std::unordered_map<AttemptId, Attempt> attempts;
     std::vector<StageQueue> queues;
-    std::unordered_map<StageId, Budgets> budgets; ///< by the pipeline's first stage
+    std::unordered_map<SetId, Budgets> budgets;
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers;
     std::vector<SetId> dirty;
     Candidates candidates; ///< scratch space
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -20,6 +20,10 @@
         entry.machine.claim_required();
         return;
     }
+    if (request.lacks_pieces()) {
+        entry.machine.pieces_required();
+        return;
+    }
     const SetId id = request.set().id;
     queue_of(id).waiting.insert(waiting_key(request));
     request.queued = true;
@@ -179,7 +183,10 @@
 {
     const Micros last = request.spec.deadline;
     const auto tail = model.p95(request.pipeline().stage_ids[request.stage]);
-    if (!request.stage_spec().repeatable || !tail || !admission.drops_hopeless())
+    // A relayed stream takes as long as its text; its pace is watched instead.
+    const bool is_stream = request.is_relayed() && request.pipeline().spec.stream;
+    if (!request.stage_spec().repeatable || is_stream || !tail
+        || !admission.drops_hopeless())
         return last;
     return std::min(last, now + kTimeoutOverTail * *tail + kTimeoutFloor);
 }
@@ -201,7 +208,7 @@
     Request& request = entry.request;
     const bool still = entry.machine.state() == RequestState::Running
         && request.running.size() == 1 && request.running.front() == attempt;
-    if (!still || request.attempts_of_stage >= options.max_attempts)
+    if (!still || request.attempts_of_stage >= max_attempts(request))
         return;
     // A queue means there is no idle slot that a hedge could use.
     if (!queue_of(request.set().id).waiting.empty() || !choose_upstream(request))
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -25,6 +25,7 @@
         upstream.mark_leaving();
         break;
     case AttemptStatus::Overloaded:
+    case AttemptStatus::InputGone:
         break;
     case AttemptStatus::NotSent:
     case AttemptStatus::Failed:
@@ -68,7 +69,10 @@
     Request& request = entry.request;
     --request.open_attempts;
     const bool proven_unrun = status == AttemptStatus::NotSent
-        || status == AttemptStatus::Overloaded || status == AttemptStatus::Leaving;
+        || status == AttemptStatus::Overloaded || status == AttemptStatus::Leaving
+        || status == AttemptStatus::InputGone;
+    if (status == AttemptStatus::InputGone)
+        request.pieces = PiecesState::Wanted;
     if (proven_unrun) {
         --request.may_have_run;
         if (attempt.once)
@@ -175,6 +179,10 @@
 Scheduler::Impl::finish(Request& request)
 {
     leave_queue(request);
+    if (request.pieces == PiecesState::Pending) {
+        request.pieces = PiecesState::Wanted;
+        out->push_back(CancelPieces {request.spec.id});
+    }
     for (std::size_t at = request.stage; at < request.pipeline().spec.stages.size(); ++at)
         release_commitment(request, at);
     cancel_running(request);
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/upstream.h>
 
 #include <algorithm>
+#include <set>
 
 namespace cypressford {
 
@@ -86,8 +87,87 @@
     }
 }
 
+namespace {
+
+/// Key of an upstream; a reused address with another identity is another one.
+std::string
+upstream_key(const std::string& address, const std::string& identity)
+{
+    return identity.empty() ? address : address + "|" + identity;
+}
+
+void
+index_path(Snapshot& snapshot, std::size_t index)
+{
+    const PipelineSpec& spec = snapshot.pipelines[index].spec;
+    auto& paths = snapshot.paths_by_host[spec.host];
+    auto it = std::find_if(paths.begin(), paths.end(), [&](const PathMatch& path) {
+        return path.path_prefix == spec.path_prefix;
+    });
+    if (it == paths.end())
+        it = paths.insert(it, {spec.path_prefix, {}, 0});
+    it->pipelines.push_back(index);
+    it->total_weight += spec.weight;
+}
+
+void
+sort_paths(Snapshot& snapshot)
+{
+    for (auto& [host, paths] : snapshot.paths_by_host)
+        std::stable_sort(paths.begin(), paths.end(),
+                         [](const PathMatch& a, const PathMatch& b) {
+                             return a.path_prefix.size() > b.path_prefix.size();
+                         });
+}
+
+/// Callers without a credential share an account that has no name.
+void
+add_nobody(Snapshot& snapshot)
+{
+    constexpr double unbounded = 1e9;
+    AccountSpec spec;
+    spec.rate = unbounded;
+    spec.burst = unbounded;
+    snapshot.nobody = snapshot.accounts.size();
+    snapshot.accounts.push_back({spec, std::make_shared<AccountState>()});
+}
+
+/// Chooses by weight; `pick` is spread over the whole range of its type.
+std::size_t
+choose_by_weight(const Snapshot& snapshot, const PathMatch& path, std::uint64_t pick)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    double left = static_cast<double>(pick) / range * path.total_weight;
+    for (const std::size_t index : path.pipelines) {
+        left -= snapshot.pipelines[index].spec.weight;
+        if (left < 0)
+            return index;
+    }
+    return path.pipelines.back();
+}
+
+} // namespace
+
+std::optional<std::size_t>
+Snapshot::match(std::string_view host, std::string_view path, std::uint64_t pick) const
+{
+    const auto it = paths_by_host.find(std::string(host));
+    if (it == paths_by_host.end())
+        return std::nullopt;
+    for (const PathMatch& candidate : it->second)
+        if (path.starts_with(candidate.path_prefix))
+            return choose_by_weight(*this, candidate, pick);
+    return std::nullopt;
+}
+
 SnapshotPtr
 UpstreamTable::build(const Bundle& bundle)
+{
+    return build(bundle, {});
+}
+
+SnapshotPtr
+UpstreamTable::build(const Bundle& bundle, const std::vector<UpstreamMember>& members)
 {
     const std::lock_guard lock(m_mutex);
     auto snapshot = std::make_shared<Snapshot>();
@@ -99,6 +179,8 @@
         set_index[spec.name] = snapshot->sets.size();
         snapshot->sets.push_back(resolve(spec));
     }
+    add_members(*snapshot, members, set_index);
+    retire_unlisted(members);
     for (const auto& spec : bundle.pipelines) {
         ResolvedPipeline pipeline;
         pipeline.spec = spec;
@@ -107,16 +189,29 @@
             pipeline.sets.push_back(set_index.at(stage.upstream_set));
             pipeline.stage_ids.push_back(id_of("stage/" + spec.name + "/" + stage.name));
         }
-        snapshot->pipeline_by_name[spec.name] = snapshot->pipelines.size();
+        for (std::size_t at = 0; at < spec.piece_stages.size(); ++at) {
+            pipeline.piece_sets.push_back(set_index.at(spec.piece_stages[at].upstream_set));
+            pipeline.piece_stage_ids.push_back(
+                id_of("piece/" + spec.name + "/" + std::to_string(at)));
+        }
+        const std::size_t index = snapshot->pipelines.size();
+        snapshot->pipeline_by_name[spec.name] = index;
         snapshot->pipelines.push_back(std::move(pipeline));
+        if (spec.relayed)
+            index_path(*snapshot, index);
     }
+    sort_paths(*snapshot);
+    snapshot->limits = bundle.limits;
     for (const auto& spec : bundle.accounts) {
         auto& state = m_accounts[spec.name];
         if (!state)
             state = std::make_shared<AccountState>();
+        for (const auto& digest : spec.more_credentials)
+            snapshot->account_by_digest[digest] = snapshot->accounts.size();
         snapshot->account_by_digest[spec.credential_sha256] = snapshot->accounts.size();
         snapshot->accounts.push_back({spec, state});
     }
+    add_nobody(*snapshot);
     return snapshot;
 }
 
@@ -132,12 +227,45 @@
     return set;
 }
 
+void
+UpstreamTable::add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members,
+                           const std::map<std::string, std::size_t>& set_index)
+{
+    for (const UpstreamMember& member : members) {
+        const auto set = set_index.find(member.upstream_set);
+        if (set == set_index.end())
+            continue;
+        auto state = upstream(member.address, member.hall, member.identity);
+        state->slots.store(member.slots, std::memory_order_relaxed);
+        if (member.leaving)
+            state->mark_leaving();
+        UpstreamSet& target = snapshot.sets[set->second];
+        (member.hall == m_hall ? target.own : target.remote).push_back(std::move(state));
+    }
+}
+
+/// Upstreams with an identity are known only through the platform's list.
+void
+UpstreamTable::retire_unlisted(const std::vector<UpstreamMember>& members)
+{
+    std::set<std::string> listed;
+    for (const UpstreamMember& member : members)
+        listed.insert(upstream_key(member.address, member.identity));
+    std::erase_if(m_upstreams, [&](const auto& item) {
+        const bool gone = !item.second->identity.empty() && !listed.contains(item.first);
+        if (gone)
+            item.second->mark_leaving();
+        return gone;
+    });
+}
+
 std::shared_ptr<UpstreamState>
-UpstreamTable::upstream(const std::string& address, const std::string& hall)
+UpstreamTable::upstream(const std::string& address, const std::string& hall,
+                        const std::string& identity)
 {
-    auto& state = m_upstreams[address];
+    auto& state = m_upstreams[upstream_key(address, identity)];
     if (!state)
-        state = std::make_shared<UpstreamState>(address, hall);
+        state = std::make_shared<UpstreamState>(address, hall, identity);
     return state;
 }
 
--- a/src/libserve/attempt.cpp
+++ b/src/libserve/attempt.cpp
@@ -57,6 +57,8 @@
         return "lost";
     case AttemptStatus::Rejected:
         return "rejected";
+    case AttemptStatus::InputGone:
+        return "input_gone";
     }
     return "unknown";
 }
@@ -84,17 +86,21 @@
         context->spec.snapshot->sets[pipeline.sets[send.stage]].spec.kind);
     const Micros started = monotonic_us();
     AttemptStatus status = AttemptStatus::NotSent;
-    if (kind != m_kernel.kinds.end()) {
+    if (context->relay) {
+        status = co_await call_relayed(send, context, handle);
+    } else if (kind != m_kernel.kinds.end()) {
         status = stage.kind == StageKind::Generate
             ? co_await call_stream(send, context, *kind->second, handle)
             : co_await call_once(send, context, *kind->second, handle);
     }
     m_metrics.attempt_time[set].record(monotonic_us() - started);
-    LogEvent("attempt_end", LogLevel::Debug)
-        .kv("request", send.request)
+    LogEvent("attempt_end", context->relay ? LogLevel::Info : LogLevel::Debug)
+        .kv("request", context->relay ? context->relay->call.attempt
+                                      : std::to_string(send.request))
         .kv("stage", stage.name)
         .kv("attempt", send.attempt)
         .kv("upstream", send.upstream->address)
+        .kv("identity", send.upstream->identity)
         .kv("status", to_string(status))
         .kv("us", monotonic_us() - started);
     context->calls.erase(send.attempt);
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -17,10 +17,13 @@
 
 #include "bundle_service.h"
 #include "claim_service.h"
+#include "directory_watch.h"
 #include "hall_service.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "operator_pages.h"
 #include "placement_service.h"
+#include "problem.h"
 #include "worker.h"
 
 namespace cypressford {
@@ -36,20 +39,52 @@
 
 } // namespace
 
+/// What runs on the product's own log: claims, bundles, hall and placement.  A
+/// directory makes them needless.
+struct LogServices {
+    LogServices(asio::io_context& io, Kernel& kernel)
+        : platform(Registry<PlatformClient>::instance().make(kernel.settings.platform.kind))
+        , claims(io, kernel, *platform)
+        , bundles(io, kernel, *platform)
+        , hall(io, kernel, *platform, bundles)
+        , placement(io, kernel, *platform,
+                    [this] { return hall.is_chosen("placement", kPlacementCandidates); })
+    {
+        kernel.claims = &claims;
+        bundles.on_news([this] { hall.tell_everyone(); });
+        platform->open(io, kernel.settings.platform);
+    }
+
+    Result<void> start()
+    {
+        claims.start();
+        bundles.start();
+        if (auto started = hall.start(); !started)
+            return started;
+        placement.start();
+        return {};
+    }
+
+    std::unique_ptr<PlatformClient> platform;
+    ClaimService claims;
+    BundleService bundles;
+    HallService hall;
+    PlacementService placement;
+};
+
 struct Daemon::Impl {
     explicit Impl(Settings settings)
         : kernel(std::move(settings))
-        , platform(Registry<PlatformClient>::instance().make(kernel.settings.platform.kind))
-        , claims(control, kernel, *platform)
-        , bundles(control, kernel, *platform)
-        , hall(control, kernel, *platform, bundles)
-        , placement(control, kernel, *platform,
-                    [this] { return hall.is_chosen("placement", kPlacementCandidates); })
         , signals(control, SIGINT, SIGTERM)
     {
-        kernel.claims = &claims;
-        bundles.on_news([this] { hall.tell_everyone(); });
-        platform->open(control, kernel.settings.platform);
+        if (kernel.settings.uses_directory) {
+            directory = std::make_unique<DirectoryWatch>(control, kernel);
+            directory->on_change([this] {
+                on_workers([](Worker& worker) { worker.apply_limits(); });
+            });
+        } else {
+            log = std::make_unique<LogServices>(control, kernel);
+        }
         for (int i = 0; i < kernel.settings.threads; ++i) {
             workers.push_back(std::make_unique<Worker>(kernel, static_cast<unsigned>(i)));
             kernel.workers.push_back(workers.back().get());
@@ -62,6 +97,35 @@
             asio::post(worker->io(), [w = worker.get(), action] { action(*w); });
     }
 
+    /// Readiness and metrics at addresses of their own, if settings want that.
+    Result<void> open_side_doors()
+    {
+        const auto open = [this](const std::string& address, HttpServer::Handler handler)
+            -> Result<std::unique_ptr<HttpServer>> {
+            if (address.empty())
+                return std::unique_ptr<HttpServer> {};
+            auto server = std::make_unique<HttpServer>(
+                control, kernel.settings.limits, std::move(handler),
+                [](ErrorKind kind) { return problem_response(problem_of(kind)); });
+            if (auto port = server->listen(parse_address(address)); !port)
+                return tl::unexpected(port.error());
+            return server;
+        };
+        auto ready = open(kernel.settings.readiness_address, [this](HttpExchange& exchange) {
+            return serve_readiness(kernel, exchange);
+        });
+        if (!ready)
+            return tl::unexpected(ready.error());
+        readiness = *std::move(ready);
+        auto figures = open(kernel.settings.metrics_address, [this](HttpExchange& exchange) {
+            return serve_metrics(kernel, exchange);
+        });
+        if (!figures)
+            return tl::unexpected(figures.error());
+        metrics = *std::move(figures);
+        return {};
+    }
+
     asio::awaitable<bool> workers_idle()
     {
         for (auto& worker : workers) {
@@ -91,7 +155,8 @@
         LogEvent("stop_begin");
         kernel.stopping.store(true);
         on_workers([](Worker& worker) { worker.close_after_answers(); });
-        hall.announce_stop();
+        if (log)
+            log->hall.announce_stop();
         asio::steady_timer timer(control);
         timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
         co_await timer.async_wait(kToTuple);
@@ -102,7 +167,7 @@
             on_workers([](Worker& worker) { worker.close_idle(); });
             timer.expires_after(kStopCheck);
             co_await timer.async_wait(kToTuple);
-            idle = co_await workers_idle() && co_await claims.is_idle();
+            idle = co_await workers_idle() && (!log || co_await log->claims.is_idle());
         }
         LogEvent("stop_end").kv("idle", idle);
         control.stop();
@@ -110,11 +175,10 @@
 
     asio::io_context control {1};
     Kernel kernel;
-    std::unique_ptr<PlatformClient> platform;
-    ClaimService claims;
-    BundleService bundles;
-    HallService hall;
-    PlacementService placement;
+    std::unique_ptr<LogServices> log; ///< one of these two
+    std::unique_ptr<DirectoryWatch> directory;
+    std::unique_ptr<HttpServer> readiness;
+    std::unique_ptr<HttpServer> metrics;
     asio::signal_set signals;
     std::vector<std::unique_ptr<Worker>> workers;
 };
@@ -138,11 +202,12 @@
     for (auto& worker : impl.workers)
         if (auto port = worker->listen(address); !port)
             return tl::unexpected(port.error());
-    impl.claims.start();
-    impl.bundles.start();
-    if (auto started = impl.hall.start(); !started)
+    if (auto opened = impl.open_side_doors(); !opened)
+        return opened;
+    if (impl.directory)
+        impl.directory->start();
+    else if (auto started = impl.log->start(); !started)
         return started;
-    impl.placement.start();
     for (auto& worker : impl.workers)
         worker->start();
     asio::co_spawn(impl.control, impl.wait_for_signal(), asio::detached);
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -17,6 +17,7 @@
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "operator_pages.h"
 
 namespace cypressford {
 
@@ -32,16 +33,6 @@
 /// Tokens that wait for a slow caller go out in one piece, up to this many.
 constexpr std::size_t kMaxTokensPerWrite = 64;
 
-HttpResponse
-text_response(int status, std::string text)
-{
-    HttpResponse response;
-    response.status = status;
-    response.content_type = "text/plain; charset=utf-8";
-    response.body = std::move(text);
-    return response;
-}
-
 /// Time left for a request: the caller's header, within the pipeline's bound.
 Result<Micros>
 read_budget(const HttpRequest& request, const PipelineSpec& pipeline)
@@ -75,17 +66,19 @@
 asio::awaitable<void>
 Worker::serve(HttpExchange& exchange)
 {
+    if (m_kernel.calls) {
+        co_await serve_relayed(exchange);
+        co_return;
+    }
     const HttpRequest& request = exchange.request();
     HybridClock::instance().observe(parse_stamp(request.headers.get(kClockHeader)));
     const std::string path(request.path());
     if (path == "/health") {
         co_await exchange.respond(text_response(200, "alive\n"));
     } else if (path == "/ready") {
-        const bool ready = m_kernel.is_ready();
-        co_await exchange.respond(
-            text_response(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+        co_await serve_readiness(m_kernel, exchange);
     } else if (path == "/metrics") {
-        co_await serve_metrics(exchange);
+        co_await serve_metrics(m_kernel, exchange);
     } else if (path.starts_with(kPipelines) && request.method == "POST") {
         co_await serve_pipeline(exchange, path.substr(kPipelines.size()));
     } else {
@@ -93,35 +86,6 @@
     }
 }
 
-asio::awaitable<void>
-Worker::serve_metrics(HttpExchange& exchange)
-{
-    MetricsSnapshot total;
-    for (Worker* worker : m_kernel.workers) {
-        const auto collect = [worker]() -> asio::awaitable<MetricsSnapshot> {
-            co_return worker->metrics();
-        };
-        total.merge(co_await asio::co_spawn(worker->io(), collect(), asio::use_awaitable));
-    }
-    const SnapshotPtr snapshot = m_kernel.snapshot.load();
-    const double version = snapshot ? static_cast<double>(snapshot->version) : 0;
-    const std::vector<Gauge> gauges {
-        {"cypressford_bundle_version", "Version of the bundle in force.", version},
-        {"cypressford_in_progress", "Requests not answered yet.",
-         static_cast<double>(total.in_progress)},
-        {"cypressford_connections", "Open connections of callers.",
-         static_cast<double>(total.connections)},
-        {"cypressford_hall_daemons", "Live daemons of the hall.",
-         static_cast<double>(m_kernel.daemons_in_hall.load())},
-        {"cypressford_placement_holder", "1 while this daemon places models.",
-         m_kernel.holds_placement.load() ? 1.0 : 0.0},
-        {"cypressford_log_out", "1 while the log takes no appends.",
-         m_kernel.log_out.load() ? 1.0 : 0.0}};
-    HttpResponse response = text_response(200, render_metrics(total, gauges));
-    response.content_type = "text/plain; version=0.0.4";
-    co_await exchange.respond(std::move(response));
-}
-
 asio::awaitable<void>
 Worker::serve_pipeline(HttpExchange& exchange, std::string name)
 {
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include <cypressford/admission.h>
+#include <cypressford/call_dialect.h>
 #include <cypressford/router.h>
 #include <cypressford/session_token.h>
 #include <cypressford/upstream.h>
@@ -33,6 +34,7 @@
     const std::unique_ptr<Router> router;
     const std::unique_ptr<Admission> admission;
     const std::map<std::string, std::unique_ptr<UpstreamKind>> kinds;
+    const std::unique_ptr<CallDialect> calls; ///< null: no relayed pipelines
     const SessionTokens tokens;
     const std::uint64_t incarnation; ///< drawn at random for this process
 
--- /dev/null
+++ b/src/libserve/operator_pages.cpp
@@ -0,0 +1,63 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "operator_pages.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "metrics.h"
+#include "worker.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+HttpResponse
+text_response(int status, std::string text)
+{
+    HttpResponse response;
+    response.status = status;
+    response.content_type = "text/plain; charset=utf-8";
+    response.body = std::move(text);
+    return response;
+}
+
+asio::awaitable<void>
+serve_readiness(Kernel& kernel, HttpExchange& exchange)
+{
+    const bool ready = kernel.is_ready();
+    co_await exchange.respond(
+        text_response(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+}
+
+asio::awaitable<void>
+serve_metrics(Kernel& kernel, HttpExchange& exchange)
+{
+    MetricsSnapshot total;
+    for (Worker* worker : kernel.workers) {
+        const auto collect = [worker]() -> asio::awaitable<MetricsSnapshot> {
+            co_return worker->metrics();
+        };
+        total.merge(co_await asio::co_spawn(worker->io(), collect(), asio::use_awaitable));
+    }
+    const SnapshotPtr snapshot = kernel.snapshot.load();
+    const double version = snapshot ? static_cast<double>(snapshot->version) : 0;
+    const std::vector<Gauge> gauges {
+        {"cypressford_bundle_version", "Version of the bundle in force.", version},
+        {"cypressford_in_progress", "Requests not answered yet.",
+         static_cast<double>(total.in_progress)},
+        {"cypressford_connections", "Open connections of callers.",
+         static_cast<double>(total.connections)},
+        {"cypressford_hall_daemons", "Live daemons of the hall.",
+         static_cast<double>(kernel.daemons_in_hall.load())},
+        {"cypressford_placement_holder", "1 while this daemon places models.",
+         kernel.holds_placement.load() ? 1.0 : 0.0},
+        {"cypressford_log_out", "1 while the log takes no appends.",
+         kernel.log_out.load() ? 1.0 : 0.0}};
+    HttpResponse response = text_response(200, render_metrics(total, gauges));
+    response.content_type = "text/plain; version=0.0.4";
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/relay.cpp
@@ -0,0 +1,325 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Relayed requests: the caller's bytes go to an upstream and the upstream's come
+/// back unchanged.  What is sent where, and how often, is the scheduler's.
+
+#include "worker.h"
+
+#include "libutil/crypto.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// A call with less time left than this is not sent.
+constexpr Micros kLeastTime = 5 * kMillisecond;
+/// A connection that does not come up within this is given up: nothing was sent.
+constexpr Micros kConnectTime = 400 * kMillisecond;
+/// Kept connections that rested longer are not used for what may run once only:
+/// the far side may be closing them just now.
+constexpr Micros kRestOfOnce = 1 * kSecond;
+
+enum HttpStatus : int {
+    kFirstSuccess = 200,
+    kFirstRedirect = 300,
+    kRequestTimeout = 408,
+    kMisdirected = 421,
+    kTooMany = 429,
+    kServerError = 500,
+    kUnavailable = 503
+};
+
+bool
+is_success(int status)
+{
+    return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+/// Statuses that promise that nothing ran.
+bool
+promises_not_run(int status)
+{
+    return status == kRequestTimeout || status == kMisdirected || status == kTooMany
+        || status == kUnavailable;
+}
+
+/// An upstream's answer as the caller gets it.
+HttpResponse
+passed_on(HttpResponse response)
+{
+    response.content_type.clear();
+    remove_connection_fields(response.headers);
+    return response;
+}
+
+/// The part of a prompt that several requests share and that is longest: sessions
+/// and subjects keep to one upstream by it.
+std::uint64_t
+affinity_of(const CallerCall& call)
+{
+    return call.prefix.size() < 2 ? 0 : call.prefix[call.prefix.size() - 2].id;
+}
+
+Result<std::size_t>
+account_of(const CallerCall& call, const Snapshot& snapshot, const PipelineSpec& spec)
+{
+    if (!call.credential.empty()) {
+        const auto it
+            = snapshot.account_by_digest.find(to_hex(sha256(call.credential)));
+        if (it != snapshot.account_by_digest.end())
+            return it->second;
+    }
+    // Without accounts there are no credentials to ask for.
+    if (spec.anonymous || snapshot.accounts.size() == 1)
+        return snapshot.nobody;
+    return fail(ErrorKind::Unauthorized);
+}
+
+} // namespace
+
+void
+Worker::apply_limits()
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot)
+        return;
+    const CallerLimits& given = snapshot->limits;
+    HttpLimits limits = m_kernel.settings.limits;
+    const auto duration = [](Micros time) {
+        return std::chrono::milliseconds(time / kMillisecond);
+    };
+    if (given.header_bytes > 0)
+        limits.header_bytes = given.header_bytes;
+    if (given.body_bytes > 0)
+        limits.body_bytes = given.body_bytes;
+    if (given.header_time > 0)
+        limits.header_time = duration(given.header_time);
+    if (given.idle_time > 0)
+        limits.idle_time = duration(given.idle_time);
+    m_server.set_limits(limits);
+}
+
+asio::awaitable<void>
+Worker::serve_relayed(HttpExchange& exchange)
+{
+    auto made = make_relay(exchange.request());
+    if (!made) {
+        ++m_metrics.requests[{"-", std::string(error_row(made.error().kind).name)}];
+        LogEvent("request_refused")
+            .kv("target", exchange.request().path())
+            .kv("kind", error_row(made.error().kind).name)
+            .kv("why", made.error().detail);
+        co_await exchange.respond(refusal(made.error()));
+        co_return;
+    }
+    const ContextPtr context = *made;
+    m_contexts.emplace(context->spec.id, context);
+    exchange.watch([this, id = context->spec.id, weak = std::weak_ptr(context)] {
+        if (const ContextPtr alive = weak.lock()) {
+            alive->caller_gone = true;
+            feed(CallerClosed {id});
+        }
+    });
+    feed(RequestArrived {context->spec});
+    co_await answer_relayed(exchange, context);
+}
+
+Result<ContextPtr>
+Worker::make_relay(const HttpRequest& request)
+{
+    auto context = std::make_shared<RequestContext>(m_io);
+    context->arrived = monotonic_us();
+    RequestSpec& spec = context->spec;
+    spec.snapshot = m_kernel.snapshot.load();
+    if (!spec.snapshot)
+        return fail(ErrorKind::NotReady);
+    auto call = m_kernel.calls->read_call(request);
+    if (!call)
+        return tl::unexpected(call.error());
+    const auto pipeline = spec.snapshot->match(call->host, request.path(), random_u64());
+    if (!pipeline)
+        return fail(ErrorKind::NotFound, call->host);
+    spec.id = m_next_request++;
+    spec.pipeline = *pipeline;
+    const PipelineSpec& of = context->resolved().spec;
+    const auto account = account_of(*call, *spec.snapshot, of);
+    if (!account)
+        return tl::unexpected(account.error());
+    spec.account = *account;
+    context->account = context->resolved_account().spec.name;
+    context->pipeline = of.name;
+    spec.deadline = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
+    spec.affinity = affinity_of(*call);
+    spec.pieces = call->pieces;
+    spec.pieces.resize(of.piece_stages.size());
+    context->relay = std::make_unique<Relay>();
+    context->relay->request = request;
+    context->relay->call = *std::move(call);
+    return context;
+}
+
+HttpResponse
+Worker::refusal(const Error& error) const
+{
+    const Problem problem = problem_of(error.kind, error.detail);
+    HttpResponse response = problem_response(problem);
+    if (problem.retry_after > 0)
+        m_kernel.calls->set_retry_after(response, problem.retry_after);
+    return response;
+}
+
+/// The answer to a request that was given up.
+HttpResponse
+Worker::relayed_problem(const RequestContext& context) const
+{
+    const Reply& reply = *context.reply;
+    if (context.relay->failure && reply.ran != Ran::NotRun)
+        return *context.relay->failure;
+    Problem problem = problem_of(*reply.error);
+    problem.ran = reply.ran;
+    if (problem.retry_after > 0 && reply.retry_after > 0)
+        problem.retry_after = reply.retry_after;
+    HttpResponse response = problem_response(problem);
+    if (problem.retry_after > 0)
+        m_kernel.calls->set_retry_after(response, problem.retry_after);
+    return response;
+}
+
+asio::awaitable<void>
+Worker::answer_relayed(HttpExchange& exchange, ContextPtr context)
+{
+    Relay& relay = *context->relay;
+    bool begun = false;
+    while (!context->reply || !relay.unsent.empty()) {
+        if (relay.unsent.empty()) {
+            co_await context->changed.async_wait(kToTuple);
+        } else if (!co_await write_events(exchange, relay, begun)) {
+            context->caller_gone = true;
+            feed(CallerClosed {context->spec.id});
+            break;
+        }
+    }
+    const bool failed = !context->reply || context->reply->error;
+    finish_metrics(*context,
+                   context->caller_gone ? "caller_gone"
+                       : failed         ? error_row(*context->reply->error).name
+                                        : "ok");
+    if (context->caller_gone || (failed && begun)) {
+        // A stream that broke off must not look whole.
+        exchange.drop();
+    } else if (failed) {
+        co_await exchange.respond(relayed_problem(*context));
+    } else if (relay.answer) {
+        co_await exchange.respond(*std::move(relay.answer));
+    } else {
+        if (!begun)
+            co_await exchange.begin_stream(*relay.head);
+        co_await exchange.end();
+    }
+}
+
+asio::awaitable<bool>
+Worker::write_events(HttpExchange& exchange, Relay& relay, bool& begun)
+{
+    if (!begun)
+        begun = co_await exchange.begin_stream(*relay.head);
+    if (!begun)
+        co_return false;
+    const std::string text = std::exchange(relay.unsent, {});
+    co_return co_await exchange.write(text);
+}
+
+ForwardedCall
+Worker::forwarded_call(const SendAttempt& send, const RequestContext& context) const
+{
+    ForwardedCall call;
+    call.identity = send.upstream->identity;
+    call.account = context.account;
+    call.time_left = send.deadline - monotonic_us();
+    call.priority = context.resolved().spec.priority;
+    call.inputs = context.relay->inputs;
+    call.last_event = context.relay->events.last_id();
+    return call;
+}
+
+asio::awaitable<AttemptStatus>
+Worker::call_relayed(const SendAttempt& send, ContextPtr context,
+                     std::shared_ptr<CallHandle> handle)
+{
+    Relay& relay = *context->relay;
+    const CallDialect& dialect = *m_kernel.calls;
+    const ForwardedCall call = forwarded_call(send, *context);
+    if (call.time_left < kLeastTime)
+        co_return AttemptStatus::NotSent;
+    const bool streams = context->resolved().spec.stream;
+    bool sound = true;
+    CallOptions options;
+    options.handle = handle;
+    options.deadline_us = send.deadline;
+    options.connect_deadline_us = monotonic_us() + kConnectTime;
+    options.resend_if_stale = false;
+    options.send_clock = false;
+    options.max_rest_us = send.may_repeat ? 0 : kRestOfOnce;
+    options.belongs = [&](const HttpResponse& response) {
+        const std::string attempt = dialect.read_answer(response).attempt;
+        return attempt == relay.call.attempt
+            || (attempt.empty() && !is_success(response.status));
+    };
+    if (streams) {
+        options.on_head = [&](const HttpResponse& head) {
+            const UpstreamAnswer answer = dialect.read_answer(head);
+            sound = answer.is_signed && !answer.is_encoded;
+            relay.events.drop_partial();
+            if (sound && !relay.head && !handle->cancelled())
+                relay.head = passed_on(head);
+        };
+        options.on_chunk = [&](std::string_view piece) {
+            if (!sound || handle->cancelled())
+                return;
+            sound = relay.events.feed(piece, relay.unsent);
+            context->changed.cancel();
+        };
+    }
+    const CallResult result = co_await m_client.call(
+        send.upstream->address, dialect.forward(relay.request, call), options);
+    if (result.status == CallStatus::NotSent)
+        co_return AttemptStatus::NotSent;
+    if (result.status == CallStatus::Lost)
+        co_return AttemptStatus::Lost;
+    const HttpResponse& response = result.response;
+    const UpstreamAnswer answer = dialect.read_answer(response);
+    if (answer.input_gone)
+        co_return AttemptStatus::InputGone;
+    if (answer.other_identity)
+        co_return AttemptStatus::Leaving;
+    if (answer.not_run && promises_not_run(response.status))
+        co_return AttemptStatus::Overloaded;
+    if (is_success(response.status)) {
+        if (streams && response.status == kFirstSuccess) {
+            const bool whole = sound && relay.head && !relay.events.has_partial();
+            co_return whole ? AttemptStatus::Ok : AttemptStatus::Lost;
+        }
+        if (!answer.is_signed || answer.is_encoded)
+            co_return AttemptStatus::Lost;
+        if (!handle->cancelled())
+            relay.answer = passed_on(response);
+        co_return AttemptStatus::Ok;
+    }
+    // Without its promise, such a status must not reach the caller.
+    if (!promises_not_run(response.status))
+        relay.failure = passed_on(response);
+    co_return response.status >= kServerError ? AttemptStatus::Failed
+                                              : AttemptStatus::Rejected;
+}
+
+} // namespace cypressford
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <optional>
 
+#include <cypressford/directory.h>
 #include <cypressford/registry.h>
 
 #include "libutil/crypto.h"
@@ -89,6 +90,18 @@
 void
 read_platform(YamlMapReader& reader, Settings& settings)
 {
+    std::string kind = settings.platform.kind;
+    reader.read("kind", kind);
+    const auto directories = Registry<DirectoryDialect>::instance().names();
+    settings.uses_directory
+        = std::find(directories.begin(), directories.end(), kind) != directories.end();
+    if (settings.uses_directory) {
+        settings.platform.kind = kind;
+        read_address(reader, "store", true, settings.platform.log);
+        read_ms(reader, "pace_ms", settings.directory_pace);
+        read_ms(reader, "vanish_grace_ms", settings.vanish_grace);
+        return;
+    }
     read_plugin<PlatformClient>(reader, "kind", settings.platform.kind);
     read_address(reader, "log", true, settings.platform.log);
     read_address(reader, "nodes", true, settings.platform.nodes);
@@ -121,6 +134,8 @@
     read_range(reader, "retry_ratio", 0.0, 1.0, options.retry_ratio);
     read_range(reader, "hedge_ratio", 0.0, 1.0, options.hedge_ratio);
     read_range(reader, "max_attempts", 1, 10, options.max_attempts);
+    read_range(reader, "retry_burst", 0.0, 1e6, options.retry_burst);
+    read_range(reader, "hedge_burst", 0.0, 1e6, options.hedge_burst);
     read_ms(reader, "token_life_ms", settings.token_life);
 }
 
@@ -174,13 +189,18 @@
 void
 read_keys(YamlMapReader& reader, Settings& settings)
 {
-    reader.read("operators", settings.operators, true);
+    // A directory's store checks configurations itself, and sessions need no
+    // tokens of ours where answers are relayed.
+    const bool required = !settings.uses_directory;
+    reader.read("operators", settings.operators, required);
     for (const std::string& key : settings.operators)
         if (key.size() != kPublicKeyHex || from_hex(key).empty())
             reader.add(reader.child("operators"), "'" + key + "' is no public key in hex");
     std::string hex;
-    reader.read("daemon_key", hex, true);
+    reader.read("daemon_key", hex, required);
     settings.daemon_key = from_hex(hex);
+    if (hex.empty() && !required)
+        settings.daemon_key = random_bytes(kDaemonKeyBytes);
     if (settings.daemon_key.size() != kDaemonKeyBytes)
         reader.add(reader.child("daemon_key"), "daemon_key must be 32 bytes in hex");
 }
@@ -199,7 +219,7 @@
         = !tls.certificate.empty() + !tls.private_key.empty() + !tls.authority.empty();
     if (given != 0 && given != 3)
         reader.add(reader.child("tls"), "tls needs certificate, private_key and authority");
-    if (given == 0 && !settings.peers_address.empty()
+    if (given == 0 && !settings.peers_address.empty() && !settings.uses_directory
         && !is_loopback(settings.peers_address))
         reader.add(reader.child("listen"), "peers off loopback need tls");
 }
@@ -213,6 +233,8 @@
     section(reader, "listen", faults, [&](YamlMapReader& r) {
         read_address(r, "callers", true, settings.callers_address);
         read_address(r, "peers", false, settings.peers_address);
+        read_address(r, "readiness", false, settings.readiness_address);
+        read_address(r, "metrics", false, settings.metrics_address);
     });
     reader.read("peers", settings.peers);
     for (const std::string& peer : settings.peers)
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -31,6 +31,12 @@
     std::string hall;
     std::string callers_address; ///< "ip:port" for callers
     std::string peers_address; ///< "ip:port" for other daemons; empty for none
+    std::string readiness_address; ///< "ip:port" of its own for readiness; empty for none
+    std::string metrics_address; ///< "ip:port" of its own for metrics; empty for none
+    bool uses_directory = false; ///< configuration and upstreams come from a directory
+    Micros directory_pace = 600 * kMillisecond; ///< between reads of upstreams' records
+    /// How long an upstream whose record went in an outage is still believed in.
+    Micros vanish_grace = 1200 * kMillisecond;
     std::vector<std::string> peers; ///< addresses of other daemons of the hall
     int threads = 2;
     std::string router = "adaptive";
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -177,6 +177,18 @@
     m_kernel.claims->over(std::move(over));
 }
 
+void
+Worker::act(const BeginPieces& action)
+{
+    // Posted, since the scheduler is not to be entered from one of its actions.
+    asio::post(m_io, [this, id = action.request] { feed(PiecesEnded {id, false, {}}); });
+}
+
+void
+Worker::act(const CancelPieces&)
+{
+}
+
 void
 Worker::act(const Reply& action)
 {
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -21,6 +21,7 @@
 #include <cypressford/scheduler.h>
 #include <cypressford/session_token.h>
 
+#include "event_splitter.h"
 #include "kernel.h"
 #include "libutil/http_client.h"
 #include "libutil/http_server.h"
@@ -29,6 +30,18 @@
 
 namespace cypressford {
 
+/// What a relayed request carries besides.
+struct Relay {
+    HttpRequest request; ///< as the caller sent it
+    CallerCall call;
+    std::vector<std::string> inputs; ///< results of its pieces
+    std::optional<HttpResponse> answer; ///< whole, and to be passed on
+    std::optional<HttpResponse> failure; ///< passed on if nothing better comes
+    std::optional<HttpResponse> head; ///< of the stream, from its first upstream
+    EventSplitter events;
+    std::string unsent; ///< whole events that the caller does not have yet
+};
+
 /// A request while a worker has it: its data, which the scheduler never sees.
 struct RequestContext {
     explicit RequestContext(boost::asio::io_context& io)
@@ -53,6 +66,8 @@
     std::uint64_t skip_hash = 0; ///< their hash, to check a text made anew
     bool caller_gone = false;
 
+    std::unique_ptr<Relay> relay; ///< for relayed pipelines only
+
     std::optional<Reply> reply;
     std::optional<RecordedAnswer> recorded;
     std::unordered_map<AttemptId, std::shared_ptr<CallHandle>> calls;
@@ -87,6 +102,8 @@
     void close_after_answers() { m_server.close_after_answers(); }
     void stop_accepting() { m_server.stop_accepting(); }
     void close_idle() { m_server.close_idle(); }
+    /// Takes over the bounds that the configuration sets on callers.
+    void apply_limits();
     bool is_idle() const { return m_server.connections() == 0 && m_scheduler.live() == 0; }
     MetricsSnapshot metrics() const;
 
@@ -94,7 +111,6 @@
     // front_door.cpp: from the caller to the scheduler and back.
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_pipeline(HttpExchange& exchange, std::string name);
-    boost::asio::awaitable<void> serve_metrics(HttpExchange& exchange);
     Result<ContextPtr> make_context(const HttpRequest& request,
                                     const std::string& pipeline);
     Result<void> read_key(const HttpRequest& request, RequestContext& context);
@@ -108,6 +124,20 @@
                                                   ContextPtr context);
     void finish_metrics(const RequestContext& context, std::string_view outcome);
 
+    // relay.cpp: relayed requests.
+    boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
+    Result<ContextPtr> make_relay(const HttpRequest& request);
+    boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
+    boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
+                                              bool& begun);
+    HttpResponse relayed_problem(const RequestContext& context) const;
+    HttpResponse refusal(const Error& error) const;
+    boost::asio::awaitable<AttemptStatus>
+    call_relayed(const SendAttempt& send, ContextPtr context,
+                 std::shared_ptr<CallHandle> handle);
+    ForwardedCall forwarded_call(const SendAttempt& send,
+                                 const RequestContext& context) const;
+
     // worker.cpp: events and actions.
     void feed(const Event& event);
     void act(Actions& actions);
@@ -115,6 +145,8 @@
     void act(const CancelAttempt& action);
     void act(const BeginClaim& action);
     void act(const EndClaim& action);
+    void act(const BeginPieces& action);
+    void act(const CancelPieces& action);
     void act(const Reply& action);
     void act(const Forget& action);
     void claim_decided(DecideClaim decision);
--- a/src/libutil/event_log.cpp
+++ b/src/libutil/event_log.cpp
@@ -87,7 +87,7 @@
     s_log = std::make_unique<OpenLog>();
     log4cplus::SharedAppenderPtr appender;
     if (path.empty())
-        appender = new log4cplus::ConsoleAppender(true, true);
+        appender = new log4cplus::ConsoleAppender(false, true);
     else
         appender = new log4cplus::FileAppender(path, std::ios_base::app, true);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
--- a/src/libutil/event_log.h
+++ b/src/libutil/event_log.h
@@ -20,7 +20,7 @@
     std::string node;
 };
 
-/// Opens the log.  An empty path logs to standard error.
+/// Opens the log.  An empty path logs to standard output.
 void open_log(const LogIdentity& identity, const std::string& path, LogLevel level);
 
 /// Writes out and closes the log.
--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -5,7 +5,9 @@
 
 #include <charconv>
 
+#include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/split.hpp>
 #include <boost/asio/ip/address.hpp>
 
 namespace cypressford {
@@ -19,6 +21,30 @@
     return {};
 }
 
+void
+HttpHeaders::remove(std::string_view name)
+{
+    std::erase_if(m_fields, [name](const auto& field) {
+        return boost::algorithm::iequals(field.first, name);
+    });
+}
+
+void
+remove_connection_fields(HttpHeaders& headers)
+{
+    std::vector<std::string> named;
+    boost::algorithm::split(named, std::string(headers.get("Connection")),
+                            [](char c) { return c == ',' || c == ' '; });
+    for (const std::string& name : named)
+        if (!name.empty())
+            headers.remove(name);
+    for (const std::string_view name :
+         {"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+          "Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+          "Content-Length", "Expect"})
+        headers.remove(name);
+}
+
 std::string_view
 HttpRequest::path() const
 {
--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -22,6 +22,8 @@
     }
     /// Value of the first field of that name, any case; empty if there is none.
     std::string_view get(std::string_view name) const;
+    /// Takes away all fields of that name, any case.
+    void remove(std::string_view name);
     const std::vector<std::pair<std::string, std::string>>& fields() const
     {
         return m_fields;
@@ -45,11 +47,15 @@
 
 struct HttpResponse {
     int status = 200;
-    std::string content_type = "application/json";
+    std::string content_type = "application/json"; ///< empty: as in `headers`
     HttpHeaders headers;
     std::string body;
 };
 
+/// Takes away the fields that concern one connection only (RFC 9110, 7.6.1) and
+/// those that frame a body, which is framed anew.
+void remove_connection_fields(HttpHeaders& headers);
+
 /// An address as "ip:port".
 struct Address {
     std::string ip;
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -4,8 +4,11 @@
 #include "http_client.h"
 
 #include <array>
+#include <charconv>
 #include <chrono>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +30,13 @@
 constexpr std::size_t kMaxIdle = 64; ///< kept connections to one address
 constexpr std::size_t kMaxAnswer = 8 * 1024 * 1024; ///< bytes
 constexpr std::size_t kChunk = 8 * 1024; ///< bytes
+/// Bytes that stay unacknowledged this long end a connection.
+constexpr int kUserTimeoutMs = 3000;
+
+constexpr std::string_view kTimeoutField = "timeout=";
+constexpr std::int64_t kMicrosPerSecond = 1'000'000;
+
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 std::chrono::steady_clock::time_point
 time_point_of(std::int64_t monotonic)
@@ -41,9 +51,10 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, host);
+    if (request.headers.get("Host").empty())
+        message.set(http::field::host, host);
     for (const auto& [name, value] : request.headers.fields())
-        message.set(name, value);
+        message.insert(name, value);
     message.body() = request.body;
     message.keep_alive(true);
     message.prepare_payload();
@@ -83,6 +94,7 @@
             co_return false;
         boost::system::error_code ignored;
         m_stream.socket().set_option(tcp::no_delay(true), ignored);
+        m_stream.socket().set_option(UserTimeout(kUserTimeoutMs), ignored);
         co_return true;
     }
 
@@ -93,6 +105,15 @@
     void clear_deadline() { m_stream.expires_never(); }
     void abort() { m_stream.close(); }
     bool reusable() const { return m_reusable; }
+    void note_rest() { m_rests_since = monotonic_us(); }
+    /// True if it may still be used, going by how long it has rested.
+    bool is_fresh(const CallOptions& options) const
+    {
+        const std::int64_t now = monotonic_us();
+        const bool in_time = options.max_rest_us == 0
+            || now - m_rests_since <= options.max_rest_us;
+        return in_time && (m_keep_until == 0 || now < m_keep_until);
+    }
     bool got_bytes() const { return m_got_bytes; }
 
     /// True if the far side has closed a kept connection.
@@ -123,15 +144,34 @@
         if (ec)
             co_return CallResult {CallStatus::Lost, {}};
         CallResult result {CallStatus::Lost, head_of(parser.get())};
+        if (options.belongs && !options.belongs(result.response))
+            co_return result;
+        if (options.on_head && result.response.status == 200)
+            options.on_head(result.response);
         const bool whole = co_await read_body(parser, options, result.response);
         if (whole) {
             result.status = CallStatus::Answered;
-            m_reusable = parser.keep_alive();
+            // Bytes behind a whole answer belong to nothing that was asked.
+            m_reusable = parser.keep_alive() && m_buffer.size() == 0;
+            m_keep_until = keep_until(result.response);
         }
         co_return result;
     }
 
 private:
+    /// Until when the far side keeps the connection, with a margin; 0: not told.
+    static std::int64_t keep_until(const HttpResponse& response)
+    {
+        const std::string_view text = response.headers.get("Keep-Alive");
+        const std::size_t at = text.find(kTimeoutField);
+        if (at == std::string_view::npos)
+            return 0;
+        std::int64_t seconds = 0;
+        const char* first = text.data() + at + kTimeoutField.size();
+        std::from_chars(first, text.data() + text.size(), seconds);
+        return monotonic_us() + seconds * kMicrosPerSecond * 4 / 5;
+    }
+
     asio::awaitable<bool> read_body(http::response_parser<http::buffer_body>& parser,
                                     const CallOptions& options, HttpResponse& response)
     {
@@ -158,6 +198,8 @@
     std::string m_address;
     bool m_reusable = false;
     bool m_got_bytes = false;
+    std::int64_t m_rests_since = 0;
+    std::int64_t m_keep_until = 0; ///< 0: not told
 };
 
 HttpClient::HttpClient(asio::io_context& io)
@@ -170,14 +212,16 @@
 asio::awaitable<CallResult>
 HttpClient::call(std::string address, HttpRequest request, CallOptions options)
 {
-    request.headers.add(std::string(kClockHeader),
-                        format_stamp(HybridClock::instance().tick()));
+    if (options.send_clock)
+        request.headers.add(std::string(kClockHeader),
+                            format_stamp(HybridClock::instance().tick()));
     if (!options.handle)
         options.handle = std::make_shared<CallHandle>();
     if (!options.fresh_connection) {
-        if (auto kept = take_idle(address)) {
+        if (auto kept = take_idle(address, options)) {
             CallResult result = co_await attempt(*kept, request, options);
-            const bool stale = result.status == CallStatus::Lost && !kept->got_bytes()
+            const bool stale = options.resend_if_stale
+                && result.status == CallStatus::Lost && !kept->got_bytes()
                 && !options.handle->cancelled() && monotonic_us() < options.deadline_us;
             if (!stale) {
                 keep(address, std::move(kept));
@@ -187,7 +231,9 @@
     }
     auto connection = std::make_unique<Connection>(m_io, address);
     options.handle->m_abort = [raw = connection.get()] { raw->abort(); };
-    connection->set_deadline(options.deadline_us);
+    connection->set_deadline(options.connect_deadline_us > 0
+                                 ? std::min(options.connect_deadline_us, options.deadline_us)
+                                 : options.deadline_us);
     const bool connected = !options.handle->cancelled() && co_await connection->connect();
     options.handle->m_abort = nullptr;
     if (!connected || options.handle->cancelled())
@@ -213,13 +259,13 @@
 }
 
 std::unique_ptr<HttpClient::Connection>
-HttpClient::take_idle(const std::string& address)
+HttpClient::take_idle(const std::string& address, const CallOptions& options)
 {
     auto it = m_idle.find(address);
     while (it != m_idle.end() && !it->second.empty()) {
         auto connection = std::move(it->second.back());
         it->second.pop_back();
-        if (!connection->is_stale())
+        if (connection->is_fresh(options) && !connection->is_stale())
             return connection;
     }
     return nullptr;
@@ -229,8 +275,10 @@
 HttpClient::keep(const std::string& address, std::unique_ptr<Connection> connection)
 {
     auto& idle = m_idle[address];
-    if (connection->reusable() && idle.size() < kMaxIdle)
-        idle.push_back(std::move(connection));
+    if (!connection->reusable() || idle.size() >= kMaxIdle)
+        return;
+    connection->note_rest();
+    idle.push_back(std::move(connection));
 }
 
 void
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -51,8 +51,18 @@
 
 struct CallOptions {
     std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
-    bool fresh_connection = false; ///< for calls that may not be repeated
+    bool fresh_connection = false; ///< never on a kept connection
+    /// Send once more, on a new connection, if a kept one turns out to be closed.
+    bool resend_if_stale = true;
+    bool send_clock = true; ///< add this process's hybrid clock
+    /// Kept connections that have rested longer are not used; 0: any.
+    std::int64_t max_rest_us = 0;
+    std::int64_t connect_deadline_us = 0; ///< point in time; 0: deadline_us
     std::shared_ptr<CallHandle> handle;
+    /// False for an answer that belongs to another call; it is then lost.
+    std::function<bool(const HttpResponse&)> belongs;
+    /// Gets status and header fields of a 200 before the first piece of its body.
+    std::function<void(const HttpResponse&)> on_head;
     /// Gets the body piece by piece if the answer is a 200; the body is empty then.
     std::function<void(std::string_view)> on_chunk;
 };
@@ -77,7 +87,8 @@
 
     boost::asio::awaitable<CallResult>
     attempt(Connection& connection, const HttpRequest& request, const CallOptions& options);
-    std::unique_ptr<Connection> take_idle(const std::string& address);
+    std::unique_ptr<Connection> take_idle(const std::string& address,
+                                          const CallOptions& options);
     void keep(const std::string& address, std::unique_ptr<Connection> connection);
 
     boost::asio::io_context& m_io;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -39,25 +39,40 @@
         , m_timer(socket.get_executor())
     {
     }
+    ~Watchdog() { disarm(); }
+    Watchdog(const Watchdog&) = delete;
+    Watchdog& operator=(const Watchdog&) = delete;
 
     void arm(std::chrono::milliseconds time)
     {
-        m_fired = false;
+        disarm();
+        m_state = std::make_shared<State>();
         m_timer.expires_after(time);
-        m_timer.async_wait([this](boost::system::error_code ec) {
-            if (ec)
+        // The handler may be due already when the watchdog is disarmed or gone,
+        // so it holds a state of its own.
+        m_timer.async_wait([state = m_state, &socket = m_socket](auto ec) {
+            if (ec || !state->armed)
                 return;
-            m_fired = true;
-            m_socket.cancel(ec);
+            state->fired = true;
+            socket.cancel(ec);
         });
     }
-    void disarm() { m_timer.cancel(); }
-    bool fired() const { return m_fired; }
+    void disarm()
+    {
+        if (m_state)
+            m_state->armed = false;
+        m_timer.cancel();
+    }
+    bool fired() const { return m_state && m_state->fired; }
 
 private:
+    struct State {
+        bool armed = true;
+        bool fired = false;
+    };
     tcp::socket& m_socket;
     asio::steady_timer m_timer;
-    bool m_fired = false;
+    std::shared_ptr<State> m_state;
 };
 
 HttpRequest
@@ -87,9 +102,7 @@
     {
         http::response<http::string_body> message(
             static_cast<http::status>(response.status), 11, std::move(response.body));
-        message.set(http::field::content_type, response.content_type);
-        for (const auto& [name, value] : response.headers.fields())
-            message.set(name, value);
+        add_fields(message, response);
         message.keep_alive(m_keep_alive);
         message.prepare_payload();
         Watchdog watchdog(m_socket);
@@ -101,9 +114,17 @@
 
     asio::awaitable<bool> begin_stream(std::string content_type) override
     {
-        http::response<http::empty_body> head(http::status::ok, 11);
-        head.set(http::field::content_type, content_type);
-        head.set(http::field::cache_control, "no-store");
+        HttpResponse head;
+        head.content_type = std::move(content_type);
+        head.headers.add("Cache-Control", "no-store");
+        return begin_stream(std::move(head));
+    }
+
+    asio::awaitable<bool> begin_stream(HttpResponse response) override
+    {
+        http::response<http::empty_body> head(static_cast<http::status>(response.status),
+                                              11);
+        add_fields(head, response);
         head.keep_alive(m_keep_alive);
         head.chunked(true);
         http::response_serializer<http::empty_body> serializer(head);
@@ -130,6 +151,33 @@
 
     void drop() override { m_keep_alive = false; }
 
+    void watch(std::function<void()> gone) override
+    {
+        m_gone = std::make_shared<std::function<void()>>(std::move(gone));
+        m_socket.async_wait(tcp::socket::wait_read, [this, gone = m_gone](auto ec) {
+            if (ec || !*gone)
+                return;
+            char byte = 0;
+            boost::system::error_code peek;
+            m_socket.non_blocking(true, peek);
+            m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek);
+            // Bytes are the beginning of the next request; no byte is the end.
+            if (peek && peek != asio::error::would_block)
+                std::exchange(*gone, nullptr)();
+        });
+    }
+
+    /// The handler is through with the request.
+    void end_watch()
+    {
+        if (!m_gone)
+            return;
+        *m_gone = nullptr;
+        m_gone.reset();
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
     enum class ReadResult : unsigned char { Ok, Closed, Refused };
 
     /// Reads the next request.  Refused leaves the kind in refusal().
@@ -176,6 +224,15 @@
     }
 
 private:
+    template <class Message>
+    static void add_fields(Message& message, const HttpResponse& response)
+    {
+        if (!response.content_type.empty())
+            message.set(http::field::content_type, response.content_type);
+        for (const auto& [name, value] : response.headers.fields())
+            message.insert(name, value);
+    }
+
     bool finish_write(const boost::system::error_code& ec)
     {
         if (ec)
@@ -199,12 +256,13 @@
     }
 
     tcp::socket m_socket;
-    HttpLimits m_limits;
+    const HttpLimits& m_limits; ///< the server's, which may change
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     ErrorKind m_refusal = ErrorKind::BadRequest;
     bool m_keep_alive = true;
     bool m_idle = false;
+    std::shared_ptr<std::function<void()>> m_gone; ///< empty once it was called
 };
 
 } // namespace
@@ -269,6 +327,7 @@
             if (closing)
                 connection.set_close();
             co_await handler(connection);
+            connection.end_watch();
             if (closing)
                 connection.set_close();
         }
@@ -343,6 +402,12 @@
         connection->close_if_idle();
 }
 
+void
+HttpServer::set_limits(const HttpLimits& limits)
+{
+    m_impl->limits = limits;
+}
+
 int
 HttpServer::connections() const
 {
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -44,6 +44,12 @@
 
     /// Starts a chunked answer, to be followed by write() and end().
     virtual boost::asio::awaitable<bool> begin_stream(std::string content_type) = 0;
+    /// The same with a status and header fields of the handler's choice.
+    virtual boost::asio::awaitable<bool> begin_stream(HttpResponse head) = 0;
+
+    /// Calls `gone` once if the caller closes its connection before the handler
+    /// is through.
+    virtual void watch(std::function<void()> gone) = 0;
     virtual boost::asio::awaitable<bool> write(std::string_view text) = 0;
     virtual boost::asio::awaitable<bool> end() = 0;
 
@@ -74,6 +80,9 @@
     /// Closes connections that are between requests.
     void close_idle();
 
+    /// Bounds for requests that come from now on.
+    void set_limits(const HttpLimits& limits);
+
     int connections() const;
 
 private:
