--- /dev/null
+++ b/src/include/cypressford/daemon_table.h
@@ -0,0 +1,63 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The daemons of the system as the directory lists them, and which of them
+/// leads an upstream set.
+
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <cypressford/directory.h>
+
+namespace cypressford {
+
+/// Records of daemons, with the time each was last seen to change.  A lead is no
+/// lock: two daemons that lead the same set cost calls that are less full, and
+/// nothing else.
+class DaemonTable {
+public:
+    DaemonTable(std::string own_node, Micros silent_after)
+        : m_own_node(std::move(own_node))
+        , m_silent_after(silent_after)
+    {
+    }
+
+    /// True if the record is news.
+    bool apply(const DaemonRecord& record, Micros now);
+    void drop(const std::string& node) { m_daemons.erase(node); }
+
+    /// The daemon at that address does not answer; it leads nothing until then.
+    void suspect(const std::string& peers_address, Micros until);
+
+    /// Daemons that are alive, this one among them once it is listed.
+    int alive(Micros now) const;
+    /// Alive daemons of one hall.
+    int alive_in(std::string_view hall, Micros now) const;
+
+    /// Address of the daemon that leads the set; empty for this daemon itself.
+    std::string leader_of(std::string_view set_name, Micros now) const;
+
+private:
+    struct Known {
+        DaemonRecord record;
+        Micros seen_at = 0;
+        Micros suspected_until = 0;
+    };
+
+    bool is_alive(const Known& known, Micros now) const;
+
+    const std::string m_own_node;
+    const Micros m_silent_after;
+    std::map<std::string, Known> m_daemons; ///< by node
+};
+
+/// The record as it lies in the directory.
+std::string encode(const DaemonRecord& record);
+Result<DaemonRecord> decode_daemon(std::string_view bytes);
+
+} // namespace cypressford
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -7,6 +7,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -89,9 +90,28 @@
     Micros take(const AccountSpec& spec, Micros now);
 };
 
+/// What the daemon that leads a set of batched upstreams last said of it.
+struct SetLoad {
+    std::atomic<Micros> wait {0}; ///< until a piece that comes would be made
+    std::atomic<Micros> told_at {0};
+
+    void tell(Micros expected_wait, Micros now)
+    {
+        wait.store(expected_wait, std::memory_order_relaxed);
+        told_at.store(now, std::memory_order_relaxed);
+    }
+    /// The wait as it must be by now: what waited then is worked off since.
+    Micros wait_at(Micros now) const
+    {
+        const Micros age = now - told_at.load(std::memory_order_relaxed);
+        return std::max<Micros>(0, wait.load(std::memory_order_relaxed) - age);
+    }
+};
+
 /// The upstreams of one set, own hall first.
 struct UpstreamSet {
     SetId id = 0;
+    std::shared_ptr<SetLoad> load = std::make_shared<SetLoad>();
     UpstreamSetSpec spec;
     std::vector<std::shared_ptr<UpstreamState>> own; ///< in this daemon's hall
     std::vector<std::shared_ptr<UpstreamState>> remote; ///< in other halls
@@ -192,6 +212,7 @@
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
     std::map<std::string, std::shared_ptr<AccountState>> m_accounts;
     std::map<std::string, std::uint32_t> m_ids;
+    std::map<SetId, std::shared_ptr<SetLoad>> m_loads;
     std::uint64_t m_generation = 0;
 };
 
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -137,6 +137,14 @@
 collect_candidates(const UpstreamSet& set, const CandidateQuery& query, Candidates& out)
 {
     out.clear();
+    if (!query.near.empty()) {
+        for (const auto* side : {&set.own, &set.remote})
+            for (const auto& upstream : *side)
+                if (upstream->hall == query.near)
+                    consider(upstream, set, query, side == &set.remote, out);
+        if (!out.empty())
+            return;
+    }
     collect(set.own, set, query, false, out);
     if (out.empty())
         collect(set.remote, set, query, true, out);
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <string_view>
 #include <vector>
 
 #include <cypressford/router.h>
@@ -22,6 +23,8 @@
     std::span<const UpstreamState* const> tried; ///< already had this stage
     bool want_all = true; ///< false: a random part of a large set will do
     std::uint64_t random = 0; ///< chooses that part
+    /// Upstreams of this hall go first, if one can take the call; empty: the own.
+    std::string_view near;
 };
 
 /// Upstreams that can take a call, with the states behind them.
--- /dev/null
+++ b/src/libcypressford/daemon_table.cpp
@@ -0,0 +1,121 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/daemon_table.h>
+
+#include <algorithm>
+#include <functional>
+
+#include "cypressford.pb.h"
+
+namespace cypressford {
+
+namespace {
+
+/// Highest random weight (Thaler and Ravishankar, 1998): the same everywhere, and
+/// only what a daemon led moves when it goes.
+std::uint64_t
+weight_of(std::string_view node, std::string_view set_name)
+{
+    std::uint64_t hash = 0xcbf29ce484222325ULL; // FNV-1a
+    for (const std::string_view text : {node, std::string_view("/"), set_name})
+        for (const char c : text)
+            hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    hash = (hash ^ (hash >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    return hash ^ (hash >> 31);
+}
+
+} // namespace
+
+bool
+DaemonTable::apply(const DaemonRecord& record, Micros now)
+{
+    auto [it, is_new] = m_daemons.try_emplace(record.node);
+    Known& known = it->second;
+    const bool same = !is_new && record.incarnation == known.record.incarnation
+        && record.sequence <= known.record.sequence;
+    if (same)
+        return false;
+    if (is_new || record.incarnation != known.record.incarnation)
+        known.suspected_until = 0;
+    known.record = record;
+    known.seen_at = now;
+    return true;
+}
+
+void
+DaemonTable::suspect(const std::string& peers_address, Micros until)
+{
+    for (auto& [node, known] : m_daemons)
+        if (known.record.peers_address == peers_address)
+            known.suspected_until = std::max(known.suspected_until, until);
+}
+
+bool
+DaemonTable::is_alive(const Known& known, Micros now) const
+{
+    if (known.record.node == m_own_node)
+        return !known.record.stopping;
+    return !known.record.stopping && now - known.seen_at < m_silent_after;
+}
+
+int
+DaemonTable::alive(Micros now) const
+{
+    return static_cast<int>(
+        std::count_if(m_daemons.begin(), m_daemons.end(),
+                      [&](const auto& item) { return is_alive(item.second, now); }));
+}
+
+int
+DaemonTable::alive_in(std::string_view hall, Micros now) const
+{
+    return static_cast<int>(
+        std::count_if(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
+            return item.second.record.hall == hall && is_alive(item.second, now);
+        }));
+}
+
+std::string
+DaemonTable::leader_of(std::string_view set_name, Micros now) const
+{
+    const Known* leader = nullptr;
+    std::uint64_t best = 0;
+    for (const auto& [node, known] : m_daemons) {
+        if (!is_alive(known, now) || known.suspected_until > now)
+            continue;
+        const std::uint64_t weight = weight_of(node, set_name);
+        if (leader && weight <= best)
+            continue;
+        leader = &known;
+        best = weight;
+    }
+    const bool is_other = leader && leader->record.node != m_own_node;
+    return is_other ? leader->record.peers_address : std::string {};
+}
+
+std::string
+encode(const DaemonRecord& record)
+{
+    proto::DaemonRecord out;
+    out.set_node(record.node);
+    out.set_hall(record.hall);
+    out.set_address(record.peers_address);
+    out.set_incarnation(record.incarnation);
+    out.set_sequence(record.sequence);
+    out.set_stopping(record.stopping);
+    return out.SerializeAsString();
+}
+
+Result<DaemonRecord>
+decode_daemon(std::string_view bytes)
+{
+    proto::DaemonRecord in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
+        || in.node().empty())
+        return fail(ErrorKind::BadRequest, "not a daemon's record");
+    return DaemonRecord {in.node(),        in.hall(),     in.address(),
+                         in.incarnation(), in.sequence(), in.stopping()};
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/piece_order.cpp
@@ -0,0 +1,84 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/piece_order.h>
+
+#include <algorithm>
+
+#include "cypressford.pb.h"
+
+namespace cypressford {
+
+std::string
+encode(const PieceOrder& order)
+{
+    proto::PieceOrder out;
+    out.set_upstream_set(order.upstream_set);
+    out.set_priority(order.priority);
+    out.set_remaining_ms(
+        static_cast<std::uint32_t>(std::max<Micros>(0, order.time_left) / kMillisecond));
+    for (const PieceItem& item : order.pieces) {
+        proto::PieceWanted* piece = out.add_pieces();
+        piece->set_attempt(item.attempt);
+        piece->set_stage(item.stage);
+        piece->set_segment(item.segment);
+        piece->set_piece_key(item.piece_key);
+        for (const std::string& input : item.inputs)
+            piece->add_inputs(input);
+    }
+    return out.SerializeAsString();
+}
+
+Result<PieceOrder>
+decode_piece_order(std::string_view bytes)
+{
+    proto::PieceOrder in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "not an order of pieces");
+    PieceOrder order;
+    order.upstream_set = in.upstream_set();
+    order.priority = in.priority();
+    order.time_left = in.remaining_ms() * kMillisecond;
+    for (const proto::PieceWanted& piece : in.pieces()) {
+        PieceItem item;
+        item.attempt = piece.attempt();
+        item.stage = piece.stage();
+        item.segment = piece.segment();
+        item.piece_key = piece.piece_key();
+        item.inputs.assign(piece.inputs().begin(), piece.inputs().end());
+        order.pieces.push_back(std::move(item));
+    }
+    return order;
+}
+
+std::string
+encode(const PieceAnswer& answer)
+{
+    proto::PieceAnswer out;
+    out.set_expected_wait_ms(
+        static_cast<std::uint32_t>(std::max<Micros>(0, answer.expected_wait) / kMillisecond));
+    for (const PieceResult& result : answer.pieces) {
+        proto::PieceMade* piece = out.add_pieces();
+        piece->set_outcome(static_cast<int>(result.outcome));
+        piece->set_handle(result.handle);
+    }
+    return out.SerializeAsString();
+}
+
+Result<PieceAnswer>
+decode_piece_answer(std::string_view bytes)
+{
+    proto::PieceAnswer in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "not an answer about pieces");
+    PieceAnswer answer;
+    answer.expected_wait = in.expected_wait_ms() * kMillisecond;
+    for (const proto::PieceMade& piece : in.pieces()) {
+        const int last = static_cast<int>(PieceOutcome::Failed);
+        const int outcome = std::clamp(piece.outcome(), 0, last);
+        answer.pieces.push_back({static_cast<PieceOutcome>(outcome), piece.handle()});
+    }
+    return answer;
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/piece_plan.cpp
@@ -0,0 +1,151 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/pieces.h>
+
+#include <algorithm>
+
+namespace cypressford {
+
+PiecePlan::PiecePlan(const std::vector<PieceStageSpec>& stages, std::vector<int> counts)
+    : m_counts(std::move(counts))
+    , m_stages(stages.size())
+{
+    m_counts.resize(stages.size());
+    for (std::size_t at = 0; at < stages.size(); ++at)
+        for (const std::size_t before : stages[at].after)
+            if (m_counts[before] > 0)
+                m_stages[at].after.push_back(before);
+}
+
+bool
+PiecePlan::is_ready(const Stage& stage) const
+{
+    return std::all_of(stage.after.begin(), stage.after.end(),
+                       [this](std::size_t before) { return m_stages[before].made; });
+}
+
+std::vector<std::size_t>
+PiecePlan::take_ready()
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        Stage& stage = m_stages[at];
+        if (m_counts[at] == 0 || stage.given_out || !is_ready(stage))
+            continue;
+        stage.given_out = true;
+        ready.push_back(at);
+    }
+    return ready;
+}
+
+std::vector<std::string>
+PiecePlan::inputs_of(std::size_t stage) const
+{
+    std::vector<std::string> inputs;
+    for (const std::size_t before : m_stages[stage].after)
+        inputs.insert(inputs.end(), m_stages[before].handles.begin(),
+                      m_stages[before].handles.end());
+    return inputs;
+}
+
+void
+PiecePlan::stage_made(std::size_t stage, std::vector<std::string> handles)
+{
+    m_stages[stage].made = true;
+    m_stages[stage].handles = std::move(handles);
+}
+
+bool
+PiecePlan::is_done() const
+{
+    for (std::size_t at = 0; at < m_stages.size(); ++at)
+        if (m_counts[at] > 0 && !m_stages[at].made)
+            return false;
+    return true;
+}
+
+bool
+PiecePlan::is_last(std::size_t stage) const
+{
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        const auto& after = m_stages[at].after;
+        const bool reads = std::find(after.begin(), after.end(), stage) != after.end();
+        if (reads && m_counts[at] > 0)
+            return false;
+    }
+    return true;
+}
+
+bool
+PiecePlan::has_readers_left(std::size_t stage) const
+{
+    if (is_last(stage))
+        return true;
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        const auto& after = m_stages[at].after;
+        const bool reads = std::find(after.begin(), after.end(), stage) != after.end();
+        if (reads && m_counts[at] > 0 && !m_stages[at].made)
+            return true;
+    }
+    return false;
+}
+
+std::vector<std::string>
+PiecePlan::final_inputs() const
+{
+    std::vector<std::string> inputs;
+    for (std::size_t at = 0; at < m_stages.size(); ++at)
+        if (is_last(at))
+            inputs.insert(inputs.end(), m_stages[at].handles.begin(),
+                          m_stages[at].handles.end());
+    return inputs;
+}
+
+std::vector<std::string>
+PiecePlan::take_spent()
+{
+    std::vector<std::string> spent;
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        Stage& stage = m_stages[at];
+        if (!stage.made || stage.spent || has_readers_left(at))
+            continue;
+        stage.spent = true;
+        spent.insert(spent.end(), stage.handles.begin(), stage.handles.end());
+    }
+    return spent;
+}
+
+std::vector<std::string>
+PiecePlan::unspent() const
+{
+    std::vector<std::string> left;
+    for (const Stage& stage : m_stages)
+        if (stage.made && !stage.spent)
+            left.insert(left.end(), stage.handles.begin(), stage.handles.end());
+    return left;
+}
+
+Micros
+pieces_time(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+            const std::vector<int>& counts)
+{
+    const auto& stages = pipeline.spec.piece_stages;
+    std::vector<Micros> finish(stages.size(), 0);
+    // The stages may stand in any order, so a pass for each settles all of them.
+    for (std::size_t pass = 0; pass < stages.size(); ++pass)
+        for (std::size_t at = 0; at < stages.size(); ++at) {
+            if (counts[at] == 0)
+                continue;
+            Micros start = 0;
+            for (const std::size_t before : stages[at].after)
+                start = std::max(start, finish[before]);
+            const auto& batch = snapshot.sets[pipeline.piece_sets[at]].spec.batch;
+            const int items = batch ? std::min(counts[at], batch->items) : 1;
+            finish[at]
+                = start + (batch ? batch->call_time + items * batch->item_time : 0);
+        }
+    return finish.empty() ? 0 : *std::max_element(finish.begin(), finish.end());
+}
+
+} // namespace cypressford
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -6,6 +6,8 @@
 
 #include "scheduler_impl.h"
 
+#include <cypressford/pieces.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -66,22 +68,23 @@
     return result;
 }
 
-/// The pieces of a request as one stage: their times are learnt together, waits
-/// included.
+/// The pieces of a request as one stage, by what the sets say of their calls and
+/// what the daemons that lead them say of their queues.
 StageOutlook
 Scheduler::Impl::pieces_outlook(const Request& request)
 {
     const ResolvedPipeline& pipeline = request.pipeline();
-    const StageId id = pipeline.piece_stage_ids.front();
+    const Snapshot& snapshot = *request.spec.snapshot;
     StageOutlook result;
-    result.typical = model.p50(id).value_or(0);
-    result.tail = model.p95(id).value_or(result.typical);
+    result.typical = pieces_time(snapshot, pipeline, request.spec.pieces);
+    result.tail = result.typical;
     result.usable = std::numeric_limits<int>::max();
     for (std::size_t at = 0; at < pipeline.piece_sets.size(); ++at) {
         if (request.spec.pieces[at] == 0)
             continue;
-        const UpstreamSet& set = request.spec.snapshot->sets[pipeline.piece_sets[at]];
+        const UpstreamSet& set = snapshot.sets[pipeline.piece_sets[at]];
         result.usable = std::min(result.usable, count_usable(set, now));
+        result.backlog += set.load->wait_at(now);
     }
     return result;
 }
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -131,6 +131,7 @@
     const bool has_home = generates && request.spec.affinity != 0;
     query.want_all = has_home || !router.samples();
     query.random = random();
+    query.near = request.pieces_hall;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -220,6 +220,7 @@
 {
     UpstreamSet set;
     set.id = id_of("set/" + spec.name);
+    set.load = m_loads.try_emplace(set.id, set.load).first->second;
     set.spec = spec;
     for (const auto& [hall, addresses] : spec.halls)
         for (const auto& address : addresses)
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -22,6 +22,7 @@
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 #include "operator_pages.h"
+#include "piece_service.h"
 #include "placement_service.h"
 #include "problem.h"
 #include "worker.h"
@@ -89,6 +90,13 @@
             workers.push_back(std::make_unique<Worker>(kernel, static_cast<unsigned>(i)));
             kernel.workers.push_back(workers.back().get());
         }
+        if (!directory)
+            return;
+        pieces = std::make_unique<PieceService>(workers.front()->io(), kernel);
+        kernel.pieces = pieces.get();
+        directory->on_daemons([this](std::vector<DaemonRecord> records) {
+            pieces->take_daemons(std::move(records));
+        });
     }
 
     template <class F> void on_workers(F&& action)
@@ -128,6 +136,14 @@
 
     asio::awaitable<bool> workers_idle()
     {
+        if (pieces) {
+            const auto look = [this]() -> asio::awaitable<bool> {
+                co_return pieces->is_idle();
+            };
+            if (!co_await asio::co_spawn(workers.front()->io(), look(),
+                                         asio::use_awaitable))
+                co_return false;
+        }
         for (auto& worker : workers) {
             Worker* w = worker.get();
             const auto look = [w]() -> asio::awaitable<bool> { co_return w->is_idle(); };
@@ -157,6 +173,8 @@
         on_workers([](Worker& worker) { worker.close_after_answers(); });
         if (log)
             log->hall.announce_stop();
+        else
+            directory->announce_stop();
         asio::steady_timer timer(control);
         timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
         co_await timer.async_wait(kToTuple);
@@ -181,6 +199,7 @@
     std::unique_ptr<HttpServer> metrics;
     asio::signal_set signals;
     std::vector<std::unique_ptr<Worker>> workers;
+    std::unique_ptr<PieceService> pieces; ///< on the first worker's thread
 };
 
 Daemon::Daemon(Settings settings)
@@ -204,6 +223,9 @@
             return tl::unexpected(port.error());
     if (auto opened = impl.open_side_doors(); !opened)
         return opened;
+    if (impl.pieces)
+        if (auto open = impl.pieces->listen(impl.kernel.settings.peers_address); !open)
+            return open;
     if (impl.directory)
         impl.directory->start();
     else if (auto started = impl.log->start(); !started)
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cypressford/daemon_table.h>
 #include <cypressford/registry.h>
 
 #include "libutil/event_log.h"
@@ -27,6 +28,8 @@
 /// How long an answer may take beyond that.
 constexpr Micros kPatience = 1000 * kMillisecond;
 constexpr Micros kRetryPause = 200 * kMillisecond;
+constexpr Micros kPublishPace = 2 * kSecond;
+constexpr Micros kDaemonsPace = 1 * kSecond;
 /// Without contact for this long, what went meanwhile may be the platform's fault.
 constexpr Micros kOutage = 2 * kSecond;
 
@@ -48,6 +51,73 @@
     m_last_contact = monotonic_us();
     asio::co_spawn(m_io, follow_configuration(), asio::detached);
     asio::co_spawn(m_io, follow_upstreams(), asio::detached);
+    asio::co_spawn(m_io, publish_own(), asio::detached);
+    asio::co_spawn(m_io, follow_daemons(), asio::detached);
+}
+
+void
+DirectoryWatch::announce_stop()
+{
+    asio::co_spawn(m_io, publish_once(), asio::detached);
+}
+
+asio::awaitable<void>
+DirectoryWatch::publish_once()
+{
+    const Settings& settings = m_kernel.settings;
+    DaemonRecord record;
+    record.node = settings.node;
+    record.hall = settings.hall;
+    record.peers_address = settings.peers_address;
+    record.incarnation = m_kernel.incarnation;
+    record.sequence = ++m_own_sequence;
+    record.stopping = m_kernel.stopping.load();
+    // GCC 12 destroys braced temporaries of a co_await twice, so they get names.
+    const DirectoryRecord entry {record.node, encode(record)};
+    HttpRequest request = m_dialect->append(DirectoryTopic::Daemons, entry);
+    co_await call(std::move(request), kPatience);
+}
+
+asio::awaitable<void>
+DirectoryWatch::publish_own()
+{
+    while (!m_kernel.stopping.load()) {
+        co_await publish_once();
+        co_await pause(kPublishPace);
+    }
+}
+
+asio::awaitable<void>
+DirectoryWatch::follow_daemons()
+{
+    std::optional<Offset> next;
+    for (;;) {
+        Result<DirectoryPage> page = fail(ErrorKind::Internal);
+        if (next)
+            page = co_await read(DirectoryTopic::Daemons, *next, 0);
+        else
+            page = co_await newest(DirectoryTopic::Daemons, std::string());
+        if (page && page->history_lost) {
+            next.reset();
+            continue;
+        }
+        if (page) {
+            take_daemons(page->records);
+            next = next ? *next + static_cast<Offset>(page->records.size()) : page->end;
+        }
+        co_await pause(kDaemonsPace);
+    }
+}
+
+void
+DirectoryWatch::take_daemons(const std::vector<DirectoryRecord>& records)
+{
+    std::vector<DaemonRecord> daemons;
+    for (const DirectoryRecord& record : records)
+        if (auto daemon = decode_daemon(record.value))
+            daemons.push_back(*std::move(daemon));
+    if (m_on_daemons && !daemons.empty())
+        m_on_daemons(std::move(daemons));
 }
 
 asio::awaitable<void>
@@ -91,7 +161,7 @@
 asio::awaitable<Result<Offset>>
 DirectoryWatch::list_configuration()
 {
-    const auto page = co_await newest(DirectoryTopic::Configuration, "");
+    const auto page = co_await newest(DirectoryTopic::Configuration, std::string());
     if (!page)
         co_return tl::unexpected(page.error());
     for (const DirectoryRecord& record : page->records)
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -27,7 +27,20 @@
     /// Called after each change of the snapshot.
     void on_change(std::function<void()> action) { m_on_change = std::move(action); }
 
+    /// Called with records of daemons that are new.
+    void on_daemons(std::function<void(std::vector<DaemonRecord>)> action)
+    {
+        m_on_daemons = std::move(action);
+    }
+
+    /// Tells the other daemons at once that this one is stopping.
+    void announce_stop();
+
 private:
+    boost::asio::awaitable<void> follow_daemons();
+    boost::asio::awaitable<void> publish_own();
+    boost::asio::awaitable<void> publish_once();
+    void take_daemons(const std::vector<DirectoryRecord>& records);
     boost::asio::awaitable<void> follow_configuration();
     boost::asio::awaitable<void> follow_upstreams();
     boost::asio::awaitable<Result<Offset>> list_configuration();
@@ -54,7 +67,9 @@
     Micros m_last_contact = 0;
     bool m_reached = true;
     bool m_upstreams_listed = false;
+    std::uint64_t m_own_sequence = 0;
     std::function<void()> m_on_change;
+    std::function<void(std::vector<DaemonRecord>)> m_on_daemons;
 };
 
 } // namespace cypressford
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -24,6 +24,7 @@
 namespace cypressford {
 
 class ClaimService;
+class PieceService;
 class Worker;
 
 /// Plug-ins, snapshot and flags.  The plug-ins are made once and never change.
@@ -42,10 +43,12 @@
     RcuCell<Snapshot> snapshot;
     std::atomic<bool> stopping {false};
     std::atomic<int> daemons_in_hall {1};
+    std::atomic<int> daemons {1}; ///< live ones of all halls, as far as known
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
     ClaimService* claims = nullptr;
+    PieceService* pieces = nullptr; ///< null: no relayed pipelines
     std::vector<Worker*> workers;
 
     bool is_ready() const { return !stopping.load() && snapshot.load() != nullptr; }
--- /dev/null
+++ b/src/libserve/peer_link.cpp
@@ -0,0 +1,86 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer_link.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Micros kConnectTime = 250 * kMillisecond;
+constexpr std::chrono::milliseconds kSignPace {300};
+constexpr Micros kSignPatience = 250 * kMillisecond;
+/// Signs of life that may be missed in a row.
+constexpr int kMissesAllowed = 1;
+constexpr int kOk = 200;
+
+} // namespace
+
+asio::awaitable<Result<PieceAnswer>>
+PeerLink::order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = kOrderPath;
+    request.headers.add("Content-Type", "application/x-protobuf");
+    request.body = encode(order);
+    CallOptions options;
+    options.handle = handle;
+    options.deadline_us = monotonic_us() + order.time_left;
+    options.connect_deadline_us = monotonic_us() + kConnectTime;
+    m_open[address].insert(handle);
+    if (m_watched.insert(address).second)
+        asio::co_spawn(m_io, watch(address), asio::detached);
+    const CallResult result
+        = co_await m_client.call(address, std::move(request), std::move(options));
+    m_open[address].erase(handle);
+    if (result.status != CallStatus::Answered || result.response.status != kOk)
+        co_return fail(ErrorKind::UpstreamFailed, address);
+    co_return decode_piece_answer(result.response.body);
+}
+
+asio::awaitable<bool>
+PeerLink::is_alive(const std::string& address)
+{
+    HttpRequest request;
+    request.target = kAlivePath;
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignPatience;
+    const CallResult result
+        = co_await m_client.call(address, std::move(request), std::move(options));
+    co_return result.status == CallStatus::Answered;
+}
+
+asio::awaitable<void>
+PeerLink::watch(std::string address)
+{
+    asio::steady_timer timer(m_io);
+    int misses = 0;
+    for (;;) {
+        timer.expires_after(kSignPace);
+        co_await timer.async_wait(kToTuple);
+        if (m_open[address].empty())
+            break;
+        misses = co_await is_alive(address) ? 0 : misses + 1;
+        if (misses <= kMissesAllowed)
+            continue;
+        const auto lost = m_open[address];
+        for (const auto& handle : lost)
+            handle->cancel();
+        break;
+    }
+    m_watched.erase(address);
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/peer_link.h
@@ -0,0 +1,48 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cypressford/piece_order.h>
+
+#include "libutil/http_client.h"
+
+namespace cypressford {
+
+/// Orders of pieces to other daemons.  While a daemon has orders of ours it is
+/// asked for a sign of life; one that gives none loses them, since an order itself
+/// may rightly take long.  Lives on one thread.
+class PeerLink {
+public:
+    explicit PeerLink(boost::asio::io_context& io)
+        : m_io(io)
+        , m_client(io)
+    {
+    }
+
+    /// An error says that the daemon did not answer or took no order.
+    boost::asio::awaitable<Result<PieceAnswer>>
+    order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle);
+
+    static constexpr const char* kOrderPath = "/v1/pieces";
+    static constexpr const char* kAlivePath = "/v1/alive";
+
+private:
+    boost::asio::awaitable<void> watch(std::string address);
+    boost::asio::awaitable<bool> is_alive(const std::string& address);
+
+    boost::asio::io_context& m_io;
+    HttpClient m_client;
+    std::map<std::string, std::set<std::shared_ptr<CallHandle>>> m_open; ///< by address
+    std::set<std::string> m_watched;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/piece_maker.cpp
@@ -0,0 +1,278 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "piece_maker.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Micros kConnectTime = 300 * kMillisecond;
+/// A call that takes this many times what such calls take, and a little, is given
+/// up: its pieces are made elsewhere sooner.
+constexpr Micros kTimeoutOverTypical = 3;
+constexpr Micros kTimeoutFloor = 200 * kMillisecond;
+/// An upstream that was full or did not answer is left alone for so long.
+constexpr Micros kRestWhenFull = 40 * kMillisecond;
+constexpr Micros kRestWhenSilent = 500 * kMillisecond;
+constexpr int kFailuresToEject = 3;
+constexpr int kMaxCalls = 4; ///< that one piece goes out with
+constexpr int kOk = 200;
+
+Micros
+typical_time(const UpstreamSet& set, std::size_t items)
+{
+    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
+    return batch.call_time + static_cast<Micros>(items) * batch.item_time;
+}
+
+} // namespace
+
+struct PieceMaker::Order {
+    Order(asio::io_context& io, PieceOrder order_)
+        : order(std::move(order_))
+        , deadline(monotonic_us() + order.time_left)
+        , results(order.pieces.size())
+        , left(order.pieces.size())
+        , changed(io, asio::steady_timer::time_point::max())
+    {
+    }
+
+    const PieceOrder order;
+    const Micros deadline;
+    std::vector<PieceResult> results;
+    std::vector<PieceId> ids;
+    std::size_t left; ///< pieces without a result
+    bool over = false; ///< nobody waits for it any more
+    asio::steady_timer changed;
+};
+
+PieceMaker::PieceMaker(asio::io_context& io, Kernel& kernel, FreeResult free_result)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_free_result(std::move(free_result))
+    , m_client(io)
+{
+}
+
+PieceMaker::Line&
+PieceMaker::line_of(const std::string& set_name)
+{
+    const SchedulerOptions& options = m_kernel.settings.scheduler;
+    return m_lines
+        .try_emplace(set_name,
+                     Line {{}, {options.retry_ratio, options.retry_burst}, 0})
+        .first->second;
+}
+
+const UpstreamSet*
+PieceMaker::find_set(const Snapshot& snapshot, const std::string& name) const
+{
+    for (const UpstreamSet& set : snapshot.sets)
+        if (set.spec.name == name && set.spec.batch)
+            return &set;
+    return nullptr;
+}
+
+asio::awaitable<PieceAnswer>
+PieceMaker::make(PieceOrder wanted, std::shared_ptr<Ticket> ticket)
+{
+    const std::string set_name = wanted.upstream_set;
+    auto order = std::make_shared<Order>(m_io, std::move(wanted));
+    Line& line = line_of(set_name);
+    for (std::size_t i = 0; i < order->order.pieces.size(); ++i) {
+        const PieceId id = m_next++;
+        order->ids.push_back(id);
+        m_pieces[id] = {order, i, 0, false};
+        line.queue.add({order->order.priority, order->deadline, id});
+    }
+    line.retries.earn();
+    ticket->m_on_cancel = [weak = std::weak_ptr(order)] {
+        if (const auto alive = weak.lock()) {
+            alive->over = true;
+            alive->changed.cancel();
+        }
+    };
+    pump(set_name);
+    while (order->left > 0 && !order->over && !ticket->m_cancelled) {
+        const Micros left = order->deadline - monotonic_us();
+        if (left <= 0)
+            break;
+        order->changed.expires_after(std::chrono::microseconds(left));
+        co_await order->changed.async_wait(kToTuple);
+    }
+    ticket->m_on_cancel = nullptr;
+    give_up(order);
+    PieceAnswer answer;
+    answer.pieces = order->results;
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (const UpstreamSet* set = snapshot ? find_set(*snapshot, set_name) : nullptr)
+        answer.expected_wait = line.queue.expected_wait(*set, monotonic_us());
+    co_return answer;
+}
+
+/// Takes back the pieces of an order that has no reader any more.
+void
+PieceMaker::give_up(const std::shared_ptr<Order>& order)
+{
+    order->over = true;
+    Line& line = line_of(order->order.upstream_set);
+    for (const PieceId id : order->ids)
+        if (line.queue.remove(id))
+            m_pieces.erase(id);
+}
+
+void
+PieceMaker::pump(const std::string& set_name)
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    const UpstreamSet* set = snapshot ? find_set(*snapshot, set_name) : nullptr;
+    if (!set)
+        return;
+    Line& line = line_of(set_name);
+    while (auto call = line.queue.next_call(*set, monotonic_us())) {
+        call->upstream->in_flight.fetch_add(1, std::memory_order_relaxed);
+        line.out += call->pieces.size();
+        for (const PieceId id : call->pieces) {
+            Piece& piece = m_pieces.at(id);
+            piece.out = true;
+            ++piece.calls;
+        }
+        asio::co_spawn(m_io, run_call(set_name, snapshot, *std::move(call)),
+                       asio::detached);
+    }
+    // All upstreams rest or are gone: nothing will wake the queue but time.
+    if (line.queue.size() > 0 && line.out == 0)
+        asio::co_spawn(m_io, pump_later(set_name), asio::detached);
+}
+
+asio::awaitable<void>
+PieceMaker::pump_later(std::string set_name)
+{
+    asio::steady_timer timer(m_io);
+    timer.expires_after(std::chrono::microseconds(kRestWhenFull));
+    co_await timer.async_wait(kToTuple);
+    pump(set_name);
+}
+
+asio::awaitable<void>
+PieceMaker::run_call(std::string set_name, SnapshotPtr snapshot, PieceCall call)
+{
+    const UpstreamSet& set = *find_set(*snapshot, set_name);
+    std::vector<PieceItem> items;
+    Micros last_deadline = 0;
+    const Micros started = monotonic_us();
+    for (const PieceId id : call.pieces) {
+        const Piece& piece = m_pieces.at(id);
+        PieceItem item = piece.order->order.pieces[piece.index];
+        item.time_left = piece.order->deadline - started;
+        last_deadline = std::max(last_deadline, piece.order->deadline);
+        items.push_back(std::move(item));
+    }
+    CallOptions options;
+    const Micros typical = typical_time(set, items.size());
+    options.deadline_us = std::min(
+        last_deadline, started + kTimeoutOverTypical * typical + kTimeoutFloor);
+    options.connect_deadline_us = started + kConnectTime;
+    options.resend_if_stale = false;
+    options.send_clock = false;
+    const CallResult result = co_await m_client.call(
+        call.upstream->address, m_kernel.calls->piece_call(call.upstream->identity, items),
+        options);
+    const Micros now = monotonic_us();
+    call.upstream->in_flight.fetch_sub(1, std::memory_order_relaxed);
+    Line& line = line_of(set_name);
+    line.out -= call.pieces.size();
+    const UpstreamAnswer said = m_kernel.calls->read_answer(result.response);
+    const bool answered = result.status == CallStatus::Answered;
+    std::vector<PieceResult> results;
+    if (answered && result.response.status == kOk)
+        if (auto decoded = m_kernel.calls->decode_piece_call(result.response))
+            results = *std::move(decoded);
+    const bool whole = results.size() == call.pieces.size();
+    LogEvent("piece_call")
+        .kv("set", set_name)
+        .kv("upstream", call.upstream->address)
+        .kv("identity", call.upstream->identity)
+        .kv("pieces", items.size())
+        .kv("status", answered ? result.response.status : 0)
+        .kv("whole", whole)
+        .kv("waiting", line.queue.size())
+        .kv("us", now - started);
+    if (whole) {
+        call.upstream->note_success(now - started, now);
+        for (std::size_t i = 0; i < results.size(); ++i)
+            settle(set_name, call.pieces[i], results[i]);
+    } else {
+        if (answered && said.other_identity)
+            call.upstream->mark_leaving();
+        else if (answered && said.not_run)
+            line.queue.rest(*call.upstream, now + kRestWhenFull);
+        else {
+            call.upstream->note_failure(kFailuresToEject, now);
+            line.queue.rest(*call.upstream, now + kRestWhenSilent);
+        }
+        for (const PieceId id : call.pieces)
+            queue_again(set_name, id, result.status != CallStatus::NotSent);
+    }
+    pump(set_name);
+}
+
+void
+PieceMaker::settle(const std::string& set_name, PieceId id, const PieceResult& result)
+{
+    const bool elsewhere
+        = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
+    if (elsewhere)
+        queue_again(set_name, id, true);
+    else
+        finish(id, result);
+}
+
+void
+PieceMaker::queue_again(const std::string& set_name, PieceId id, bool arrived)
+{
+    Piece& piece = m_pieces.at(id);
+    piece.out = false;
+    Line& line = line_of(set_name);
+    const bool may = !piece.order->over && piece.calls < kMaxCalls
+        && monotonic_us() < piece.order->deadline && (!arrived || line.retries.spend());
+    if (may)
+        line.queue.add({piece.order->order.priority, piece.order->deadline, id});
+    else
+        finish(id, {PieceOutcome::Failed, {}});
+}
+
+void
+PieceMaker::finish(PieceId id, const PieceResult& result)
+{
+    const auto it = m_pieces.find(id);
+    const Piece piece = std::move(it->second);
+    m_pieces.erase(it);
+    Order& order = *piece.order;
+    if (order.over) {
+        if (result.outcome == PieceOutcome::Made)
+            m_free_result(result.handle);
+        return;
+    }
+    order.results[piece.index] = result;
+    --order.left;
+    // One piece that can't be made makes the others useless.
+    if (result.outcome != PieceOutcome::Made)
+        order.left = 0;
+    if (order.left == 0)
+        order.changed.cancel();
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/piece_maker.h
@@ -0,0 +1,90 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cypressford/piece_order.h>
+#include <cypressford/pieces.h>
+
+#include "kernel.h"
+#include "libcypressford/retry_budget.h"
+#include "libutil/http_client.h"
+
+namespace cypressford {
+
+/// Has pieces made at the upstreams of the sets that this daemon leads.  Lives on
+/// one thread.
+class PieceMaker {
+public:
+    /// Gives up on an order; its pieces that wait are taken back.
+    class Ticket {
+    public:
+        void cancel()
+        {
+            m_cancelled = true;
+            if (m_on_cancel)
+                m_on_cancel();
+        }
+
+    private:
+        friend class PieceMaker;
+        bool m_cancelled = false;
+        std::function<void()> m_on_cancel;
+    };
+
+    using FreeResult = std::function<void(const std::string& handle)>;
+
+    PieceMaker(boost::asio::io_context& io, Kernel& kernel, FreeResult free_result);
+
+    /// Ends when every piece is made or has failed.
+    boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
+                                             std::shared_ptr<Ticket> ticket);
+
+    bool is_idle() const { return m_pieces.empty(); }
+
+private:
+    /// An order that is under way.
+    struct Order;
+    struct Piece {
+        std::shared_ptr<Order> order;
+        std::size_t index = 0; ///< of the piece in its order
+        int calls = 0; ///< it went out with
+        bool out = false; ///< is with an upstream now
+    };
+    /// What there is for one upstream set.
+    struct Line {
+        PieceQueue queue;
+        RetryBudget retries;
+        std::size_t out = 0; ///< pieces with upstreams now
+    };
+
+    Line& line_of(const std::string& set_name);
+    const UpstreamSet* find_set(const Snapshot& snapshot, const std::string& name) const;
+    void pump(const std::string& set_name);
+    boost::asio::awaitable<void> run_call(std::string set_name, SnapshotPtr snapshot,
+                                          PieceCall call);
+    boost::asio::awaitable<void> pump_later(std::string set_name);
+    void settle(const std::string& set_name, PieceId id, const PieceResult& result);
+    void queue_again(const std::string& set_name, PieceId id, bool arrived);
+    void finish(PieceId id, const PieceResult& result);
+    void give_up(const std::shared_ptr<Order>& order);
+
+    boost::asio::io_context& m_io;
+    Kernel& m_kernel;
+    FreeResult m_free_result;
+    HttpClient m_client;
+    std::map<std::string, Line> m_lines;
+    std::unordered_map<PieceId, Piece> m_pieces;
+    PieceId m_next = 1;
+};
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/piece_service.cpp
@@ -0,0 +1,353 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "piece_service.h"
+
+#include <set>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+#include "problem.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// A daemon without a new record for so long leads nothing.
+constexpr Micros kSilentAfter = 6 * kSecond;
+/// A daemon that lost an order leads nothing for so long.
+constexpr Micros kSuspectTime = 2 * kSecond;
+/// Daemons that one stage's order goes to, one after the other.
+constexpr int kMaxPlaces = 3;
+/// Results that are given up wait so long for others of the same keeper.
+constexpr std::chrono::milliseconds kFreeLinger {60};
+constexpr Micros kFreePatience = 500 * kMillisecond;
+
+} // namespace
+
+struct PieceService::Job {
+    Job(asio::io_context& io, PiecesWanted wanted_, Done done_)
+        : wanted(std::move(wanted_))
+        , plan(resolved().spec.piece_stages, wanted.counts)
+        , done(std::move(done_))
+        , changed(io, asio::steady_timer::time_point::max())
+    {
+    }
+
+    const ResolvedPipeline& resolved() const
+    {
+        return wanted.snapshot->pipelines[wanted.pipeline];
+    }
+    const UpstreamSet& set_of(std::size_t stage) const
+    {
+        return wanted.snapshot->sets[resolved().piece_sets[stage]];
+    }
+
+    const PiecesWanted wanted;
+    PiecePlan plan;
+    Done done;
+    bool failed = false;
+    bool cancelled = false;
+    int running = 0; ///< stages under way
+    std::set<std::shared_ptr<CallHandle>> calls; ///< at other daemons
+    std::set<std::shared_ptr<PieceMaker::Ticket>> tickets; ///< at this one
+    asio::steady_timer changed;
+};
+
+PieceService::PieceService(asio::io_context& io, Kernel& kernel)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_daemons(kernel.settings.node, kSilentAfter)
+    , m_maker(io, kernel, [this](const std::string& handle) { free_now({handle}); })
+    , m_link(io)
+    , m_server(
+          io, kernel.settings.limits,
+          [this](HttpExchange& exchange) { return serve(exchange); },
+          [](ErrorKind kind) { return problem_response(problem_of(kind)); })
+    , m_client(io)
+{
+}
+
+Result<void>
+PieceService::listen(const std::string& address)
+{
+    if (auto port = m_server.listen(parse_address(address)); !port)
+        return tl::unexpected(port.error());
+    return {};
+}
+
+// ------------------------------------------------------------ as the leader
+
+asio::awaitable<void>
+PieceService::serve(HttpExchange& exchange)
+{
+    const std::string path(exchange.request().path());
+    if (path == PeerLink::kOrderPath) {
+        co_await serve_order(exchange);
+    } else if (path == PeerLink::kAlivePath) {
+        HttpResponse alive;
+        alive.content_type = "text/plain";
+        co_await exchange.respond(std::move(alive));
+    } else {
+        co_await exchange.respond(problem_response(problem_of(ErrorKind::NotFound)));
+    }
+}
+
+asio::awaitable<void>
+PieceService::serve_order(HttpExchange& exchange)
+{
+    auto order = decode_piece_order(exchange.request().body);
+    const bool takes = order && !m_kernel.stopping.load() && m_kernel.snapshot.load();
+    if (!takes) {
+        const ErrorKind kind = order ? ErrorKind::Stopping : ErrorKind::BadRequest;
+        co_await exchange.respond(problem_response(problem_of(kind)));
+        co_return;
+    }
+    auto ticket = std::make_shared<PieceMaker::Ticket>();
+    exchange.watch([ticket] { ticket->cancel(); });
+    HttpResponse response;
+    response.content_type = "application/x-protobuf";
+    response.body = encode(co_await m_maker.make(*std::move(order), ticket));
+    co_await exchange.respond(std::move(response));
+}
+
+// --------------------------------------------------------- as the requester
+
+void
+PieceService::want(std::uint64_t request, PiecesWanted wanted, Done done)
+{
+    asio::post(m_io, [this, request, wanted = std::move(wanted),
+                      done = std::move(done)]() mutable {
+        auto job = std::make_shared<Job>(m_io, std::move(wanted), std::move(done));
+        m_jobs[request] = job;
+        asio::co_spawn(m_io, run(job), [this, request](const std::exception_ptr&) {
+            m_jobs.erase(request);
+        });
+    });
+}
+
+void
+PieceService::cancel(std::uint64_t request)
+{
+    asio::post(m_io, [this, request] {
+        const auto it = m_jobs.find(request);
+        if (it == m_jobs.end())
+            return;
+        const JobPtr job = it->second;
+        job->cancelled = true;
+        for (const auto& handle : job->calls)
+            handle->cancel();
+        for (const auto& ticket : job->tickets)
+            ticket->cancel();
+        job->changed.cancel();
+    });
+}
+
+asio::awaitable<void>
+PieceService::run(JobPtr job)
+{
+    while (!job->failed && !job->cancelled && !job->plan.is_done()) {
+        for (const std::size_t stage : job->plan.take_ready()) {
+            ++job->running;
+            asio::co_spawn(m_io, run_stage(job, stage), asio::detached);
+        }
+        if (job->running == 0)
+            break;
+        co_await job->changed.async_wait(kToTuple);
+        free_now(job->plan.take_spent());
+    }
+    PiecesMade result;
+    result.made = job->plan.is_done() && !job->cancelled;
+    if (result.made) {
+        result.inputs = job->plan.final_inputs();
+        result.hall = main_hall(*job, result.inputs);
+    } else {
+        free_now(job->plan.unspent());
+    }
+    if (!job->cancelled)
+        job->done(std::move(result));
+}
+
+asio::awaitable<void>
+PieceService::run_stage(JobPtr job, std::size_t stage)
+{
+    const Micros started = monotonic_us();
+    const auto answer = co_await place(job, order_for(*job, stage));
+    std::vector<std::string> handles;
+    bool made = answer.has_value();
+    if (answer)
+        for (const PieceResult& result : answer->pieces) {
+            made = made && result.outcome == PieceOutcome::Made;
+            if (result.outcome == PieceOutcome::Made)
+                handles.push_back(result.handle);
+        }
+    LogEvent("pieces")
+        .kv("request", job->wanted.attempt)
+        .kv("stage", stage)
+        .kv("set", job->set_of(stage).spec.name)
+        .kv("count", job->plan.count(stage))
+        .kv("made", made)
+        .kv("cancelled", job->cancelled)
+        .kv("us", monotonic_us() - started);
+    --job->running;
+    const bool wanted = !job->failed && !job->cancelled;
+    if (made && wanted) {
+        job->plan.stage_made(stage, std::move(handles));
+    } else {
+        job->failed = true;
+        free_now(handles);
+    }
+    job->changed.cancel();
+}
+
+/// Hands an order to the daemon that leads the set, or to the next if it is silent.
+asio::awaitable<Result<PieceAnswer>>
+PieceService::place(JobPtr job, const PieceOrder& order)
+{
+    const std::string set_name = order.upstream_set;
+    for (int place = 0; place < kMaxPlaces; ++place) {
+        PieceOrder copy = order;
+        copy.time_left = job->wanted.deadline - monotonic_us();
+        if (copy.time_left <= 0 || job->cancelled)
+            break;
+        const std::string leader = m_daemons.leader_of(set_name, monotonic_us());
+        if (leader.empty()) {
+            auto ticket = std::make_shared<PieceMaker::Ticket>();
+            job->tickets.insert(ticket);
+            PieceAnswer own = co_await m_maker.make(std::move(copy), ticket);
+            job->tickets.erase(ticket);
+            for (std::size_t at = 0; at < job->resolved().piece_sets.size(); ++at)
+                if (job->set_of(at).spec.name == set_name)
+                    job->set_of(at).load->tell(own.expected_wait, monotonic_us());
+            co_return own;
+        }
+        auto handle = std::make_shared<CallHandle>();
+        job->calls.insert(handle);
+        const auto answer = co_await m_link.order(leader, std::move(copy), handle);
+        job->calls.erase(handle);
+        if (answer) {
+            for (std::size_t at = 0; at < job->resolved().piece_sets.size(); ++at)
+                if (job->set_of(at).spec.name == set_name)
+                    job->set_of(at).load->tell(answer->expected_wait, monotonic_us());
+            co_return answer;
+        }
+        if (job->cancelled)
+            break;
+        LogEvent("leader_lost", LogLevel::Warn)
+            .kv("request", job->wanted.attempt)
+            .kv("set", set_name)
+            .kv("leader", leader);
+        m_daemons.suspect(leader, monotonic_us() + kSuspectTime);
+    }
+    co_return fail(ErrorKind::UpstreamFailed);
+}
+
+PieceOrder
+PieceService::order_for(const Job& job, std::size_t stage) const
+{
+    PieceOrder order;
+    order.upstream_set = job.set_of(stage).spec.name;
+    order.priority = job.wanted.priority;
+    const std::vector<std::string> inputs = job.plan.inputs_of(stage);
+    for (int segment = 0; segment < job.plan.count(stage); ++segment) {
+        PieceItem item;
+        item.attempt = job.wanted.attempt;
+        item.stage = static_cast<int>(stage);
+        item.segment = segment;
+        item.piece_key = job.wanted.piece_key;
+        item.inputs = inputs;
+        order.pieces.push_back(std::move(item));
+    }
+    return order;
+}
+
+std::string
+PieceService::main_hall(const Job& job, const std::vector<std::string>& inputs) const
+{
+    std::map<std::string, std::string> hall_by_address;
+    std::map<std::string, std::int64_t> bytes_of_address;
+    for (std::size_t stage = 0; stage < job.resolved().piece_sets.size(); ++stage) {
+        const UpstreamSet& set = job.set_of(stage);
+        for (const auto* side : {&set.own, &set.remote})
+            for (const auto& upstream : *side) {
+                hall_by_address[upstream->address] = upstream->hall;
+                bytes_of_address[upstream->address]
+                    = job.resolved().spec.piece_stages[stage].result_bytes;
+            }
+    }
+    std::map<std::string, std::int64_t> bytes_by_hall;
+    std::string best;
+    for (const std::string& handle : inputs) {
+        const std::string keeper = m_kernel.calls->keeper_of(handle);
+        const std::string hall = hall_by_address[keeper];
+        bytes_by_hall[hall] += bytes_of_address[keeper];
+        if (best.empty() || bytes_by_hall[hall] > bytes_by_hall[best])
+            best = hall;
+    }
+    return best;
+}
+
+// ------------------------------------------------------------- housekeeping
+
+void
+PieceService::free_results(std::vector<std::string> handles)
+{
+    if (handles.empty())
+        return;
+    asio::post(m_io, [this, handles = std::move(handles)] { free_now(handles); });
+}
+
+void
+PieceService::free_now(const std::vector<std::string>& handles)
+{
+    if (handles.empty())
+        return;
+    for (const std::string& handle : handles)
+        m_freed[m_kernel.calls->keeper_of(handle)].push_back(handle);
+    if (!m_flushing) {
+        m_flushing = true;
+        asio::co_spawn(m_io, flush_freed(), asio::detached);
+    }
+}
+
+asio::awaitable<void>
+PieceService::flush_freed()
+{
+    asio::steady_timer timer(m_io);
+    timer.expires_after(kFreeLinger);
+    co_await timer.async_wait(kToTuple);
+    m_flushing = false;
+    for (auto& [keeper, handles] : std::exchange(m_freed, {})) {
+        CallOptions options;
+        options.deadline_us = monotonic_us() + kFreePatience;
+        options.send_clock = false;
+        asio::co_spawn(
+            m_io,
+            m_client.call(keeper, m_kernel.calls->free_results(handles), std::move(options)),
+            asio::detached);
+    }
+}
+
+void
+PieceService::take_daemons(std::vector<DaemonRecord> records)
+{
+    asio::post(m_io, [this, records = std::move(records)] {
+        const Micros now = monotonic_us();
+        for (const DaemonRecord& record : records)
+            m_daemons.apply(record, now);
+        m_kernel.daemons_in_hall.store(
+            std::max(1, m_daemons.alive_in(m_kernel.settings.hall, now)));
+        m_kernel.daemons.store(std::max(1, m_daemons.alive(now)));
+    });
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/piece_service.h
@@ -0,0 +1,91 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cypressford/daemon_table.h>
+#include <cypressford/scheduler.h>
+
+#include "kernel.h"
+#include "libutil/http_server.h"
+#include "peer_link.h"
+#include "piece_maker.h"
+
+namespace cypressford {
+
+/// The pieces that one request needs.
+struct PiecesWanted {
+    SnapshotPtr snapshot;
+    std::size_t pipeline = 0;
+    std::vector<int> counts; ///< by piece stage
+    std::string attempt; ///< the request's id at upstreams
+    std::string piece_key;
+    int priority = 0;
+    Micros deadline = 0;
+};
+
+/// What became of them.
+struct PiecesMade {
+    bool made = false;
+    std::vector<std::string> inputs; ///< results that the request is to read
+    std::string hall; ///< where most of their bytes are
+};
+
+/// Has the pieces of requests made: each stage's at the daemon that leads its
+/// upstream set, so that pieces of all daemons share calls.  Lives on the thread
+/// of the first worker; the public members may be called from any thread.
+class PieceService {
+public:
+    using Done = std::function<void(PiecesMade)>;
+
+    PieceService(boost::asio::io_context& io, Kernel& kernel);
+
+    /// Binds the address for other daemons.
+    Result<void> listen(const std::string& address);
+
+    void want(std::uint64_t request, PiecesWanted wanted, Done done);
+    void cancel(std::uint64_t request);
+    /// Results that nobody will read any more.
+    void free_results(std::vector<std::string> handles);
+    void take_daemons(std::vector<DaemonRecord> records);
+
+    /// To be called on the service's own thread.
+    bool is_idle() const { return m_jobs.empty() && m_maker.is_idle(); }
+
+private:
+    struct Job;
+    using JobPtr = std::shared_ptr<Job>;
+
+    boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
+    boost::asio::awaitable<void> run(JobPtr job);
+    boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
+    boost::asio::awaitable<Result<PieceAnswer>> place(JobPtr job, const PieceOrder& order);
+    PieceOrder order_for(const Job& job, std::size_t stage) const;
+    std::string main_hall(const Job& job, const std::vector<std::string>& inputs) const;
+    void free_now(const std::vector<std::string>& handles);
+    boost::asio::awaitable<void> flush_freed();
+
+    boost::asio::io_context& m_io;
+    Kernel& m_kernel;
+    DaemonTable m_daemons;
+    PieceMaker m_maker;
+    PeerLink m_link;
+    HttpServer m_server;
+    HttpClient m_client;
+    std::map<std::uint64_t, JobPtr> m_jobs;
+    std::map<std::string, std::vector<std::string>> m_freed; ///< by keeper's address
+    bool m_flushing = false;
+};
+
+} // namespace cypressford
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -280,8 +280,14 @@
             const UpstreamAnswer answer = dialect.read_answer(head);
             sound = answer.is_signed && !answer.is_encoded;
             relay.events.drop_partial();
-            if (sound && !relay.head && !handle->cancelled())
+            if (!sound || handle->cancelled())
+                return;
+            if (!relay.head)
                 relay.head = passed_on(head);
+            // An upstream that answers has read its inputs.  Another one would
+            // have to read them again.
+            if (!send.may_repeat)
+                m_kernel.pieces->free_results(std::exchange(relay.inputs, {}));
         };
         options.on_chunk = [&](std::string_view piece) {
             if (!sound || handle->cancelled())
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -180,13 +180,39 @@
 void
 Worker::act(const BeginPieces& action)
 {
-    // Posted, since the scheduler is not to be entered from one of its actions.
-    asio::post(m_io, [this, id = action.request] { feed(PiecesEnded {id, false, {}}); });
+    const ContextPtr context = m_contexts.at(action.request);
+    PiecesWanted wanted;
+    wanted.snapshot = context->spec.snapshot;
+    wanted.pipeline = context->spec.pipeline;
+    wanted.counts = context->spec.pieces;
+    wanted.attempt = context->relay->call.attempt;
+    wanted.piece_key = context->relay->call.piece_key;
+    wanted.priority = context->resolved().spec.priority;
+    wanted.deadline = action.deadline;
+    m_kernel.pieces->want(
+        action.request, std::move(wanted), [this, id = action.request](PiecesMade made) {
+            asio::post(m_io, [this, id, made = std::move(made)]() mutable {
+                pieces_made(id, std::move(made));
+            });
+        });
 }
 
 void
-Worker::act(const CancelPieces&)
+Worker::pieces_made(RequestId request, PiecesMade made)
 {
+    const auto it = m_contexts.find(request);
+    if (it == m_contexts.end() || it->second->reply) {
+        m_kernel.pieces->free_results(std::move(made.inputs));
+        return;
+    }
+    it->second->relay->inputs = std::move(made.inputs);
+    feed(PiecesEnded {request, made.made, std::move(made.hall)});
+}
+
+void
+Worker::act(const CancelPieces& action)
+{
+    m_kernel.pieces->cancel(action.request);
 }
 
 void
@@ -200,7 +226,12 @@
 void
 Worker::act(const Forget& action)
 {
-    m_contexts.erase(action.request);
+    const auto it = m_contexts.find(action.request);
+    if (it == m_contexts.end())
+        return;
+    if (it->second->relay && m_kernel.pieces)
+        m_kernel.pieces->free_results(std::move(it->second->relay->inputs));
+    m_contexts.erase(it);
 }
 
 MetricsSnapshot
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -26,6 +26,7 @@
 #include "libutil/http_client.h"
 #include "libutil/http_server.h"
 #include "metrics.h"
+#include "piece_service.h"
 #include "problem.h"
 
 namespace cypressford {
@@ -147,6 +148,7 @@
     void act(const EndClaim& action);
     void act(const BeginPieces& action);
     void act(const CancelPieces& action);
+    void pieces_made(RequestId request, PiecesMade made);
     void act(const Reply& action);
     void act(const Forget& action);
     void claim_decided(DecideClaim decision);
