Pieces: prompt ones first, near their reader, within the room of results

Cause: claim-summary and status-explain were late under bursts; 700 pieces met no room, 148 met inputs that were gone, and 7.5 GB of results crossed zones. The daemon that leads a set now orders pieces by whether their request can still be prompt, keeps count of the room that results take (spent results are told to it, and it gives them up), and lets a piece wait part of its slack for an upstream of the hall where its result is read. Requests with a long shared prompt go to its home over all halls, others to the hall of their results.

Ruled out: the engines (0 preempted, prefill far from full).

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -39,6 +39,8 @@
     std::vector<std::string> final_inputs() const;
     /// Results that nothing will read any more, once each.
     std::vector<std::string> take_spent();
+    /// The stage that a result is of.
+    std::size_t stage_of(const std::string& handle) const;
     /// All results that are not spent.
     std::vector<std::string> unspent() const;
 
@@ -64,15 +66,21 @@
 Micros pieces_time(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
                    const std::vector<int>& counts);
 
+/// The same from the start of one stage to the end of the last, in full calls.
+Micros time_from_stage(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+                       const std::vector<int>& counts, std::size_t stage);
+
 using PieceId = std::uint64_t;
 
 /// A piece that waits for its call.
 struct WaitingPiece {
-    int priority = 0;
-    Micros deadline = 0;
     PieceId id = 0;
-
-    auto operator<=>(const WaitingPiece&) const = default;
+    int priority = 0;
+    Micros due = 0; ///< latest start if the request is to be answered promptly
+    Micros deadline = 0; ///< of its request
+    Micros queued_at = 0;
+    std::int64_t result_bytes = 0;
+    std::string near; ///< hall where its result is wanted; empty: anywhere
 };
 
 /// A call that is to be made now.
@@ -81,33 +89,113 @@
     std::vector<PieceId> pieces;
 };
 
+/// Room that results take at the upstreams of one set, as far as the daemon that
+/// leads it knows.  What it is not told of ends with the time results are kept.
+class ResultRoom {
+public:
+    /// Bytes that are free at the upstream; it never ends where no bound is known.
+    std::int64_t free_bytes(const UpstreamState& upstream, const BatchSpec& batch,
+                            Micros now);
+
+    /// A result is to be made there.
+    void take(const UpstreamState& upstream, PieceId piece, std::int64_t bytes,
+              Micros until);
+    /// The result has got this name.
+    void name(PieceId piece, const std::string& handle);
+    /// No result came of it.
+    void give_back(PieceId piece);
+    /// The result of that name was given up.
+    void give_back(const std::string& handle);
+
+private:
+    struct Taken {
+        const UpstreamState* upstream = nullptr;
+        std::int64_t bytes = 0;
+        Micros until = 0;
+        std::string handle;
+    };
+
+    void expire(Micros now);
+
+    std::unordered_map<PieceId, Taken> m_taken;
+    std::unordered_map<std::string, PieceId> m_by_handle;
+    std::unordered_map<const UpstreamState*, std::int64_t> m_bytes;
+    std::set<std::pair<Micros, PieceId>> m_ends;
+};
+
 /// The pieces that wait for one upstream set at the daemon that leads it.  Calls
 /// start as soon as an upstream has a free slot and take all that waits up to the
 /// set's bound: under load the waiting pieces fill the calls by themselves.
+///
+/// Pieces that can still be prompt go first, by priority and then by the time
+/// they are due; those that can't fill what is left.  A piece waits a moment for
+/// an upstream of the hall where its result is wanted (delay scheduling, Zaharia
+/// et al., 2010), then takes any.
 class PieceQueue {
 public:
     void add(const WaitingPiece& piece);
     /// False if it does not wait (any more).
     bool remove(PieceId id);
-    std::size_t size() const { return m_waiting.size(); }
+    std::size_t size() const { return m_by_id.size(); }
 
-    /// The next call, if a piece waits and an upstream is free; to be asked until
-    /// it has none.  Pieces avoid the upstream in `avoid` while there are others.
+    /// The next call, if a piece waits and an upstream is free for it; to be asked
+    /// until it has none, and again after patience().
     std::optional<PieceCall> next_call(const UpstreamSet& set, Micros now);
 
-    /// Until a piece that comes now would be made, over its own call's time.
+    /// How long a piece waits for an upstream of its hall.
+    static Micros patience(const UpstreamSet& set, const WaitingPiece& piece);
+
+    /// What the results at the upstreams take.
+    ResultRoom& room() { return m_room; }
+
+    /// Until a piece of that priority that comes now would be made, over its own
+    /// call's time.
     Micros expected_wait(const UpstreamSet& set, Micros now) const;
 
     /// The upstream is left alone for a while: it was full or failed.
     void rest(const UpstreamState& upstream, Micros until);
 
 private:
-    bool is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const;
+    /// Order within a tier.
+    struct Rank {
+        int priority = 0;
+        Micros due = 0;
+        PieceId id = 0;
 
-    std::set<WaitingPiece> m_waiting;
+        auto operator<=>(const Rank&) const = default;
+    };
+    using Tier = std::set<Rank>;
+    using Upstreams = std::vector<std::shared_ptr<UpstreamState>>;
+
+    static Rank rank_of(const WaitingPiece& piece)
+    {
+        return {piece.priority, piece.due, piece.id};
+    }
+    void move_late(Micros now);
+    bool is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const;
+    std::int64_t free_room(const UpstreamState& upstream, const UpstreamSet& set,
+                           Micros now);
+    static Micros kept_until(const UpstreamSet& set, Micros now);
+    Upstreams free_upstreams(const UpstreamSet& set, Micros now) const;
+    std::shared_ptr<UpstreamState> upstream_for(const WaitingPiece& piece,
+                                                const Upstreams& free,
+                                                const UpstreamSet& set, Micros now);
+    std::shared_ptr<UpstreamState> choose(const Tier& tier, const Upstreams& free,
+                                          const UpstreamSet& set, Micros now);
+    void fill(Tier& tier, PieceCall& call, std::size_t items, const UpstreamSet& set,
+              Micros now);
+
+    Tier m_prompt; ///< can still be prompt
+    Tier m_late;
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
     std::unordered_map<const UpstreamState*, Micros> m_resting;
+    ResultRoom m_room;
     std::uint64_t m_turn = 0;
 };
 
+/// A hall for the results of a request whose reader may be anywhere: at random, by
+/// the part of the upstreams that each hall has of the scarcest set.
+std::string choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+                        const std::vector<int>& counts, std::uint64_t random, Micros now);
+
 } // namespace cypressford
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -35,6 +35,7 @@
     Micros deadline = 0; ///< point in time
     bool has_key = false; ///< the caller gave an Idempotency-Key
     std::uint64_t affinity = 0;
+    std::int64_t shared_tokens = -1; ///< of the prompt; -1: not known
     /// Pieces that must be made before the stages, by piece stage of the
     /// pipeline; 0 leaves a piece stage out.
     std::vector<int> pieces;
@@ -119,6 +120,8 @@
 struct BeginPieces {
     RequestId request = 0;
     Micros deadline = 0;
+    Micros prompt_by = 0; ///< when they must be made for a prompt answer
+    std::string near; ///< hall of the upstream that would read them; may be empty
 };
 /// Give up on the pieces of `request`.
 struct CancelPieces {
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -117,9 +117,23 @@
     std::vector<std::shared_ptr<UpstreamState>> remote; ///< in other halls
 };
 
+/// What is learned of one pipeline, shared by all threads.
+struct PipelineState {
+    std::atomic<Micros> first_byte {0}; ///< from sending to an answer's head; average
+
+    void note_first_byte(Micros time)
+    {
+        constexpr Micros weight = 8;
+        const Micros old = first_byte.load(std::memory_order_relaxed);
+        first_byte.store(old == 0 ? time : old + (time - old) / weight,
+                         std::memory_order_relaxed);
+    }
+};
+
 /// One pipeline with its stages resolved.
 struct ResolvedPipeline {
     PipelineSpec spec;
+    std::shared_ptr<PipelineState> state;
     bool repeatable = true;
     std::vector<std::size_t> sets; ///< per stage: index into Snapshot::sets
     std::vector<StageId> stage_ids; ///< per stage: id for learned latencies
@@ -213,6 +227,7 @@
     std::map<std::string, std::shared_ptr<AccountState>> m_accounts;
     std::map<std::string, std::uint32_t> m_ids;
     std::map<SetId, std::shared_ptr<SetLoad>> m_loads;
+    std::map<std::string, std::shared_ptr<PipelineState>> m_pipelines;
     std::uint64_t m_generation = 0;
 };
 
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -146,7 +146,7 @@
             return;
     }
     collect(set.own, set, query, false, out);
-    if (out.empty())
+    if (out.empty() || query.any_hall)
         collect(set.remote, set, query, true, out);
 }
 
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -25,6 +25,7 @@
     std::uint64_t random = 0; ///< chooses that part
     /// Upstreams of this hall go first, if one can take the call; empty: the own.
     std::string_view near;
+    bool any_hall = false; ///< upstreams of all halls alike
 };
 
 /// Upstreams that can take a call, with the states behind them.
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -17,6 +17,9 @@
     out.set_priority(order.priority);
     out.set_remaining_ms(
         static_cast<std::uint32_t>(std::max<Micros>(0, order.time_left) / kMillisecond));
+    out.set_due_ms(static_cast<std::int32_t>(order.due_left / kMillisecond));
+    out.set_near(order.near);
+    out.set_result_bytes(order.result_bytes);
     for (const PieceItem& item : order.pieces) {
         proto::PieceWanted* piece = out.add_pieces();
         piece->set_attempt(item.attempt);
@@ -39,6 +42,9 @@
     order.upstream_set = in.upstream_set();
     order.priority = in.priority();
     order.time_left = in.remaining_ms() * kMillisecond;
+    order.due_left = in.due_ms() * kMillisecond;
+    order.near = in.near();
+    order.result_bytes = in.result_bytes();
     for (const proto::PieceWanted& piece : in.pieces()) {
         PieceItem item;
         item.attempt = piece.attempt();
@@ -51,6 +57,25 @@
     return order;
 }
 
+std::string
+encode(const SpentResults& spent)
+{
+    proto::SpentResults out;
+    out.set_upstream_set(spent.upstream_set);
+    for (const std::string& handle : spent.handles)
+        out.add_handles(handle);
+    return out.SerializeAsString();
+}
+
+Result<SpentResults>
+decode_spent_results(std::string_view bytes)
+{
+    proto::SpentResults in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "not a list of results");
+    return SpentResults {in.upstream_set(), {in.handles().begin(), in.handles().end()}};
+}
+
 std::string
 encode(const PieceAnswer& answer)
 {
--- a/src/libcypressford/piece_plan.cpp
+++ b/src/libcypressford/piece_plan.cpp
@@ -116,6 +116,17 @@
     return spent;
 }
 
+std::size_t
+PiecePlan::stage_of(const std::string& handle) const
+{
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        const auto& handles = m_stages[at].handles;
+        if (std::find(handles.begin(), handles.end(), handle) != handles.end())
+            return at;
+    }
+    return 0;
+}
+
 std::vector<std::string>
 PiecePlan::unspent() const
 {
@@ -148,4 +159,27 @@
     return finish.empty() ? 0 : *std::max_element(finish.begin(), finish.end());
 }
 
+Micros
+time_from_stage(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+                const std::vector<int>& counts, std::size_t stage)
+{
+    const auto& stages = pipeline.spec.piece_stages;
+    std::vector<Micros> left(stages.size(), 0);
+    for (std::size_t pass = 0; pass < stages.size(); ++pass)
+        for (std::size_t at = 0; at < stages.size(); ++at) {
+            if (counts[at] == 0)
+                continue;
+            Micros later = 0;
+            for (std::size_t next = 0; next < stages.size(); ++next) {
+                const auto& after = stages[next].after;
+                if (std::find(after.begin(), after.end(), at) != after.end())
+                    later = std::max(later, left[next]);
+            }
+            const auto& batch = snapshot.sets[pipeline.piece_sets[at]].spec.batch;
+            left[at]
+                = later + (batch ? batch->call_time + batch->items * batch->item_time : 0);
+        }
+    return left[stage];
+}
+
 } // namespace cypressford
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -4,16 +4,27 @@
 #include <cypressford/pieces.h>
 
 #include <algorithm>
+#include <map>
 
 #include "candidates.h"
 
 namespace cypressford {
 
+namespace {
+
+/// A piece waits for an upstream of its hall no longer than this part of the time
+/// that it may wait at all.
+constexpr Micros kPatienceOfSlack = 3;
+/// Pieces that a search for a match looks at.
+constexpr int kMaxLookedAt = 64;
+
+} // namespace
+
 void
 PieceQueue::add(const WaitingPiece& piece)
 {
     if (m_by_id.emplace(piece.id, piece).second)
-        m_waiting.insert(piece);
+        m_prompt.insert(rank_of(piece));
 }
 
 bool
@@ -22,11 +33,26 @@
     const auto it = m_by_id.find(id);
     if (it == m_by_id.end())
         return false;
-    m_waiting.erase(it->second);
+    const Rank rank = rank_of(it->second);
+    if (m_prompt.erase(rank) == 0)
+        m_late.erase(rank);
     m_by_id.erase(it);
     return true;
 }
 
+void
+PieceQueue::move_late(Micros now)
+{
+    for (auto it = m_prompt.begin(); it != m_prompt.end();) {
+        if (it->due >= now) {
+            ++it;
+            continue;
+        }
+        m_late.insert(*it);
+        it = m_prompt.erase(it);
+    }
+}
+
 bool
 PieceQueue::is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const
 {
@@ -34,35 +60,125 @@
     if (resting != m_resting.end() && resting->second > now)
         return false;
     const int slots = std::max(1, set.spec.slots);
-    return is_usable(upstream, now)
-        && upstream.in_flight.load(std::memory_order_relaxed) < slots;
+    return is_usable(upstream, now) && upstream.in_flight.load(std::memory_order_relaxed) < slots;
+}
+
+PieceQueue::Upstreams
+PieceQueue::free_upstreams(const UpstreamSet& set, Micros now) const
+{
+    Upstreams free;
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side)
+            if (is_free(*upstream, set, now))
+                free.push_back(upstream);
+    return free;
+}
+
+Micros
+PieceQueue::patience(const UpstreamSet& set, const WaitingPiece& piece)
+{
+    if (piece.near.empty() || !set.spec.batch)
+        return 0;
+    const BatchSpec& batch = *set.spec.batch;
+    const Micros slack = std::max<Micros>(0, piece.due - piece.queued_at);
+    return std::min(batch.call_time + batch.items * batch.item_time,
+                    slack / kPatienceOfSlack);
+}
+
+std::int64_t
+PieceQueue::free_room(const UpstreamState& upstream, const UpstreamSet& set, Micros now)
+{
+    return m_room.free_bytes(upstream, set.spec.batch.value_or(BatchSpec {}), now);
+}
+
+/// When a result of a call that starts now is gone for sure.
+Micros
+PieceQueue::kept_until(const UpstreamSet& set, Micros now)
+{
+    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
+    return now + batch.call_time + batch.items * batch.item_time + batch.keep_time;
+}
+
+std::shared_ptr<UpstreamState>
+PieceQueue::upstream_for(const WaitingPiece& piece, const Upstreams& free,
+                         const UpstreamSet& set, Micros now)
+{
+    const bool patient = now - piece.queued_at < patience(set, piece);
+    std::shared_ptr<UpstreamState> any;
+    // In turn, so that results spread over the upstreams' room.
+    ++m_turn;
+    for (std::size_t i = 0; i < free.size(); ++i) {
+        const auto& upstream = free[(m_turn + i) % free.size()];
+        if (free_room(*upstream, set, now) < piece.result_bytes)
+            continue;
+        if (upstream->hall == piece.near)
+            return upstream;
+        if (!any)
+            any = upstream;
+    }
+    const bool has_near = std::any_of(set.own.begin(), set.own.end(),
+                                      [&](const auto& u) { return u->hall == piece.near; })
+        || std::any_of(set.remote.begin(), set.remote.end(),
+                       [&](const auto& u) { return u->hall == piece.near; });
+    return patient && has_near ? nullptr : any;
+}
+
+std::shared_ptr<UpstreamState>
+PieceQueue::choose(const Tier& tier, const Upstreams& free, const UpstreamSet& set,
+                   Micros now)
+{
+    int looked_at = 0;
+    for (const Rank& rank : tier) {
+        if (++looked_at > kMaxLookedAt)
+            break;
+        if (auto upstream = upstream_for(m_by_id.at(rank.id), free, set, now))
+            return upstream;
+    }
+    return nullptr;
+}
+
+void
+PieceQueue::fill(Tier& tier, PieceCall& call, std::size_t items, const UpstreamSet& set,
+                 Micros now)
+{
+    std::int64_t room = free_room(*call.upstream, set, now);
+    for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
+        const WaitingPiece& piece = m_by_id.at(it->id);
+        const bool fits = piece.near.empty() || piece.near == call.upstream->hall
+            || now - piece.queued_at >= patience(set, piece);
+        if (!fits || piece.result_bytes > room) {
+            ++it;
+            continue;
+        }
+        room -= piece.result_bytes;
+        m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
+        call.pieces.push_back(it->id);
+        m_by_id.erase(it->id);
+        it = tier.erase(it);
+    }
 }
 
 std::optional<PieceCall>
 PieceQueue::next_call(const UpstreamSet& set, Micros now)
 {
-    if (m_waiting.empty())
+    if (m_by_id.empty())
+        return std::nullopt;
+    move_late(now);
+    const Upstreams free = free_upstreams(set, now);
+    if (free.empty())
         return std::nullopt;
-    // In turn, so that results spread over the upstreams' room.
-    const std::size_t own = set.own.size();
-    const std::size_t count = own + set.remote.size();
     PieceCall call;
-    for (std::size_t i = 0; i < count && !call.upstream; ++i) {
-        const std::size_t at = (m_turn + i) % count;
-        const auto& upstream = at < own ? set.own[at] : set.remote[at - own];
-        if (!is_free(*upstream, set, now))
-            continue;
-        call.upstream = upstream;
-        m_turn = at + 1;
-    }
+    call.upstream = choose(m_prompt, free, set, now);
+    if (!call.upstream)
+        call.upstream = choose(m_late, free, set, now);
     if (!call.upstream)
         return std::nullopt;
-    const int items = set.spec.batch ? set.spec.batch->items : 1;
-    while (!m_waiting.empty() && static_cast<int>(call.pieces.size()) < items) {
-        call.pieces.push_back(m_waiting.begin()->id);
-        m_by_id.erase(m_waiting.begin()->id);
-        m_waiting.erase(m_waiting.begin());
-    }
+    const auto items
+        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
+    fill(m_prompt, call, items, set, now);
+    fill(m_late, call, items, set, now);
+    if (call.pieces.empty())
+        return std::nullopt;
     return call;
 }
 
@@ -73,18 +189,47 @@
     const int usable = count_usable(set, now);
     if (usable == 0)
         return kSecond;
-    int busy = 0;
-    for (const auto* side : {&set.own, &set.remote})
-        for (const auto& upstream : *side)
-            busy += is_usable(*upstream, now) && !is_free(*upstream, set, now) ? 1 : 0;
-    const auto waiting = static_cast<Micros>(m_waiting.size());
-    if (waiting == 0 && busy < usable)
+    // Late pieces wait behind all that can still be prompt.
+    const auto waiting = static_cast<Micros>(m_prompt.size());
+    if (waiting == 0 && !free_upstreams(set, now).empty())
         return 0;
     const Micros full_call = batch.call_time + batch.items * batch.item_time;
     const Micros rate_unit = std::max<Micros>(1, batch.items * usable);
     return full_call / (2 * usable) + waiting * full_call / rate_unit;
 }
 
+std::string
+choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+            const std::vector<int>& counts, std::uint64_t random, Micros now)
+{
+    std::map<std::string, double> weights; // the least part of any set
+    for (std::size_t at = 0; at < counts.size(); ++at) {
+        if (counts[at] == 0)
+            continue;
+        const UpstreamSet& set = snapshot.sets[pipeline.piece_sets[at]];
+        std::map<std::string, double> part;
+        const double all = std::max(1, count_usable(set, now));
+        for (const auto* side : {&set.own, &set.remote})
+            for (const auto& upstream : *side)
+                part[upstream->hall] += is_usable(*upstream, now) ? 1 / all : 0;
+        for (const auto& [hall, weight] : part) {
+            const auto known = weights.try_emplace(hall, weight).first;
+            known->second = std::min(known->second, weight);
+        }
+    }
+    double total = 0;
+    for (const auto& [hall, weight] : weights)
+        total += weight;
+    constexpr std::uint64_t steps = 1 << 20;
+    double left = total * static_cast<double>(random % steps) / steps;
+    for (const auto& [hall, weight] : weights) {
+        left -= weight;
+        if (left < 0)
+            return hall;
+    }
+    return {};
+}
+
 void
 PieceQueue::rest(const UpstreamState& upstream, Micros until)
 {
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -35,6 +35,9 @@
 /// Part of a share that a priority is counted on to get, however much comes in
 /// above it.
 inline constexpr double kLeastDrain = 0.05;
+/// A shared prompt shorter than this is read again faster than results of pieces
+/// cross to where it is kept, so it binds no request to an upstream.
+inline constexpr std::int64_t kTokensWorthHome = 1024;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
@@ -83,7 +86,7 @@
         {
             request.pieces = PiecesState::Pending;
             request.pieces_since = owner.now;
-            owner.out->push_back(BeginPieces {request.spec.id, request.spec.deadline});
+            owner.out->push_back(owner.begin_pieces(request));
         }
         void next_stage() override
         {
@@ -186,6 +189,7 @@
     bool try_start(Entry& entry);
     bool has_share_left(const Request& request);
     bool choose_upstream(const Request& request);
+    BeginPieces begin_pieces(const Request& request);
     void send(Request& request);
     Micros attempt_deadline(const Request& request) const;
     void arm_hedge(const Request& request, AttemptId attempt);
@@ -224,6 +228,15 @@
         const int own = request.pipeline().spec.max_attempts;
         return own > 0 ? own : options.max_attempts;
     }
+    /// True if the present stage is best run by whoever keeps its prompt.
+    static bool has_home(const Request& request)
+    {
+        const RequestSpec& spec = request.spec;
+        const bool is_short
+            = spec.shared_tokens >= 0 && spec.shared_tokens < kTokensWorthHome;
+        return request.stage_spec().kind == StageKind::Generate && spec.affinity != 0
+            && !(is_short && spec.needs_pieces());
+    }
     static std::size_t priority_index(const Request& request)
     {
         return static_cast<std::size_t>(request.priority());
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -6,6 +6,8 @@
 
 #include "scheduler_impl.h"
 
+#include <cypressford/pieces.h>
+
 #include <algorithm>
 
 namespace cypressford {
@@ -127,11 +129,13 @@
     query.limit_slots = admission.queues_here();
     query.allow_probe = request.stage_spec().repeatable;
     query.tried = request.tried;
-    const bool generates = request.stage_spec().kind == StageKind::Generate;
-    const bool has_home = generates && request.spec.affinity != 0;
-    query.want_all = has_home || !router.samples();
+    const bool homed = has_home(request);
+    query.want_all = homed || !router.samples();
     query.random = random();
-    query.near = request.pieces_hall;
+    // Whoever keeps a session's prefix is worth more than a near one.
+    query.any_hall = homed && request.is_relayed();
+    if (!homed)
+        query.near = request.pieces_hall;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
@@ -140,13 +144,32 @@
     if (candidates.empty())
         return false;
     RouteContext context;
-    context.affinity = has_home ? request.spec.affinity : 0;
+    context.affinity = homed ? request.spec.affinity : 0;
     context.random = random();
     context.sequence = queue_of(set.id).decisions++;
     chosen = *candidates.states[router.pick(candidates.values, context)];
     return true;
 }
 
+/// The pieces are wanted where the stage that reads them would run now.
+BeginPieces
+Scheduler::Impl::begin_pieces(const Request& request)
+{
+    const PipelineSpec& spec = request.pipeline().spec;
+    const Micros aim = spec.target_latency > 0 ? spec.target_latency : spec.deadline;
+    BeginPieces begin;
+    begin.request = request.spec.id;
+    begin.deadline = request.spec.deadline;
+    begin.prompt_by
+        = request.arrived + aim - request.pipeline().state->first_byte.load();
+    if (!has_home(request))
+        begin.near = choose_hall(*request.spec.snapshot, request.pipeline(),
+                                 request.spec.pieces, random(), now);
+    else if (choose_upstream(request))
+        begin.near = chosen->hall;
+    return begin;
+}
+
 void
 Scheduler::Impl::send(Request& request)
 {
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -185,6 +185,10 @@
         ResolvedPipeline pipeline;
         pipeline.spec = spec;
         pipeline.repeatable = spec.repeatable();
+        auto& learned = m_pipelines[spec.name];
+        if (!learned)
+            learned = std::make_shared<PipelineState>();
+        pipeline.state = learned;
         for (const auto& stage : spec.stages) {
             pipeline.sets.push_back(set_index.at(stage.upstream_set));
             pipeline.stage_ids.push_back(id_of("stage/" + spec.name + "/" + stage.name));
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -50,6 +50,21 @@
     co_return decode_piece_answer(result.response.body);
 }
 
+asio::awaitable<bool>
+PeerLink::tell_spent(std::string address, SpentResults spent)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = kSpentPath;
+    request.headers.add("Content-Type", "application/x-protobuf");
+    request.body = encode(spent);
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignPatience;
+    const CallResult result
+        = co_await m_client.call(address, std::move(request), std::move(options));
+    co_return result.status == CallStatus::Answered && result.response.status == kOk;
+}
+
 asio::awaitable<bool>
 PeerLink::is_alive(const std::string& address)
 {
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -32,6 +32,10 @@
     boost::asio::awaitable<Result<PieceAnswer>>
     order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle);
 
+    /// False: the daemon did not take note.
+    boost::asio::awaitable<bool> tell_spent(std::string address, SpentResults spent);
+
+    static constexpr const char* kSpentPath = "/v1/spent";
     static constexpr const char* kOrderPath = "/v1/pieces";
     static constexpr const char* kAlivePath = "/v1/alive";
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -26,6 +26,8 @@
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
 constexpr Micros kRestWhenSilent = 500 * kMillisecond;
+/// Between looks at pieces that wait for a certain upstream.
+constexpr Micros kLaterLook = 20 * kMillisecond;
 constexpr int kFailuresToEject = 3;
 constexpr int kMaxCalls = 4; ///< that one piece goes out with
 constexpr int kOk = 200;
@@ -43,6 +45,7 @@
     Order(asio::io_context& io, PieceOrder order_)
         : order(std::move(order_))
         , deadline(monotonic_us() + order.time_left)
+        , due(monotonic_us() + order.due_left)
         , results(order.pieces.size())
         , left(order.pieces.size())
         , changed(io, asio::steady_timer::time_point::max())
@@ -51,6 +54,7 @@
 
     const PieceOrder order;
     const Micros deadline;
+    const Micros due;
     std::vector<PieceResult> results;
     std::vector<PieceId> ids;
     std::size_t left; ///< pieces without a result
@@ -58,6 +62,20 @@
     asio::steady_timer changed;
 };
 
+WaitingPiece
+PieceMaker::waiting_piece(const Order& order, PieceId id)
+{
+    WaitingPiece piece;
+    piece.id = id;
+    piece.priority = order.order.priority;
+    piece.due = order.due;
+    piece.deadline = order.deadline;
+    piece.queued_at = monotonic_us();
+    piece.near = order.order.near;
+    piece.result_bytes = order.order.result_bytes;
+    return piece;
+}
+
 PieceMaker::PieceMaker(asio::io_context& io, Kernel& kernel, FreeResult free_result)
     : m_io(io)
     , m_kernel(kernel)
@@ -72,7 +90,7 @@
     const SchedulerOptions& options = m_kernel.settings.scheduler;
     return m_lines
         .try_emplace(set_name,
-                     Line {{}, {options.retry_ratio, options.retry_burst}, 0})
+                     Line {{}, {options.retry_ratio, options.retry_burst}, false})
         .first->second;
 }
 
@@ -95,7 +113,7 @@
         const PieceId id = m_next++;
         order->ids.push_back(id);
         m_pieces[id] = {order, i, 0, false};
-        line.queue.add({order->order.priority, order->deadline, id});
+        line.queue.add(waiting_piece(*order, id));
     }
     line.retries.earn();
     ticket->m_on_cancel = [weak = std::weak_ptr(order)] {
@@ -143,7 +161,6 @@
     Line& line = line_of(set_name);
     while (auto call = line.queue.next_call(*set, monotonic_us())) {
         call->upstream->in_flight.fetch_add(1, std::memory_order_relaxed);
-        line.out += call->pieces.size();
         for (const PieceId id : call->pieces) {
             Piece& piece = m_pieces.at(id);
             piece.out = true;
@@ -152,17 +169,21 @@
         asio::co_spawn(m_io, run_call(set_name, snapshot, *std::move(call)),
                        asio::detached);
     }
-    // All upstreams rest or are gone: nothing will wake the queue but time.
-    if (line.queue.size() > 0 && line.out == 0)
-        asio::co_spawn(m_io, pump_later(set_name), asio::detached);
+    // Pieces that wait for an upstream of their hall, and upstreams that rest, are
+    // looked at again after a while.
+    if (line.queue.size() > 0 && !line.woken_later) {
+        line.woken_later = true;
+        asio::co_spawn(m_io, pump_later(set_name, kLaterLook), asio::detached);
+    }
 }
 
 asio::awaitable<void>
-PieceMaker::pump_later(std::string set_name)
+PieceMaker::pump_later(std::string set_name, Micros pause)
 {
     asio::steady_timer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(kRestWhenFull));
+    timer.expires_after(std::chrono::microseconds(pause));
     co_await timer.async_wait(kToTuple);
+    line_of(set_name).woken_later = false;
     pump(set_name);
 }
 
@@ -193,7 +214,6 @@
     const Micros now = monotonic_us();
     call.upstream->in_flight.fetch_sub(1, std::memory_order_relaxed);
     Line& line = line_of(set_name);
-    line.out -= call.pieces.size();
     const UpstreamAnswer said = m_kernel.calls->read_answer(result.response);
     const bool answered = result.status == CallStatus::Answered;
     std::vector<PieceResult> results;
@@ -223,8 +243,10 @@
             call.upstream->note_failure(kFailuresToEject, now);
             line.queue.rest(*call.upstream, now + kRestWhenSilent);
         }
-        for (const PieceId id : call.pieces)
+        for (const PieceId id : call.pieces) {
+            line.queue.room().give_back(id);
             queue_again(set_name, id, result.status != CallStatus::NotSent);
+        }
     }
     pump(set_name);
 }
@@ -232,6 +254,11 @@
 void
 PieceMaker::settle(const std::string& set_name, PieceId id, const PieceResult& result)
 {
+    ResultRoom& room = line_of(set_name).queue.room();
+    if (result.outcome == PieceOutcome::Made)
+        room.name(id, result.handle);
+    else
+        room.give_back(id);
     const bool elsewhere
         = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
     if (elsewhere)
@@ -240,6 +267,15 @@
         finish(id, result);
 }
 
+void
+PieceMaker::note_spent(const SpentResults& spent)
+{
+    Line& line = line_of(spent.upstream_set);
+    for (const std::string& handle : spent.handles)
+        line.queue.room().give_back(handle);
+    pump(spent.upstream_set);
+}
+
 void
 PieceMaker::queue_again(const std::string& set_name, PieceId id, bool arrived)
 {
@@ -249,7 +285,7 @@
     const bool may = !piece.order->over && piece.calls < kMaxCalls
         && monotonic_us() < piece.order->deadline && (!arrived || line.retries.spend());
     if (may)
-        line.queue.add({piece.order->order.priority, piece.order->deadline, id});
+        line.queue.add(waiting_piece(*piece.order, id));
     else
         finish(id, {PieceOutcome::Failed, {}});
 }
@@ -263,7 +299,7 @@
     Order& order = *piece.order;
     if (order.over) {
         if (result.outcome == PieceOutcome::Made)
-            m_free_result(result.handle);
+            m_free_result(order.order.upstream_set, result.handle);
         return;
     }
     order.results[piece.index] = result;
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -41,7 +41,8 @@
         std::function<void()> m_on_cancel;
     };
 
-    using FreeResult = std::function<void(const std::string& handle)>;
+    using FreeResult
+        = std::function<void(const std::string& set_name, const std::string& handle)>;
 
     PieceMaker(boost::asio::io_context& io, Kernel& kernel, FreeResult free_result);
 
@@ -49,6 +50,9 @@
     boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
                                              std::shared_ptr<Ticket> ticket);
 
+    /// Room at the upstreams that is free again.
+    void note_spent(const SpentResults& spent);
+
     bool is_idle() const { return m_pieces.empty(); }
 
 private:
@@ -64,15 +68,16 @@
     struct Line {
         PieceQueue queue;
         RetryBudget retries;
-        std::size_t out = 0; ///< pieces with upstreams now
+        bool woken_later = false; ///< a later look is due already
     };
 
+    static WaitingPiece waiting_piece(const Order& order, PieceId id);
     Line& line_of(const std::string& set_name);
     const UpstreamSet* find_set(const Snapshot& snapshot, const std::string& name) const;
     void pump(const std::string& set_name);
     boost::asio::awaitable<void> run_call(std::string set_name, SnapshotPtr snapshot,
                                           PieceCall call);
-    boost::asio::awaitable<void> pump_later(std::string set_name);
+    boost::asio::awaitable<void> pump_later(std::string set_name, Micros pause);
     void settle(const std::string& set_name, PieceId id, const PieceResult& result);
     void queue_again(const std::string& set_name, PieceId id, bool arrived);
     void finish(PieceId id, const PieceResult& result);
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -29,7 +29,7 @@
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
 /// Results that are given up wait so long for others of the same keeper.
-constexpr std::chrono::milliseconds kFreeLinger {60};
+constexpr std::chrono::milliseconds kFreeLinger {15};
 constexpr Micros kFreePatience = 500 * kMillisecond;
 
 } // namespace
@@ -67,7 +67,10 @@
     : m_io(io)
     , m_kernel(kernel)
     , m_daemons(kernel.settings.node, kSilentAfter)
-    , m_maker(io, kernel, [this](const std::string& handle) { free_now({handle}); })
+    , m_maker(io, kernel,
+              [this](const std::string& set_name, const std::string& handle) {
+                  free_now({{set_name, handle}});
+              })
     , m_link(io)
     , m_server(
           io, kernel.settings.limits,
@@ -93,6 +96,13 @@
     const std::string path(exchange.request().path());
     if (path == PeerLink::kOrderPath) {
         co_await serve_order(exchange);
+    } else if (path == PeerLink::kSpentPath) {
+        const auto spent = decode_spent_results(exchange.request().body);
+        if (spent)
+            free_at_keepers(*spent);
+        HttpResponse done;
+        done.content_type = "text/plain";
+        co_await exchange.respond(std::move(done));
     } else if (path == PeerLink::kAlivePath) {
         HttpResponse alive;
         alive.content_type = "text/plain";
@@ -163,15 +173,20 @@
         if (job->running == 0)
             break;
         co_await job->changed.async_wait(kToTuple);
-        free_now(job->plan.take_spent());
+        free_now(with_sets(*job, job->plan.take_spent()));
     }
     PiecesMade result;
     result.made = job->plan.is_done() && !job->cancelled;
     if (result.made) {
-        result.inputs = job->plan.final_inputs();
-        result.hall = main_hall(*job, result.inputs);
+        const auto inputs = job->plan.final_inputs();
+        result.inputs = with_sets(*job, inputs);
+        result.hall = main_hall(*job, inputs);
     } else {
-        free_now(job->plan.unspent());
+        for (const auto& handle : job->calls)
+            handle->cancel();
+        for (const auto& ticket : job->tickets)
+            ticket->cancel();
+        free_now(with_sets(*job, job->plan.unspent()));
     }
     if (!job->cancelled)
         job->done(std::move(result));
@@ -204,7 +219,10 @@
         job->plan.stage_made(stage, std::move(handles));
     } else {
         job->failed = true;
-        free_now(handles);
+        std::vector<PieceHandle> useless;
+        for (std::string& handle : handles)
+            useless.push_back({job->set_of(stage).spec.name, std::move(handle)});
+        free_now(useless);
     }
     job->changed.cancel();
 }
@@ -217,6 +235,7 @@
     for (int place = 0; place < kMaxPlaces; ++place) {
         PieceOrder copy = order;
         copy.time_left = job->wanted.deadline - monotonic_us();
+        copy.due_left = order.due_left - monotonic_us();
         if (copy.time_left <= 0 || job->cancelled)
             break;
         const std::string leader = m_daemons.leader_of(set_name, monotonic_us());
@@ -225,9 +244,7 @@
             job->tickets.insert(ticket);
             PieceAnswer own = co_await m_maker.make(std::move(copy), ticket);
             job->tickets.erase(ticket);
-            for (std::size_t at = 0; at < job->resolved().piece_sets.size(); ++at)
-                if (job->set_of(at).spec.name == set_name)
-                    job->set_of(at).load->tell(own.expected_wait, monotonic_us());
+            note_wait(*job, set_name, own.expected_wait);
             co_return own;
         }
         auto handle = std::make_shared<CallHandle>();
@@ -235,9 +252,7 @@
         const auto answer = co_await m_link.order(leader, std::move(copy), handle);
         job->calls.erase(handle);
         if (answer) {
-            for (std::size_t at = 0; at < job->resolved().piece_sets.size(); ++at)
-                if (job->set_of(at).spec.name == set_name)
-                    job->set_of(at).load->tell(answer->expected_wait, monotonic_us());
+            note_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
         if (job->cancelled)
@@ -251,12 +266,25 @@
     co_return fail(ErrorKind::UpstreamFailed);
 }
 
+void
+PieceService::note_wait(const Job& job, const std::string& set_name, Micros wait)
+{
+    for (std::size_t at = 0; at < job.resolved().piece_sets.size(); ++at)
+        if (job.set_of(at).spec.name == set_name)
+            job.set_of(at).load->tell(wait, monotonic_us());
+}
+
 PieceOrder
 PieceService::order_for(const Job& job, std::size_t stage) const
 {
     PieceOrder order;
     order.upstream_set = job.set_of(stage).spec.name;
     order.priority = job.wanted.priority;
+    order.near = job.wanted.near;
+    order.result_bytes = job.resolved().spec.piece_stages[stage].result_bytes;
+    // A point in time here; place() makes it a span.
+    order.due_left = job.wanted.prompt_by
+        - time_from_stage(*job.wanted.snapshot, job.resolved(), job.wanted.counts, stage);
     const std::vector<std::string> inputs = job.plan.inputs_of(stage);
     for (int segment = 0; segment < job.plan.count(stage); ++segment) {
         PieceItem item;
@@ -298,21 +326,30 @@
 
 // ------------------------------------------------------------- housekeeping
 
+std::vector<PieceHandle>
+PieceService::with_sets(const Job& job, const std::vector<std::string>& handles)
+{
+    std::vector<PieceHandle> result;
+    for (const std::string& handle : handles)
+        result.push_back({job.set_of(job.plan.stage_of(handle)).spec.name, handle});
+    return result;
+}
+
 void
-PieceService::free_results(std::vector<std::string> handles)
+PieceService::free_results(std::vector<PieceHandle> results)
 {
-    if (handles.empty())
+    if (results.empty())
         return;
-    asio::post(m_io, [this, handles = std::move(handles)] { free_now(handles); });
+    asio::post(m_io, [this, results = std::move(results)] { free_now(results); });
 }
 
 void
-PieceService::free_now(const std::vector<std::string>& handles)
+PieceService::free_now(const std::vector<PieceHandle>& results)
 {
-    if (handles.empty())
+    if (results.empty())
         return;
-    for (const std::string& handle : handles)
-        m_freed[m_kernel.calls->keeper_of(handle)].push_back(handle);
+    for (const PieceHandle& result : results)
+        m_freed[result.upstream_set].push_back(result.handle);
     if (!m_flushing) {
         m_flushing = true;
         asio::co_spawn(m_io, flush_freed(), asio::detached);
@@ -326,14 +363,35 @@
     timer.expires_after(kFreeLinger);
     co_await timer.async_wait(kToTuple);
     m_flushing = false;
-    for (auto& [keeper, handles] : std::exchange(m_freed, {})) {
+    for (auto& [set_name, handles] : std::exchange(m_freed, {}))
+        asio::co_spawn(m_io, tell_spent({set_name, std::move(handles)}), asio::detached);
+}
+
+/// The daemon that leads the set gives results up at their keepers, so that it
+/// knows what room there is; if it is silent, they are given up from here.
+asio::awaitable<void>
+PieceService::tell_spent(SpentResults spent)
+{
+    const std::string leader = m_daemons.leader_of(spent.upstream_set, monotonic_us());
+    const bool told = !leader.empty() && co_await m_link.tell_spent(leader, spent);
+    if (!told)
+        free_at_keepers(spent);
+}
+
+void
+PieceService::free_at_keepers(const SpentResults& spent)
+{
+    m_maker.note_spent(spent);
+    std::map<std::string, std::vector<std::string>> by_keeper;
+    for (const std::string& handle : spent.handles)
+        by_keeper[m_kernel.calls->keeper_of(handle)].push_back(handle);
+    for (const auto& [keeper, handles] : by_keeper) {
         CallOptions options;
         options.deadline_us = monotonic_us() + kFreePatience;
         options.send_clock = false;
-        asio::co_spawn(
-            m_io,
-            m_client.call(keeper, m_kernel.calls->free_results(handles), std::move(options)),
-            asio::detached);
+        HttpRequest request = m_kernel.calls->free_results(handles);
+        asio::co_spawn(m_io, m_client.call(keeper, std::move(request), std::move(options)),
+                       asio::detached);
     }
 }
 
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -32,12 +32,20 @@
     std::string piece_key;
     int priority = 0;
     Micros deadline = 0;
+    Micros prompt_by = 0; ///< when the pieces must be made for a prompt answer
+    std::string near; ///< hall of the upstream that is to read the results
+};
+
+/// A result with the set that it belongs to.
+struct PieceHandle {
+    std::string upstream_set;
+    std::string handle;
 };
 
 /// What became of them.
 struct PiecesMade {
     bool made = false;
-    std::vector<std::string> inputs; ///< results that the request is to read
+    std::vector<PieceHandle> inputs; ///< results that the request is to read
     std::string hall; ///< where most of their bytes are
 };
 
@@ -56,7 +64,7 @@
     void want(std::uint64_t request, PiecesWanted wanted, Done done);
     void cancel(std::uint64_t request);
     /// Results that nobody will read any more.
-    void free_results(std::vector<std::string> handles);
+    void free_results(std::vector<PieceHandle> results);
     void take_daemons(std::vector<DaemonRecord> records);
 
     /// To be called on the service's own thread.
@@ -73,7 +81,12 @@
     boost::asio::awaitable<Result<PieceAnswer>> place(JobPtr job, const PieceOrder& order);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
     std::string main_hall(const Job& job, const std::vector<std::string>& inputs) const;
-    void free_now(const std::vector<std::string>& handles);
+    void free_now(const std::vector<PieceHandle>& results);
+    void free_at_keepers(const SpentResults& spent);
+    boost::asio::awaitable<void> tell_spent(SpentResults spent);
+    static std::vector<PieceHandle> with_sets(const Job& job,
+                                              const std::vector<std::string>& handles);
+    void note_wait(const Job& job, const std::string& set_name, Micros wait);
     boost::asio::awaitable<void> flush_freed();
 
     boost::asio::io_context& m_io;
@@ -84,7 +97,7 @@
     HttpServer m_server;
     HttpClient m_client;
     std::map<std::uint64_t, JobPtr> m_jobs;
-    std::map<std::string, std::vector<std::string>> m_freed; ///< by keeper's address
+    std::map<std::string, std::vector<std::string>> m_freed; ///< by upstream set
     bool m_flushing = false;
 };
 
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -70,6 +70,16 @@
     return call.prefix.size() < 2 ? 0 : call.prefix[call.prefix.size() - 2].id;
 }
 
+/// Tokens that come before the part of the prompt that is the request's own.
+std::int64_t
+shared_tokens_of(const CallerCall& call)
+{
+    std::int64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < call.prefix.size(); ++i)
+        tokens += call.prefix[i].tokens;
+    return tokens;
+}
+
 Result<std::size_t>
 account_of(const CallerCall& call, const Snapshot& snapshot, const PipelineSpec& spec)
 {
@@ -160,6 +170,7 @@
     context->pipeline = of.name;
     spec.deadline = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
     spec.affinity = affinity_of(*call);
+    spec.shared_tokens = shared_tokens_of(*call);
     spec.pieces = call->pieces;
     spec.pieces.resize(of.piece_stages.size());
     context->relay = std::make_unique<Relay>();
@@ -247,7 +258,8 @@
     call.account = context.account;
     call.time_left = send.deadline - monotonic_us();
     call.priority = context.resolved().spec.priority;
-    call.inputs = context.relay->inputs;
+    for (const PieceHandle& input : context.relay->inputs)
+        call.inputs.push_back(input.handle);
     call.last_event = context.relay->events.last_id();
     return call;
 }
@@ -263,6 +275,7 @@
         co_return AttemptStatus::NotSent;
     const bool streams = context->resolved().spec.stream;
     bool sound = true;
+    const Micros sent_at = monotonic_us();
     CallOptions options;
     options.handle = handle;
     options.deadline_us = send.deadline;
@@ -284,6 +297,7 @@
                 return;
             if (!relay.head)
                 relay.head = passed_on(head);
+            context->resolved().state->note_first_byte(monotonic_us() - sent_at);
             // An upstream that answers has read its inputs.  Another one would
             // have to read them again.
             if (!send.may_repeat)
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -189,6 +189,8 @@
     wanted.piece_key = context->relay->call.piece_key;
     wanted.priority = context->resolved().spec.priority;
     wanted.deadline = action.deadline;
+    wanted.prompt_by = action.prompt_by;
+    wanted.near = action.near;
     m_kernel.pieces->want(
         action.request, std::move(wanted), [this, id = action.request](PiecesMade made) {
             asio::post(m_io, [this, id, made = std::move(made)]() mutable {
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -35,7 +35,7 @@
 struct Relay {
     HttpRequest request; ///< as the caller sent it
     CallerCall call;
-    std::vector<std::string> inputs; ///< results of its pieces
+    std::vector<PieceHandle> inputs; ///< results of its pieces
     std::optional<HttpResponse> answer; ///< whole, and to be passed on
     std::optional<HttpResponse> failure; ///< passed on if nothing better comes
     std::optional<HttpResponse> head; ///< of the stream, from its first upstream
