Prompts: the daemon that leads a set of engines chooses the reader

Cause: the time to the first byte (90th percentile 0.6 to 2.1 s in the burst) held results of pieces for as long, so their room ran out and stage calls went out with one to three pieces while 45 and more waited. Each daemon saw only its own sends to an engine. Now the daemon that leads the set keeps what prompts each engine has not begun to answer and which parts it must still hold, and places each prompt where the least is left to read. What it believes may be wrong and costs time only; without its answer the router chooses.

Ruled out: stage pools as such (full calls carry 144 pieces/s, 110 were asked).

--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -94,6 +94,7 @@
     bool checks_fence = false; ///< refuses orders with an older fencing token
     bool deduplicates = false; ///< runs a key at most once, refuses it with another body
     int max_connections = 0; ///< one upstream takes from all daemons; 0: no bound known
+    std::int64_t memory_tokens = 0; ///< of prompts and answers, for sets of engines
     std::optional<BatchSpec> batch; ///< for sets that make pieces
     std::map<std::string, std::vector<std::string>> halls; ///< hall to "ip:port"
 };
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <cypressford/call_dialect.h>
+#include <cypressford/prompt_placer.h>
 
 namespace cypressford {
 
@@ -30,14 +31,32 @@
     Micros expected_wait = 0; ///< of a piece that would come now
 };
 
-/// Results of one set that nobody will read any more.
-struct SpentResults {
+/// What is free again at one set.
+struct Releases {
     std::string upstream_set;
-    std::vector<std::string> handles;
+    std::vector<std::string> handles; ///< results that nobody will read any more
+    std::vector<std::string> begun; ///< requests whose prompt is read
+    std::vector<std::string> ended; ///< requests that the set runs no longer
 };
 
-std::string encode(const SpentResults& spent);
-Result<SpentResults> decode_spent_results(std::string_view bytes);
+/// Which engine of a set is to read a prompt.
+struct PlaceQuery {
+    std::string upstream_set;
+    PromptQuery prompt;
+};
+
+struct PlaceAnswer {
+    std::string identity; ///< empty: none is usable
+    std::string hall;
+};
+
+std::string encode(const PlaceQuery& query);
+Result<PlaceQuery> decode_place_query(std::string_view bytes);
+std::string encode(const PlaceAnswer& answer);
+Result<PlaceAnswer> decode_place_answer(std::string_view bytes);
+
+std::string encode(const Releases& spent);
+Result<Releases> decode_releases(std::string_view bytes);
 std::string encode(const PieceOrder& order);
 Result<PieceOrder> decode_piece_order(std::string_view bytes);
 std::string encode(const PieceAnswer& answer);
--- /dev/null
+++ b/src/include/cypressford/prompt_placer.h
@@ -0,0 +1,80 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Which upstream of a set of engines reads a prompt: decided at the daemon that
+/// leads the set, which sees the prompts of all daemons.
+
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <cypressford/call_dialect.h>
+#include <cypressford/upstream.h>
+
+namespace cypressford {
+
+/// A prompt that is to be read.
+struct PromptQuery {
+    std::string attempt;
+    std::vector<PrefixPart> parts; ///< in order
+    std::int64_t tokens = 0; ///< of the whole prompt
+    std::uint64_t affinity = 0; ///< breaks ties the same way each time
+    std::string near; ///< hall that is preferred a little; may be empty
+    std::vector<std::string> avoid; ///< identities
+    bool reserve = false; ///< false: only a question
+};
+
+/// Keeps, for each upstream, what prompts were sent there and not yet begun to be
+/// answered, and which parts of prompts it must still hold.  Chooses the upstream
+/// with the least left to read before this prompt's answer begins.  What it
+/// believes may be wrong (another leader, a restarted upstream) and costs time
+/// only.
+class PromptPlacer {
+public:
+    /// Index of the chosen upstream within own + remote of the set, or nothing.
+    std::shared_ptr<UpstreamState> place(const UpstreamSet& set, const PromptQuery& query,
+                                         Micros now);
+
+    /// The answer began, so the prompt is read.
+    void note_begun(const std::string& attempt);
+    /// The answer ended, or the request was given up.
+    void note_ended(const std::string& attempt);
+
+private:
+    struct KeptPart {
+        std::int64_t tokens = 0;
+        std::list<std::uint64_t>::iterator use;
+    };
+    /// What is believed of one upstream.
+    struct Engine {
+        std::int64_t unread = 0; ///< tokens of prompts that were not begun
+        int running = 0; ///< requests
+        std::int64_t kept_tokens = 0;
+        std::unordered_map<std::uint64_t, KeptPart> kept;
+        std::list<std::uint64_t> by_use; ///< last used first
+
+        void keep(const PrefixPart& part, std::int64_t capacity);
+    };
+    struct Placed {
+        std::string identity;
+        std::int64_t unread = 0;
+        Micros at = 0;
+    };
+
+    static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
+    double cost(const UpstreamState& upstream, const PromptQuery& query);
+    void reserve(const UpstreamState& upstream, const UpstreamSet& set,
+                 const PromptQuery& query, Micros now);
+    void expire(Micros now);
+
+    std::unordered_map<std::string, Engine> m_engines; ///< by identity
+    std::unordered_map<std::string, Placed> m_placed; ///< by attempt
+    Micros m_expired_at = 0;
+};
+
+} // namespace cypressford
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -40,6 +40,9 @@
     /// pipeline; 0 leaves a piece stage out.
     std::vector<int> pieces;
 
+    /// Whoever leads the upstream set is asked which upstream is to have it.
+    bool asks_leader = false;
+
     bool needs_pieces() const
     {
         return std::any_of(pieces.begin(), pieces.end(), [](int n) { return n > 0; });
@@ -87,15 +90,17 @@
 struct CallerClosed {
     RequestId request = 0;
 };
-/// The pieces of a request are made, or can't be.
-struct PiecesEnded {
+/// The pieces of a request are made and an upstream is chosen for it, or the pieces
+/// can't be made.
+struct PreparationEnded {
     RequestId request = 0;
     bool made = false;
     std::string hall; ///< where most of the results are; empty if unknown
+    std::string identity; ///< of the upstream that is to have it; empty: any
 };
 struct Tick { };
 using Event = std::variant<RequestArrived, AttemptEnded, ClaimDecided, CallerClosed,
-                           PiecesEnded, Tick>;
+                           PreparationEnded, Tick>;
 
 // Actions.
 /// Send stage `stage` of `request` to `upstream`.
@@ -116,15 +121,16 @@
     RequestId request = 0;
     Micros deadline = 0;
 };
-/// Have the pieces of `request` made by `deadline`.
-struct BeginPieces {
+/// Have the pieces of `request` made by `deadline`, and an upstream chosen.
+struct BeginPreparation {
     RequestId request = 0;
     Micros deadline = 0;
     Micros prompt_by = 0; ///< when they must be made for a prompt answer
-    std::string near; ///< hall of the upstream that would read them; may be empty
+    bool homed = false; ///< the upstream that keeps its prompt decides the hall
+    std::string near; ///< hall for the results otherwise
 };
 /// Give up on the pieces of `request`.
-struct CancelPieces {
+struct CancelPreparation {
     RequestId request = 0;
 };
 /// Record what became of the claim of `request`.
@@ -145,8 +151,8 @@
     RequestId request = 0;
 };
 using Action
-    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPieces,
-                   CancelPieces, Reply, Forget>;
+    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPreparation,
+                   CancelPreparation, Reply, Forget>;
 using Actions = std::vector<Action>;
 
 /// Settings of a scheduler; the bundle knows nothing of these.
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -58,22 +58,87 @@
 }
 
 std::string
-encode(const SpentResults& spent)
+encode(const Releases& spent)
 {
-    proto::SpentResults out;
+    proto::Releases out;
     out.set_upstream_set(spent.upstream_set);
     for (const std::string& handle : spent.handles)
         out.add_handles(handle);
+    for (const std::string& attempt : spent.begun)
+        out.add_begun(attempt);
+    for (const std::string& attempt : spent.ended)
+        out.add_ended(attempt);
     return out.SerializeAsString();
 }
 
-Result<SpentResults>
-decode_spent_results(std::string_view bytes)
+Result<Releases>
+decode_releases(std::string_view bytes)
 {
-    proto::SpentResults in;
+    proto::Releases in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(ErrorKind::BadRequest, "not a list of results");
-    return SpentResults {in.upstream_set(), {in.handles().begin(), in.handles().end()}};
+    return Releases {in.upstream_set(),
+                     {in.handles().begin(), in.handles().end()},
+                     {in.begun().begin(), in.begun().end()},
+                     {in.ended().begin(), in.ended().end()}};
+}
+
+std::string
+encode(const PlaceQuery& query)
+{
+    proto::PlaceQuery out;
+    const PromptQuery& prompt = query.prompt;
+    out.set_upstream_set(query.upstream_set);
+    out.set_attempt(prompt.attempt);
+    out.set_tokens(prompt.tokens);
+    out.set_affinity(prompt.affinity);
+    out.set_near(prompt.near);
+    out.set_reserve(prompt.reserve);
+    for (const PrefixPart& part : prompt.parts) {
+        proto::PromptPart* item = out.add_parts();
+        item->set_id(part.id);
+        item->set_tokens(part.tokens);
+    }
+    for (const std::string& identity : prompt.avoid)
+        out.add_avoid(identity);
+    return out.SerializeAsString();
+}
+
+Result<PlaceQuery>
+decode_place_query(std::string_view bytes)
+{
+    proto::PlaceQuery in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "not a question about a prompt");
+    PlaceQuery query;
+    query.upstream_set = in.upstream_set();
+    query.prompt.attempt = in.attempt();
+    query.prompt.tokens = in.tokens();
+    query.prompt.affinity = in.affinity();
+    query.prompt.near = in.near();
+    query.prompt.reserve = in.reserve();
+    query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
+    for (const proto::PromptPart& part : in.parts())
+        query.prompt.parts.push_back({part.id(), part.tokens()});
+    return query;
+}
+
+std::string
+encode(const PlaceAnswer& answer)
+{
+    proto::PlaceAnswer out;
+    out.set_identity(answer.identity);
+    out.set_hall(answer.hall);
+    return out.SerializeAsString();
+}
+
+Result<PlaceAnswer>
+decode_place_answer(std::string_view bytes)
+{
+    proto::PlaceAnswer in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "not an answer about a prompt");
+    return PlaceAnswer {in.identity(), in.hall()};
 }
 
 std::string
--- /dev/null
+++ b/src/libcypressford/prompt_placer.cpp
@@ -0,0 +1,158 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/prompt_placer.h>
+
+#include <algorithm>
+#include <set>
+
+#include "candidates.h"
+
+namespace cypressford {
+
+namespace {
+
+/// An upstream in another hall than the preferred one must save this many tokens.
+constexpr double kTokensOfOtherHall = 1024;
+/// A running answer slows the reading of prompts by about this many tokens.
+constexpr double kTokensOfRunning = 48;
+/// Parts are believed to be kept in this part of an upstream's memory; the rest is
+/// taken by answers that run.
+constexpr double kKeptPart = 0.6;
+/// Without a word of it, a request is forgotten after this time.
+constexpr Micros kForgetAfter = 15 * kSecond;
+constexpr Micros kExpirePace = 1 * kSecond;
+
+std::uint64_t
+mix(std::uint64_t x)
+{
+    // Finalizer of SplitMix64.
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+} // namespace
+
+void
+PromptPlacer::Engine::keep(const PrefixPart& part, std::int64_t capacity)
+{
+    const auto it = kept.find(part.id);
+    if (it != kept.end()) {
+        by_use.splice(by_use.begin(), by_use, it->second.use);
+        return;
+    }
+    by_use.push_front(part.id);
+    kept[part.id] = {part.tokens, by_use.begin()};
+    kept_tokens += part.tokens;
+    while (kept_tokens > capacity && by_use.size() > 1) {
+        const auto oldest = kept.find(by_use.back());
+        kept_tokens -= oldest->second.tokens;
+        kept.erase(oldest);
+        by_use.pop_back();
+    }
+}
+
+std::int64_t
+PromptPlacer::tokens_to_read(const Engine& engine, const PromptQuery& query)
+{
+    std::int64_t tokens = query.tokens;
+    for (const PrefixPart& part : query.parts) {
+        if (!engine.kept.contains(part.id))
+            break;
+        tokens -= part.tokens;
+    }
+    return std::max<std::int64_t>(0, tokens);
+}
+
+double
+PromptPlacer::cost(const UpstreamState& upstream, const PromptQuery& query)
+{
+    const Engine& engine = m_engines[upstream.identity];
+    double tokens = static_cast<double>(engine.unread + tokens_to_read(engine, query));
+    tokens += kTokensOfRunning * engine.running;
+    if (!query.near.empty() && upstream.hall != query.near)
+        tokens += kTokensOfOtherHall;
+    return tokens;
+}
+
+std::shared_ptr<UpstreamState>
+PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
+{
+    expire(now);
+    std::shared_ptr<UpstreamState> best;
+    double least = 0;
+    std::uint64_t best_weight = 0;
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side) {
+            const bool avoided
+                = std::find(query.avoid.begin(), query.avoid.end(), upstream->identity)
+                != query.avoid.end();
+            if (avoided || !is_usable(*upstream, now))
+                continue;
+            const double tokens = cost(*upstream, query);
+            const std::uint64_t weight = mix(upstream->address_hash ^ query.affinity);
+            if (best && (tokens > least || (tokens == least && weight <= best_weight)))
+                continue;
+            best = upstream;
+            least = tokens;
+            best_weight = weight;
+        }
+    if (best && query.reserve)
+        reserve(*best, set, query, now);
+    return best;
+}
+
+void
+PromptPlacer::reserve(const UpstreamState& upstream, const UpstreamSet& set,
+                      const PromptQuery& query, Micros now)
+{
+    note_ended(query.attempt);
+    Engine& engine = m_engines[upstream.identity];
+    const std::int64_t unread = tokens_to_read(engine, query);
+    engine.unread += unread;
+    ++engine.running;
+    m_placed[query.attempt] = {upstream.identity, unread, now};
+    const auto capacity
+        = static_cast<std::int64_t>(kKeptPart * static_cast<double>(set.spec.memory_tokens));
+    for (const PrefixPart& part : query.parts)
+        engine.keep(part, capacity);
+}
+
+void
+PromptPlacer::note_begun(const std::string& attempt)
+{
+    const auto it = m_placed.find(attempt);
+    if (it == m_placed.end())
+        return;
+    m_engines[it->second.identity].unread -= it->second.unread;
+    it->second.unread = 0;
+}
+
+void
+PromptPlacer::note_ended(const std::string& attempt)
+{
+    const auto it = m_placed.find(attempt);
+    if (it == m_placed.end())
+        return;
+    Engine& engine = m_engines[it->second.identity];
+    engine.unread -= it->second.unread;
+    --engine.running;
+    m_placed.erase(it);
+}
+
+void
+PromptPlacer::expire(Micros now)
+{
+    if (now - m_expired_at < kExpirePace)
+        return;
+    m_expired_at = now;
+    std::vector<std::string> over;
+    for (const auto& [attempt, placed] : m_placed)
+        if (now - placed.at > kForgetAfter)
+            over.push_back(attempt);
+    for (const std::string& attempt : over)
+        note_ended(attempt);
+}
+
+} // namespace cypressford
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -30,8 +30,8 @@
 /// Whether the claim for a request's key is ours to end.
 enum class ClaimState : unsigned char { None, Pending, Won, Ended };
 
-/// Whether the pieces that a request needs are there.
-enum class PiecesState : unsigned char { Wanted, Pending, Made };
+/// Whether pieces and upstream of a request are settled.
+enum class PreparationState : unsigned char { Wanted, Pending, Made };
 
 /// Facts of one request; the order of its steps is in RequestMachine.
 struct Request {
@@ -39,9 +39,10 @@
     Micros arrived = 0;
     std::size_t stage = 0;
     ClaimState claim = ClaimState::None;
-    PiecesState pieces = PiecesState::Wanted;
-    Micros pieces_since = 0; ///< when they were asked for
-    std::string pieces_hall; ///< where most of the results are
+    PreparationState preparation = PreparationState::Wanted;
+    Micros preparing_since = 0; ///< when they were asked for
+    std::string prepared_hall; ///< where most of the results are
+    std::string prepared_identity; ///< of the upstream that is to have it
     bool queued = false; ///< stands in the queue of its stage
     bool replied = false;
     bool ended = false; ///< to be forgotten once no attempt is left
@@ -74,10 +75,11 @@
         return !stage_spec().repeatable && !set().spec.deduplicates;
     }
     bool is_relayed() const { return pipeline().spec.relayed; }
-    /// Pieces are made before the first stage.
-    bool lacks_pieces() const
+    /// Pieces are made, and an upstream is chosen, before the first stage.
+    bool lacks_preparation() const
     {
-        return pieces == PiecesState::Wanted && spec.needs_pieces();
+        return preparation == PreparationState::Wanted
+            && (spec.needs_pieces() || spec.asks_leader);
     }
 };
 
--- a/src/libcypressford/request_machine.cpp
+++ b/src/libcypressford/request_machine.cpp
@@ -17,8 +17,8 @@
 // Events of the machine.
 struct ClaimRequired { };
 struct ClaimWon { };
-struct PiecesRequired { };
-struct PiecesMade { };
+struct PreparationRequired { };
+struct PreparationMade { };
 struct SlotGranted { };
 struct HedgeDue { };
 struct StageDone { };
@@ -47,8 +47,8 @@
     void hedge(const HedgeDue&) { host->send(); }
     void begin_claim(const ClaimRequired&) { host->begin_claim(); }
     void keep_claim(const ClaimWon&) { }
-    void begin_pieces(const PiecesRequired&) { host->begin_pieces(); }
-    void keep_pieces(const PiecesMade&) { }
+    void begin_preparation(const PreparationRequired&) { host->begin_preparation(); }
+    void keep_preparation(const PreparationMade&) { }
     void next_stage(const StageDone&) { host->next_stage(); }
     void complete(const StageDone&) { host->complete(); }
     void wait_for_others(const AttemptLost&) { }
@@ -81,8 +81,8 @@
         a_row<Waiting,  GiveUp,        Finished, &D::abandon>,
         a_row<Claiming, ClaimWon,      Waiting,  &D::keep_claim>,
         a_row<Claiming, GiveUp,        Finished, &D::abandon>,
-        a_row<Waiting,  PiecesRequired, Preparing, &D::begin_pieces>,
-        a_row<Preparing, PiecesMade,   Waiting,  &D::keep_pieces>,
+        a_row<Waiting,  PreparationRequired, Preparing, &D::begin_preparation>,
+        a_row<Preparing, PreparationMade,   Waiting,  &D::keep_preparation>,
         a_row<Preparing, GiveUp,       Finished, &D::abandon>,
         a_irow<Running, HedgeDue,                &D::hedge>,
           row<Running,  StageDone,     Finished, &D::complete,   &D::is_last>,
@@ -136,15 +136,15 @@
 }
 
 void
-RequestMachine::pieces_required()
+RequestMachine::preparation_required()
 {
-    m_impl->backend.process_event(PiecesRequired {});
+    m_impl->backend.process_event(PreparationRequired {});
 }
 
 void
-RequestMachine::pieces_made()
+RequestMachine::preparation_made()
 {
-    m_impl->backend.process_event(PiecesMade {});
+    m_impl->backend.process_event(PreparationMade {});
 }
 
 void
--- a/src/libcypressford/request_machine.h
+++ b/src/libcypressford/request_machine.h
@@ -20,7 +20,7 @@
 
     virtual void send() = 0; ///< one attempt of the present stage
     virtual void begin_claim() = 0;
-    virtual void begin_pieces() = 0;
+    virtual void begin_preparation() = 0;
     virtual void next_stage() = 0;
     virtual void complete() = 0; ///< the last stage is done
     virtual void give_up(ErrorKind kind) = 0;
@@ -54,8 +54,8 @@
 
     void claim_required();
     void claim_won();
-    void pieces_required();
-    void pieces_made();
+    void preparation_required();
+    void preparation_made();
     void slot_granted();
     void hedge_due();
     void stage_done();
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -102,21 +102,20 @@
 }
 
 void
-Scheduler::Impl::on(const PiecesEnded& event)
+Scheduler::Impl::on(const PreparationEnded& event)
 {
     auto it = entries.find(event.request);
-    if (it == entries.end() || it->second->request.pieces != PiecesState::Pending)
+    if (it == entries.end() || it->second->request.preparation != PreparationState::Pending)
         return;
     Entry& entry = *it->second;
     Request& request = entry.request;
     if (event.made) {
-        request.pieces = PiecesState::Made;
-        request.pieces_hall = event.hall;
-        model.record(request.pipeline().piece_stage_ids.front(),
-                     now - request.pieces_since, now);
-        entry.machine.pieces_made();
+        request.preparation = PreparationState::Made;
+        request.prepared_hall = event.hall;
+        request.prepared_identity = event.identity;
+        entry.machine.preparation_made();
     } else {
-        request.pieces = PiecesState::Wanted;
+        request.preparation = PreparationState::Wanted;
         entry.machine.give_up(ErrorKind::NoUpstream);
     }
     advance(entry);
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -32,7 +32,7 @@
     query.active_accounts = static_cast<int>(by_account.size());
     std::array<StageOutlook, kMaxStages + 1> outlooks;
     std::size_t count = 0;
-    if (request.lacks_pieces())
+    if (request.spec.needs_pieces())
         outlooks.at(count++) = pieces_outlook(request);
     for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at)
         outlooks.at(count++) = outlook(request, at);
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -82,11 +82,11 @@
             request.claim = ClaimState::Pending;
             owner.out->push_back(BeginClaim {request.spec.id, request.spec.deadline});
         }
-        void begin_pieces() override
+        void begin_preparation() override
         {
-            request.pieces = PiecesState::Pending;
-            request.pieces_since = owner.now;
-            owner.out->push_back(owner.begin_pieces(request));
+            request.preparation = PreparationState::Pending;
+            request.preparing_since = owner.now;
+            owner.out->push_back(owner.begin_preparation(request));
         }
         void next_stage() override
         {
@@ -171,7 +171,7 @@
     void on(const AttemptEnded& event);
     void on(const ClaimDecided& event);
     void on(const CallerClosed& event);
-    void on(const PiecesEnded& event);
+    void on(const PreparationEnded& event);
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
@@ -189,7 +189,7 @@
     bool try_start(Entry& entry);
     bool has_share_left(const Request& request);
     bool choose_upstream(const Request& request);
-    BeginPieces begin_pieces(const Request& request);
+    BeginPreparation begin_preparation(const Request& request);
     void send(Request& request);
     Micros attempt_deadline(const Request& request) const;
     void arm_hedge(const Request& request, AttemptId attempt);
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -22,8 +22,8 @@
         entry.machine.claim_required();
         return;
     }
-    if (request.lacks_pieces()) {
-        entry.machine.pieces_required();
+    if (request.lacks_preparation()) {
+        entry.machine.preparation_required();
         return;
     }
     const SetId id = request.set().id;
@@ -130,12 +130,13 @@
     query.allow_probe = request.stage_spec().repeatable;
     query.tried = request.tried;
     const bool homed = has_home(request);
-    query.want_all = homed || !router.samples();
+    query.want_all = homed || !router.samples() || !request.prepared_identity.empty();
     query.random = random();
     // Whoever keeps a session's prefix is worth more than a near one.
-    query.any_hall = homed && request.is_relayed();
-    if (!homed)
-        query.near = request.pieces_hall;
+    query.any_hall
+        = (homed && request.is_relayed()) || !request.prepared_identity.empty();
+    if (!query.any_hall)
+        query.near = request.prepared_hall;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
@@ -143,6 +144,12 @@
     }
     if (candidates.empty())
         return false;
+    for (const auto* state : candidates.states)
+        if (!request.prepared_identity.empty()
+            && (*state)->identity == request.prepared_identity) {
+            chosen = *state;
+            return true;
+        }
     RouteContext context;
     context.affinity = homed ? request.spec.affinity : 0;
     context.random = random();
@@ -152,21 +159,20 @@
 }
 
 /// The pieces are wanted where the stage that reads them would run now.
-BeginPieces
-Scheduler::Impl::begin_pieces(const Request& request)
+BeginPreparation
+Scheduler::Impl::begin_preparation(const Request& request)
 {
     const PipelineSpec& spec = request.pipeline().spec;
     const Micros aim = spec.target_latency > 0 ? spec.target_latency : spec.deadline;
-    BeginPieces begin;
+    BeginPreparation begin;
     begin.request = request.spec.id;
     begin.deadline = request.spec.deadline;
     begin.prompt_by
         = request.arrived + aim - request.pipeline().state->first_byte.load();
-    if (!has_home(request))
+    begin.homed = has_home(request);
+    if (!begin.homed)
         begin.near = choose_hall(*request.spec.snapshot, request.pipeline(),
                                  request.spec.pieces, random(), now);
-    else if (choose_upstream(request))
-        begin.near = chosen->hall;
     return begin;
 }
 
@@ -193,6 +199,8 @@
     request.once_may_have_run |= attempt.once;
     request.running.push_back(attempt.id);
     request.tried.push_back(chosen.get());
+    // A second attempt is not bound to the choice made for the first.
+    request.prepared_identity.clear();
     const Micros deadline = attempt_deadline(request);
     out->push_back(SendAttempt {request.spec.id, attempt.id, request.stage, chosen,
                                 deadline, !attempt.once});
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -72,7 +72,7 @@
         || status == AttemptStatus::Overloaded || status == AttemptStatus::Leaving
         || status == AttemptStatus::InputGone;
     if (status == AttemptStatus::InputGone)
-        request.pieces = PiecesState::Wanted;
+        request.preparation = PreparationState::Wanted;
     if (proven_unrun) {
         --request.may_have_run;
         if (attempt.once)
@@ -179,9 +179,9 @@
 Scheduler::Impl::finish(Request& request)
 {
     leave_queue(request);
-    if (request.pieces == PiecesState::Pending) {
-        request.pieces = PiecesState::Wanted;
-        out->push_back(CancelPieces {request.spec.id});
+    if (request.preparation == PreparationState::Pending) {
+        request.preparation = PreparationState::Wanted;
+        out->push_back(CancelPreparation {request.spec.id});
     }
     for (std::size_t at = request.stage; at < request.pipeline().spec.stages.size(); ++at)
         release_commitment(request, at);
--- a/src/libserve/attempt.cpp
+++ b/src/libserve/attempt.cpp
@@ -102,6 +102,7 @@
         .kv("upstream", send.upstream->address)
         .kv("identity", send.upstream->identity)
         .kv("status", to_string(status))
+        .kv("first_byte_us", context->relay ? context->relay->first_byte : 0)
         .kv("us", monotonic_us() - started);
     context->calls.erase(send.attempt);
     m_attempts.erase(send.attempt);
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -50,21 +50,38 @@
     co_return decode_piece_answer(result.response.body);
 }
 
-asio::awaitable<bool>
-PeerLink::tell_spent(std::string address, SpentResults spent)
+/// A message that is answered at once.
+asio::awaitable<CallResult>
+PeerLink::post(std::string address, const char* path, std::string body)
 {
     HttpRequest request;
     request.method = "POST";
-    request.target = kSpentPath;
+    request.target = path;
     request.headers.add("Content-Type", "application/x-protobuf");
-    request.body = encode(spent);
+    request.body = std::move(body);
     CallOptions options;
     options.deadline_us = monotonic_us() + kSignPatience;
+    co_return co_await m_client.call(std::move(address), std::move(request),
+                                     std::move(options));
+}
+
+asio::awaitable<bool>
+PeerLink::tell_releases(std::string address, Releases releases)
+{
     const CallResult result
-        = co_await m_client.call(address, std::move(request), std::move(options));
+        = co_await post(std::move(address), kReleasePath, encode(releases));
     co_return result.status == CallStatus::Answered && result.response.status == kOk;
 }
 
+asio::awaitable<Result<PlaceAnswer>>
+PeerLink::place(std::string address, PlaceQuery query)
+{
+    const CallResult result = co_await post(address, kPlacePath, encode(query));
+    if (result.status != CallStatus::Answered || result.response.status != kOk)
+        co_return fail(ErrorKind::UpstreamFailed, address);
+    co_return decode_place_answer(result.response.body);
+}
+
 asio::awaitable<bool>
 PeerLink::is_alive(const std::string& address)
 {
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -33,13 +33,20 @@
     order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle);
 
     /// False: the daemon did not take note.
-    boost::asio::awaitable<bool> tell_spent(std::string address, SpentResults spent);
+    boost::asio::awaitable<bool> tell_releases(std::string address, Releases spent);
 
-    static constexpr const char* kSpentPath = "/v1/spent";
+    /// An error says that the daemon did not answer.
+    boost::asio::awaitable<Result<PlaceAnswer>> place(std::string address,
+                                                      PlaceQuery query);
+
+    static constexpr const char* kPlacePath = "/v1/place";
+    static constexpr const char* kReleasePath = "/v1/releases";
     static constexpr const char* kOrderPath = "/v1/pieces";
     static constexpr const char* kAlivePath = "/v1/alive";
 
 private:
+    boost::asio::awaitable<CallResult> post(std::string address, const char* path,
+                                            std::string body);
     boost::asio::awaitable<void> watch(std::string address);
     boost::asio::awaitable<bool> is_alive(const std::string& address);
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -31,6 +31,7 @@
 constexpr int kFailuresToEject = 3;
 constexpr int kMaxCalls = 4; ///< that one piece goes out with
 constexpr int kOk = 200;
+constexpr std::int64_t kBytesOfKb = 1000;
 
 Micros
 typical_time(const UpstreamSet& set, std::size_t items)
@@ -229,6 +230,10 @@
         .kv("status", answered ? result.response.status : 0)
         .kv("whole", whole)
         .kv("waiting", line.queue.size())
+        .kv("room_kb",
+            line.queue.room().free_bytes(*call.upstream,
+                                         set.spec.batch.value_or(BatchSpec {}), now)
+                / kBytesOfKb)
         .kv("us", now - started);
     if (whole) {
         call.upstream->note_success(now - started, now);
@@ -268,7 +273,7 @@
 }
 
 void
-PieceMaker::note_spent(const SpentResults& spent)
+PieceMaker::note_releases(const Releases& spent)
 {
     Line& line = line_of(spent.upstream_set);
     for (const std::string& handle : spent.handles)
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -51,7 +51,7 @@
                                              std::shared_ptr<Ticket> ticket);
 
     /// Room at the upstreams that is free again.
-    void note_spent(const SpentResults& spent);
+    void note_releases(const Releases& spent);
 
     bool is_idle() const { return m_pieces.empty(); }
 
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -39,6 +39,7 @@
         : wanted(std::move(wanted_))
         , plan(resolved().spec.piece_stages, wanted.counts)
         , done(std::move(done_))
+        , near(wanted.near)
         , changed(io, asio::steady_timer::time_point::max())
     {
     }
@@ -55,6 +56,7 @@
     const PiecesWanted wanted;
     PiecePlan plan;
     Done done;
+    std::string near; ///< hall for the results
     bool failed = false;
     bool cancelled = false;
     int running = 0; ///< stages under way
@@ -96,8 +98,14 @@
     const std::string path(exchange.request().path());
     if (path == PeerLink::kOrderPath) {
         co_await serve_order(exchange);
-    } else if (path == PeerLink::kSpentPath) {
-        const auto spent = decode_spent_results(exchange.request().body);
+    } else if (path == PeerLink::kPlacePath) {
+        const auto query = decode_place_query(exchange.request().body);
+        HttpResponse response;
+        response.content_type = "application/x-protobuf";
+        response.body = encode(query ? place_here(*query) : PlaceAnswer {});
+        co_await exchange.respond(std::move(response));
+    } else if (path == PeerLink::kReleasePath) {
+        const auto spent = decode_releases(exchange.request().body);
         if (spent)
             free_at_keepers(*spent);
         HttpResponse done;
@@ -165,6 +173,10 @@
 asio::awaitable<void>
 PieceService::run(JobPtr job)
 {
+    if (job->wanted.homed && job->wanted.near.empty() && !job->plan.is_done()) {
+        const PlaceAnswer home = co_await place(job, std::string(), false);
+        job->near = home.hall;
+    }
     while (!job->failed && !job->cancelled && !job->plan.is_done()) {
         for (const std::size_t stage : job->plan.take_ready()) {
             ++job->running;
@@ -181,6 +193,11 @@
         const auto inputs = job->plan.final_inputs();
         result.inputs = with_sets(*job, inputs);
         result.hall = main_hall(*job, inputs);
+        if (!job->wanted.reader_set.empty()) {
+            const std::string near = result.hall.empty() ? m_kernel.settings.hall : result.hall;
+            const PlaceAnswer reader = co_await place(job, near, true);
+            result.identity = reader.identity;
+        }
     } else {
         for (const auto& handle : job->calls)
             handle->cancel();
@@ -196,7 +213,7 @@
 PieceService::run_stage(JobPtr job, std::size_t stage)
 {
     const Micros started = monotonic_us();
-    const auto answer = co_await place(job, order_for(*job, stage));
+    const auto answer = co_await order(job, order_for(*job, stage));
     std::vector<std::string> handles;
     bool made = answer.has_value();
     if (answer)
@@ -229,7 +246,7 @@
 
 /// Hands an order to the daemon that leads the set, or to the next if it is silent.
 asio::awaitable<Result<PieceAnswer>>
-PieceService::place(JobPtr job, const PieceOrder& order)
+PieceService::order(JobPtr job, const PieceOrder& order)
 {
     const std::string set_name = order.upstream_set;
     for (int place = 0; place < kMaxPlaces; ++place) {
@@ -266,6 +283,40 @@
     co_return fail(ErrorKind::UpstreamFailed);
 }
 
+/// Asks whoever leads the set which upstream is to read the request's prompt.  No
+/// answer leaves the choice to the router.
+asio::awaitable<PlaceAnswer>
+PieceService::place(JobPtr job, std::string near, bool reserve)
+{
+    PlaceQuery query {job->wanted.reader_set, job->wanted.prompt};
+    query.prompt.near = std::move(near);
+    query.prompt.reserve = reserve;
+    const std::string leader = m_daemons.leader_of(query.upstream_set, monotonic_us());
+    if (leader.empty())
+        co_return place_here(query);
+    const auto answer = co_await m_link.place(leader, query);
+    if (answer)
+        co_return *answer;
+    m_daemons.suspect(leader, monotonic_us() + kSuspectTime);
+    co_return PlaceAnswer {};
+}
+
+PlaceAnswer
+PieceService::place_here(const PlaceQuery& query)
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot)
+        return {};
+    for (const UpstreamSet& set : snapshot->sets) {
+        if (set.spec.name != query.upstream_set)
+            continue;
+        const auto upstream
+            = m_placers[query.upstream_set].place(set, query.prompt, monotonic_us());
+        return upstream ? PlaceAnswer {upstream->identity, upstream->hall} : PlaceAnswer {};
+    }
+    return {};
+}
+
 void
 PieceService::note_wait(const Job& job, const std::string& set_name, Micros wait)
 {
@@ -280,9 +331,9 @@
     PieceOrder order;
     order.upstream_set = job.set_of(stage).spec.name;
     order.priority = job.wanted.priority;
-    order.near = job.wanted.near;
+    order.near = job.near;
     order.result_bytes = job.resolved().spec.piece_stages[stage].result_bytes;
-    // A point in time here; place() makes it a span.
+    // A point in time here; order() makes it a span.
     order.due_left = job.wanted.prompt_by
         - time_from_stage(*job.wanted.snapshot, job.resolved(), job.wanted.counts, stage);
     const std::vector<std::string> inputs = job.plan.inputs_of(stage);
@@ -343,17 +394,39 @@
     asio::post(m_io, [this, results = std::move(results)] { free_now(results); });
 }
 
-void
-PieceService::free_now(const std::vector<PieceHandle>& results)
+Releases&
+PieceService::release_at(const std::string& set_name)
 {
-    if (results.empty())
-        return;
-    for (const PieceHandle& result : results)
-        m_freed[result.upstream_set].push_back(result.handle);
     if (!m_flushing) {
         m_flushing = true;
         asio::co_spawn(m_io, flush_freed(), asio::detached);
     }
+    Releases& releases = m_releases[set_name];
+    releases.upstream_set = set_name;
+    return releases;
+}
+
+void
+PieceService::free_now(const std::vector<PieceHandle>& results)
+{
+    for (const PieceHandle& result : results)
+        release_at(result.upstream_set).handles.push_back(result.handle);
+}
+
+void
+PieceService::note_begun(std::string set_name, std::string attempt)
+{
+    asio::post(m_io, [this, set_name = std::move(set_name), attempt = std::move(attempt)] {
+        release_at(set_name).begun.push_back(attempt);
+    });
+}
+
+void
+PieceService::note_ended(std::string set_name, std::string attempt)
+{
+    asio::post(m_io, [this, set_name = std::move(set_name), attempt = std::move(attempt)] {
+        release_at(set_name).ended.push_back(attempt);
+    });
 }
 
 asio::awaitable<void>
@@ -363,25 +436,33 @@
     timer.expires_after(kFreeLinger);
     co_await timer.async_wait(kToTuple);
     m_flushing = false;
-    for (auto& [set_name, handles] : std::exchange(m_freed, {}))
-        asio::co_spawn(m_io, tell_spent({set_name, std::move(handles)}), asio::detached);
+    for (auto& [set_name, releases] : std::exchange(m_releases, {}))
+        asio::co_spawn(m_io, tell_releases(std::move(releases)), asio::detached);
 }
 
 /// The daemon that leads the set gives results up at their keepers, so that it
 /// knows what room there is; if it is silent, they are given up from here.
 asio::awaitable<void>
-PieceService::tell_spent(SpentResults spent)
+PieceService::tell_releases(Releases spent)
 {
     const std::string leader = m_daemons.leader_of(spent.upstream_set, monotonic_us());
-    const bool told = !leader.empty() && co_await m_link.tell_spent(leader, spent);
+    const bool told = !leader.empty() && co_await m_link.tell_releases(leader, spent);
     if (!told)
         free_at_keepers(spent);
 }
 
 void
-PieceService::free_at_keepers(const SpentResults& spent)
+PieceService::free_at_keepers(const Releases& spent)
 {
-    m_maker.note_spent(spent);
+    if (const auto placer = m_placers.find(spent.upstream_set); placer != m_placers.end()) {
+        for (const std::string& attempt : spent.begun)
+            placer->second.note_begun(attempt);
+        for (const std::string& attempt : spent.ended)
+            placer->second.note_ended(attempt);
+    }
+    if (spent.handles.empty())
+        return;
+    m_maker.note_releases(spent);
     std::map<std::string, std::vector<std::string>> by_keeper;
     for (const std::string& handle : spent.handles)
         by_keeper[m_kernel.calls->keeper_of(handle)].push_back(handle);
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -33,7 +33,10 @@
     int priority = 0;
     Micros deadline = 0;
     Micros prompt_by = 0; ///< when the pieces must be made for a prompt answer
-    std::string near; ///< hall of the upstream that is to read the results
+    std::string near; ///< hall for the results; empty: where the prompt is kept
+    bool homed = false; ///< the upstream that keeps the prompt decides the hall
+    std::string reader_set; ///< the set whose leader chooses an upstream; empty: none
+    PromptQuery prompt;
 };
 
 /// A result with the set that it belongs to.
@@ -47,6 +50,7 @@
     bool made = false;
     std::vector<PieceHandle> inputs; ///< results that the request is to read
     std::string hall; ///< where most of their bytes are
+    std::string identity; ///< of the upstream that is to read them; empty: any
 };
 
 /// Has the pieces of requests made: each stage's at the daemon that leads its
@@ -65,6 +69,9 @@
     void cancel(std::uint64_t request);
     /// Results that nobody will read any more.
     void free_results(std::vector<PieceHandle> results);
+    /// The answer of a request began, or ended, at the set.
+    void note_begun(std::string set_name, std::string attempt);
+    void note_ended(std::string set_name, std::string attempt);
     void take_daemons(std::vector<DaemonRecord> records);
 
     /// To be called on the service's own thread.
@@ -78,12 +85,15 @@
     boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
     boost::asio::awaitable<void> run(JobPtr job);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
-    boost::asio::awaitable<Result<PieceAnswer>> place(JobPtr job, const PieceOrder& order);
+    boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
+    boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
+    PlaceAnswer place_here(const PlaceQuery& query);
+    Releases& release_at(const std::string& set_name);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
     std::string main_hall(const Job& job, const std::vector<std::string>& inputs) const;
     void free_now(const std::vector<PieceHandle>& results);
-    void free_at_keepers(const SpentResults& spent);
-    boost::asio::awaitable<void> tell_spent(SpentResults spent);
+    void free_at_keepers(const Releases& spent);
+    boost::asio::awaitable<void> tell_releases(Releases spent);
     static std::vector<PieceHandle> with_sets(const Job& job,
                                               const std::vector<std::string>& handles);
     void note_wait(const Job& job, const std::string& set_name, Micros wait);
@@ -97,7 +107,8 @@
     HttpServer m_server;
     HttpClient m_client;
     std::map<std::uint64_t, JobPtr> m_jobs;
-    std::map<std::string, std::vector<std::string>> m_freed; ///< by upstream set
+    std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
+    std::map<std::string, Releases> m_releases; ///< to be told, by upstream set
     bool m_flushing = false;
 };
 
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -173,6 +173,8 @@
     spec.shared_tokens = shared_tokens_of(*call);
     spec.pieces = call->pieces;
     spec.pieces.resize(of.piece_stages.size());
+    spec.asks_leader
+        = spec.affinity != 0 && of.stages.front().kind == StageKind::Generate;
     context->relay = std::make_unique<Relay>();
     context->relay->request = request;
     context->relay->call = *std::move(call);
@@ -297,7 +299,10 @@
                 return;
             if (!relay.head)
                 relay.head = passed_on(head);
-            context->resolved().state->note_first_byte(monotonic_us() - sent_at);
+            relay.first_byte = monotonic_us() - sent_at;
+            context->resolved().state->note_first_byte(relay.first_byte);
+            if (context->spec.asks_leader)
+                m_kernel.pieces->note_begun(context->set_name(), relay.call.attempt);
             // An upstream that answers has read its inputs.  Another one would
             // have to read them again.
             if (!send.may_repeat)
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -178,7 +178,7 @@
 }
 
 void
-Worker::act(const BeginPieces& action)
+Worker::act(const BeginPreparation& action)
 {
     const ContextPtr context = m_contexts.at(action.request);
     PiecesWanted wanted;
@@ -191,6 +191,15 @@
     wanted.deadline = action.deadline;
     wanted.prompt_by = action.prompt_by;
     wanted.near = action.near;
+    wanted.homed = action.homed;
+    if (context->spec.asks_leader) {
+        const CallerCall& call = context->relay->call;
+        wanted.reader_set = context->set_name();
+        wanted.prompt.attempt = call.attempt;
+        wanted.prompt.parts = call.prefix;
+        wanted.prompt.tokens = call.tokens_in;
+        wanted.prompt.affinity = context->spec.affinity;
+    }
     m_kernel.pieces->want(
         action.request, std::move(wanted), [this, id = action.request](PiecesMade made) {
             asio::post(m_io, [this, id, made = std::move(made)]() mutable {
@@ -208,11 +217,12 @@
         return;
     }
     it->second->relay->inputs = std::move(made.inputs);
-    feed(PiecesEnded {request, made.made, std::move(made.hall)});
+    feed(PreparationEnded {request, made.made, std::move(made.hall),
+                           std::move(made.identity)});
 }
 
 void
-Worker::act(const CancelPieces& action)
+Worker::act(const CancelPreparation& action)
 {
     m_kernel.pieces->cancel(action.request);
 }
@@ -231,8 +241,12 @@
     const auto it = m_contexts.find(action.request);
     if (it == m_contexts.end())
         return;
-    if (it->second->relay && m_kernel.pieces)
-        m_kernel.pieces->free_results(std::move(it->second->relay->inputs));
+    if (it->second->relay && m_kernel.pieces) {
+        RequestContext& context = *it->second;
+        m_kernel.pieces->free_results(std::move(context.relay->inputs));
+        if (context.spec.asks_leader)
+            m_kernel.pieces->note_ended(context.set_name(), context.relay->call.attempt);
+    }
     m_contexts.erase(it);
 }
 
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -40,6 +40,7 @@
     std::optional<HttpResponse> failure; ///< passed on if nothing better comes
     std::optional<HttpResponse> head; ///< of the stream, from its first upstream
     EventSplitter events;
+    Micros first_byte = 0; ///< of the last attempt, from its sending
     std::string unsent; ///< whole events that the caller does not have yet
 };
 
@@ -78,6 +79,11 @@
     {
         return spec.snapshot->pipelines[spec.pipeline];
     }
+    /// Name of the upstream set of its first stage.
+    const std::string& set_name() const
+    {
+        return spec.snapshot->sets[resolved().sets.front()].spec.name;
+    }
     const ResolvedAccount& resolved_account() const
     {
         return spec.snapshot->accounts[spec.account];
@@ -146,8 +152,8 @@
     void act(const CancelAttempt& action);
     void act(const BeginClaim& action);
     void act(const EndClaim& action);
-    void act(const BeginPieces& action);
-    void act(const CancelPieces& action);
+    void act(const BeginPreparation& action);
+    void act(const CancelPreparation& action);
     void pieces_made(RequestId request, PiecesMade made);
     void act(const Reply& action);
     void act(const Forget& action);
--- a/testsuite/fuzz/world.h
+++ b/testsuite/fuzz/world.h
@@ -161,8 +161,8 @@
     void act(Daemon& daemon, const BeginClaim& action);
     void act(Daemon& daemon, const EndClaim& action);
     // No pipeline of this world has pieces.
-    void act(Daemon&, const BeginPieces&) { }
-    void act(Daemon&, const CancelPieces&) { }
+    void act(Daemon&, const BeginPreparation&) { }
+    void act(Daemon&, const CancelPreparation&) { }
     void act(Daemon& daemon, const Reply& action);
     void act(Daemon& daemon, const Forget& action);
     void end_attempt(Daemon& daemon, AttemptId attempt, AttemptStatus status,
