Pieces and admission: what can't be prompt is given up early

Pieces that can't be prompt and find no idle upstream within a call's time are given up; admission refuses what would be late while the caller can come back in time; a daemon that lost an order leads nothing until it gives a sign of life; a planned stop ends within the time of the settings (8 processes were killed at the end of their grace).

--- a/src/budget.admission/budget.cpp
+++ b/src/budget.admission/budget.cpp
@@ -42,7 +42,13 @@
         const Micros late = finish + tail - budget;
         if (late > 0)
             return {false, ErrorKind::DeadlineUnreachable, std::max(late, kShortestRetry)};
+        // Where only a prompt answer is worth its work, a late one is refused while
+        // the caller can still come back in time.  Without a wait ahead there is
+        // nothing to come back later for.
         const Micros wait = finish - service;
+        if (query.prompt_by > 0 && wait > 0 && query.now + finish > query.prompt_by)
+            return {false, ErrorKind::DeadlineUnreachable,
+                    std::max(query.now + finish - query.prompt_by, kShortestRetry)};
         const auto slack = static_cast<double>(budget - service);
         if (static_cast<double>(wait) > kPressure * slack && over_share(query))
             return {false, ErrorKind::AccountLimit, std::max(wait, kShortestRetry)};
--- a/src/include/cypressford/admission.h
+++ b/src/include/cypressford/admission.h
@@ -25,6 +25,7 @@
 struct AdmissionQuery {
     Micros now = 0;
     Micros deadline = 0;
+    Micros prompt_by = 0; ///< when an answer still counts as prompt; 0: no such time
     int priority = 0;
     int in_progress = 0; ///< requests in this daemon
     int account_in_progress = 0; ///< of them, this account's
--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -31,8 +31,11 @@
     bool apply(const DaemonRecord& record, Micros now);
     void drop(const std::string& node) { m_daemons.erase(node); }
 
-    /// The daemon at that address does not answer; it leads nothing until then.
-    void suspect(const std::string& peers_address, Micros until);
+    /// The daemon at that address does not answer; it leads nothing until it is
+    /// trusted again.  False if it was suspected before, or is not known.
+    bool suspect(const std::string& peers_address);
+    void trust(const std::string& peers_address);
+    bool is_suspected(const std::string& peers_address) const;
 
     /// Daemons that are alive, this one among them once it is listed.
     int alive(Micros now) const;
@@ -46,7 +49,7 @@
     struct Known {
         DaemonRecord record;
         Micros seen_at = 0;
-        Micros suspected_until = 0;
+        bool suspected = false;
     };
 
     bool is_alive(const Known& known, Micros now) const;
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -102,6 +102,11 @@
               Micros until);
     /// The result has got this name.
     void name(PieceId piece, const std::string& handle);
+    /// The upstream says that it has no room: nothing goes there until `until`.
+    void note_full(const UpstreamState& upstream, Micros until)
+    {
+        m_full_until[&upstream] = until;
+    }
     /// No result came of it.
     void give_back(PieceId piece);
     /// The result of that name was given up.
@@ -121,6 +126,7 @@
     std::unordered_map<std::string, PieceId> m_by_handle;
     std::unordered_map<const UpstreamState*, std::int64_t> m_bytes;
     std::set<std::pair<Micros, PieceId>> m_ends;
+    std::unordered_map<const UpstreamState*, Micros> m_full_until;
 };
 
 /// The pieces that wait for one upstream set at the daemon that leads it.  Calls
@@ -150,7 +156,11 @@
 
     /// Until a piece of that priority that comes now would be made, over its own
     /// call's time.
-    Micros expected_wait(const UpstreamSet& set, Micros now) const;
+    Micros expected_wait(const UpstreamSet& set, int priority, Micros now) const;
+
+    /// Takes out pieces that are not worth waiting any longer: they can't be prompt,
+    /// and no upstream was idle for them for the time of a call.
+    std::vector<PieceId> take_hopeless(const UpstreamSet& set, Micros now);
 
     /// The upstream is left alone for a while: it was full or failed.
     void rest(const UpstreamState& upstream, Micros until);
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <map>
@@ -91,21 +92,29 @@
 };
 
 /// What the daemon that leads a set of batched upstreams last said of it.
-struct SetLoad {
-    std::atomic<Micros> wait {0}; ///< until a piece that comes would be made
-    std::atomic<Micros> told_at {0};
-
-    void tell(Micros expected_wait, Micros now)
+class SetLoad {
+public:
+    /// A piece of that priority that came at `now` would wait so long.
+    void tell(int priority, Micros expected_wait, Micros now)
     {
-        wait.store(expected_wait, std::memory_order_relaxed);
-        told_at.store(now, std::memory_order_relaxed);
+        Told& told = m_told.at(static_cast<std::size_t>(priority));
+        told.wait.store(expected_wait, std::memory_order_relaxed);
+        told.at.store(now, std::memory_order_relaxed);
     }
     /// The wait as it must be by now: what waited then is worked off since.
-    Micros wait_at(Micros now) const
+    Micros wait_at(int priority, Micros now) const
     {
-        const Micros age = now - told_at.load(std::memory_order_relaxed);
-        return std::max<Micros>(0, wait.load(std::memory_order_relaxed) - age);
+        const Told& told = m_told.at(static_cast<std::size_t>(priority));
+        const Micros age = now - told.at.load(std::memory_order_relaxed);
+        return std::max<Micros>(0, told.wait.load(std::memory_order_relaxed) - age);
     }
+
+private:
+    struct Told {
+        std::atomic<Micros> wait {0};
+        std::atomic<Micros> at {0};
+    };
+    std::array<Told, kLowestPriority + 1> m_told;
 };
 
 /// The upstreams of one set, own hall first.
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -4,7 +4,7 @@
 #include <cypressford/daemon_table.h>
 
 #include <algorithm>
-#include <functional>
+#include <utility>
 
 #include "cypressford.pb.h"
 
@@ -37,18 +37,36 @@
     if (same)
         return false;
     if (is_new || record.incarnation != known.record.incarnation)
-        known.suspected_until = 0;
+        known.suspected = false;
     known.record = record;
     known.seen_at = now;
     return true;
 }
 
+bool
+DaemonTable::suspect(const std::string& peers_address)
+{
+    for (auto& [node, known] : m_daemons)
+        if (known.record.peers_address == peers_address)
+            return !std::exchange(known.suspected, true);
+    return false;
+}
+
 void
-DaemonTable::suspect(const std::string& peers_address, Micros until)
+DaemonTable::trust(const std::string& peers_address)
 {
     for (auto& [node, known] : m_daemons)
         if (known.record.peers_address == peers_address)
-            known.suspected_until = std::max(known.suspected_until, until);
+            known.suspected = false;
+}
+
+bool
+DaemonTable::is_suspected(const std::string& peers_address) const
+{
+    return std::any_of(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
+        return item.second.record.peers_address == peers_address
+            && item.second.suspected;
+    });
 }
 
 bool
@@ -82,7 +100,7 @@
     const Known* leader = nullptr;
     std::uint64_t best = 0;
     for (const auto& [node, known] : m_daemons) {
-        if (!is_alive(known, now) || known.suspected_until > now)
+        if (!is_alive(known, now) || known.suspected)
             continue;
         const std::uint64_t weight = weight_of(node, set_name);
         if (leader && weight <= best)
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -183,19 +183,37 @@
 }
 
 Micros
-PieceQueue::expected_wait(const UpstreamSet& set, Micros now) const
+PieceQueue::expected_wait(const UpstreamSet& set, int priority, Micros now) const
 {
     const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
     const int usable = count_usable(set, now);
     if (usable == 0)
         return kSecond;
-    // Late pieces wait behind all that can still be prompt.
-    const auto waiting = static_cast<Micros>(m_prompt.size());
-    if (waiting == 0 && !free_upstreams(set, now).empty())
+    // Less urgent pieces and late ones wait behind it.
+    const auto ahead_end = m_prompt.lower_bound({priority + 1, 0, 0});
+    const auto ahead = static_cast<Micros>(std::distance(m_prompt.begin(), ahead_end));
+    if (ahead == 0 && !free_upstreams(set, now).empty())
         return 0;
     const Micros full_call = batch.call_time + batch.items * batch.item_time;
     const Micros rate_unit = std::max<Micros>(1, batch.items * usable);
-    return full_call / (2 * usable) + waiting * full_call / rate_unit;
+    return full_call / (2 * usable) + ahead * full_call / rate_unit;
+}
+
+std::vector<PieceId>
+PieceQueue::take_hopeless(const UpstreamSet& set, Micros now)
+{
+    move_late(now);
+    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
+    const Micros full_call = batch.call_time + batch.items * batch.item_time;
+    std::vector<PieceId> hopeless;
+    for (const Rank& rank : m_late) {
+        const WaitingPiece& piece = m_by_id.at(rank.id);
+        if (now - std::max(piece.due, piece.queued_at) > full_call)
+            hopeless.push_back(rank.id);
+    }
+    for (const PieceId id : hopeless)
+        remove(id);
+    return hopeless;
 }
 
 std::string
--- a/src/libcypressford/result_room.cpp
+++ b/src/libcypressford/result_room.cpp
@@ -19,6 +19,9 @@
     if (batch.room_mb <= 0)
         return std::numeric_limits<std::int64_t>::max();
     expire(now);
+    const auto full = m_full_until.find(&upstream);
+    if (full != m_full_until.end() && full->second > now)
+        return 0;
     const auto it = m_bytes.find(&upstream);
     const auto all = static_cast<std::int64_t>(batch.room_mb * kBytesOfMb);
     return all - (it == m_bytes.end() ? 0 : it->second);
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -24,6 +24,8 @@
     AdmissionQuery query;
     query.now = now;
     query.deadline = request.spec.deadline;
+    if (pipeline.spec.target_latency > 0)
+        query.prompt_by = now + pipeline.spec.target_latency;
     query.priority = pipeline.spec.priority;
     query.in_progress = static_cast<int>(unanswered);
     const ResolvedAccount& account = request.account();
@@ -45,13 +47,24 @@
     return verdict;
 }
 
+/// How long a stage takes as its caller feels it: a relayed stream counts up to
+/// its first byte.
+Micros
+Scheduler::Impl::typical_time(const Request& request, std::size_t at) const
+{
+    const ResolvedPipeline& pipeline = request.pipeline();
+    if (pipeline.spec.relayed && pipeline.spec.stream)
+        return pipeline.state->first_byte.load(std::memory_order_relaxed);
+    return model.p50(pipeline.stage_ids[at]).value_or(0);
+}
+
 StageOutlook
 Scheduler::Impl::outlook(const Request& request, std::size_t at)
 {
     const StageId id = request.pipeline().stage_ids[at];
     StageOutlook result;
-    result.typical = model.p50(id).value_or(0);
-    result.tail = model.p95(id).value_or(result.typical);
+    result.typical = typical_time(request, at);
+    result.tail = std::max(result.typical, model.p95(id).value_or(result.typical));
     const StageQueue::Capacity& capacity = capacity_of(request, at);
     result.usable = capacity.usable;
     const StageQueue& queue = queue_of(request.set_of(at).id);
@@ -84,7 +97,7 @@
             continue;
         const UpstreamSet& set = snapshot.sets[pipeline.piece_sets[at]];
         result.usable = std::min(result.usable, count_usable(set, now));
-        result.backlog += set.load->wait_at(now);
+        result.backlog += set.load->wait_at(request.priority(), now);
     }
     return result;
 }
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -175,6 +175,7 @@
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
+    Micros typical_time(const Request& request, std::size_t at) const;
     StageOutlook outlook(const Request& request, std::size_t at);
     StageOutlook pieces_outlook(const Request& request);
     const StageQueue::Capacity& capacity_of(const Request& request, std::size_t at);
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -84,7 +84,7 @@
         return false;
     Micros needed = 0;
     for (std::size_t at = request.stage; at < request.pipeline().spec.stages.size(); ++at)
-        needed += model.p50(request.pipeline().stage_ids[at]).value_or(0);
+        needed += typical_time(request, at);
     return needed > left;
 }
 
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -35,6 +35,8 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::chrono::milliseconds kStopCheck {20};
+/// The last of so many parts of a stop's time is left for ending the process.
+constexpr Micros kStopParts = 20;
 /// Daemons of a hall that follow the lease on placing models.
 constexpr int kPlacementCandidates = 2;
 
@@ -169,6 +171,8 @@
     asio::awaitable<void> planned_stop()
     {
         LogEvent("stop_begin");
+        const Micros limit
+            = monotonic_us() + kernel.settings.stop_limit / kStopParts * (kStopParts - 1);
         kernel.stopping.store(true);
         on_workers([](Worker& worker) { worker.close_after_answers(); });
         if (log)
@@ -179,7 +183,6 @@
         timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
         co_await timer.async_wait(kToTuple);
         on_workers([](Worker& worker) { worker.stop_accepting(); });
-        const Micros limit = monotonic_us() + kernel.settings.stop_limit;
         bool idle = false;
         while (!idle && monotonic_us() < limit) {
             on_workers([](Worker& worker) { worker.close_idle(); });
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -83,7 +83,7 @@
 }
 
 asio::awaitable<bool>
-PeerLink::is_alive(const std::string& address)
+PeerLink::gives_sign(std::string address)
 {
     HttpRequest request;
     request.target = kAlivePath;
@@ -94,6 +94,18 @@
     co_return result.status == CallStatus::Answered;
 }
 
+asio::awaitable<bool>
+PeerLink::is_alive(std::string address)
+{
+    HttpRequest request;
+    request.target = kAlivePath;
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignPatience;
+    const CallResult result
+        = co_await m_client.call(address, std::move(request), std::move(options));
+    co_return result.status == CallStatus::Answered && result.response.status == kOk;
+}
+
 asio::awaitable<void>
 PeerLink::watch(std::string address)
 {
@@ -104,7 +116,8 @@
         co_await timer.async_wait(kToTuple);
         if (m_open[address].empty())
             break;
-        misses = co_await is_alive(address) ? 0 : misses + 1;
+        const bool answers = co_await gives_sign(address);
+        misses = answers ? 0 : misses + 1;
         if (misses <= kMissesAllowed)
             continue;
         const auto lost = m_open[address];
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -39,6 +39,9 @@
     boost::asio::awaitable<Result<PlaceAnswer>> place(std::string address,
                                                       PlaceQuery query);
 
+    /// True if the daemon answers and is not stopping.
+    boost::asio::awaitable<bool> is_alive(std::string address);
+
     static constexpr const char* kPlacePath = "/v1/place";
     static constexpr const char* kReleasePath = "/v1/releases";
     static constexpr const char* kOrderPath = "/v1/pieces";
@@ -48,8 +51,8 @@
     boost::asio::awaitable<CallResult> post(std::string address, const char* path,
                                             std::string body);
     boost::asio::awaitable<void> watch(std::string address);
-    boost::asio::awaitable<bool> is_alive(const std::string& address);
-
+    /// True if it answers, also while it finishes what it has before it stops.
+    boost::asio::awaitable<bool> gives_sign(std::string address);
     boost::asio::io_context& m_io;
     HttpClient m_client;
     std::map<std::string, std::set<std::shared_ptr<CallHandle>>> m_open; ///< by address
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -25,6 +25,7 @@
 constexpr Micros kTimeoutFloor = 200 * kMillisecond;
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
+constexpr Micros kRestWhenNoRoom = 200 * kMillisecond;
 constexpr Micros kRestWhenSilent = 500 * kMillisecond;
 /// Between looks at pieces that wait for a certain upstream.
 constexpr Micros kLaterLook = 20 * kMillisecond;
@@ -137,7 +138,8 @@
     answer.pieces = order->results;
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
     if (const UpstreamSet* set = snapshot ? find_set(*snapshot, set_name) : nullptr)
-        answer.expected_wait = line.queue.expected_wait(*set, monotonic_us());
+        answer.expected_wait = line.queue.expected_wait(*set, order->order.priority,
+                                                        monotonic_us());
     co_return answer;
 }
 
@@ -160,6 +162,8 @@
     if (!set)
         return;
     Line& line = line_of(set_name);
+    for (const PieceId id : line.queue.take_hopeless(*set, monotonic_us()))
+        finish(id, {PieceOutcome::Late, {}});
     while (auto call = line.queue.next_call(*set, monotonic_us())) {
         call->upstream->in_flight.fetch_add(1, std::memory_order_relaxed);
         for (const PieceId id : call->pieces) {
@@ -238,7 +242,7 @@
     if (whole) {
         call.upstream->note_success(now - started, now);
         for (std::size_t i = 0; i < results.size(); ++i)
-            settle(set_name, call.pieces[i], results[i]);
+            settle(set_name, *call.upstream, call.pieces[i], results[i]);
     } else {
         if (answered && said.other_identity)
             call.upstream->mark_leaving();
@@ -257,13 +261,16 @@
 }
 
 void
-PieceMaker::settle(const std::string& set_name, PieceId id, const PieceResult& result)
+PieceMaker::settle(const std::string& set_name, const UpstreamState& upstream, PieceId id,
+                   const PieceResult& result)
 {
     ResultRoom& room = line_of(set_name).queue.room();
     if (result.outcome == PieceOutcome::Made)
         room.name(id, result.handle);
     else
         room.give_back(id);
+    if (result.outcome == PieceOutcome::NoRoom)
+        room.note_full(upstream, monotonic_us() + kRestWhenNoRoom);
     const bool elsewhere
         = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
     if (elsewhere)
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -78,7 +78,8 @@
     boost::asio::awaitable<void> run_call(std::string set_name, SnapshotPtr snapshot,
                                           PieceCall call);
     boost::asio::awaitable<void> pump_later(std::string set_name, Micros pause);
-    void settle(const std::string& set_name, PieceId id, const PieceResult& result);
+    void settle(const std::string& set_name, const UpstreamState& upstream, PieceId id,
+                const PieceResult& result);
     void queue_again(const std::string& set_name, PieceId id, bool arrived);
     void finish(PieceId id, const PieceResult& result);
     void give_up(const std::shared_ptr<Order>& order);
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -24,10 +24,13 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// A daemon without a new record for so long leads nothing.
 constexpr Micros kSilentAfter = 6 * kSecond;
-/// A daemon that lost an order leads nothing for so long.
-constexpr Micros kSuspectTime = 2 * kSecond;
+/// A daemon that lost an order leads nothing for so long, and until it gives a sign
+/// of life.
+constexpr std::chrono::milliseconds kSuspectTime {1500};
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
 /// Results that are given up wait so long for others of the same keeper.
 constexpr std::chrono::milliseconds kFreeLinger {15};
 constexpr Micros kFreePatience = 500 * kMillisecond;
@@ -114,6 +117,7 @@
     } else if (path == PeerLink::kAlivePath) {
         HttpResponse alive;
         alive.content_type = "text/plain";
+        alive.status = m_kernel.stopping.load() ? kUnavailable : kOk;
         co_await exchange.respond(std::move(alive));
     } else {
         co_await exchange.respond(problem_response(problem_of(ErrorKind::NotFound)));
@@ -278,7 +282,7 @@
             .kv("request", job->wanted.attempt)
             .kv("set", set_name)
             .kv("leader", leader);
-        m_daemons.suspect(leader, monotonic_us() + kSuspectTime);
+        suspect(leader);
     }
     co_return fail(ErrorKind::UpstreamFailed);
 }
@@ -297,10 +301,31 @@
     const auto answer = co_await m_link.place(leader, query);
     if (answer)
         co_return *answer;
-    m_daemons.suspect(leader, monotonic_us() + kSuspectTime);
+    suspect(leader);
     co_return PlaceAnswer {};
 }
 
+void
+PieceService::suspect(const std::string& address)
+{
+    if (m_daemons.suspect(address))
+        asio::co_spawn(m_io, watch_suspect(address), asio::detached);
+}
+
+asio::awaitable<void>
+PieceService::watch_suspect(std::string address)
+{
+    asio::steady_timer timer(m_io);
+    bool is_alive = false;
+    // A daemon that is gone for good is forgotten by the table.
+    while (!is_alive && m_daemons.is_suspected(address)) {
+        timer.expires_after(kSuspectTime);
+        co_await timer.async_wait(kToTuple);
+        is_alive = co_await m_link.is_alive(address);
+    }
+    m_daemons.trust(address);
+}
+
 PlaceAnswer
 PieceService::place_here(const PlaceQuery& query)
 {
@@ -322,7 +347,7 @@
 {
     for (std::size_t at = 0; at < job.resolved().piece_sets.size(); ++at)
         if (job.set_of(at).spec.name == set_name)
-            job.set_of(at).load->tell(wait, monotonic_us());
+            job.set_of(at).load->tell(job.wanted.priority, wait, monotonic_us());
 }
 
 PieceOrder
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -87,6 +87,8 @@
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
+    void suspect(const std::string& address);
+    boost::asio::awaitable<void> watch_suspect(std::string address);
     PlaceAnswer place_here(const PlaceQuery& query);
     Releases& release_at(const std::string& set_name);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -57,7 +57,7 @@
     double orders_per_s = 2; ///< orders to load models, so that the weight store bears it
     Micros token_life = 600 * kSecond; ///< of resume tokens
     Micros stop_grace = 2 * kSecond; ///< answering goes on so long after readiness fell
-    Micros stop_limit = 30 * kSecond; ///< then a planned stop ends in any case
+    Micros stop_limit = 30 * kSecond; ///< a planned stop ends within it in any case
     std::string log_file;
     LogLevel log_level = LogLevel::Info;
 };
