Pieces: an order that was given up here says nothing about its leader

Orders cancelled because another stage of their request had failed, and orders that ran out of time, were taken as signs that their leader is gone; sets had up to six leaders at once, whose calls met at single-slot upstreams. Ruled out: slow answers to signs of life.

--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -3,6 +3,8 @@
 
 #include "piece_maker.h"
 
+#include <algorithm>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -226,6 +228,11 @@
         if (auto decoded = m_kernel.calls->decode_piece_call(result.response))
             results = *std::move(decoded);
     const bool whole = results.size() == call.pieces.size();
+    const auto count = [&results](PieceOutcome outcome) {
+        return std::count_if(results.begin(), results.end(), [outcome](const auto& r) {
+            return r.outcome == outcome;
+        });
+    };
     LogEvent("piece_call")
         .kv("set", set_name)
         .kv("upstream", call.upstream->address)
@@ -233,6 +240,11 @@
         .kv("pieces", items.size())
         .kv("status", answered ? result.response.status : 0)
         .kv("whole", whole)
+        .kv("late", count(PieceOutcome::Late))
+        .kv("input_gone", count(PieceOutcome::InputGone))
+        .kv("no_room", count(PieceOutcome::NoRoom))
+        .kv("failed", count(PieceOutcome::Failed))
+        .kv("first", items.front().attempt)
         .kv("waiting", line.queue.size())
         .kv("room_kb",
             line.queue.room().free_bytes(*call.upstream,
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -276,7 +276,11 @@
             note_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
-        if (job->cancelled)
+        // An order that was given up here, or ran out of time, says nothing about
+        // the leader.
+        const bool is_over = job->cancelled || job->failed
+            || monotonic_us() >= job->wanted.deadline;
+        if (is_over)
             break;
         LogEvent("leader_lost", LogLevel::Warn)
             .kv("request", job->wanted.attempt)
