Pieces: groups stay together, and full calls come first when much waits

Groups of one request now stay together while little waits; when more waits than half a round takes, calls are filled whatever the hall or the group.

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -75,6 +75,7 @@
 /// A piece that waits for its call.
 struct WaitingPiece {
     PieceId id = 0;
+    PieceId group = 0; ///< pieces that are of use only together
     int priority = 0;
     Micros due = 0; ///< latest start if the request is to be answered promptly
     Micros deadline = 0; ///< of its request
@@ -136,7 +137,8 @@
 /// Pieces that can still be prompt go first, by priority and then by the time
 /// they are due; those that can't fill what is left.  A piece waits a moment for
 /// an upstream of the hall where its result is wanted (delay scheduling, Zaharia
-/// et al., 2010), then takes any.
+/// et al., 2010), then takes any, and groups stay together.  When much waits, full
+/// calls come before both.
 class PieceQueue {
 public:
     void add(const WaitingPiece& piece);
@@ -189,15 +191,26 @@
     Upstreams free_upstreams(const UpstreamSet& set, Micros now) const;
     std::shared_ptr<UpstreamState> upstream_for(const WaitingPiece& piece,
                                                 const Upstreams& free,
-                                                const UpstreamSet& set, Micros now);
+                                                const UpstreamSet& set, bool saturated,
+                                                Micros now);
     std::shared_ptr<UpstreamState> choose(const Tier& tier, const Upstreams& free,
-                                          const UpstreamSet& set, Micros now);
-    void fill(Tier& tier, PieceCall& call, std::size_t items, const UpstreamSet& set,
+                                          const UpstreamSet& set, bool saturated,
+                                          Micros now);
+    /// What a pass over a tier may take into a call.
+    struct FillRule {
+        bool any_hall = false; ///< also pieces that could wait for their hall
+        bool split = false; ///< also a part of a group
+    };
+    void fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
               Micros now);
+    /// True if more waits than the upstreams take in half a round.
+    bool is_saturated(const UpstreamSet& set, Micros now) const;
+    void forget(PieceId id);
 
     Tier m_prompt; ///< can still be prompt
     Tier m_late;
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
+    std::unordered_map<PieceId, std::size_t> m_group_sizes; ///< pieces that wait
     std::unordered_map<const UpstreamState*, Micros> m_resting;
     ResultRoom m_room;
     std::uint64_t m_turn = 0;
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -23,8 +23,21 @@
 void
 PieceQueue::add(const WaitingPiece& piece)
 {
-    if (m_by_id.emplace(piece.id, piece).second)
-        m_prompt.insert(rank_of(piece));
+    if (!m_by_id.emplace(piece.id, piece).second)
+        return;
+    m_prompt.insert(rank_of(piece));
+    ++m_group_sizes[piece.group];
+}
+
+/// To be called when the piece has left its tier.
+void
+PieceQueue::forget(PieceId id)
+{
+    const auto it = m_by_id.find(id);
+    const auto group = m_group_sizes.find(it->second.group);
+    if (--group->second == 0)
+        m_group_sizes.erase(group);
+    m_by_id.erase(it);
 }
 
 bool
@@ -36,7 +49,7 @@
     const Rank rank = rank_of(it->second);
     if (m_prompt.erase(rank) == 0)
         m_late.erase(rank);
-    m_by_id.erase(it);
+    forget(id);
     return true;
 }
 
@@ -101,9 +114,9 @@
 
 std::shared_ptr<UpstreamState>
 PieceQueue::upstream_for(const WaitingPiece& piece, const Upstreams& free,
-                         const UpstreamSet& set, Micros now)
+                         const UpstreamSet& set, bool saturated, Micros now)
 {
-    const bool patient = now - piece.queued_at < patience(set, piece);
+    const bool patient = !saturated && now - piece.queued_at < patience(set, piece);
     std::shared_ptr<UpstreamState> any;
     // In turn, so that results spread over the upstreams' room.
     ++m_turn;
@@ -125,35 +138,54 @@
 
 std::shared_ptr<UpstreamState>
 PieceQueue::choose(const Tier& tier, const Upstreams& free, const UpstreamSet& set,
-                   Micros now)
+                   bool saturated, Micros now)
 {
     int looked_at = 0;
     for (const Rank& rank : tier) {
         if (++looked_at > kMaxLookedAt)
             break;
-        if (auto upstream = upstream_for(m_by_id.at(rank.id), free, set, now))
+        if (auto upstream = upstream_for(m_by_id.at(rank.id), free, set, saturated, now))
             return upstream;
     }
     return nullptr;
 }
 
+bool
+PieceQueue::is_saturated(const UpstreamSet& set, Micros now) const
+{
+    const int items = set.spec.batch ? set.spec.batch->items : 1;
+    return 2 * m_by_id.size() > static_cast<std::size_t>(items * count_usable(set, now));
+}
+
 void
-PieceQueue::fill(Tier& tier, PieceCall& call, std::size_t items, const UpstreamSet& set,
+PieceQueue::fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
                  Micros now)
 {
+    const auto items
+        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     std::int64_t room = free_room(*call.upstream, set, now);
+    PieceId taking = 0; ///< group that is being taken whole
     for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
-        const bool fits = piece.near.empty() || piece.near == call.upstream->hall
+        const bool fits_hall = rule.any_hall || piece.near.empty()
+            || piece.near == call.upstream->hall
             || now - piece.queued_at >= patience(set, piece);
-        if (!fits || piece.result_bytes > room) {
+        const std::size_t group = m_group_sizes.at(piece.group);
+        const bool whole = piece.group == taking
+            || (group <= items - call.pieces.size()
+                && static_cast<std::int64_t>(group) * piece.result_bytes <= room);
+        // A group that is larger than a call can't stay together.
+        const bool fits = whole || rule.split || (group > items && call.pieces.empty());
+        if (!fits_hall || !fits || piece.result_bytes > room) {
             ++it;
             continue;
         }
+        if (whole)
+            taking = piece.group;
         room -= piece.result_bytes;
         m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
         call.pieces.push_back(it->id);
-        m_by_id.erase(it->id);
+        forget(it->id);
         it = tier.erase(it);
     }
 }
@@ -167,16 +199,17 @@
     const Upstreams free = free_upstreams(set, now);
     if (free.empty())
         return std::nullopt;
+    const bool saturated = is_saturated(set, now);
     PieceCall call;
-    call.upstream = choose(m_prompt, free, set, now);
+    call.upstream = choose(m_prompt, free, set, saturated, now);
     if (!call.upstream)
-        call.upstream = choose(m_late, free, set, now);
+        call.upstream = choose(m_late, free, set, saturated, now);
     if (!call.upstream)
         return std::nullopt;
-    const auto items
-        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
-    fill(m_prompt, call, items, set, now);
-    fill(m_late, call, items, set, now);
+    fill(m_prompt, call, set, {false, false}, now);
+    if (saturated || call.pieces.empty())
+        fill(m_prompt, call, set, {saturated, true}, now);
+    fill(m_late, call, set, {saturated, saturated || call.pieces.empty()}, now);
     if (call.pieces.empty())
         return std::nullopt;
     return call;
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -71,6 +71,7 @@
 {
     WaitingPiece piece;
     piece.id = id;
+    piece.group = order.ids.front();
     piece.priority = order.order.priority;
     piece.due = order.due;
     piece.deadline = order.deadline;
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -32,7 +32,7 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 /// Results that are given up wait so long for others of the same keeper.
-constexpr std::chrono::milliseconds kFreeLinger {15};
+constexpr std::chrono::milliseconds kFreeLinger {5};
 constexpr Micros kFreePatience = 500 * kMillisecond;
 
 } // namespace
