Unreached upstreams, homes of prompts and looks at the store

An attempt that was never sent is not paid for, takes its upstream out at once, and upstreams that fail to make pieces are backed off and probed with one group; among engines that are about as good the placer keeps an order that all daemons share; looks at the store are paced by the bounds they serve.

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -164,8 +164,12 @@
     /// and no upstream was idle for them for the time of a call.
     std::vector<PieceId> take_hopeless(const UpstreamSet& set, Micros now);
 
-    /// The upstream is left alone for a while: it was full or failed.
+    /// The upstream is left alone for a while: it was full.
     void rest(const UpstreamState& upstream, Micros until);
+    /// It failed: left alone for a while that doubles each time, then tried with one
+    /// group of pieces.
+    void note_failure(const UpstreamState& upstream, Micros now);
+    void note_success(const UpstreamState& upstream) { m_failures.erase(&upstream); }
 
 private:
     /// Order within a tier.
@@ -205,6 +209,7 @@
               Micros now);
     /// True if more waits than the upstreams take in half a round.
     bool is_saturated(const UpstreamSet& set, Micros now) const;
+    void take_probe(PieceCall& call, const UpstreamSet& set, Micros now);
     void forget(PieceId id);
 
     Tier m_prompt; ///< can still be prompt
@@ -212,6 +217,7 @@
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
     std::unordered_map<PieceId, std::size_t> m_group_sizes; ///< pieces that wait
     std::unordered_map<const UpstreamState*, Micros> m_resting;
+    std::unordered_map<const UpstreamState*, int> m_failures; ///< in a row
     ResultRoom m_room;
     std::uint64_t m_turn = 0;
 };
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -31,8 +31,10 @@
 
 /// Keeps, for each upstream, what prompts were sent there and not yet begun to be
 /// answered, and which parts of prompts it must still hold.  Chooses the upstream
-/// with the least left to read before this prompt's answer begins.  What it
-/// believes may be wrong (another leader, a restarted upstream) and costs time
+/// with the least left to read before this prompt's answer begins; among those that
+/// are about as good, the first in an order that is the same at every daemon
+/// (highest random weight), so that a new leader finds most prompts where the one
+/// before it had them.  What it believes may be wrong (another leader, a restarted upstream) and costs time
 /// only.
 class PromptPlacer {
 public:
@@ -66,6 +68,13 @@
         Micros at = 0;
     };
 
+    struct Choice {
+        std::shared_ptr<UpstreamState> upstream;
+        double cost = 0;
+        std::uint64_t weight = 0;
+    };
+    std::vector<Choice> choices(const UpstreamSet& set, const PromptQuery& query,
+                                Micros now);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
     double cost(const UpstreamState& upstream, const PromptQuery& query);
     void reserve(const UpstreamState& upstream, const UpstreamSet& set,
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -15,6 +15,8 @@
 /// A piece waits for an upstream of its hall no longer than this part of the time
 /// that it may wait at all.
 constexpr Micros kPatienceOfSlack = 3;
+constexpr Micros kFirstRest = 400 * kMillisecond;
+constexpr int kMaxRestDoublings = 4;
 /// Pieces that a search for a match looks at.
 constexpr int kMaxLookedAt = 64;
 
@@ -190,6 +192,27 @@
     }
 }
 
+/// One group, the least urgent of those that wait: it may well be lost time.
+void
+PieceQueue::take_probe(PieceCall& call, const UpstreamSet& set, Micros now)
+{
+    Tier& tier = m_late.empty() ? m_prompt : m_late;
+    const PieceId group = m_by_id.at(tier.rbegin()->id).group;
+    const auto items
+        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
+    for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
+        const WaitingPiece& piece = m_by_id.at(it->id);
+        if (piece.group != group) {
+            ++it;
+            continue;
+        }
+        m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
+        call.pieces.push_back(it->id);
+        forget(it->id);
+        it = tier.erase(it);
+    }
+}
+
 std::optional<PieceCall>
 PieceQueue::next_call(const UpstreamSet& set, Micros now)
 {
@@ -206,6 +229,10 @@
         call.upstream = choose(m_late, free, set, saturated, now);
     if (!call.upstream)
         return std::nullopt;
+    if (m_failures.contains(call.upstream.get())) {
+        take_probe(call, set, now);
+        return call;
+    }
     fill(m_prompt, call, set, {false, false}, now);
     if (saturated || call.pieces.empty())
         fill(m_prompt, call, set, {saturated, true}, now);
@@ -281,6 +308,13 @@
     return {};
 }
 
+void
+PieceQueue::note_failure(const UpstreamState& upstream, Micros now)
+{
+    const int before = m_failures[&upstream]++;
+    m_resting[&upstream] = now + (kFirstRest << std::min(before, kMaxRestDoublings));
+}
+
 void
 PieceQueue::rest(const UpstreamState& upstream, Micros until)
 {
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -4,7 +4,6 @@
 #include <cypressford/prompt_placer.h>
 
 #include <algorithm>
-#include <set>
 
 #include "candidates.h"
 
@@ -19,6 +18,9 @@
 /// Parts are believed to be kept in this part of an upstream's memory; the rest is
 /// taken by answers that run.
 constexpr double kKeptPart = 0.6;
+/// An upstream is about as good as the best if it costs no more than this part of
+/// the prompt's shared tokens in addition.
+constexpr double kToleratedPart = 0.4;
 /// Without a word of it, a request is forgotten after this time.
 constexpr Micros kForgetAfter = 15 * kSecond;
 constexpr Micros kExpirePace = 1 * kSecond;
@@ -76,13 +78,10 @@
     return tokens;
 }
 
-std::shared_ptr<UpstreamState>
-PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
+std::vector<PromptPlacer::Choice>
+PromptPlacer::choices(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
-    expire(now);
-    std::shared_ptr<UpstreamState> best;
-    double least = 0;
-    std::uint64_t best_weight = 0;
+    std::vector<Choice> result;
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side) {
             const bool avoided
@@ -90,17 +89,32 @@
                 != query.avoid.end();
             if (avoided || !is_usable(*upstream, now))
                 continue;
-            const double tokens = cost(*upstream, query);
-            const std::uint64_t weight = mix(upstream->address_hash ^ query.affinity);
-            if (best && (tokens > least || (tokens == least && weight <= best_weight)))
-                continue;
-            best = upstream;
-            least = tokens;
-            best_weight = weight;
+            result.push_back({upstream, cost(*upstream, query),
+                              mix(upstream->address_hash ^ query.affinity)});
         }
-    if (best && query.reserve)
-        reserve(*best, set, query, now);
-    return best;
+    return result;
+}
+
+std::shared_ptr<UpstreamState>
+PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
+{
+    expire(now);
+    const std::vector<Choice> all = choices(set, query, now);
+    if (all.empty())
+        return nullptr;
+    const auto cheaper
+        = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
+    double limit = std::min_element(all.begin(), all.end(), cheaper)->cost;
+    if (!query.parts.empty())
+        limit += kToleratedPart
+            * static_cast<double>(query.tokens - query.parts.back().tokens);
+    const Choice* best = nullptr;
+    for (const Choice& choice : all)
+        if (choice.cost <= limit && (!best || choice.weight > best->weight))
+            best = &choice;
+    if (query.reserve)
+        reserve(*best->upstream, set, query, now);
+    return best->upstream;
 }
 
 void
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -49,6 +49,8 @@
     int may_have_run = 0; ///< attempts sent and not proven unrun
     bool once_may_have_run = false;
     int attempts_of_stage = 0;
+    int unreached = 0; ///< attempts of the present stage that were never sent
+    bool last_unreached = false; ///< the last attempt was never sent
     ErrorKind last_failure = ErrorKind::UpstreamFailed;
     std::vector<AttemptId> running; ///< not cancelled
     int open_attempts = 0; ///< cancelled ones included
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -38,6 +38,8 @@
 /// A shared prompt shorter than this is read again faster than results of pieces
 /// cross to where it is kept, so it binds no request to an upstream.
 inline constexpr std::int64_t kTokensWorthHome = 1024;
+/// Upstreams that one stage may fail to reach before it is given up.
+inline constexpr int kMaxUnreached = 6;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
@@ -93,6 +95,7 @@
             owner.release_commitment(request, request.stage);
             ++request.stage;
             request.attempts_of_stage = 0;
+            request.unreached = 0;
             request.tried.clear();
         }
         void complete() override
@@ -141,6 +144,9 @@
             if (request.attempts_of_stage >= owner.max_attempts(request)
                 || owner.now >= request.spec.deadline)
                 return false;
+            // What never reached an upstream costs it nothing, so it is not paid for.
+            if (request.last_unreached)
+                return request.unreached <= kMaxUnreached;
             if (!owner.budgets_of(request).retries.spend())
                 return false;
             ++owner.counters.retries;
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -31,7 +31,9 @@
     case AttemptStatus::Failed:
     case AttemptStatus::Lost:
         if (!attempt.cancelled && options.eject && is_evidence(attempt, status)
-            && may_eject(attempt) && upstream.note_failure(kFailuresToEject, now))
+            && may_eject(attempt)
+            && upstream.note_failure(
+                status == AttemptStatus::NotSent ? 1 : kFailuresToEject, now))
             ++counters.ejections;
         break;
     }
@@ -71,6 +73,11 @@
     const bool proven_unrun = status == AttemptStatus::NotSent
         || status == AttemptStatus::Overloaded || status == AttemptStatus::Leaving
         || status == AttemptStatus::InputGone;
+    request.last_unreached = status == AttemptStatus::NotSent;
+    if (request.last_unreached) {
+        ++request.unreached;
+        --request.attempts_of_stage;
+    }
     if (status == AttemptStatus::InputGone)
         request.preparation = PreparationState::Wanted;
     if (proven_unrun) {
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -24,12 +24,16 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// How long a read waits at the platform for a record.  Short, since an answer
 /// that was on its way when the platform was cut off may never come.
-constexpr Micros kReadWait = 1200 * kMillisecond;
+constexpr Micros kReadWait = 2000 * kMillisecond;
 /// How long an answer may take beyond that.
-constexpr Micros kPatience = 1000 * kMillisecond;
+constexpr Micros kPatience = 800 * kMillisecond;
 constexpr Micros kRetryPause = 200 * kMillisecond;
-constexpr Micros kPublishPace = 2 * kSecond;
-constexpr Micros kDaemonsPace = 1 * kSecond;
+/// Between records of this daemon, and between looks at those of others: short at
+/// first, while all of them may be starting.
+constexpr Micros kPublishPace = 3 * kSecond;
+constexpr Micros kDaemonsPace = 2500 * kMillisecond;
+constexpr Micros kDaemonsFirstPace = 300 * kMillisecond;
+constexpr int kFirstLooks = 8;
 /// Without contact for this long, what went meanwhile may be the platform's fault.
 constexpr Micros kOutage = 2 * kSecond;
 
@@ -91,7 +95,7 @@
 DirectoryWatch::follow_daemons()
 {
     std::optional<Offset> next;
-    for (;;) {
+    for (int look = 0;; ++look) {
         Result<DirectoryPage> page = fail(ErrorKind::Internal);
         if (next)
             page = co_await read(DirectoryTopic::Daemons, *next, 0);
@@ -105,7 +109,7 @@
             take_daemons(page->records);
             next = next ? *next + static_cast<Offset>(page->records.size()) : page->end;
         }
-        co_await pause(kDaemonsPace);
+        co_await pause(look < kFirstLooks ? kDaemonsFirstPace : kDaemonsPace);
     }
 }
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
-constexpr Micros kConnectTime = 300 * kMillisecond;
+constexpr Micros kConnectTime = 250 * kMillisecond;
 /// A call that takes this many times what such calls take, and a little, is given
 /// up: its pieces are made elsewhere sooner.
 constexpr Micros kTimeoutOverTypical = 3;
@@ -28,10 +28,8 @@
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
 constexpr Micros kRestWhenNoRoom = 200 * kMillisecond;
-constexpr Micros kRestWhenSilent = 500 * kMillisecond;
 /// Between looks at pieces that wait for a certain upstream.
 constexpr Micros kLaterLook = 20 * kMillisecond;
-constexpr int kFailuresToEject = 3;
 constexpr int kMaxCalls = 4; ///< that one piece goes out with
 constexpr int kOk = 200;
 constexpr std::int64_t kBytesOfKb = 1000;
@@ -253,7 +251,7 @@
                 / kBytesOfKb)
         .kv("us", now - started);
     if (whole) {
-        call.upstream->note_success(now - started, now);
+        line.queue.note_success(*call.upstream);
         for (std::size_t i = 0; i < results.size(); ++i)
             settle(set_name, *call.upstream, call.pieces[i], results[i]);
     } else {
@@ -262,8 +260,7 @@
         else if (answered && said.not_run)
             line.queue.rest(*call.upstream, now + kRestWhenFull);
         else {
-            call.upstream->note_failure(kFailuresToEject, now);
-            line.queue.rest(*call.upstream, now + kRestWhenSilent);
+            line.queue.note_failure(*call.upstream, now);
         }
         for (const PieceId id : call.pieces) {
             line.queue.room().give_back(id);
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -23,7 +23,7 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// A daemon without a new record for so long leads nothing.
-constexpr Micros kSilentAfter = 6 * kSecond;
+constexpr Micros kSilentAfter = 9 * kSecond;
 /// A daemon that lost an order leads nothing for so long, and until it gives a sign
 /// of life.
 constexpr std::chrono::milliseconds kSuspectTime {1500};
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -24,7 +24,7 @@
 /// A call with less time left than this is not sent.
 constexpr Micros kLeastTime = 5 * kMillisecond;
 /// A connection that does not come up within this is given up: nothing was sent.
-constexpr Micros kConnectTime = 400 * kMillisecond;
+constexpr Micros kConnectTime = 250 * kMillisecond;
 /// Kept connections that rested longer are not used for what may run once only:
 /// the far side may be closing them just now.
 constexpr Micros kRestOfOnce = 1 * kSecond;
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -34,7 +34,7 @@
     std::string readiness_address; ///< "ip:port" of its own for readiness; empty for none
     std::string metrics_address; ///< "ip:port" of its own for metrics; empty for none
     bool uses_directory = false; ///< configuration and upstreams come from a directory
-    Micros directory_pace = 600 * kMillisecond; ///< between reads of upstreams' records
+    Micros directory_pace = 900 * kMillisecond; ///< between reads of upstreams' records
     /// How long an upstream whose record went in an outage is still believed in.
     Micros vanish_grace = 1200 * kMillisecond;
     std::vector<std::string> peers; ///< addresses of other daemons of the hall
