--- a/src/cypressfordd/cypressfordd.cpp
+++ b/src/cypressfordd/cypressfordd.cpp
@@ -32,6 +32,18 @@
     return path.empty() && variable ? variable : path;
 }
 
+tl::expected<cypressford::Settings, std::vector<cypressford::Fault>>
+read_settings(const std::string& path)
+{
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    if (!file)
+        return tl::unexpected(
+            std::vector<cypressford::Fault> {{0, "can't read '" + path + "'"}});
+    return cypressford::parse_settings(text.str());
+}
+
 } // namespace
 
 int
@@ -42,14 +54,7 @@
                                  "Example: cypressfordd --settings=/etc/cypressford.yaml");
     absl::ParseCommandLine(argc, argv);
     const std::string path = settings_path();
-    std::ifstream file(path);
-    std::stringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        std::cerr << "cypressfordd: can't read '" << path << "'\n";
-        return kBadSettings;
-    }
-    auto settings = parse_settings(text.str());
+    auto settings = read_settings(path);
     if (!settings) {
         std::cerr << format_faults(path, settings.error());
         return kBadSettings;
@@ -57,7 +62,7 @@
     open_log({settings->hall, settings->node}, settings->log_file, settings->log_level);
     int code = kOk;
     {
-        Daemon daemon(*std::move(settings));
+        Daemon daemon(*std::move(settings), [path] { return read_settings(path); });
         if (const auto started = daemon.start()) {
             daemon.run_until_stopped();
         } else {
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -209,6 +209,8 @@
               Micros now);
     /// True if more waits than the upstreams take in half a round.
     bool is_saturated(const UpstreamSet& set, Micros now) const;
+    static bool waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
+                               Micros now);
     void take_probe(PieceCall& call, const UpstreamSet& set, Micros now);
     void forget(PieceId id);
 
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -100,6 +100,20 @@
                     slack / kPatienceOfSlack);
 }
 
+/// True while the piece should go to its hall only; a hall without an upstream that
+/// is usable is not waited for.
+bool
+PieceQueue::waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set, Micros now)
+{
+    if (now - piece.queued_at >= patience(set, piece))
+        return false;
+    const auto is_there = [&](const auto& upstream) {
+        return upstream->hall == piece.near && is_usable(*upstream, now);
+    };
+    return std::any_of(set.own.begin(), set.own.end(), is_there)
+        || std::any_of(set.remote.begin(), set.remote.end(), is_there);
+}
+
 std::int64_t
 PieceQueue::free_room(const UpstreamState& upstream, const UpstreamSet& set, Micros now)
 {
@@ -118,7 +132,7 @@
 PieceQueue::upstream_for(const WaitingPiece& piece, const Upstreams& free,
                          const UpstreamSet& set, bool saturated, Micros now)
 {
-    const bool patient = !saturated && now - piece.queued_at < patience(set, piece);
+    const bool patient = !saturated && waits_for_hall(piece, set, now);
     std::shared_ptr<UpstreamState> any;
     // In turn, so that results spread over the upstreams' room.
     ++m_turn;
@@ -131,11 +145,7 @@
         if (!any)
             any = upstream;
     }
-    const bool has_near = std::any_of(set.own.begin(), set.own.end(),
-                                      [&](const auto& u) { return u->hall == piece.near; })
-        || std::any_of(set.remote.begin(), set.remote.end(),
-                       [&](const auto& u) { return u->hall == piece.near; });
-    return patient && has_near ? nullptr : any;
+    return patient ? nullptr : any;
 }
 
 std::shared_ptr<UpstreamState>
@@ -166,23 +176,23 @@
     const auto items
         = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     std::int64_t room = free_room(*call.upstream, set, now);
-    PieceId taking = 0; ///< group that is being taken whole
+    PieceId taking = 0; ///< group that is being taken
     for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
-        const bool fits_hall = rule.any_hall || piece.near.empty()
-            || piece.near == call.upstream->hall
-            || now - piece.queued_at >= patience(set, piece);
+        const bool fits_hall = rule.any_hall || piece.near == call.upstream->hall
+            || !waits_for_hall(piece, set, now);
         const std::size_t group = m_group_sizes.at(piece.group);
-        const bool whole = piece.group == taking
-            || (group <= items - call.pieces.size()
-                && static_cast<std::int64_t>(group) * piece.result_bytes <= room);
+        const bool goes_whole = group <= items - call.pieces.size()
+            && static_cast<std::int64_t>(group) * piece.result_bytes <= room;
         // A group that is larger than a call can't stay together.
-        const bool fits = whole || rule.split || (group > items && call.pieces.empty());
+        const bool too_large = group > items && call.pieces.empty();
+        const bool begun = piece.group == taking || goes_whole || too_large;
+        const bool fits = begun || rule.split;
         if (!fits_hall || !fits || piece.result_bytes > room) {
             ++it;
             continue;
         }
-        if (whole)
+        if (begun)
             taking = piece.group;
         room -= piece.result_bytes;
         m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
--- /dev/null
+++ b/src/libcypressford/pieces_test.cpp
@@ -0,0 +1,366 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <doctest/doctest.h>
+
+#include <cypressford/piece_order.h>
+#include <cypressford/pieces.h>
+#include <cypressford/prompt_placer.h>
+
+namespace cypressford {
+namespace {
+
+PieceStageSpec
+stage(std::vector<std::size_t> after)
+{
+    PieceStageSpec spec;
+    spec.upstream_set = "set";
+    spec.after = std::move(after);
+    return spec;
+}
+
+using Stages = std::vector<std::size_t>;
+using Handles = std::vector<std::string>;
+
+TEST_CASE("stages are given out once, when all they need is made")
+{
+    PiecePlan plan({stage({}), stage({0}), stage({0, 1})}, {1, 2, 1});
+    CHECK(plan.take_ready() == Stages {0});
+    CHECK(plan.take_ready().empty());
+    plan.stage_made(0, {"a"});
+    CHECK(plan.take_ready() == Stages {1});
+    CHECK(plan.inputs_of(1) == Handles {"a"});
+    plan.stage_made(1, {"b", "c"});
+    CHECK(plan.take_ready() == Stages {2});
+    CHECK(plan.inputs_of(2) == Handles {"a", "b", "c"});
+    CHECK_FALSE(plan.is_done());
+    plan.stage_made(2, {"d"});
+    CHECK(plan.is_done());
+    CHECK(plan.final_inputs() == Handles {"d"});
+}
+
+TEST_CASE("a stage with no pieces is left out, also as an input")
+{
+    PiecePlan plan({stage({}), stage({}), stage({0, 1})}, {0, 1, 1});
+    CHECK(plan.take_ready() == Stages {1});
+    plan.stage_made(1, {"b"});
+    CHECK(plan.take_ready() == Stages {2});
+    CHECK(plan.inputs_of(2) == Handles {"b"});
+    PiecePlan last_left_out({stage({}), stage({0})}, {1, 0});
+    last_left_out.take_ready();
+    last_left_out.stage_made(0, {"a"});
+    CHECK(last_left_out.is_done());
+    CHECK(last_left_out.final_inputs() == Handles {"a"});
+}
+
+TEST_CASE("a result is spent when its last reader is made, and once")
+{
+    PiecePlan plan({stage({}), stage({0}), stage({0})}, {1, 1, 1});
+    plan.take_ready();
+    plan.stage_made(0, {"a"});
+    plan.take_ready();
+    plan.stage_made(1, {"b"});
+    CHECK(plan.take_spent().empty());
+    CHECK(plan.unspent() == Handles {"a", "b"});
+    plan.stage_made(2, {"c"});
+    CHECK(plan.take_spent() == Handles {"a"});
+    CHECK(plan.take_spent().empty());
+    CHECK(plan.unspent() == Handles {"b", "c"});
+    CHECK(plan.stage_of("c") == 2);
+}
+
+/// A set of single-slot upstreams, by hall.
+UpstreamSet
+make_set(const std::vector<std::string>& halls, int items = 8, double room_mb = 0)
+{
+    UpstreamSet set;
+    set.spec.name = "set";
+    set.spec.slots = 1;
+    set.spec.batch = BatchSpec {items, 2, 150 * kMillisecond, 16 * kMillisecond, room_mb,
+                                4 * kSecond};
+    for (std::size_t i = 0; i < halls.size(); ++i)
+        set.own.push_back(std::make_shared<UpstreamState>(
+            "10.0.0." + std::to_string(i) + ":80", halls[i], "i" + std::to_string(i)));
+    return set;
+}
+
+WaitingPiece
+piece(PieceId id, PieceId group, int priority, Micros due, std::string near = {})
+{
+    WaitingPiece result;
+    result.id = id;
+    result.group = group;
+    result.priority = priority;
+    result.due = due;
+    result.deadline = due + 10 * kSecond;
+    result.near = std::move(near);
+    return result;
+}
+
+using Ids = std::vector<PieceId>;
+
+TEST_CASE("prompt pieces go first by priority and due time, late ones fill up")
+{
+    const UpstreamSet set = make_set({"a"}, 3);
+    PieceQueue queue;
+    queue.add(piece(1, 1, 0, -1));
+    queue.add(piece(2, 2, 1, 500 * kMillisecond));
+    queue.add(piece(3, 3, 0, 900 * kMillisecond));
+    queue.add(piece(4, 4, 0, 800 * kMillisecond));
+    const auto call = queue.next_call(set, 0);
+    REQUIRE(call);
+    CHECK(call->pieces == Ids {4, 3, 2});
+    const auto rest = queue.next_call(set, 0);
+    REQUIRE(rest);
+    CHECK(rest->pieces == Ids {1});
+    CHECK_FALSE(queue.next_call(set, 0));
+}
+
+TEST_CASE("no call without a free slot")
+{
+    const UpstreamSet set = make_set({"a"});
+    PieceQueue queue;
+    queue.add(piece(1, 1, 0, kSecond));
+    set.own.front()->in_flight = 1;
+    CHECK_FALSE(queue.next_call(set, 0));
+    CHECK(queue.expected_wait(set, 0, 0) > 0);
+    set.own.front()->in_flight = 0;
+    CHECK(queue.next_call(set, 0));
+    CHECK(queue.expected_wait(set, 0, 0) == 0);
+}
+
+TEST_CASE("a piece waits for its hall, but not for ever")
+{
+    const UpstreamSet set = make_set({"a", "b"});
+    set.own[1]->in_flight = 1;
+    PieceQueue queue;
+    queue.add(piece(1, 1, 0, kSecond, "b"));
+    CHECK_FALSE(queue.next_call(set, 0));
+    const Micros patience = PieceQueue::patience(set, piece(1, 1, 0, kSecond, "b"));
+    CHECK(patience > 0);
+    CHECK(patience < kSecond);
+    const auto call = queue.next_call(set, patience);
+    REQUIRE(call);
+    CHECK(call->upstream->hall == "a");
+}
+
+TEST_CASE("a hall without upstreams is not waited for")
+{
+    const UpstreamSet set = make_set({"a"});
+    PieceQueue queue;
+    queue.add(piece(1, 1, 0, kSecond, "elsewhere"));
+    CHECK(queue.next_call(set, 0));
+}
+
+TEST_CASE("groups stay together while little waits, full calls come first otherwise")
+{
+    const UpstreamSet set = make_set({"a", "a", "a", "a"}, 8);
+    PieceQueue queue;
+    for (PieceId id = 1; id <= 5; ++id)
+        queue.add(piece(id, 1, 0, kSecond));
+    for (PieceId id = 6; id <= 10; ++id)
+        queue.add(piece(id, 6, 0, 2 * kSecond));
+    const auto call = queue.next_call(set, 0);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 5);
+    // Four upstreams take 32; more than 16 waiting is much.
+    for (PieceId id = 11; id <= 30; ++id)
+        queue.add(piece(id, 11, 0, 3 * kSecond));
+    const auto full = queue.next_call(set, 0);
+    REQUIRE(full);
+    CHECK(full->pieces.size() == 8);
+}
+
+TEST_CASE("a group larger than a call is split")
+{
+    const UpstreamSet set = make_set({"a", "a", "a", "a"}, 2);
+    PieceQueue queue;
+    for (PieceId id = 1; id <= 3; ++id)
+        queue.add(piece(id, 1, 0, kSecond));
+    CHECK(queue.next_call(set, 0)->pieces == Ids {1, 2});
+    CHECK(queue.next_call(set, 0)->pieces == Ids {3});
+}
+
+TEST_CASE("results never take more than the room that is there")
+{
+    const UpstreamSet set = make_set({"a"}, 8, 10);
+    PieceQueue queue;
+    for (PieceId id = 1; id <= 8; ++id) {
+        WaitingPiece big = piece(id, id, 0, kSecond);
+        big.result_bytes = 3'000'000;
+        queue.add(big);
+    }
+    const auto call = queue.next_call(set, 0);
+    REQUIRE(call);
+    CHECK(call->pieces.size() == 3);
+    CHECK_FALSE(queue.next_call(set, 0));
+    queue.room().name(call->pieces[0], "h0");
+    queue.room().give_back("h0");
+    CHECK(queue.next_call(set, 0)->pieces.size() == 1);
+    // What nobody gives up ends with the time that results are kept.
+    CHECK_FALSE(queue.next_call(set, kSecond));
+    CHECK(queue.next_call(set, 6 * kSecond)->pieces.size() == 3);
+}
+
+TEST_CASE("an upstream that says it has no room is left alone for a while")
+{
+    const UpstreamSet set = make_set({"a"}, 8, 10);
+    PieceQueue queue;
+    WaitingPiece big = piece(1, 1, 0, 10 * kSecond);
+    big.result_bytes = 1;
+    queue.add(big);
+    queue.room().note_full(*set.own.front(), kSecond);
+    CHECK_FALSE(queue.next_call(set, 0));
+    CHECK(queue.next_call(set, kSecond));
+}
+
+TEST_CASE("an upstream that fails is backed off, longer each time, and probed")
+{
+    const UpstreamSet set = make_set({"a"}, 8);
+    PieceQueue queue;
+    for (PieceId id = 1; id <= 4; ++id)
+        queue.add(piece(id, id < 3 ? 1 : 3, 0, 100 * kSecond));
+    const UpstreamState& upstream = *set.own.front();
+    queue.note_failure(upstream, 0);
+    CHECK_FALSE(queue.next_call(set, 399 * kMillisecond));
+    queue.note_failure(upstream, 0);
+    CHECK_FALSE(queue.next_call(set, 799 * kMillisecond));
+    // One group only, since it may be lost time.
+    CHECK(queue.next_call(set, 800 * kMillisecond)->pieces.size() == 2);
+    queue.note_success(upstream);
+    CHECK(queue.next_call(set, 800 * kMillisecond)->pieces.size() == 2);
+}
+
+TEST_CASE("hopeless pieces are taken out after a call's time, prompt ones never")
+{
+    const UpstreamSet set = make_set({"a"}, 8);
+    set.own.front()->in_flight = 1;
+    PieceQueue queue;
+    queue.add(piece(1, 1, 0, 0));
+    queue.add(piece(2, 2, 0, 100 * kSecond));
+    CHECK(queue.take_hopeless(set, 278 * kMillisecond).empty());
+    CHECK(queue.take_hopeless(set, 279 * kMillisecond) == Ids {1});
+    CHECK(queue.size() == 1);
+}
+
+TEST_CASE("less urgent pieces do not lengthen the wait of urgent ones")
+{
+    const UpstreamSet set = make_set({"a"}, 8);
+    set.own.front()->in_flight = 1;
+    PieceQueue queue;
+    for (PieceId id = 1; id <= 40; ++id)
+        queue.add(piece(id, id, 5, 100 * kSecond));
+    CHECK(queue.expected_wait(set, 0, 0) < queue.expected_wait(set, 5, 0));
+}
+
+TEST_CASE("orders, answers and releases survive their encoding")
+{
+    PieceOrder order;
+    order.upstream_set = "s";
+    order.priority = 2;
+    order.time_left = 900 * kMillisecond;
+    order.due_left = -30 * kMillisecond;
+    order.near = "hall";
+    order.result_bytes = 5;
+    order.pieces.push_back({"attempt", 1, 2, 0, "key", {"in"}});
+    const auto read = decode_piece_order(encode(order));
+    REQUIRE(read);
+    CHECK(read->due_left == order.due_left);
+    CHECK(read->time_left == order.time_left);
+    REQUIRE(read->pieces.size() == 1);
+    CHECK(read->pieces[0].segment == 2);
+    CHECK(read->pieces[0].inputs == Handles {"in"});
+    PieceAnswer answer;
+    answer.pieces = {{PieceOutcome::Made, "h"}, {PieceOutcome::Late, ""}};
+    const auto told = decode_piece_answer(encode(answer));
+    REQUIRE(told);
+    REQUIRE(told->pieces.size() == 2);
+    CHECK(told->pieces[1].outcome == PieceOutcome::Late);
+    const auto freed = decode_releases(encode(Releases {"s", {"h"}, {"b"}, {"e"}}));
+    REQUIRE(freed);
+    CHECK(freed->ended == Handles {"e"});
+}
+
+// ------------------------------------------------------------------ placing
+
+UpstreamSet
+engines(int count)
+{
+    UpstreamSet set = make_set(std::vector<std::string>(count, "a"));
+    set.spec.batch.reset();
+    set.spec.slots = 64;
+    set.spec.memory_tokens = 100'000;
+    return set;
+}
+
+PromptQuery
+prompt(const std::string& attempt, std::uint64_t subject, bool reserve = true)
+{
+    PromptQuery query;
+    query.attempt = attempt;
+    query.parts = {{subject, 10'000}, {std::hash<std::string> {}(attempt), 1'000}};
+    query.tokens = 11'000;
+    query.affinity = subject;
+    query.reserve = reserve;
+    return query;
+}
+
+TEST_CASE("a prompt goes where its shared part is kept")
+{
+    const UpstreamSet set = engines(6);
+    PromptPlacer placer;
+    const auto home = placer.place(set, prompt("1", 77), 0);
+    placer.note_begun("1");
+    for (int i = 2; i < 8; ++i) {
+        const std::string attempt = std::to_string(i);
+        CHECK(placer.place(set, prompt(attempt, 77), 0) == home);
+        placer.note_begun(attempt);
+        placer.note_ended(attempt);
+    }
+}
+
+TEST_CASE("a home with too much to read gets help")
+{
+    const UpstreamSet set = engines(6);
+    PromptPlacer placer;
+    const auto home = placer.place(set, prompt("1", 77), 0);
+    bool helped = false;
+    for (int i = 2; i < 30; ++i)
+        helped |= placer.place(set, prompt(std::to_string(i), 77), 0) != home;
+    CHECK(helped);
+}
+
+TEST_CASE("two leaders that know nothing choose the same home")
+{
+    const UpstreamSet set = engines(6);
+    for (std::uint64_t subject = 1; subject < 40; ++subject) {
+        PromptPlacer one;
+        PromptPlacer two;
+        CHECK(one.place(set, prompt("1", subject), 0)
+              == two.place(set, prompt("2", subject), 0));
+    }
+}
+
+TEST_CASE("upstreams that are leaving or avoided are not chosen")
+{
+    const UpstreamSet set = engines(2);
+    PromptPlacer placer;
+    set.own[0]->mark_leaving();
+    CHECK(placer.place(set, prompt("1", 5), 0) == set.own[1]);
+    PromptQuery query = prompt("2", 5);
+    query.avoid = {set.own[1]->identity};
+    CHECK(placer.place(set, query, 0) == nullptr);
+}
+
+TEST_CASE("what is never reported is forgotten in time")
+{
+    const UpstreamSet set = engines(2);
+    PromptPlacer placer;
+    const auto home = placer.place(set, prompt("0", 5), 0);
+    for (int i = 1; i < 20; ++i)
+        placer.place(set, prompt(std::to_string(i), 5), 0);
+    CHECK(placer.place(set, prompt("x", 5, false), 20 * kSecond) == home);
+}
+
+} // namespace
+} // namespace cypressford
--- /dev/null
+++ b/src/libcypressford/relay_test.cpp
@@ -0,0 +1,308 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The life of relayed requests in the scheduler.
+
+#include <doctest/doctest.h>
+
+#include <cypressford/registry.h>
+#include <cypressford/scheduler.h>
+
+namespace cypressford {
+namespace {
+
+/// One scheduler over two upstreams, with its actions collected.
+class Bench {
+public:
+    explicit Bench(SchedulerOptions options = {})
+        : m_router(Registry<Router>::instance().make("adaptive"))
+        , m_admission(Registry<Admission>::instance().make("budget"))
+        , m_table("a")
+        , m_scheduler(options, *m_router, *m_admission, [] { return 0; })
+    {
+    }
+
+    /// A bundle with one relayed pipeline.
+    void publish(PipelineSpec pipeline, bool with_pieces = false)
+    {
+        Bundle bundle;
+        bundle.name = "b";
+        bundle.version = ++m_version;
+        UpstreamSetSpec set;
+        set.name = "set";
+        set.slots = 4;
+        bundle.upstream_sets.push_back(set);
+        UpstreamSetSpec pool;
+        pool.name = "pool";
+        pool.batch = BatchSpec {8, 2, 150 * kMillisecond, 16 * kMillisecond, 0, 0};
+        bundle.upstream_sets.push_back(pool);
+        pipeline.relayed = true;
+        pipeline.host = "h";
+        pipeline.path_prefix = "/p/";
+        if (pipeline.stages.empty())
+            pipeline.stages.emplace_back();
+        pipeline.stages[0].upstream_set = "set";
+        if (with_pieces)
+            pipeline.piece_stages.push_back({"pool", {}, 100});
+        bundle.pipelines.push_back(pipeline);
+        snapshot = m_table.build(bundle,
+                                 {{"i1", "set", "10.0.0.1:1", "a", 0, false},
+                                  {"i2", "set", "10.0.0.2:1", "a", 0, false},
+                                  {"s1", "pool", "10.0.0.3:1", "a", 0, false}});
+    }
+
+    void arrive(RequestId id, Micros deadline, std::vector<int> pieces = {},
+                bool asks_leader = false)
+    {
+        RequestSpec spec;
+        spec.id = id;
+        spec.snapshot = snapshot;
+        spec.account = snapshot->nobody;
+        spec.deadline = deadline;
+        spec.pieces = std::move(pieces);
+        spec.asks_leader = asks_leader;
+        handle(RequestArrived {std::move(spec)});
+    }
+
+    void handle(const Event& event)
+    {
+        actions.clear();
+        m_scheduler.handle(event, now, actions);
+    }
+
+    template <class A> const A* find() const
+    {
+        for (const Action& action : actions)
+            if (const A* found = std::get_if<A>(&action))
+                return found;
+        return nullptr;
+    }
+
+    const Scheduler& scheduler() const { return m_scheduler; }
+
+    Micros now = 0;
+    Actions actions;
+    SnapshotPtr snapshot;
+
+private:
+    std::unique_ptr<Router> m_router;
+    std::unique_ptr<Admission> m_admission;
+    UpstreamTable m_table;
+    Scheduler m_scheduler;
+    std::uint64_t m_version = 0;
+};
+
+PipelineSpec
+pipeline(bool repeatable)
+{
+    PipelineSpec spec;
+    spec.name = "p";
+    spec.stages.emplace_back();
+    spec.stages[0].repeatable = repeatable;
+    spec.max_attempts = 3;
+    return spec;
+}
+
+TEST_CASE("a relayed request that may not be repeated needs no key and is sent once")
+{
+    Bench bench;
+    bench.publish(pipeline(false));
+    bench.arrive(1, kSecond);
+    CHECK_FALSE(bench.find<BeginClaim>());
+    const auto* send = bench.find<SendAttempt>();
+    REQUIRE(send);
+    CHECK_FALSE(send->may_repeat);
+    bench.handle(AttemptEnded {send->attempt, AttemptStatus::Lost});
+    CHECK_FALSE(bench.find<SendAttempt>());
+    const auto* reply = bench.find<Reply>();
+    REQUIRE(reply);
+    CHECK(*reply->error == ErrorKind::OutcomeUnknown);
+    CHECK(reply->ran == Ran::Unknown);
+}
+
+TEST_CASE("one that was proven unrun goes to another upstream")
+{
+    for (const AttemptStatus status :
+         {AttemptStatus::NotSent, AttemptStatus::Overloaded, AttemptStatus::Leaving}) {
+        Bench bench;
+        bench.publish(pipeline(false));
+        bench.arrive(1, kSecond);
+        const auto first = *bench.find<SendAttempt>();
+        bench.handle(AttemptEnded {first.attempt, status});
+        const auto* second = bench.find<SendAttempt>();
+        REQUIRE(second);
+        CHECK(second->upstream != first.upstream);
+    }
+}
+
+TEST_CASE("a repeatable request is sent again only as often as its pipeline allows")
+{
+    PipelineSpec spec = pipeline(true);
+    spec.max_attempts = 2;
+    Bench bench;
+    bench.publish(spec);
+    bench.arrive(1, kSecond);
+    bench.handle(
+        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    REQUIRE(bench.find<SendAttempt>());
+    bench.handle(
+        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    CHECK_FALSE(bench.find<SendAttempt>());
+    CHECK(*bench.find<Reply>()->error == ErrorKind::UpstreamFailed);
+}
+
+TEST_CASE("what never reached an upstream is not paid for, what did is")
+{
+    SchedulerOptions options;
+    options.retry_ratio = 0;
+    options.retry_burst = 0;
+    Bench bench(options);
+    bench.publish(pipeline(true));
+    bench.arrive(1, kSecond);
+    bench.handle(
+        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    REQUIRE(bench.find<SendAttempt>());
+    bench.handle(
+        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Overloaded});
+    CHECK_FALSE(bench.find<SendAttempt>());
+    REQUIRE(bench.find<Reply>());
+    CHECK(bench.find<Reply>()->ran == Ran::NotRun);
+}
+
+TEST_CASE("a caller that leaves takes its attempt along, whatever its kind")
+{
+    for (const bool repeatable : {true, false}) {
+        Bench bench;
+        bench.publish(pipeline(repeatable));
+        bench.arrive(1, kSecond);
+        const auto send = *bench.find<SendAttempt>();
+        bench.handle(CallerClosed {1});
+        REQUIRE(bench.find<CancelAttempt>());
+        CHECK(bench.find<CancelAttempt>()->attempt == send.attempt);
+        bench.handle(AttemptEnded {send.attempt, AttemptStatus::Lost});
+        CHECK(bench.find<Forget>());
+        CHECK(bench.scheduler().live() == 0);
+    }
+}
+
+TEST_CASE("nothing is sent before the pieces are made")
+{
+    Bench bench;
+    bench.publish(pipeline(true), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    CHECK_FALSE(bench.find<SendAttempt>());
+    REQUIRE(bench.find<BeginPreparation>());
+    bench.handle(PreparationEnded {1, true, "a", "i2"});
+    REQUIRE(bench.find<SendAttempt>());
+    CHECK(bench.find<SendAttempt>()->upstream->identity == "i2");
+}
+
+TEST_CASE("pieces that can't be made end the request as not run")
+{
+    Bench bench;
+    bench.publish(pipeline(false), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    bench.handle(PreparationEnded {1, false, "", ""});
+    REQUIRE(bench.find<Reply>());
+    CHECK(bench.find<Reply>()->ran == Ran::NotRun);
+    CHECK(error_row(*bench.find<Reply>()->error).http_status == 503);
+}
+
+TEST_CASE("a result that is gone sends the request back to its preparation")
+{
+    Bench bench;
+    bench.publish(pipeline(false), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    bench.handle(PreparationEnded {1, true, "a", ""});
+    bench.handle(
+        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::InputGone});
+    CHECK(bench.find<BeginPreparation>());
+    CHECK_FALSE(bench.find<SendAttempt>());
+}
+
+TEST_CASE("a request that ends while it is prepared gives the preparation up")
+{
+    Bench bench;
+    bench.publish(pipeline(true), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    bench.handle(CallerClosed {1});
+    CHECK(bench.find<CancelPreparation>());
+    CHECK(bench.scheduler().live() == 0);
+    bench.handle(PreparationEnded {1, true, "a", ""});
+    CHECK(bench.actions.empty());
+}
+
+TEST_CASE("at the deadline a request is answered, run or not")
+{
+    Bench bench;
+    bench.publish(pipeline(false));
+    bench.arrive(1, kSecond);
+    bench.now = kSecond;
+    bench.handle(Tick {});
+    REQUIRE(bench.find<Reply>());
+    CHECK(bench.find<Reply>()->ran == Ran::Unknown);
+    CHECK(error_row(*bench.find<Reply>()->error).http_status == 504);
+    CHECK(bench.find<CancelAttempt>());
+}
+
+TEST_CASE("an upstream that leaves the list gets nothing, also under older snapshots")
+{
+    UpstreamTable table("a");
+    Bundle bundle;
+    bundle.name = "b";
+    bundle.version = 1;
+    UpstreamSetSpec set;
+    set.name = "set";
+    bundle.upstream_sets.push_back(set);
+    const auto old
+        = table.build(bundle, {{"i1", "set", "10.0.0.1:1", "a", 0, false},
+                               {"i2", "set", "10.0.0.2:1", "a", 0, false}});
+    const auto fresh = table.build(bundle, {{"i2", "set", "10.0.0.2:1", "a", 0, false},
+                                            {"i9", "set", "10.0.0.1:1", "a", 0, false}});
+    CHECK(old->sets[0].own[0]->leaving);
+    CHECK_FALSE(old->sets[0].own[1]->leaving);
+    // The address has another upstream now.
+    REQUIRE(fresh->sets[0].own.size() == 2);
+    CHECK(fresh->sets[0].own[1]->identity == "i9");
+    CHECK_FALSE(fresh->sets[0].own[1]->leaving);
+}
+
+TEST_CASE("the longest prefix of the host decides, and weights split it")
+{
+    UpstreamTable table("a");
+    Bundle bundle;
+    bundle.name = "b";
+    bundle.version = 1;
+    UpstreamSetSpec set;
+    set.name = "set";
+    bundle.upstream_sets.push_back(set);
+    const auto add = [&](const char* name, const char* prefix, double weight) {
+        PipelineSpec spec = pipeline(true);
+        spec.name = name;
+        spec.relayed = true;
+        spec.host = "h";
+        spec.path_prefix = prefix;
+        spec.weight = weight;
+        spec.stages[0].upstream_set = "set";
+        bundle.pipelines.push_back(spec);
+    };
+    add("short", "/a/", 1);
+    add("long", "/a/b/", 1);
+    add("many", "/c/", 90);
+    add("few", "/c/", 10);
+    const auto snapshot = table.build(bundle);
+    const auto name = [&](const char* path, std::uint64_t pick) {
+        return snapshot->pipelines[*snapshot->match("h", path, pick)].spec.name;
+    };
+    CHECK(name("/a/x", 0) == "short");
+    CHECK(name("/a/b/x", 0) == "long");
+    CHECK_FALSE(snapshot->match("h", "/b/", 0));
+    CHECK_FALSE(snapshot->match("other", "/a/", 0));
+    CHECK(name("/c/", 0) == "many");
+    CHECK(name("/c/", ~std::uint64_t {0}) == "few");
+    CHECK(name("/c/", 1ULL << 63) == "many");
+}
+
+} // namespace
+} // namespace cypressford
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -76,9 +76,11 @@
 };
 
 struct Daemon::Impl {
-    explicit Impl(Settings settings)
+    Impl(Settings settings, ReadSettings read)
         : kernel(std::move(settings))
+        , read_settings(std::move(read))
         , signals(control, SIGINT, SIGTERM)
+        , hangup(control, SIGHUP)
     {
         if (kernel.settings.uses_directory) {
             directory = std::make_unique<DirectoryWatch>(control, kernel);
@@ -155,6 +157,31 @@
         co_return true;
     }
 
+    asio::awaitable<void> follow_settings()
+    {
+        for (;;) {
+            auto [ec, number] = co_await hangup.async_wait(kToTuple);
+            if (ec)
+                co_return;
+            reload();
+        }
+    }
+
+    void reload()
+    {
+        auto fresh = read_settings();
+        if (!fresh) {
+            for (const Fault& fault : fresh.error())
+                LogEvent("settings_refused", LogLevel::Error)
+                    .kv("line", fault.line)
+                    .kv("why", fault.message);
+            return;
+        }
+        LogEvent("settings_reloaded").kv("platform", fresh->platform.log);
+        kernel.reloaded.store(std::make_shared<const Settings>(*std::move(fresh)));
+        on_workers([](Worker& worker) { worker.apply_limits(); });
+    }
+
     asio::awaitable<void> wait_for_signal()
     {
         auto [ec, number] = co_await signals.async_wait(kToTuple);
@@ -171,8 +198,9 @@
     asio::awaitable<void> planned_stop()
     {
         LogEvent("stop_begin");
+        const auto settings = kernel.reloaded.load();
         const Micros limit
-            = monotonic_us() + kernel.settings.stop_limit / kStopParts * (kStopParts - 1);
+            = monotonic_us() + settings->stop_limit / kStopParts * (kStopParts - 1);
         kernel.stopping.store(true);
         on_workers([](Worker& worker) { worker.close_after_answers(); });
         if (log)
@@ -180,7 +208,7 @@
         else
             directory->announce_stop();
         asio::steady_timer timer(control);
-        timer.expires_after(std::chrono::microseconds(kernel.settings.stop_grace));
+        timer.expires_after(std::chrono::microseconds(settings->stop_grace));
         co_await timer.async_wait(kToTuple);
         on_workers([](Worker& worker) { worker.stop_accepting(); });
         bool idle = false;
@@ -200,13 +228,15 @@
     std::unique_ptr<DirectoryWatch> directory;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metrics;
+    ReadSettings read_settings;
     asio::signal_set signals;
+    asio::signal_set hangup;
     std::vector<std::unique_ptr<Worker>> workers;
     std::unique_ptr<PieceService> pieces; ///< on the first worker's thread
 };
 
-Daemon::Daemon(Settings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+Daemon::Daemon(Settings settings, ReadSettings read_settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(read_settings)))
 {
 }
 
@@ -236,6 +266,7 @@
     for (auto& worker : impl.workers)
         worker->start();
     asio::co_spawn(impl.control, impl.wait_for_signal(), asio::detached);
+    asio::co_spawn(impl.control, impl.follow_settings(), asio::detached);
     const Settings& settings = impl.kernel.settings;
     LogEvent("daemon_start")
         .kv("callers", settings.callers_address)
--- a/src/libserve/daemon.h
+++ b/src/libserve/daemon.h
@@ -3,7 +3,9 @@
 
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 #include "settings.h"
 
@@ -12,7 +14,11 @@
 /// A whole daemon: workers for callers, one control thread for the rest.
 class Daemon {
 public:
-    explicit Daemon(Settings settings);
+    /// Reads the settings anew and checks them.
+    using ReadSettings = std::function<tl::expected<Settings, std::vector<Fault>>()>;
+
+    /// `read_settings` is called at each SIGHUP; settings with faults change nothing.
+    Daemon(Settings settings, ReadSettings read_settings);
     ~Daemon();
     Daemon(const Daemon&) = delete;
     Daemon& operator=(const Daemon&) = delete;
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -138,7 +138,7 @@
     CallOptions options;
     options.deadline_us = monotonic_us() + patience;
     options.send_clock = false;
-    const CallResult result = co_await m_client.call(m_kernel.settings.platform.log,
+    const CallResult result = co_await m_client.call(m_kernel.reloaded.load()->platform.log,
                                                      std::move(request), options);
     HttpResponse response = result.response;
     if (result.status != CallStatus::Answered)
@@ -240,7 +240,7 @@
             note_contact(listed.has_value());
             if (listed)
                 next = *listed;
-            co_await pause(listed ? m_kernel.settings.directory_pace : kRetryPause);
+            co_await pause(listed ? m_kernel.reloaded.load()->directory_pace : kRetryPause);
             continue;
         }
         const bool after_outage = monotonic_us() - m_last_contact > kOutage;
@@ -256,7 +256,7 @@
             *next += static_cast<Offset>(page->records.size());
         }
         bring_into_force();
-        co_await pause(page ? m_kernel.settings.directory_pace : kRetryPause);
+        co_await pause(page ? m_kernel.reloaded.load()->directory_pace : kRetryPause);
     }
 }
 
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -33,6 +33,7 @@
     , incarnation(random_u64())
     , upstreams(settings.hall)
 {
+    reloaded.store(std::make_shared<const Settings>(settings));
 }
 
 } // namespace cypressford
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -31,7 +31,10 @@
 struct Kernel {
     explicit Kernel(Settings settings_);
 
-    const Settings settings;
+    const Settings settings; ///< as of the start
+    /// Settings as last reloaded: bounds on callers, times of a stop, pace and address
+    /// of a directory are taken from here, the rest needs a restart.
+    RcuCell<Settings> reloaded;
     const std::unique_ptr<Router> router;
     const std::unique_ptr<Admission> admission;
     const std::map<std::string, std::unique_ptr<UpstreamKind>> kinds;
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -101,10 +101,8 @@
 Worker::apply_limits()
 {
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
-    if (!snapshot)
-        return;
-    const CallerLimits& given = snapshot->limits;
-    HttpLimits limits = m_kernel.settings.limits;
+    const CallerLimits given = snapshot ? snapshot->limits : CallerLimits {};
+    HttpLimits limits = m_kernel.reloaded.load()->limits;
     const auto duration = [](Micros time) {
         return std::chrono::milliseconds(time / kMillisecond);
     };
--- /dev/null
+++ b/testsuite/platform_names.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Fails if a name of the users' platform stands outside platform/ and deploy/.
+
+set -euo pipefail
+cd "$1"
+names='X-Attempt-Id|X-Replica-|X-Segments|X-Segment-Key|X-Expect-|X-Not-Executed|X-Tenant'
+names+='|X-Prefix-Hash|X-Token-Count|Api-Key|stage-run|stage-free|op/config'
+names+='|keyed\.(op|servers)|log-(read|append|newest)|health_path|path_prefix"'
+if grep -rnE "$names" src testsuite --include='*' --exclude=platform_names.sh; then
+  echo "the platform's names stand outside platform/" >&2
+  exit 1
+fi
+echo "names: only in platform/"
