Homes of prompts in proportion to the stage upstreams of a hall

Cause: homes spread evenly over the engines of three halls, but one hall has one of five upstreams of each stage, so pieces overflowed from there and results crossed. The home is now found by weighted rendezvous, by the part that a hall has of the scarcest set.

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -224,8 +225,14 @@
     std::uint64_t m_turn = 0;
 };
 
+/// The part that each hall has of the upstreams of a request's pieces, by the set
+/// that it has least of.
+std::map<std::string, double> hall_parts(const Snapshot& snapshot,
+                                         const ResolvedPipeline& pipeline,
+                                         const std::vector<int>& counts, Micros now);
+
 /// A hall for the results of a request whose reader may be anywhere: at random, by
-/// the part of the upstreams that each hall has of the scarcest set.
+/// those parts.
 std::string choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
                         const std::vector<int>& counts, std::uint64_t random, Micros now);
 
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <list>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -25,6 +26,9 @@
     std::int64_t tokens = 0; ///< of the whole prompt
     std::uint64_t affinity = 0; ///< breaks ties the same way each time
     std::string near; ///< hall that is preferred a little; may be empty
+    /// Part of the upstreams of the request's pieces that each hall has; empty: none
+    /// are needed.  A prompt's home is found in a hall with that probability.
+    std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities
     bool reserve = false; ///< false: only a question
 };
@@ -71,7 +75,7 @@
     struct Choice {
         std::shared_ptr<UpstreamState> upstream;
         double cost = 0;
-        std::uint64_t weight = 0;
+        double weight = 0;
     };
     std::vector<Choice> choices(const UpstreamSet& set, const PromptQuery& query,
                                 Micros now);
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -94,6 +94,7 @@
     out.set_affinity(prompt.affinity);
     out.set_near(prompt.near);
     out.set_reserve(prompt.reserve);
+    out.mutable_hall_parts()->insert(prompt.hall_parts.begin(), prompt.hall_parts.end());
     for (const PrefixPart& part : prompt.parts) {
         proto::PromptPart* item = out.add_parts();
         item->set_id(part.id);
@@ -117,6 +118,7 @@
     query.prompt.affinity = in.affinity();
     query.prompt.near = in.near();
     query.prompt.reserve = in.reserve();
+    query.prompt.hall_parts = {in.hall_parts().begin(), in.hall_parts().end()};
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
     for (const proto::PromptPart& part : in.parts())
         query.prompt.parts.push_back({part.id(), part.tokens()});
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -286,9 +286,9 @@
     return hopeless;
 }
 
-std::string
-choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
-            const std::vector<int>& counts, std::uint64_t random, Micros now)
+std::map<std::string, double>
+hall_parts(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+           const std::vector<int>& counts, Micros now)
 {
     std::map<std::string, double> weights; // the least part of any set
     for (std::size_t at = 0; at < counts.size(); ++at) {
@@ -305,6 +305,14 @@
             known->second = std::min(known->second, weight);
         }
     }
+    return weights;
+}
+
+std::string
+choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
+            const std::vector<int>& counts, std::uint64_t random, Micros now)
+{
+    const auto weights = hall_parts(snapshot, pipeline, counts, now);
     double total = 0;
     for (const auto& [hall, weight] : weights)
         total += weight;
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/prompt_placer.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "candidates.h"
 
@@ -21,6 +22,8 @@
 /// An upstream is about as good as the best if it costs no more than this part of
 /// the prompt's shared tokens in addition.
 constexpr double kToleratedPart = 0.4;
+/// A hall without upstreams for pieces counts as having this part of them.
+constexpr double kLeastPart = 0.02;
 /// Without a word of it, a request is forgotten after this time.
 constexpr Micros kForgetAfter = 15 * kSecond;
 constexpr Micros kExpirePace = 1 * kSecond;
@@ -34,6 +37,21 @@
     return x ^ (x >> 31);
 }
 
+/// Weight of an upstream in weighted rendezvous hashing (Schindelhauer and
+/// Schomaker, 2005); the highest is the home.
+double
+weight_of(const UpstreamState& upstream, const PromptQuery& query)
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    const double hash
+        = (static_cast<double>(mix(upstream.address_hash ^ query.affinity)) + 1) / range;
+    const auto part = query.hall_parts.find(upstream.hall);
+    if (query.hall_parts.empty())
+        return std::log(hash);
+    const double weight = part == query.hall_parts.end() ? 0 : part->second;
+    return std::log(hash) / std::max(weight, kLeastPart);
+}
+
 } // namespace
 
 void
@@ -90,7 +108,7 @@
             if (avoided || !is_usable(*upstream, now))
                 continue;
             result.push_back({upstream, cost(*upstream, query),
-                              mix(upstream->address_hash ^ query.affinity)});
+                              weight_of(*upstream, query)});
         }
     return result;
 }
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -299,6 +299,9 @@
     PlaceQuery query {job->wanted.reader_set, job->wanted.prompt};
     query.prompt.near = std::move(near);
     query.prompt.reserve = reserve;
+    if (job->wanted.homed)
+        query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
+                                             job->wanted.counts, monotonic_us());
     const std::string leader = m_daemons.leader_of(query.upstream_set, monotonic_us());
     if (leader.empty())
         co_return place_here(query);
