Silent upstreams are taken out before their deadline

Cause: at cuts and dark crashes a request sent to an engine that says nothing waited for its deadline, and more were sent after it; kept connections hide that nobody is there. An upstream that has not begun to answer after 8 times the usual time and 1 s is taken out for a while and what may be repeated goes elsewhere; a daemon tells the leader which engines it can't reach; signs of life of a leader are asked for each 0.2 s instead of 0.3. Tests: two cases in relay_test.cpp fail without it.

--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -83,6 +83,10 @@
     AttemptId attempt = 0;
     AttemptStatus status = AttemptStatus::Lost;
 };
+/// The upstream has begun to answer.
+struct AttemptBegun {
+    AttemptId attempt = 0;
+};
 struct ClaimDecided {
     RequestId request = 0;
     ClaimResult result = ClaimResult::Unavailable;
@@ -99,7 +103,7 @@
     std::string identity; ///< of the upstream that is to have it; empty: any
 };
 struct Tick { };
-using Event = std::variant<RequestArrived, AttemptEnded, ClaimDecided, CallerClosed,
+using Event = std::variant<RequestArrived, AttemptBegun, AttemptEnded, ClaimDecided, CallerClosed,
                            PreparationEnded, Tick>;
 
 // Actions.
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -233,6 +233,40 @@
     CHECK(bench.actions.empty());
 }
 
+TEST_CASE("a silent upstream gets nothing more, and what may be repeated goes elsewhere")
+{
+    for (const bool repeatable : {true, false}) {
+        Bench bench;
+        bench.publish(pipeline(repeatable));
+        bench.arrive(1, 8 * kSecond);
+        const auto send = *bench.find<SendAttempt>();
+        bench.now = kSecond - 1;
+        bench.handle(Tick {});
+        CHECK(bench.actions.empty());
+        bench.now = kSecond;
+        bench.handle(Tick {});
+        CHECK((bench.find<CancelAttempt>() != nullptr) == repeatable);
+        CHECK(send.upstream->ejected_until > bench.now);
+        bench.arrive(2, 8 * kSecond);
+        CHECK(bench.find<SendAttempt>()->upstream != send.upstream);
+        bench.handle(AttemptEnded {send.attempt, AttemptStatus::Lost});
+        CHECK((bench.find<SendAttempt>() != nullptr) == repeatable);
+    }
+}
+
+TEST_CASE("an upstream that has begun to answer is not silent")
+{
+    Bench bench;
+    bench.publish(pipeline(true));
+    bench.arrive(1, 8 * kSecond);
+    const auto send = *bench.find<SendAttempt>();
+    bench.handle(AttemptBegun {send.attempt});
+    bench.now = 2 * kSecond;
+    bench.handle(Tick {});
+    CHECK(bench.actions.empty());
+    CHECK(send.upstream->ejected_until <= bench.now);
+}
+
 TEST_CASE("at the deadline a request is answered, run or not")
 {
     Bench bench;
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -22,6 +22,7 @@
     std::size_t stage = 0;
     std::shared_ptr<UpstreamState> upstream;
     Micros sent_at = 0;
+    bool begun = false; ///< the upstream has begun to answer
     bool probe = false; ///< the one trial call of an ejected upstream
     bool cancelled = false; ///< its end changes nothing any more
     bool once = false; ///< may not be repeated
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -41,6 +41,14 @@
     advance(entry);
 }
 
+void
+Scheduler::Impl::on(const AttemptBegun& event)
+{
+    const auto it = attempts.find(event.attempt);
+    if (it != attempts.end())
+        it->second.begun = true;
+}
+
 void
 Scheduler::Impl::on(const AttemptEnded& event)
 {
@@ -134,6 +142,8 @@
         Entry& entry = *it->second;
         if (timer.kind == TimerKind::Hedge)
             hedge(entry, timer.attempt);
+        else if (timer.kind == TimerKind::Silence)
+            check_silence(timer.attempt);
         else
             entry.machine.give_up(ErrorKind::DeadlineExceeded);
         forget_if_over(entry);
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -38,13 +38,17 @@
 /// A shared prompt shorter than this is read again faster than results of pieces
 /// cross to where it is kept, so it binds no request to an upstream.
 inline constexpr std::int64_t kTokensWorthHome = 1024;
+/// An upstream that has not begun to answer a relayed request after this many times
+/// what it takes usually, and after this time in any case, is taken for silent.
+inline constexpr Micros kSilenceOverTypical = 8;
+inline constexpr Micros kSilenceFloor = 1 * kSecond;
 /// Upstreams that one stage may fail to reach before it is given up.
 inline constexpr int kMaxUnreached = 6;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
 struct Scheduler::Impl {
-    enum class TimerKind : unsigned char { Deadline, Hedge };
+    enum class TimerKind : unsigned char { Deadline, Hedge, Silence };
 
     /// Something to look at later.
     struct Timer {
@@ -174,6 +178,7 @@
          RandomBits random);
 
     void on(const RequestArrived& event);
+    void on(const AttemptBegun& event);
     void on(const AttemptEnded& event);
     void on(const ClaimDecided& event);
     void on(const CallerClosed& event);
@@ -201,6 +206,8 @@
     Micros attempt_deadline(const Request& request) const;
     void arm_hedge(const Request& request, AttemptId attempt);
     void hedge(Entry& entry, AttemptId attempt);
+    void arm_silence(const Request& request, AttemptId attempt);
+    void check_silence(AttemptId attempt);
 
     void observe(const Attempt& attempt, AttemptStatus status);
     bool is_evidence(const Attempt& attempt, AttemptStatus status) const;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -205,6 +205,7 @@
     out->push_back(SendAttempt {request.spec.id, attempt.id, request.stage, chosen,
                                 deadline, !attempt.once});
     arm_hedge(request, attempt.id);
+    arm_silence(request, attempt.id);
     attempts.emplace(attempt.id, std::move(attempt));
 }
 
@@ -234,6 +235,32 @@
         timers.push({now + *tail + *tail / 2, TimerKind::Hedge, request.spec.id, attempt});
 }
 
+void
+Scheduler::Impl::arm_silence(const Request& request, AttemptId attempt)
+{
+    if (!request.is_relayed() || !admission.drops_hopeless())
+        return;
+    const Micros typical = typical_time(request, request.stage);
+    const Micros limit = std::max(kSilenceFloor, kSilenceOverTypical * typical);
+    timers.push({now + limit, TimerKind::Silence, request.spec.id, attempt});
+}
+
+/// An upstream that is cut off says nothing: it gets nothing more for a while, and
+/// what may be repeated goes elsewhere.
+void
+Scheduler::Impl::check_silence(AttemptId id)
+{
+    const auto it = attempts.find(id);
+    if (it == attempts.end() || it->second.begun || it->second.cancelled)
+        return;
+    const Attempt& attempt = it->second;
+    if (options.eject && may_eject(attempt) && attempt.upstream->note_failure(1, now))
+        ++counters.ejections;
+    // Its end is still to come, as lost.
+    if (!attempt.once)
+        out->push_back(CancelAttempt {id});
+}
+
 void
 Scheduler::Impl::hedge(Entry& entry, AttemptId attempt)
 {
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -19,8 +19,8 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Micros kConnectTime = 250 * kMillisecond;
-constexpr std::chrono::milliseconds kSignPace {300};
-constexpr Micros kSignPatience = 250 * kMillisecond;
+constexpr std::chrono::milliseconds kSignPace {200};
+constexpr Micros kSignPatience = 200 * kMillisecond;
 /// Signs of life that may be missed in a row.
 constexpr int kMissesAllowed = 1;
 constexpr int kOk = 200;
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -23,7 +23,7 @@
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// A call that takes this many times what such calls take, and a little, is given
 /// up: its pieces are made elsewhere sooner.
-constexpr Micros kTimeoutOverTypical = 3;
+constexpr Micros kTimeoutOverTypical = 2;
 constexpr Micros kTimeoutFloor = 200 * kMillisecond;
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -291,6 +291,22 @@
     co_return fail(ErrorKind::UpstreamFailed);
 }
 
+/// Engines that this daemon has taken out: the leader may not know of it.
+std::vector<std::string>
+PieceService::unreachable(const Job& job)
+{
+    constexpr std::size_t most = 16;
+    std::vector<std::string> identities;
+    const Micros now = monotonic_us();
+    const UpstreamSet& set
+        = job.wanted.snapshot->sets[job.resolved().sets.front()];
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side)
+            if (upstream->ejected_until.load() > now && identities.size() < most)
+                identities.push_back(upstream->identity);
+    return identities;
+}
+
 /// Asks whoever leads the set which upstream is to read the request's prompt.  No
 /// answer leaves the choice to the router.
 asio::awaitable<PlaceAnswer>
@@ -299,6 +315,7 @@
     PlaceQuery query {job->wanted.reader_set, job->wanted.prompt};
     query.prompt.near = std::move(near);
     query.prompt.reserve = reserve;
+    query.prompt.avoid = unreachable(*job);
     if (job->wanted.homed)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -89,6 +89,7 @@
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
     void suspect(const std::string& address);
     boost::asio::awaitable<void> watch_suspect(std::string address);
+    static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
     Releases& release_at(const std::string& set_name);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -284,6 +284,7 @@
     options.send_clock = false;
     options.max_rest_us = send.may_repeat ? 0 : kRestOfOnce;
     options.belongs = [&](const HttpResponse& response) {
+        feed(AttemptBegun {send.attempt});
         const std::string attempt = dialect.read_answer(response).attempt;
         return attempt == relay.call.attempt
             || (attempt.empty() && !is_success(response.status));
@@ -327,6 +328,9 @@
         co_return AttemptStatus::Leaving;
     if (answer.not_run && promises_not_run(response.status))
         co_return AttemptStatus::Overloaded;
+    // Of a call that was given up, nothing was taken.
+    if (handle->cancelled())
+        co_return AttemptStatus::Lost;
     if (is_success(response.status)) {
         if (streams && response.status == kFirstSuccess) {
             const bool whole = sound && relay.head && !relay.events.has_partial();
@@ -334,8 +338,7 @@
         }
         if (!answer.is_signed || answer.is_encoded)
             co_return AttemptStatus::Lost;
-        if (!handle->cancelled())
-            relay.answer = passed_on(response);
+        relay.answer = passed_on(response);
         co_return AttemptStatus::Ok;
     }
     // Without its promise, such a status must not reach the caller.
