Logs lead from a request's id to its cause

Cause: lines named a request by a number of its process, admission and placing left no line, and logging could wait for a reader. Every line about a relayed request now names the caller's id; request_begin, pieces, piece_call, placed, attempt_end and request_end give what decided (version and generation of the configuration, leader, waits, time left, expected time).

--- a/src/budget.admission/budget.cpp
+++ b/src/budget.admission/budget.cpp
@@ -33,7 +33,7 @@
         Micros tail = 0;
         for (const StageOutlook& stage : query.stages) {
             if (stage.usable == 0)
-                return {false, ErrorKind::NoUpstream, kSecond};
+                return {false, ErrorKind::NoUpstream, kSecond, 0};
             // Backlogs of later stages drain while earlier ones run.
             finish = std::max(finish, stage.backlog) + stage.typical;
             service += stage.typical;
@@ -41,18 +41,19 @@
         }
         const Micros late = finish + tail - budget;
         if (late > 0)
-            return {false, ErrorKind::DeadlineUnreachable, std::max(late, kShortestRetry)};
+            return {false, ErrorKind::DeadlineUnreachable, std::max(late, kShortestRetry),
+                    finish};
         // Where only a prompt answer is worth its work, a late one is refused while
         // the caller can still come back in time.  Without a wait ahead there is
         // nothing to come back later for.
         const Micros wait = finish - service;
         if (query.prompt_by > 0 && wait > 0 && query.now + finish > query.prompt_by)
             return {false, ErrorKind::DeadlineUnreachable,
-                    std::max(query.now + finish - query.prompt_by, kShortestRetry)};
+                    std::max(query.now + finish - query.prompt_by, kShortestRetry), finish};
         const auto slack = static_cast<double>(budget - service);
         if (static_cast<double>(wait) > kPressure * slack && over_share(query))
-            return {false, ErrorKind::AccountLimit, std::max(wait, kShortestRetry)};
-        return {};
+            return {false, ErrorKind::AccountLimit, std::max(wait, kShortestRetry), finish};
+        return {true, ErrorKind::DeadlineUnreachable, 0, finish};
     }
     bool queues_here() const override { return true; }
     bool drops_hopeless() const override { return true; }
--- a/src/cmake/compiler.cmake
+++ b/src/cmake/compiler.cmake
@@ -36,6 +36,11 @@
 if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU")
   target_compile_options(cypressford_warnings INTERFACE -Wno-maybe-uninitialized)
 endif()
+# With -fsanitize GCC 12 also reports this inside Boost.Histogram, wrongly: the axis is
+# written by the constructor that it names.
+if(CMAKE_CXX_COMPILER_ID STREQUAL "GNU" AND CYPRESSFORD_SANITIZE)
+  target_compile_options(cypressford_warnings INTERFACE -Wno-uninitialized)
+endif()
 if(CYPRESSFORD_SANITIZE STREQUAL "thread")
   target_compile_options(cypressford_warnings INTERFACE -Wno-tsan)
 endif()
--- a/src/cypressford/commands.h
+++ b/src/cypressford/commands.h
@@ -24,6 +24,7 @@
     std::vector<std::string> daemons; ///< "ip:port" of callers' addresses
     std::vector<std::string> trust; ///< operators' public keys, hex
     std::string daemon_key; ///< hex
+    std::string request; ///< time line: only lines that name this request
     bool json = false;
 };
 
--- a/src/cypressford/cypressford.cpp
+++ b/src/cypressford/cypressford.cpp
@@ -24,6 +24,7 @@
 ABSL_FLAG(std::vector<std::string>, trust, {}, "operators' public keys in hex, for list");
 ABSL_FLAG(std::string, daemon_key, "", "the daemons' common key in hex, for snapshots");
 ABSL_FLAG(std::string, output, "text", "text or json");
+ABSL_FLAG(std::string, request, "", "timeline: only lines that name this request");
 
 namespace cypressford {
 
@@ -41,7 +42,7 @@
   cypressford bundle retire --platform=IP:PORT --key=operator.pem NAME VERSION
   cypressford bundle list --platform=IP:PORT --trust=PUBLIC_KEY
   cypressford bundle status --daemons=IP:PORT,IP:PORT
-  cypressford timeline [--output=text|json] a.log b.log ...
+  cypressford timeline [--output=text|json] [--request=ID] a.log b.log ...
   cypressford settings check settings.yaml
   cypressford version
 
@@ -75,6 +76,7 @@
     options.daemons = absl::GetFlag(FLAGS_daemons);
     options.trust = absl::GetFlag(FLAGS_trust);
     options.daemon_key = absl::GetFlag(FLAGS_daemon_key);
+    options.request = absl::GetFlag(FLAGS_request);
     options.json = absl::GetFlag(FLAGS_output) == "json";
     return options;
 }
--- a/src/cypressford/timeline.cpp
+++ b/src/cypressford/timeline.cpp
@@ -75,6 +75,21 @@
     }
 }
 
+/// True if the line is about the request, alone or among others.
+bool
+names_request(const TimelineEvent& event, const std::string& request)
+{
+    for (const char* key : {"request", "requests"}) {
+        const auto it = event.fields.find(key);
+        if (it == event.fields.end())
+            continue;
+        const std::string listed = "," + it->second + ",";
+        if (listed.find("," + request + ",") != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
 /// Trace Event Format, which browsers' trace viewers open.
 json::object
 to_trace(const std::vector<TimelineEvent>& events)
@@ -127,6 +142,10 @@
         }
         read_events(text, events);
     }
+    if (!options.request.empty())
+        std::erase_if(events, [&options](const TimelineEvent& event) {
+            return !names_request(event, options.request);
+        });
     std::stable_sort(events.begin(), events.end(),
                      [](const auto& a, const auto& b) { return a.stamp < b.stamp; });
     if (options.json) {
--- a/src/cypressfordd/cypressfordd.cpp
+++ b/src/cypressfordd/cypressfordd.cpp
@@ -59,7 +59,8 @@
         std::cerr << format_faults(path, settings.error());
         return kBadSettings;
     }
-    open_log({settings->hall, settings->node}, settings->log_file, settings->log_level);
+    open_log({settings->hall, settings->node}, settings->log_file, settings->log_level,
+             settings->log_lines_per_s);
     int code = kOk;
     {
         Daemon daemon(*std::move(settings), [path] { return read_settings(path); });
--- a/src/include/cypressford/admission.h
+++ b/src/include/cypressford/admission.h
@@ -38,6 +38,7 @@
     bool admitted = true;
     ErrorKind kind = ErrorKind::DeadlineUnreachable;
     Micros retry_after = 0;
+    Micros expected = 0; ///< until the answer, as far as it was worked out
 };
 
 /// Decides at the door.
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -149,6 +149,7 @@
     Ran ran = Ran::NotRun;
     Micros retry_after = 0;
     bool replayed = false; ///< answer with the recorded outcome
+    Micros expected = 0; ///< refused at the door: how long it would have taken
 };
 /// The scheduler has forgotten `request`; nothing more comes for it.
 struct Forget {
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -27,7 +27,7 @@
     if (auto verdict = check_admission(entry.request); !verdict.admitted) {
         ++counters.refused;
         out->push_back(Reply {event.request.id, verdict.kind, Ran::NotRun,
-                              verdict.retry_after, false});
+                              verdict.retry_after, false, verdict.expected});
         out->push_back(Forget {event.request.id});
         return;
     }
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -18,9 +18,9 @@
 {
     const ResolvedPipeline& pipeline = request.pipeline();
     if (!pipeline.repeatable && !pipeline.spec.relayed && !request.spec.has_key)
-        return {false, ErrorKind::KeyRequired, 0};
+        return {false, ErrorKind::KeyRequired, 0, 0};
     if (waiting_count >= options.max_waiting)
-        return {false, ErrorKind::QueueFull, kSecond};
+        return {false, ErrorKind::QueueFull, kSecond, 0};
     AdmissionQuery query;
     query.now = now;
     query.deadline = request.spec.deadline;
@@ -43,7 +43,7 @@
     if (!verdict.admitted)
         return verdict;
     if (const Micros wait = account.state->take(account.spec, now); wait > 0)
-        return {false, ErrorKind::AccountLimit, wait};
+        return {false, ErrorKind::AccountLimit, wait, verdict.expected};
     return verdict;
 }
 
--- a/src/libserve/attempt.cpp
+++ b/src/libserve/attempt.cpp
@@ -95,12 +95,13 @@
     }
     m_metrics.attempt_time[set].record(monotonic_us() - started);
     LogEvent("attempt_end", context->relay ? LogLevel::Info : LogLevel::Debug)
-        .kv("request", context->relay ? context->relay->call.attempt
-                                      : std::to_string(send.request))
+        .kv("request", context->log_id())
         .kv("stage", stage.name)
         .kv("attempt", send.attempt)
         .kv("upstream", send.upstream->address)
         .kv("identity", send.upstream->identity)
+        .kv("may_repeat", send.may_repeat)
+        .kv("left_us", send.deadline - started)
         .kv("status", to_string(status))
         .kv("first_byte_us", context->relay ? context->relay->first_byte : 0)
         .kv("us", monotonic_us() - started);
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -381,12 +381,15 @@
         m_metrics.request_time[context.pipeline].record(took);
     const Ran ran = context.reply ? context.reply->ran : Ran::Unknown;
     LogEvent("request_end")
-        .kv("request", context.spec.id)
+        .kv("request", context.log_id())
         .kv("pipeline", context.pipeline)
         .kv("account", context.account)
         .kv("outcome", outcome)
         .kv("ran", to_string(ran))
         .kv("key", context.key)
+        .kv("version", context.spec.snapshot->version)
+        .kv("expected_us", context.reply ? context.reply->expected : 0)
+        .kv("retry_after_us", context.reply ? context.reply->retry_after : 0)
         .kv("us", took);
 }
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -4,6 +4,7 @@
 #include "piece_maker.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -41,6 +42,21 @@
     return batch.call_time + static_cast<Micros>(items) * batch.item_time;
 }
 
+/// The requests that a call is for, some of them if they are many.
+std::string
+distinct_requests(const std::vector<PieceItem>& items)
+{
+    constexpr std::size_t most = 12;
+    std::set<std::string_view> seen;
+    std::string text;
+    for (const PieceItem& item : items) {
+        if (seen.size() >= most || !seen.insert(item.attempt).second)
+            continue;
+        text += (text.empty() ? "" : ",") + item.attempt;
+    }
+    return text;
+}
+
 } // namespace
 
 struct PieceMaker::Order {
@@ -243,7 +259,7 @@
         .kv("input_gone", count(PieceOutcome::InputGone))
         .kv("no_room", count(PieceOutcome::NoRoom))
         .kv("failed", count(PieceOutcome::Failed))
-        .kv("first", items.front().attempt)
+        .kv("requests", distinct_requests(items))
         .kv("waiting", line.queue.size())
         .kv("room_kb",
             line.queue.room().free_bytes(*call.upstream,
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -201,6 +201,12 @@
             const std::string near = result.hall.empty() ? m_kernel.settings.hall : result.hall;
             const PlaceAnswer reader = co_await place(job, near, true);
             result.identity = reader.identity;
+            LogEvent("placed")
+                .kv("request", job->wanted.attempt)
+                .kv("set", job->wanted.reader_set)
+                .kv("near", near)
+                .kv("identity", reader.identity)
+                .kv("hall", reader.hall);
         }
     } else {
         for (const auto& handle : job->calls)
@@ -227,6 +233,9 @@
                 handles.push_back(result.handle);
         }
     LogEvent("pieces")
+        .kv("leader", m_daemons.leader_of(job->set_of(stage).spec.name, started))
+        .kv("near", job->near)
+        .kv("expected_wait_us", answer ? answer->expected_wait : 0)
         .kv("request", job->wanted.attempt)
         .kv("stage", stage)
         .kv("set", job->set_of(stage).spec.name)
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -123,7 +123,11 @@
     auto made = make_relay(exchange.request());
     if (!made) {
         ++m_metrics.requests[{"-", std::string(error_row(made.error().kind).name)}];
+        const auto call = m_kernel.calls->read_call(exchange.request());
+        const SnapshotPtr snapshot = m_kernel.snapshot.load();
         LogEvent("request_refused")
+            .kv("request", call ? call->attempt : "")
+            .kv("version", snapshot ? snapshot->version : 0)
             .kv("target", exchange.request().path())
             .kv("kind", error_row(made.error().kind).name)
             .kv("why", made.error().detail);
@@ -131,6 +135,14 @@
         co_return;
     }
     const ContextPtr context = *made;
+    LogEvent("request_begin")
+        .kv("request", context->log_id())
+        .kv("pipeline", context->pipeline)
+        .kv("account", context->account)
+        .kv("version", context->spec.snapshot->version)
+        .kv("generation", context->spec.snapshot->generation)
+        .kv("deadline_us", context->spec.deadline - context->arrived)
+        .kv("needs_pieces", context->spec.needs_pieces());
     m_contexts.emplace(context->spec.id, context);
     exchange.watch([this, id = context->spec.id, weak = std::weak_ptr(context)] {
         if (const ContextPtr alive = weak.lock()) {
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -176,6 +176,7 @@
 read_log(YamlMapReader& reader, Settings& settings)
 {
     reader.read("file", settings.log_file);
+    read_range(reader, "lines_per_s", 1, 1'000'000, settings.log_lines_per_s);
     std::string level = "info";
     reader.read("level", level);
     const std::vector<std::string> names {"debug", "info", "warn", "error"};
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -60,6 +60,7 @@
     Micros stop_limit = 30 * kSecond; ///< a planned stop ends within it in any case
     std::string log_file;
     LogLevel log_level = LogLevel::Info;
+    int log_lines_per_s = kLogLinesPerSecond;
 };
 
 /// Parses and checks; reports all faults at once.
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -79,6 +79,11 @@
     {
         return spec.snapshot->pipelines[spec.pipeline];
     }
+    /// What the log calls it: the caller's id, if it has one.
+    std::string log_id() const
+    {
+        return relay ? relay->call.attempt : std::to_string(spec.id);
+    }
     /// Name of the upstream set of its first stage.
     const std::string& set_name() const
     {
--- a/src/libutil/event_log.cpp
+++ b/src/libutil/event_log.cpp
@@ -5,11 +5,14 @@
 
 #include <memory>
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include "hybrid_clock.h"
 
@@ -17,6 +20,68 @@
 
 namespace {
 
+/// Writes lines to a descriptor, never more than a bound in a second and never
+/// waiting for a reader: what can't be written now is counted, and the count is
+/// told with the next line that can.
+class BoundedAppender final : public log4cplus::Appender {
+public:
+    BoundedAppender(int descriptor, int lines_per_s)
+        : m_descriptor(descriptor)
+        , m_lines_per_s(lines_per_s)
+    {
+    }
+    ~BoundedAppender() override { destructorImpl(); }
+
+    void close() override
+    {
+        if (m_descriptor > STDERR_FILENO)
+            ::close(m_descriptor);
+        closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        if (!take_turn() || !is_writable()) {
+            ++m_dropped;
+            return;
+        }
+        std::string text;
+        if (m_dropped > 0)
+            text = "event=log_dropped lines=" + std::to_string(m_dropped) + "\n";
+        text += event.getMessage() + "\n";
+        if (::write(m_descriptor, text.data(), text.size()) >= 0)
+            m_dropped = 0;
+        else
+            ++m_dropped;
+    }
+
+private:
+    /// One more line in this second?
+    bool take_turn()
+    {
+        constexpr std::int64_t second = 1'000'000;
+        const std::int64_t now = monotonic_us();
+        if (now - m_second_began >= second) {
+            m_second_began = now;
+            m_lines = 0;
+        }
+        return m_lines++ < m_lines_per_s;
+    }
+
+    bool is_writable() const
+    {
+        pollfd entry {m_descriptor, POLLOUT, 0};
+        return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+    }
+
+    const int m_descriptor;
+    const int m_lines_per_s;
+    std::int64_t m_second_began = 0;
+    int m_lines = 0;
+    std::uint64_t m_dropped = 0;
+};
+
 struct OpenLog {
     log4cplus::Initializer initializer;
     log4cplus::Logger logger = log4cplus::Logger::getRoot();
@@ -82,15 +147,16 @@
 } // namespace
 
 void
-open_log(const LogIdentity& identity, const std::string& path, LogLevel level)
+open_log(const LogIdentity& identity, const std::string& path, LogLevel level,
+         int lines_per_s)
 {
     s_log = std::make_unique<OpenLog>();
-    log4cplus::SharedAppenderPtr appender;
-    if (path.empty())
-        appender = new log4cplus::ConsoleAppender(false, true);
-    else
-        appender = new log4cplus::FileAppender(path, std::ios_base::app, true);
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    constexpr int mode = 0644;
+    const int descriptor = path.empty()
+        ? STDOUT_FILENO
+        : ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, mode);
+    const log4cplus::SharedAppenderPtr appender(
+        new BoundedAppender(descriptor, lines_per_s));
     s_log->logger.removeAllAppenders();
     s_log->logger.addAppender(appender);
     s_log->logger.setLogLevel(level_of(level));
--- a/src/libutil/event_log.h
+++ b/src/libutil/event_log.h
@@ -20,8 +20,13 @@
     std::string node;
 };
 
-/// Opens the log.  An empty path logs to standard output.
-void open_log(const LogIdentity& identity, const std::string& path, LogLevel level);
+/// Lines that a process writes in a second at most, unless settings say otherwise.
+inline constexpr int kLogLinesPerSecond = 1000;
+
+/// Opens the log.  An empty path logs to standard output.  Lines beyond the bound,
+/// or that nobody reads, are dropped and counted; logging never waits.
+void open_log(const LogIdentity& identity, const std::string& path, LogLevel level,
+              int lines_per_s = kLogLinesPerSecond);
 
 /// Writes out and closes the log.
 void close_log();
