Daemons stay listed through an outage of the directory

Silence is now counted by reads of the directory, and an answer is a sign of life. Ruled out: cut links between daemons (no lost orders before 10 s). Test: directory_test.cpp, fails without it.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -29,6 +29,13 @@
 
     /// True if the record is news.
     bool apply(const DaemonRecord& record, Micros now);
+
+    /// The directory was read: who has no new record by now has written none.  While
+    /// it can't be read, nobody becomes silent by that.
+    void note_read(Micros now) { m_read_at = now; }
+
+    /// The daemon at that address answered, whatever the directory says.
+    void note_answer(const std::string& peers_address, Micros now);
     void drop(const std::string& node) { m_daemons.erase(node); }
 
     /// The daemon at that address does not answer; it leads nothing until it is
@@ -38,12 +45,12 @@
     bool is_suspected(const std::string& peers_address) const;
 
     /// Daemons that are alive, this one among them once it is listed.
-    int alive(Micros now) const;
+    int alive() const;
     /// Alive daemons of one hall.
-    int alive_in(std::string_view hall, Micros now) const;
+    int alive_in(std::string_view hall) const;
 
     /// Address of the daemon that leads the set; empty for this daemon itself.
-    std::string leader_of(std::string_view set_name, Micros now) const;
+    std::string leader_of(std::string_view set_name) const;
 
 private:
     struct Known {
@@ -52,10 +59,11 @@
         bool suspected = false;
     };
 
-    bool is_alive(const Known& known, Micros now) const;
+    bool is_alive(const Known& known) const;
 
     const std::string m_own_node;
     const Micros m_silent_after;
+    Micros m_read_at = 0;
     std::map<std::string, Known> m_daemons; ///< by node
 };
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -43,6 +43,14 @@
     return true;
 }
 
+void
+DaemonTable::note_answer(const std::string& peers_address, Micros now)
+{
+    for (auto& [node, known] : m_daemons)
+        if (known.record.peers_address == peers_address)
+            known.seen_at = std::max(known.seen_at, now);
+}
+
 bool
 DaemonTable::suspect(const std::string& peers_address)
 {
@@ -70,37 +78,37 @@
 }
 
 bool
-DaemonTable::is_alive(const Known& known, Micros now) const
+DaemonTable::is_alive(const Known& known) const
 {
     if (known.record.node == m_own_node)
         return !known.record.stopping;
-    return !known.record.stopping && now - known.seen_at < m_silent_after;
+    return !known.record.stopping && m_read_at - known.seen_at < m_silent_after;
 }
 
 int
-DaemonTable::alive(Micros now) const
+DaemonTable::alive() const
 {
     return static_cast<int>(
         std::count_if(m_daemons.begin(), m_daemons.end(),
-                      [&](const auto& item) { return is_alive(item.second, now); }));
+                      [&](const auto& item) { return is_alive(item.second); }));
 }
 
 int
-DaemonTable::alive_in(std::string_view hall, Micros now) const
+DaemonTable::alive_in(std::string_view hall) const
 {
     return static_cast<int>(
         std::count_if(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
-            return item.second.record.hall == hall && is_alive(item.second, now);
+            return item.second.record.hall == hall && is_alive(item.second);
         }));
 }
 
 std::string
-DaemonTable::leader_of(std::string_view set_name, Micros now) const
+DaemonTable::leader_of(std::string_view set_name) const
 {
     const Known* leader = nullptr;
     std::uint64_t best = 0;
     for (const auto& [node, known] : m_daemons) {
-        if (!is_alive(known, now) || known.suspected)
+        if (!is_alive(known) || known.suspected)
             continue;
         const std::uint64_t weight = weight_of(node, set_name);
         if (leader && weight <= best)
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -143,13 +143,13 @@
     int moved = 0;
     for (int i = 0; i < 60; ++i) {
         const std::string set = "set" + std::to_string(i);
-        const std::string of_b = tables[1].leader_of(set, 1);
-        const std::string of_c = tables[2].leader_of(set, 1);
+        const std::string of_b = tables[1].leader_of(set);
+        const std::string of_c = tables[2].leader_of(set);
         const std::string leader = of_b.empty() ? "b:1" : of_b;
         CHECK(leader == (of_c.empty() ? "c:1" : of_c));
         DaemonTable without_a = tables[1];
         without_a.suspect("a:1");
-        const std::string next = without_a.leader_of(set, 1);
+        const std::string next = without_a.leader_of(set);
         if (leader != "a:1")
             CHECK((next.empty() ? "b:1" : next) == leader);
         else
@@ -163,23 +163,39 @@
     DaemonTable table("own", 5 * kSecond);
     table.apply(daemon("own", 1), 0);
     table.apply(daemon("other", 1), 0);
-    CHECK(table.alive(0) == 2);
-    CHECK(table.alive(6 * kSecond) == 1);
+    CHECK(table.alive() == 2);
+    table.note_read(6 * kSecond);
+    CHECK(table.alive() == 1);
     CHECK(table.apply(daemon("other", 2), 6 * kSecond));
-    CHECK(table.alive(6 * kSecond) == 2);
+    CHECK(table.alive() == 2);
     // An old record, read once more, is no sign of life.
     CHECK_FALSE(table.apply(daemon("other", 2), 12 * kSecond));
-    CHECK(table.alive(12 * kSecond) == 1);
+    table.note_read(12 * kSecond);
+    CHECK(table.alive() == 1);
     CHECK(table.apply(daemon("other", 1, 2), 12 * kSecond));
     CHECK(table.suspect("other:1"));
     CHECK_FALSE(table.suspect("other:1"));
     for (int i = 0; i < 20; ++i)
-        CHECK(table.leader_of("set" + std::to_string(i), 12 * kSecond).empty());
+        CHECK(table.leader_of("set" + std::to_string(i)).empty());
     table.trust("other:1");
     DaemonRecord stopping = daemon("other", 2, 2);
     stopping.stopping = true;
     table.apply(stopping, 12 * kSecond);
-    CHECK(table.alive(12 * kSecond) == 1);
+    CHECK(table.alive() == 1);
+}
+
+TEST_CASE("an outage of the directory silences nobody, and an answer is a sign of life")
+{
+    DaemonTable table("own", 5 * kSecond);
+    table.apply(daemon("own", 1), 0);
+    table.apply(daemon("other", 1), 0);
+    table.apply(daemon("third", 1), 0);
+    table.note_read(0);
+    // Nothing is read for a minute; others can write nothing either.
+    CHECK(table.alive() == 3);
+    table.note_answer("other:1", 58 * kSecond);
+    table.note_read(60 * kSecond);
+    CHECK(table.alive() == 2);
 }
 
 TEST_CASE("a daemon's record survives its encoding")
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -120,7 +120,7 @@
     for (const DirectoryRecord& record : records)
         if (auto daemon = decode_daemon(record.value))
             daemons.push_back(*std::move(daemon));
-    if (m_on_daemons && !daemons.empty())
+    if (m_on_daemons)
         m_on_daemons(std::move(daemons));
 }
 
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -233,7 +233,7 @@
                 handles.push_back(result.handle);
         }
     LogEvent("pieces")
-        .kv("leader", m_daemons.leader_of(job->set_of(stage).spec.name, started))
+        .kv("leader", m_daemons.leader_of(job->set_of(stage).spec.name))
         .kv("near", job->near)
         .kv("expected_wait_us", answer ? answer->expected_wait : 0)
         .kv("request", job->wanted.attempt)
@@ -268,7 +268,7 @@
         copy.due_left = order.due_left - monotonic_us();
         if (copy.time_left <= 0 || job->cancelled)
             break;
-        const std::string leader = m_daemons.leader_of(set_name, monotonic_us());
+        const std::string leader = m_daemons.leader_of(set_name);
         if (leader.empty()) {
             auto ticket = std::make_shared<PieceMaker::Ticket>();
             job->tickets.insert(ticket);
@@ -282,6 +282,7 @@
         const auto answer = co_await m_link.order(leader, std::move(copy), handle);
         job->calls.erase(handle);
         if (answer) {
+            m_daemons.note_answer(leader, monotonic_us());
             note_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
@@ -328,12 +329,14 @@
     if (job->wanted.homed)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
-    const std::string leader = m_daemons.leader_of(query.upstream_set, monotonic_us());
+    const std::string leader = m_daemons.leader_of(query.upstream_set);
     if (leader.empty())
         co_return place_here(query);
     const auto answer = co_await m_link.place(leader, query);
-    if (answer)
+    if (answer) {
+        m_daemons.note_answer(leader, monotonic_us());
         co_return *answer;
+    }
     suspect(leader);
     co_return PlaceAnswer {};
 }
@@ -341,8 +344,10 @@
 void
 PieceService::suspect(const std::string& address)
 {
-    if (m_daemons.suspect(address))
-        asio::co_spawn(m_io, watch_suspect(address), asio::detached);
+    if (!m_daemons.suspect(address))
+        return;
+    LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
+    asio::co_spawn(m_io, watch_suspect(address), asio::detached);
 }
 
 asio::awaitable<void>
@@ -503,7 +508,7 @@
 asio::awaitable<void>
 PieceService::tell_releases(Releases spent)
 {
-    const std::string leader = m_daemons.leader_of(spent.upstream_set, monotonic_us());
+    const std::string leader = m_daemons.leader_of(spent.upstream_set);
     const bool told = !leader.empty() && co_await m_link.tell_releases(leader, spent);
     if (!told)
         free_at_keepers(spent);
@@ -541,9 +546,10 @@
         const Micros now = monotonic_us();
         for (const DaemonRecord& record : records)
             m_daemons.apply(record, now);
+        m_daemons.note_read(now);
         m_kernel.daemons_in_hall.store(
-            std::max(1, m_daemons.alive_in(m_kernel.settings.hall, now)));
-        m_kernel.daemons.store(std::max(1, m_daemons.alive(now)));
+            std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
+        m_kernel.daemons.store(std::max(1, m_daemons.alive()));
     });
 }
 
