--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -49,6 +49,9 @@
     /// Alive daemons of one hall.
     int alive_in(std::string_view hall) const;
 
+    /// Addresses of the other daemons that are alive and not suspected.
+    std::vector<std::string> trusted() const;
+
     /// Address of the daemon that leads the set; empty for this daemon itself.
     std::string leader_of(std::string_view set_name) const;
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -102,6 +102,16 @@
         }));
 }
 
+std::vector<std::string>
+DaemonTable::trusted() const
+{
+    std::vector<std::string> addresses;
+    for (const auto& [node, known] : m_daemons)
+        if (node != m_own_node && is_alive(known) && !known.suspected)
+            addresses.push_back(known.record.peers_address);
+    return addresses;
+}
+
 std::string
 DaemonTable::leader_of(std::string_view set_name) const
 {
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -50,6 +50,14 @@
     co_return decode_piece_answer(result.response.body);
 }
 
+void
+PeerLink::give_up(const std::string& address)
+{
+    const auto lost = m_open[address];
+    for (const auto& handle : lost)
+        handle->cancel();
+}
+
 /// A message that is answered at once.
 asio::awaitable<CallResult>
 PeerLink::post(std::string address, const char* path, std::string body)
@@ -120,9 +128,7 @@
         misses = answers ? 0 : misses + 1;
         if (misses <= kMissesAllowed)
             continue;
-        const auto lost = m_open[address];
-        for (const auto& handle : lost)
-            handle->cancel();
+        give_up(address);
         break;
     }
     m_watched.erase(address);
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -32,6 +32,9 @@
     boost::asio::awaitable<Result<PieceAnswer>>
     order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle);
 
+    /// Orders that are open at the daemon are lost.
+    void give_up(const std::string& address);
+
     /// False: the daemon did not take note.
     boost::asio::awaitable<bool> tell_releases(std::string address, Releases spent);
 
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -27,6 +27,8 @@
 /// A daemon that lost an order leads nothing for so long, and until it gives a sign
 /// of life.
 constexpr std::chrono::milliseconds kSuspectTime {1500};
+/// Between checks of all other daemons.
+constexpr Micros kCheckPace = 500 * kMillisecond;
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
 constexpr int kOk = 200;
@@ -347,7 +349,30 @@
     if (!m_daemons.suspect(address))
         return;
     LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
+    m_link.give_up(address);
     asio::co_spawn(m_io, watch_suspect(address), asio::detached);
+    check_others();
+}
+
+/// Daemons often go together.  All others are asked at once, so that orders do not
+/// find out one daemon after the other.
+void
+PieceService::check_others()
+{
+    if (monotonic_us() - m_checked_at < kCheckPace)
+        return;
+    m_checked_at = monotonic_us();
+    for (const std::string& address : m_daemons.trusted())
+        asio::co_spawn(m_io, check(address), asio::detached);
+}
+
+asio::awaitable<void>
+PieceService::check(std::string address)
+{
+    // GCC 12 ends this function wrongly if the call stands in the condition.
+    const bool answers = co_await m_link.is_alive(address);
+    if (!answers)
+        suspect(address);
 }
 
 asio::awaitable<void>
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -88,6 +88,8 @@
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
     void suspect(const std::string& address);
+    void check_others();
+    boost::asio::awaitable<void> check(std::string address);
     boost::asio::awaitable<void> watch_suspect(std::string address);
     static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
@@ -113,6 +115,7 @@
     std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
     std::map<std::string, Releases> m_releases; ///< to be told, by upstream set
     bool m_flushing = false;
+    Micros m_checked_at = 0; ///< when all daemons were last asked for a sign of life
 };
 
 } // namespace cypressford
