Peers in a class of their own; a daemon that stops takes its record back

PeerWatch holds the table and suspicion; a suspect that the directory calls gone is asked no more; a planned stop drops the daemon's record. Formatted; lint covers platform/ too.

--- a/src/build-scripts/lint.sh
+++ b/src/build-scripts/lint.sh
@@ -10,7 +10,7 @@
 cd "$(dirname "$0")/../.."
 
 mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' \
-  'testsuite/*.cpp' 'testsuite/*.h' | grep -v '/gen/')
+  'testsuite/*.cpp' 'testsuite/*.h' 'platform/*.cpp' 'platform/*.h' | grep -v '/gen/')
 
 if [ "${1:-}" = --fix ]; then
   clang-format-16 -i "${files[@]}"
--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -42,6 +42,7 @@
     /// trusted again.  False if it was suspected before, or is not known.
     bool suspect(const std::string& peers_address);
     void trust(const std::string& peers_address);
+    /// False also once the directory says that it is gone.
     bool is_suspected(const std::string& peers_address) const;
 
     /// Daemons that are alive, this one among them once it is listed.
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -49,7 +49,7 @@
     std::string node;
     std::string hall;
     std::string peers_address; ///< "ip:port" for other daemons
-    std::uint64_t incarnation = 0;
+    std::uint64_t incarnation = 0; ///< 0: the daemon took its record back
     std::uint64_t sequence = 0; ///< counts this incarnation's records
     bool stopping = false;
 };
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -38,8 +38,8 @@
 /// with the least left to read before this prompt's answer begins; among those that
 /// are about as good, the first in an order that is the same at every daemon
 /// (highest random weight), so that a new leader finds most prompts where the one
-/// before it had them.  What it believes may be wrong (another leader, a restarted upstream) and costs time
-/// only.
+/// before it had them.  What it believes may be wrong (another leader, a restarted
+/// upstream) and costs time only.
 class PromptPlacer {
 public:
     /// Index of the chosen upstream within own + remote of the set, or nothing.
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -104,8 +104,8 @@
     std::string identity; ///< of the upstream that is to have it; empty: any
 };
 struct Tick { };
-using Event = std::variant<RequestArrived, AttemptBegun, AttemptEnded, ClaimDecided, CallerClosed,
-                           PreparationEnded, Tick>;
+using Event = std::variant<RequestArrived, AttemptBegun, AttemptEnded, ClaimDecided,
+                           CallerClosed, PreparationEnded, Tick>;
 
 // Actions.
 /// Send stage `stage` of `request` to `upstream`.
@@ -156,9 +156,8 @@
 struct Forget {
     RequestId request = 0;
 };
-using Action
-    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPreparation,
-                   CancelPreparation, Reply, Forget>;
+using Action = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim,
+                            BeginPreparation, CancelPreparation, Reply, Forget>;
 using Actions = std::vector<Action>;
 
 /// Settings of a scheduler; the bundle knows nothing of these.
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -191,8 +191,8 @@
         const PieceStageSpec& stage = pipeline.piece_stages[at];
         const UpstreamSetSpec* set = find_named(bundle.upstream_sets, stage.upstream_set);
         if (!set || !set->batch)
-            faults.push_back({0, where + "no upstreams for pieces '" + stage.upstream_set
-                                     + "'"});
+            faults.push_back(
+                {0, where + "no upstreams for pieces '" + stage.upstream_set + "'"});
         for (const std::size_t before : stage.after)
             if (before >= pipeline.piece_stages.size() || before == at)
                 faults.push_back({0, where + "a piece stage needs one that is not there"});
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -76,14 +76,16 @@
 {
     if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
         return;
-    if (query.limit_slots && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
+    if (query.limit_slots
+        && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
         return;
     const bool probing = needs_probe(*upstream);
     if (probing
         && (!query.allow_probe || upstream->probing.load(std::memory_order_relaxed)))
         return;
     const auto index = static_cast<std::uint32_t>(out.values.size());
-    out.values.push_back(candidate(*upstream, index, slots_of(*upstream, set), remote, query.now));
+    out.values.push_back(
+        candidate(*upstream, index, slots_of(*upstream, set), remote, query.now));
     out.states.push_back(&upstream);
 }
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -72,8 +72,9 @@
 DaemonTable::is_suspected(const std::string& peers_address) const
 {
     return std::any_of(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
-        return item.second.record.peers_address == peers_address
-            && item.second.suspected;
+        const Known& known = item.second;
+        return known.record.peers_address == peers_address && known.suspected
+            && is_alive(known);
     });
 }
 
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -177,8 +177,16 @@
     CHECK_FALSE(table.suspect("other:1"));
     for (int i = 0; i < 20; ++i)
         CHECK(table.leader_of("set" + std::to_string(i)).empty());
+    CHECK(table.is_suspected("other:1"));
+    table.note_read(18 * kSecond);
+    CHECK_FALSE(table.is_suspected("other:1"));
+    table.apply(daemon("other", 2, 2), 18 * kSecond);
     table.trust("other:1");
-    DaemonRecord stopping = daemon("other", 2, 2);
+    CHECK(table.alive() == 2);
+    table.drop("other");
+    CHECK(table.alive() == 1);
+    table.apply(daemon("other", 3, 2), 18 * kSecond);
+    DaemonRecord stopping = daemon("other", 4, 2);
     stopping.stopping = true;
     table.apply(stopping, 12 * kSecond);
     CHECK(table.alive() == 1);
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -147,8 +147,8 @@
 encode(const PieceAnswer& answer)
 {
     proto::PieceAnswer out;
-    out.set_expected_wait_ms(
-        static_cast<std::uint32_t>(std::max<Micros>(0, answer.expected_wait) / kMillisecond));
+    out.set_expected_wait_ms(static_cast<std::uint32_t>(
+        std::max<Micros>(0, answer.expected_wait) / kMillisecond));
     for (const PieceResult& result : answer.pieces) {
         proto::PieceMade* piece = out.add_pieces();
         piece->set_outcome(static_cast<int>(result.outcome));
--- a/src/libcypressford/piece_plan.cpp
+++ b/src/libcypressford/piece_plan.cpp
@@ -153,8 +153,7 @@
                 start = std::max(start, finish[before]);
             const auto& batch = snapshot.sets[pipeline.piece_sets[at]].spec.batch;
             const int items = batch ? std::min(counts[at], batch->items) : 1;
-            finish[at]
-                = start + (batch ? batch->call_time + items * batch->item_time : 0);
+            finish[at] = start + (batch ? batch->call_time + items * batch->item_time : 0);
         }
     return finish.empty() ? 0 : *std::max_element(finish.begin(), finish.end());
 }
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -75,7 +75,8 @@
     if (resting != m_resting.end() && resting->second > now)
         return false;
     const int slots = std::max(1, set.spec.slots);
-    return is_usable(upstream, now) && upstream.in_flight.load(std::memory_order_relaxed) < slots;
+    return is_usable(upstream, now)
+        && upstream.in_flight.load(std::memory_order_relaxed) < slots;
 }
 
 PieceQueue::Upstreams
@@ -173,8 +174,7 @@
 PieceQueue::fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
                  Micros now)
 {
-    const auto items
-        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
+    const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     std::int64_t room = free_room(*call.upstream, set, now);
     PieceId taking = 0; ///< group that is being taken
     for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
@@ -208,8 +208,7 @@
 {
     Tier& tier = m_late.empty() ? m_prompt : m_late;
     const PieceId group = m_by_id.at(tier.rbegin()->id).group;
-    const auto items
-        = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
+    const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
         if (piece.group != group) {
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -76,8 +76,8 @@
     UpstreamSet set;
     set.spec.name = "set";
     set.spec.slots = 1;
-    set.spec.batch = BatchSpec {items, 2, 150 * kMillisecond, 16 * kMillisecond, room_mb,
-                                4 * kSecond};
+    set.spec.batch
+        = BatchSpec {items, 2, 150 * kMillisecond, 16 * kMillisecond, room_mb, 4 * kSecond};
     for (std::size_t i = 0; i < halls.size(); ++i)
         set.own.push_back(std::make_shared<UpstreamState>(
             "10.0.0." + std::to_string(i) + ":80", halls[i], "i" + std::to_string(i)));
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -107,8 +107,8 @@
                 != query.avoid.end();
             if (avoided || !is_usable(*upstream, now))
                 continue;
-            result.push_back({upstream, cost(*upstream, query),
-                              weight_of(*upstream, query)});
+            result.push_back(
+                {upstream, cost(*upstream, query), weight_of(*upstream, query)});
         }
     return result;
 }
@@ -120,8 +120,7 @@
     const std::vector<Choice> all = choices(set, query, now);
     if (all.empty())
         return nullptr;
-    const auto cheaper
-        = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
+    const auto cheaper = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
     double limit = std::min_element(all.begin(), all.end(), cheaper)->cost;
     if (!query.parts.empty())
         limit += kToleratedPart
@@ -145,8 +144,8 @@
     engine.unread += unread;
     ++engine.running;
     m_placed[query.attempt] = {upstream.identity, unread, now};
-    const auto capacity
-        = static_cast<std::int64_t>(kKeptPart * static_cast<double>(set.spec.memory_tokens));
+    const auto capacity = static_cast<std::int64_t>(
+        kKeptPart * static_cast<double>(set.spec.memory_tokens));
     for (const PrefixPart& part : query.parts)
         engine.keep(part, capacity);
 }
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -146,11 +146,9 @@
     Bench bench;
     bench.publish(spec);
     bench.arrive(1, kSecond);
-    bench.handle(
-        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    bench.handle(AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
     REQUIRE(bench.find<SendAttempt>());
-    bench.handle(
-        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    bench.handle(AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Failed});
     CHECK_FALSE(bench.find<SendAttempt>());
     CHECK(*bench.find<Reply>()->error == ErrorKind::UpstreamFailed);
 }
@@ -163,8 +161,7 @@
     Bench bench(options);
     bench.publish(pipeline(true));
     bench.arrive(1, kSecond);
-    bench.handle(
-        AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    bench.handle(AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
     REQUIRE(bench.find<SendAttempt>());
     bench.handle(
         AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Overloaded});
@@ -361,11 +358,12 @@
     UpstreamSetSpec set;
     set.name = "set";
     bundle.upstream_sets.push_back(set);
-    const auto old
-        = table.build(bundle, {{"i1", "set", "10.0.0.1:1", "a", 0, false},
-                               {"i2", "set", "10.0.0.2:1", "a", 0, false}});
-    const auto fresh = table.build(bundle, {{"i2", "set", "10.0.0.2:1", "a", 0, false},
-                                            {"i9", "set", "10.0.0.1:1", "a", 0, false}});
+    const auto old = table.build(bundle,
+                                 {{"i1", "set", "10.0.0.1:1", "a", 0, false},
+                                  {"i2", "set", "10.0.0.2:1", "a", 0, false}});
+    const auto fresh = table.build(bundle,
+                                   {{"i2", "set", "10.0.0.2:1", "a", 0, false},
+                                    {"i9", "set", "10.0.0.1:1", "a", 0, false}});
     CHECK(old->sets[0].own[0]->leaving);
     CHECK_FALSE(old->sets[0].own[1]->leaving);
     // The address has another upstream now.
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -133,8 +133,7 @@
     query.want_all = homed || !router.samples() || !request.prepared_identity.empty();
     query.random = random();
     // Whoever keeps a session's prefix is worth more than a near one.
-    query.any_hall
-        = (homed && request.is_relayed()) || !request.prepared_identity.empty();
+    query.any_hall = (homed && request.is_relayed()) || !request.prepared_identity.empty();
     if (!query.any_hall)
         query.near = request.prepared_hall;
     collect_candidates(set, query, candidates);
@@ -167,8 +166,7 @@
     BeginPreparation begin;
     begin.request = request.spec.id;
     begin.deadline = request.spec.deadline;
-    begin.prompt_by
-        = request.arrived + aim - request.pipeline().state->first_byte.load();
+    begin.prompt_by = request.arrived + aim - request.pipeline().state->first_byte.load();
     begin.homed = has_home(request);
     if (!begin.homed)
         begin.near = choose_hall(*request.spec.snapshot, request.pipeline(),
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -84,9 +84,8 @@
     {
         if (kernel.settings.uses_directory) {
             directory = std::make_unique<DirectoryWatch>(control, kernel);
-            directory->on_change([this] {
-                on_workers([](Worker& worker) { worker.apply_limits(); });
-            });
+            directory->on_change(
+                [this] { on_workers([](Worker& worker) { worker.apply_limits(); }); });
         } else {
             log = std::make_unique<LogServices>(control, kernel);
         }
@@ -112,8 +111,9 @@
     /// Readiness and metrics at addresses of their own, if settings want that.
     Result<void> open_side_doors()
     {
-        const auto open = [this](const std::string& address, HttpServer::Handler handler)
-            -> Result<std::unique_ptr<HttpServer>> {
+        const auto open
+            = [this](const std::string& address,
+                     HttpServer::Handler handler) -> Result<std::unique_ptr<HttpServer>> {
             if (address.empty())
                 return std::unique_ptr<HttpServer> {};
             auto server = std::make_unique<HttpServer>(
@@ -123,15 +123,17 @@
                 return tl::unexpected(port.error());
             return server;
         };
-        auto ready = open(kernel.settings.readiness_address, [this](HttpExchange& exchange) {
-            return serve_readiness(kernel, exchange);
-        });
+        auto ready
+            = open(kernel.settings.readiness_address, [this](HttpExchange& exchange) {
+                  return serve_readiness(kernel, exchange);
+              });
         if (!ready)
             return tl::unexpected(ready.error());
         readiness = *std::move(ready);
-        auto figures = open(kernel.settings.metrics_address, [this](HttpExchange& exchange) {
-            return serve_metrics(kernel, exchange);
-        });
+        auto figures
+            = open(kernel.settings.metrics_address, [this](HttpExchange& exchange) {
+                  return serve_metrics(kernel, exchange);
+              });
         if (!figures)
             return tl::unexpected(figures.error());
         metrics = *std::move(figures);
@@ -141,9 +143,8 @@
     asio::awaitable<bool> workers_idle()
     {
         if (pieces) {
-            const auto look = [this]() -> asio::awaitable<bool> {
-                co_return pieces->is_idle();
-            };
+            const auto look
+                = [this]() -> asio::awaitable<bool> { co_return pieces->is_idle(); };
             if (!co_await asio::co_spawn(workers.front()->io(), look(),
                                          asio::use_awaitable))
                 co_return false;
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -42,8 +42,7 @@
 DirectoryWatch::DirectoryWatch(asio::io_context& io, Kernel& kernel)
     : m_io(io)
     , m_kernel(kernel)
-    , m_dialect(
-          Registry<DirectoryDialect>::instance().make(kernel.settings.platform.kind))
+    , m_dialect(Registry<DirectoryDialect>::instance().make(kernel.settings.platform.kind))
     , m_client(io)
     , m_fold(kernel.settings.vanish_grace)
 {
@@ -75,9 +74,10 @@
     record.peers_address = settings.peers_address;
     record.incarnation = m_kernel.incarnation;
     record.sequence = ++m_own_sequence;
-    record.stopping = m_kernel.stopping.load();
     // GCC 12 destroys braced temporaries of a co_await twice, so they get names.
-    const DirectoryRecord entry {record.node, encode(record)};
+    // A daemon that stops takes its record back, so that none is left behind.
+    const std::string value = m_kernel.stopping.load() ? std::string() : encode(record);
+    const DirectoryRecord entry {record.node, value};
     HttpRequest request = m_dialect->append(DirectoryTopic::Daemons, entry);
     co_await call(std::move(request), kPatience);
 }
@@ -117,9 +117,12 @@
 DirectoryWatch::take_daemons(const std::vector<DirectoryRecord>& records)
 {
     std::vector<DaemonRecord> daemons;
-    for (const DirectoryRecord& record : records)
-        if (auto daemon = decode_daemon(record.value))
+    for (const DirectoryRecord& record : records) {
+        if (record.value.empty())
+            daemons.push_back({record.key, {}, {}, 0, 0, true});
+        else if (auto daemon = decode_daemon(record.value))
             daemons.push_back(*std::move(daemon));
+    }
     if (m_on_daemons)
         m_on_daemons(std::move(daemons));
 }
@@ -312,8 +315,8 @@
     const Bundle* bundle = m_fold.configuration();
     if (!bundle || !m_upstreams_listed)
         return;
-    const bool same = bundle->version == m_applied_version
-        && m_fold.revision() == m_applied_revision;
+    const bool same
+        = bundle->version == m_applied_version && m_fold.revision() == m_applied_revision;
     if (same)
         return;
     if (bundle->version != m_applied_version)
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -78,7 +78,7 @@
 {
     const CallResult result
         = co_await post(std::move(address), kReleasePath, encode(releases));
-    co_return result.status == CallStatus::Answered && result.response.status == kOk;
+    co_return result.status == CallStatus::Answered&& result.response.status == kOk;
 }
 
 asio::awaitable<Result<PlaceAnswer>>
@@ -90,8 +90,9 @@
     co_return decode_place_answer(result.response.body);
 }
 
-asio::awaitable<bool>
-PeerLink::gives_sign(std::string address)
+/// Status of the answer to a request for a sign of life; 0 for none.
+asio::awaitable<int>
+PeerLink::sign_of(std::string address)
 {
     HttpRequest request;
     request.target = kAlivePath;
@@ -99,19 +100,14 @@
     options.deadline_us = monotonic_us() + kSignPatience;
     const CallResult result
         = co_await m_client.call(address, std::move(request), std::move(options));
-    co_return result.status == CallStatus::Answered;
+    co_return result.status == CallStatus::Answered ? result.response.status : 0;
 }
 
 asio::awaitable<bool>
 PeerLink::is_alive(std::string address)
 {
-    HttpRequest request;
-    request.target = kAlivePath;
-    CallOptions options;
-    options.deadline_us = monotonic_us() + kSignPatience;
-    const CallResult result
-        = co_await m_client.call(address, std::move(request), std::move(options));
-    co_return result.status == CallStatus::Answered && result.response.status == kOk;
+    const int status = co_await sign_of(address);
+    co_return status == kOk;
 }
 
 asio::awaitable<void>
@@ -124,8 +120,9 @@
         co_await timer.async_wait(kToTuple);
         if (m_open[address].empty())
             break;
-        const bool answers = co_await gives_sign(address);
-        misses = answers ? 0 : misses + 1;
+        // Any answer will do: a daemon that is stopping finishes what it has.
+        const int status = co_await sign_of(address);
+        misses = status != 0 ? 0 : misses + 1;
         if (misses <= kMissesAllowed)
             continue;
         give_up(address);
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -29,8 +29,8 @@
     }
 
     /// An error says that the daemon did not answer or took no order.
-    boost::asio::awaitable<Result<PieceAnswer>>
-    order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle);
+    boost::asio::awaitable<Result<PieceAnswer>> order(std::string address, PieceOrder order,
+                                                      std::shared_ptr<CallHandle> handle);
 
     /// Orders that are open at the daemon are lost.
     void give_up(const std::string& address);
@@ -54,8 +54,7 @@
     boost::asio::awaitable<CallResult> post(std::string address, const char* path,
                                             std::string body);
     boost::asio::awaitable<void> watch(std::string address);
-    /// True if it answers, also while it finishes what it has before it stops.
-    boost::asio::awaitable<bool> gives_sign(std::string address);
+    boost::asio::awaitable<int> sign_of(std::string address);
     boost::asio::io_context& m_io;
     HttpClient m_client;
     std::map<std::string, std::set<std::shared_ptr<CallHandle>>> m_open; ///< by address
--- /dev/null
+++ b/src/libserve/peer_watch.cpp
@@ -0,0 +1,108 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer_watch.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// A daemon without a new record for so long leads nothing.
+constexpr Micros kSilentAfter = 9 * kSecond;
+/// A daemon that lost an order leads nothing for so long, and until it gives a sign
+/// of life.
+constexpr std::chrono::milliseconds kSuspectTime {1500};
+/// Between checks of all other daemons.
+constexpr Micros kCheckPace = 500 * kMillisecond;
+
+} // namespace
+
+PeerWatch::PeerWatch(asio::io_context& io, Kernel& kernel, PeerLink& link)
+    : m_io(io)
+    , m_kernel(kernel)
+    , m_link(link)
+    , m_daemons(kernel.settings.node, kSilentAfter)
+{
+}
+
+void
+PeerWatch::take(const std::vector<DaemonRecord>& records)
+{
+    const Micros now = monotonic_us();
+    for (const DaemonRecord& record : records)
+        if (record.incarnation == 0)
+            m_daemons.drop(record.node);
+        else
+            m_daemons.apply(record, now);
+    m_daemons.note_read(now);
+    m_kernel.daemons_in_hall.store(std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
+    m_kernel.daemons.store(std::max(1, m_daemons.alive()));
+}
+
+void
+PeerWatch::note_answer(const std::string& address)
+{
+    m_daemons.note_answer(address, monotonic_us());
+}
+
+void
+PeerWatch::suspect(const std::string& address)
+{
+    if (!m_daemons.suspect(address))
+        return;
+    LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
+    m_link.give_up(address);
+    asio::co_spawn(m_io, watch_suspect(address), asio::detached);
+    check_others();
+}
+
+/// Daemons often go together.  All others are asked at once, so that orders do not
+/// find out one daemon after the other.
+void
+PeerWatch::check_others()
+{
+    if (monotonic_us() - m_checked_at < kCheckPace)
+        return;
+    m_checked_at = monotonic_us();
+    for (const std::string& address : m_daemons.trusted())
+        asio::co_spawn(m_io, check(address), asio::detached);
+}
+
+asio::awaitable<void>
+PeerWatch::check(std::string address)
+{
+    // GCC 12 ends this function wrongly if the call stands in the condition.
+    const bool answers = co_await m_link.is_alive(address);
+    if (!answers)
+        suspect(address);
+}
+
+asio::awaitable<void>
+PeerWatch::watch_suspect(std::string address)
+{
+    asio::steady_timer timer(m_io);
+    bool is_alive = false;
+    // Of one that is gone the directory tells; it is not asked for ever.
+    while (!is_alive && m_daemons.is_suspected(address)) {
+        timer.expires_after(kSuspectTime);
+        co_await timer.async_wait(kToTuple);
+        is_alive = co_await m_link.is_alive(address);
+    }
+    m_daemons.trust(address);
+}
+
+} // namespace cypressford
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -165,8 +165,8 @@
     answer.pieces = order->results;
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
     if (const UpstreamSet* set = snapshot ? find_set(*snapshot, set_name) : nullptr)
-        answer.expected_wait = line.queue.expected_wait(*set, order->order.priority,
-                                                        monotonic_us());
+        answer.expected_wait
+            = line.queue.expected_wait(*set, order->order.priority, monotonic_us());
     co_return answer;
 }
 
@@ -235,8 +235,8 @@
     }
     CallOptions options;
     const Micros typical = typical_time(set, items.size());
-    options.deadline_us = std::min(
-        last_deadline, started + kTimeoutOverTypical * typical + kTimeoutFloor);
+    options.deadline_us
+        = std::min(last_deadline, started + kTimeoutOverTypical * typical + kTimeoutFloor);
     options.connect_deadline_us = started + kConnectTime;
     options.resend_if_stale = false;
     options.send_clock = false;
@@ -254,9 +254,8 @@
             results = *std::move(decoded);
     const bool whole = results.size() == call.pieces.size();
     const auto count = [&results](PieceOutcome outcome) {
-        return std::count_if(results.begin(), results.end(), [outcome](const auto& r) {
-            return r.outcome == outcome;
-        });
+        return std::count_if(results.begin(), results.end(),
+                             [outcome](const auto& r) { return r.outcome == outcome; });
     };
     LogEvent("piece_call")
         .kv("set", set_name)
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -22,13 +22,6 @@
 namespace {
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
-/// A daemon without a new record for so long leads nothing.
-constexpr Micros kSilentAfter = 9 * kSecond;
-/// A daemon that lost an order leads nothing for so long, and until it gives a sign
-/// of life.
-constexpr std::chrono::milliseconds kSuspectTime {1500};
-/// Between checks of all other daemons.
-constexpr Micros kCheckPace = 500 * kMillisecond;
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
 constexpr int kOk = 200;
@@ -73,12 +66,12 @@
 PieceService::PieceService(asio::io_context& io, Kernel& kernel)
     : m_io(io)
     , m_kernel(kernel)
-    , m_daemons(kernel.settings.node, kSilentAfter)
     , m_maker(io, kernel,
               [this](const std::string& set_name, const std::string& handle) {
                   free_now({{set_name, handle}});
               })
     , m_link(io)
+    , m_peers(io, kernel, m_link)
     , m_server(
           io, kernel.settings.limits,
           [this](HttpExchange& exchange) { return serve(exchange); },
@@ -95,6 +88,12 @@
     return {};
 }
 
+void
+PieceService::take_daemons(std::vector<DaemonRecord> records)
+{
+    asio::post(m_io, [this, records = std::move(records)] { m_peers.take(records); });
+}
+
 // ------------------------------------------------------------ as the leader
 
 asio::awaitable<void>
@@ -149,14 +148,15 @@
 void
 PieceService::want(std::uint64_t request, PiecesWanted wanted, Done done)
 {
-    asio::post(m_io, [this, request, wanted = std::move(wanted),
-                      done = std::move(done)]() mutable {
-        auto job = std::make_shared<Job>(m_io, std::move(wanted), std::move(done));
-        m_jobs[request] = job;
-        asio::co_spawn(m_io, run(job), [this, request](const std::exception_ptr&) {
-            m_jobs.erase(request);
+    asio::post(
+        m_io,
+        [this, request, wanted = std::move(wanted), done = std::move(done)]() mutable {
+            auto job = std::make_shared<Job>(m_io, std::move(wanted), std::move(done));
+            m_jobs[request] = job;
+            asio::co_spawn(m_io, run(job), [this, request](const std::exception_ptr&) {
+                m_jobs.erase(request);
+            });
         });
-    });
 }
 
 void
@@ -200,7 +200,8 @@
         result.inputs = with_sets(*job, inputs);
         result.hall = main_hall(*job, inputs);
         if (!job->wanted.reader_set.empty()) {
-            const std::string near = result.hall.empty() ? m_kernel.settings.hall : result.hall;
+            const std::string near
+                = result.hall.empty() ? m_kernel.settings.hall : result.hall;
             const PlaceAnswer reader = co_await place(job, near, true);
             result.identity = reader.identity;
             LogEvent("placed")
@@ -235,7 +236,7 @@
                 handles.push_back(result.handle);
         }
     LogEvent("pieces")
-        .kv("leader", m_daemons.leader_of(job->set_of(stage).spec.name))
+        .kv("leader", m_peers.leader_of(job->set_of(stage).spec.name))
         .kv("near", job->near)
         .kv("expected_wait_us", answer ? answer->expected_wait : 0)
         .kv("request", job->wanted.attempt)
@@ -270,7 +271,7 @@
         copy.due_left = order.due_left - monotonic_us();
         if (copy.time_left <= 0 || job->cancelled)
             break;
-        const std::string leader = m_daemons.leader_of(set_name);
+        const std::string leader = m_peers.leader_of(set_name);
         if (leader.empty()) {
             auto ticket = std::make_shared<PieceMaker::Ticket>();
             job->tickets.insert(ticket);
@@ -284,21 +285,21 @@
         const auto answer = co_await m_link.order(leader, std::move(copy), handle);
         job->calls.erase(handle);
         if (answer) {
-            m_daemons.note_answer(leader, monotonic_us());
+            m_peers.note_answer(leader);
             note_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
         // An order that was given up here, or ran out of time, says nothing about
         // the leader.
-        const bool is_over = job->cancelled || job->failed
-            || monotonic_us() >= job->wanted.deadline;
+        const bool is_over
+            = job->cancelled || job->failed || monotonic_us() >= job->wanted.deadline;
         if (is_over)
             break;
         LogEvent("leader_lost", LogLevel::Warn)
             .kv("request", job->wanted.attempt)
             .kv("set", set_name)
             .kv("leader", leader);
-        suspect(leader);
+        m_peers.suspect(leader);
     }
     co_return fail(ErrorKind::UpstreamFailed);
 }
@@ -310,8 +311,7 @@
     constexpr std::size_t most = 16;
     std::vector<std::string> identities;
     const Micros now = monotonic_us();
-    const UpstreamSet& set
-        = job.wanted.snapshot->sets[job.resolved().sets.front()];
+    const UpstreamSet& set = job.wanted.snapshot->sets[job.resolved().sets.front()];
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side)
             if (upstream->ejected_until.load() > now && identities.size() < most)
@@ -331,64 +331,18 @@
     if (job->wanted.homed)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
-    const std::string leader = m_daemons.leader_of(query.upstream_set);
+    const std::string leader = m_peers.leader_of(query.upstream_set);
     if (leader.empty())
         co_return place_here(query);
     const auto answer = co_await m_link.place(leader, query);
     if (answer) {
-        m_daemons.note_answer(leader, monotonic_us());
+        m_peers.note_answer(leader);
         co_return *answer;
     }
-    suspect(leader);
+    m_peers.suspect(leader);
     co_return PlaceAnswer {};
 }
 
-void
-PieceService::suspect(const std::string& address)
-{
-    if (!m_daemons.suspect(address))
-        return;
-    LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
-    m_link.give_up(address);
-    asio::co_spawn(m_io, watch_suspect(address), asio::detached);
-    check_others();
-}
-
-/// Daemons often go together.  All others are asked at once, so that orders do not
-/// find out one daemon after the other.
-void
-PieceService::check_others()
-{
-    if (monotonic_us() - m_checked_at < kCheckPace)
-        return;
-    m_checked_at = monotonic_us();
-    for (const std::string& address : m_daemons.trusted())
-        asio::co_spawn(m_io, check(address), asio::detached);
-}
-
-asio::awaitable<void>
-PieceService::check(std::string address)
-{
-    // GCC 12 ends this function wrongly if the call stands in the condition.
-    const bool answers = co_await m_link.is_alive(address);
-    if (!answers)
-        suspect(address);
-}
-
-asio::awaitable<void>
-PieceService::watch_suspect(std::string address)
-{
-    asio::steady_timer timer(m_io);
-    bool is_alive = false;
-    // A daemon that is gone for good is forgotten by the table.
-    while (!is_alive && m_daemons.is_suspected(address)) {
-        timer.expires_after(kSuspectTime);
-        co_await timer.async_wait(kToTuple);
-        is_alive = co_await m_link.is_alive(address);
-    }
-    m_daemons.trust(address);
-}
-
 PlaceAnswer
 PieceService::place_here(const PlaceQuery& query)
 {
@@ -533,7 +487,7 @@
 asio::awaitable<void>
 PieceService::tell_releases(Releases spent)
 {
-    const std::string leader = m_daemons.leader_of(spent.upstream_set);
+    const std::string leader = m_peers.leader_of(spent.upstream_set);
     const bool told = !leader.empty() && co_await m_link.tell_releases(leader, spent);
     if (!told)
         free_at_keepers(spent);
@@ -564,18 +518,4 @@
     }
 }
 
-void
-PieceService::take_daemons(std::vector<DaemonRecord> records)
-{
-    asio::post(m_io, [this, records = std::move(records)] {
-        const Micros now = monotonic_us();
-        for (const DaemonRecord& record : records)
-            m_daemons.apply(record, now);
-        m_daemons.note_read(now);
-        m_kernel.daemons_in_hall.store(
-            std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
-        m_kernel.daemons.store(std::max(1, m_daemons.alive()));
-    });
-}
-
 } // namespace cypressford
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -13,12 +13,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <cypressford/daemon_table.h>
 #include <cypressford/scheduler.h>
 
 #include "kernel.h"
 #include "libutil/http_server.h"
 #include "peer_link.h"
+#include "peer_watch.h"
 #include "piece_maker.h"
 
 namespace cypressford {
@@ -87,10 +87,6 @@
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
-    void suspect(const std::string& address);
-    void check_others();
-    boost::asio::awaitable<void> check(std::string address);
-    boost::asio::awaitable<void> watch_suspect(std::string address);
     static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
     Releases& release_at(const std::string& set_name);
@@ -106,16 +102,15 @@
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
-    DaemonTable m_daemons;
     PieceMaker m_maker;
     PeerLink m_link;
+    PeerWatch m_peers;
     HttpServer m_server;
     HttpClient m_client;
     std::map<std::uint64_t, JobPtr> m_jobs;
     std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
     std::map<std::string, Releases> m_releases; ///< to be told, by upstream set
     bool m_flushing = false;
-    Micros m_checked_at = 0; ///< when all daemons were last asked for a sign of life
 };
 
 } // namespace cypressford
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -84,8 +84,7 @@
 account_of(const CallerCall& call, const Snapshot& snapshot, const PipelineSpec& spec)
 {
     if (!call.credential.empty()) {
-        const auto it
-            = snapshot.account_by_digest.find(to_hex(sha256(call.credential)));
+        const auto it = snapshot.account_by_digest.find(to_hex(sha256(call.credential)));
         if (it != snapshot.account_by_digest.end())
             return it->second;
     }
@@ -103,9 +102,8 @@
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
     const CallerLimits given = snapshot ? snapshot->limits : CallerLimits {};
     HttpLimits limits = m_kernel.reloaded.load()->limits;
-    const auto duration = [](Micros time) {
-        return std::chrono::milliseconds(time / kMillisecond);
-    };
+    const auto duration
+        = [](Micros time) { return std::chrono::milliseconds(time / kMillisecond); };
     if (given.header_bytes > 0)
         limits.header_bytes = given.header_bytes;
     if (given.body_bytes > 0)
@@ -178,13 +176,13 @@
     spec.account = *account;
     context->account = context->resolved_account().spec.name;
     context->pipeline = of.name;
-    spec.deadline = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
+    spec.deadline
+        = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
     spec.affinity = affinity_of(*call);
     spec.shared_tokens = shared_tokens_of(*call);
     spec.pieces = call->pieces;
     spec.pieces.resize(of.piece_stages.size());
-    spec.asks_leader
-        = spec.affinity != 0 && of.stages.front().kind == StageKind::Generate;
+    spec.asks_leader = spec.affinity != 0 && of.stages.front().kind == StageKind::Generate;
     context->relay = std::make_unique<Relay>();
     context->relay->request = request;
     context->relay->call = *std::move(call);
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -144,9 +144,9 @@
                                               bool& begun);
     HttpResponse relayed_problem(const RequestContext& context) const;
     HttpResponse refusal(const Error& error) const;
-    boost::asio::awaitable<AttemptStatus>
-    call_relayed(const SendAttempt& send, ContextPtr context,
-                 std::shared_ptr<CallHandle> handle);
+    boost::asio::awaitable<AttemptStatus> call_relayed(const SendAttempt& send,
+                                                       ContextPtr context,
+                                                       std::shared_ptr<CallHandle> handle);
     ForwardedCall forwarded_call(const SendAttempt& send,
                                  const RequestContext& context) const;
 
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -110,8 +110,8 @@
     bool is_fresh(const CallOptions& options) const
     {
         const std::int64_t now = monotonic_us();
-        const bool in_time = options.max_rest_us == 0
-            || now - m_rests_since <= options.max_rest_us;
+        const bool in_time
+            = options.max_rest_us == 0 || now - m_rests_since <= options.max_rest_us;
         return in_time && (m_keep_until == 0 || now < m_keep_until);
     }
     bool got_bytes() const { return m_got_bytes; }
@@ -220,9 +220,9 @@
     if (!options.fresh_connection) {
         if (auto kept = take_idle(address, options)) {
             CallResult result = co_await attempt(*kept, request, options);
-            const bool stale = options.resend_if_stale
-                && result.status == CallStatus::Lost && !kept->got_bytes()
-                && !options.handle->cancelled() && monotonic_us() < options.deadline_us;
+            const bool stale = options.resend_if_stale && result.status == CallStatus::Lost
+                && !kept->got_bytes() && !options.handle->cancelled()
+                && monotonic_us() < options.deadline_us;
             if (!stale) {
                 keep(address, std::move(kept));
                 co_return result;
@@ -231,9 +231,9 @@
     }
     auto connection = std::make_unique<Connection>(m_io, address);
     options.handle->m_abort = [raw = connection.get()] { raw->abort(); };
-    connection->set_deadline(options.connect_deadline_us > 0
-                                 ? std::min(options.connect_deadline_us, options.deadline_us)
-                                 : options.deadline_us);
+    connection->set_deadline(options.connect_deadline_us > 0 ? std::min(
+                                 options.connect_deadline_us, options.deadline_us)
+                                                             : options.deadline_us);
     const bool connected = !options.handle->cancelled() && co_await connection->connect();
     options.handle->m_abort = nullptr;
     if (!connected || options.handle->cancelled())
