An upstream that answers others is not silent

Silence now needs that nothing came from the upstream since the attempt was sent. Test: relay_test.cpp, fails without it.

--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -323,6 +323,28 @@
     }
 }
 
+TEST_CASE("an upstream that answers others meanwhile is not silent")
+{
+    Bench bench;
+    bench.publish(pipeline(true));
+    bench.arrive(1, 8 * kSecond);
+    const auto first = *bench.find<SendAttempt>();
+    bench.now = 500 * kMillisecond;
+    RequestId id = 2;
+    for (;; ++id) {
+        bench.arrive(id, 8 * kSecond);
+        const auto other = *bench.find<SendAttempt>();
+        bench.handle(AttemptBegun {other.attempt});
+        if (other.upstream == first.upstream)
+            break;
+        REQUIRE(id < 9);
+    }
+    bench.now = kSecond;
+    bench.handle(Tick {});
+    CHECK_FALSE(bench.find<CancelAttempt>());
+    CHECK(first.upstream->ejected_until <= bench.now);
+}
+
 TEST_CASE("an upstream that has begun to answer is not silent")
 {
     Bench bench;
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -45,8 +45,10 @@
 Scheduler::Impl::on(const AttemptBegun& event)
 {
     const auto it = attempts.find(event.attempt);
-    if (it != attempts.end())
-        it->second.begun = true;
+    if (it == attempts.end())
+        return;
+    it->second.begun = true;
+    it->second.upstream->answered_at.store(now, std::memory_order_relaxed);
 }
 
 void
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -252,6 +252,9 @@
     if (it == attempts.end() || it->second.begun || it->second.cancelled)
         return;
     const Attempt& attempt = it->second;
+    // One that answers others meanwhile is not silent; this call is long.
+    if (attempt.upstream->answered_at.load(std::memory_order_relaxed) > attempt.sent_at)
+        return;
     if (options.eject && may_eject(attempt) && attempt.upstream->note_failure(1, now))
         ++counters.ejections;
     // Its end is still to come, as lost.
