--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -167,7 +167,9 @@
 PieceQueue::is_saturated(const UpstreamSet& set, Micros now) const
 {
     const int items = set.spec.batch ? set.spec.batch->items : 1;
-    return 2 * m_by_id.size() > static_cast<std::size_t>(items * count_usable(set, now));
+    const auto half_round = static_cast<std::size_t>(items)
+        * static_cast<std::size_t>(count_usable(set, now));
+    return 2 * m_by_id.size() > half_round;
 }
 
 void
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -253,6 +253,7 @@
     } else {
         job->failed = true;
         std::vector<PieceHandle> useless;
+        useless.reserve(handles.size());
         for (std::string& handle : handles)
             useless.push_back({job->set_of(stage).spec.name, std::move(handle)});
         free_now(useless);
@@ -423,6 +424,7 @@
 PieceService::with_sets(const Job& job, const std::vector<std::string>& handles)
 {
     std::vector<PieceHandle> result;
+    result.reserve(handles.size());
     for (const std::string& handle : handles)
         result.push_back({job.set_of(job.plan.stage_of(handle)).spec.name, handle});
     return result;
