--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -118,7 +118,9 @@
     } else if (path == PeerLink::kAlivePath) {
         HttpResponse alive;
         alive.content_type = "text/plain";
-        alive.status = m_kernel.stopping.load() ? kUnavailable : kOk;
+        // Without a configuration it can lead nothing.
+        const bool leads = !m_kernel.stopping.load() && m_kernel.snapshot.load();
+        alive.status = leads ? kOk : kUnavailable;
         co_await exchange.respond(std::move(alive));
     } else {
         co_await exchange.respond(problem_response(problem_of(ErrorKind::NotFound)));
