make demo shows both interfaces

Cause: the demo showed the product's own interface only. It now plays the platform's path after it, with the stand-ins of platform/testing. Measured: both end with lost=0 doubled=0 misdelivered=0 cut=0.

--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,10 @@
 build: $(BUILD)/build.ninja
 	@cmake --build $(BUILD) -j $(JOBS)
 
+# The whole path on the product's own interface, then on the users' platform.
 demo: build
 	@python3 testsuite/demo/run.py $(BUILD)
+	@python3 platform/testing/run.py $(BUILD)
 
 # Tests that KNOWN-RED.txt lists (one line each: test, cause, issue) are passed over and
 # printed.
