Results of pieces are released when they are read; a retry has them made again

Cause: room for results binds. Results of streams that may be resumed were kept to the end of the stream, seconds after the engine had read them, so sets of stage upstreams with 18, 3 and 0.5 MB of room each made calls that were half full while 34 to 95 pieces waited.

Pieces that are made again are paid for from the retry limit of their set. No hedge goes out once the results are released.

Not yet: the cost where streams break off often.

--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -29,6 +29,8 @@
     ForgetTransit, ///< an answer about the directory counts as fresh when it arrives late
     GapInHistory, ///< a reader of the directory claims to know more than it does
     ConfigurationGoesBack, ///< an older configuration takes the place of a newer one
+    SendFreedInputs, ///< an attempt goes out with results that were released
+    FreeBeforeRead, ///< results are released before the upstream has read them
     ReturnOfGone, ///< an older record brings an upstream back that is gone
 };
 
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -23,6 +23,7 @@
     Micros due_left = 0; ///< until the latest start that lets it be prompt; may be past
     std::string near; ///< hall where the results are wanted; empty: anywhere
     std::int64_t result_bytes = 0; ///< of each piece, about
+    bool again = false; ///< made before and gone: each piece is a retry
     std::vector<PieceItem> pieces; ///< `time_left` of each is the order's
 };
 
--- a/src/include/cypressford/retry_budget.h
+++ b/src/include/cypressford/retry_budget.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 
 namespace cypressford {
 
@@ -22,12 +23,14 @@
     /// A first attempt was made.
     void earn() { m_tokens = std::min(m_burst, m_tokens + m_ratio); }
 
-    /// True if a second attempt may be made; it is then paid for.
-    bool spend()
+    /// True if second attempts, one unless told otherwise, may be made; they are then
+    /// paid for.
+    bool spend(std::size_t attempts = 1)
     {
-        if (m_tokens < 1)
+        const auto price = static_cast<double>(attempts);
+        if (m_tokens < price)
             return false;
-        m_tokens -= 1;
+        m_tokens -= price;
         return true;
     }
 
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -103,9 +103,14 @@
     std::string hall; ///< where most of the results are; empty if unknown
     std::string identity; ///< of the upstream that is to have it; empty: any
 };
+/// The upstream's answer shows that it has read the results that the request was
+/// prepared with.
+struct InputsRead {
+    AttemptId attempt = 0;
+};
 struct Tick { };
 using Event = std::variant<RequestArrived, AttemptBegun, AttemptEnded, ClaimDecided,
-                           CallerClosed, PreparationEnded, Tick>;
+                           CallerClosed, PreparationEnded, InputsRead, Tick>;
 
 // Actions.
 /// Send stage `stage` of `request` to `upstream`.
@@ -133,6 +138,11 @@
     Micros prompt_by = 0; ///< when they must be made for a prompt answer
     bool homed = false; ///< the upstream that keeps its prompt decides the hall
     std::string near; ///< hall for the results otherwise
+    bool again = false; ///< they were made before and are gone
+};
+/// Release the results that `request` was prepared with: nothing will read them.
+struct ReleaseInputs {
+    RequestId request = 0;
 };
 /// Give up on the pieces of `request`.
 struct CancelPreparation {
@@ -156,8 +166,9 @@
 struct Forget {
     RequestId request = 0;
 };
-using Action = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim,
-                            BeginPreparation, CancelPreparation, Reply, Forget>;
+using Action
+    = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPreparation,
+                   CancelPreparation, ReleaseInputs, Reply, Forget>;
 using Actions = std::vector<Action>;
 
 /// Settings of a scheduler; the bundle knows nothing of these.
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -20,6 +20,7 @@
     out.set_due_ms(static_cast<std::int32_t>(order.due_left / kMillisecond));
     out.set_near(order.near);
     out.set_result_bytes(order.result_bytes);
+    out.set_again(order.again);
     for (const PieceItem& item : order.pieces) {
         proto::PieceWanted* piece = out.add_pieces();
         piece->set_attempt(item.attempt);
@@ -45,6 +46,7 @@
     order.due_left = in.due_ms() * kMillisecond;
     order.near = in.near();
     order.result_bytes = in.result_bytes();
+    order.again = in.again();
     for (const proto::PieceWanted& piece : in.pieces()) {
         PieceItem item;
         item.attempt = piece.attempt();
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -262,11 +262,13 @@
     order.due_left = -30 * kMillisecond;
     order.near = "hall";
     order.result_bytes = 5;
+    order.again = true;
     order.pieces.push_back({"attempt", 1, 2, 0, "key", {"in"}});
     const auto read = decode_piece_order(encode(order));
     REQUIRE(read);
     CHECK(read->due_left == order.due_left);
     CHECK(read->time_left == order.time_left);
+    CHECK(read->again);
     REQUIRE(read->pieces.size() == 1);
     CHECK(read->pieces[0].segment == 2);
     CHECK(read->pieces[0].inputs == Handles {"in"});
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -290,6 +290,40 @@
     CHECK_FALSE(bench.find<SendAttempt>());
 }
 
+TEST_CASE("results are released when they are read, and made again for a retry")
+{
+    Bench bench;
+    bench.publish(pipeline(true), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    CHECK_FALSE(bench.find<BeginPreparation>()->again);
+    bench.handle(PreparationEnded {1, true, "a", ""});
+    const AttemptId first = bench.find<SendAttempt>()->attempt;
+    CHECK_FALSE(bench.find<ReleaseInputs>());
+    bench.handle(InputsRead {first});
+    REQUIRE(bench.find<ReleaseInputs>());
+    // Told twice, they are released once.
+    bench.handle(InputsRead {first});
+    CHECK_FALSE(bench.find<ReleaseInputs>());
+    bench.handle(AttemptEnded {first, AttemptStatus::Lost});
+    CHECK_FALSE(bench.find<SendAttempt>());
+    REQUIRE(bench.find<BeginPreparation>());
+    CHECK(bench.find<BeginPreparation>()->again);
+    CHECK(bench.find<BeginPreparation>()->deadline == 4 * kSecond);
+    bench.handle(PreparationEnded {1, true, "a", ""});
+    CHECK(bench.find<SendAttempt>());
+}
+
+TEST_CASE("a retry that finds its results unread uses them")
+{
+    Bench bench;
+    bench.publish(pipeline(true), true);
+    bench.arrive(1, 4 * kSecond, {2});
+    bench.handle(PreparationEnded {1, true, "a", ""});
+    bench.handle(AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::Lost});
+    CHECK_FALSE(bench.find<BeginPreparation>());
+    CHECK(bench.find<SendAttempt>());
+}
+
 TEST_CASE("a request that ends while it is prepared gives the preparation up")
 {
     Bench bench;
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -41,6 +41,7 @@
     std::size_t stage = 0;
     ClaimState claim = ClaimState::None;
     PreparationState preparation = PreparationState::Wanted;
+    bool prepared_before = false; ///< its pieces were made at least once
     Micros preparing_since = 0; ///< when they were asked for
     std::string prepared_hall; ///< where most of the results are
     std::string prepared_identity; ///< of the upstream that is to have it
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -121,6 +121,7 @@
     Request& request = entry.request;
     if (event.made) {
         request.preparation = PreparationState::Made;
+        request.prepared_before = true;
         request.prepared_hall = event.hall;
         request.prepared_identity = event.identity;
         entry.machine.preparation_made();
@@ -132,6 +133,25 @@
     forget_if_over(entry);
 }
 
+/// Room for results is scarce, so they are released as soon as they were read.  A
+/// later attempt has them made again.
+void
+Scheduler::Impl::on(const InputsRead& event)
+{
+    const auto attempt = attempts.find(event.attempt);
+    if (attempt == attempts.end())
+        return;
+    const auto entry = entries.find(attempt->second.request);
+    if (entry == entries.end())
+        return;
+    Request& request = entry->second->request;
+    if (request.preparation != PreparationState::Made || !request.spec.needs_pieces())
+        return;
+    if (!mutated(Mutation::SendFreedInputs))
+        request.preparation = PreparationState::Wanted;
+    out->push_back(ReleaseInputs {request.spec.id});
+}
+
 void
 Scheduler::Impl::on(const Tick&)
 {
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -187,6 +187,7 @@
     void on(const ClaimDecided& event);
     void on(const CallerClosed& event);
     void on(const PreparationEnded& event);
+    void on(const InputsRead& event);
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -168,6 +168,7 @@
     begin.deadline = request.spec.deadline;
     begin.prompt_by = request.arrived + aim - request.pipeline().state->first_byte.load();
     begin.homed = has_home(request);
+    begin.again = request.prepared_before;
     if (!begin.homed)
         begin.near = choose_hall(*request.spec.snapshot, request.pipeline(),
                                  request.spec.pieces, random(), now);
@@ -202,6 +203,8 @@
     const Micros deadline = attempt_deadline(request);
     out->push_back(SendAttempt {request.spec.id, attempt.id, request.stage, chosen,
                                 deadline, !attempt.once});
+    if (mutated(Mutation::FreeBeforeRead) && request.spec.needs_pieces())
+        out->push_back(ReleaseInputs {request.spec.id});
     arm_hedge(request, attempt.id);
     arm_silence(request, attempt.id);
     attempts.emplace(attempt.id, std::move(attempt));
@@ -270,6 +273,9 @@
         && request.running.size() == 1 && request.running.front() == attempt;
     if (!still || request.attempts_of_stage >= max_attempts(request))
         return;
+    // The results that it would need were read and released.
+    if (request.lacks_preparation())
+        return;
     // A queue means there is no idle slot that a hedge could use.
     if (!queue_of(request.set().id).waiting.empty() || !choose_upstream(request))
         return;
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -138,6 +138,16 @@
     const std::string set_name = wanted.upstream_set;
     auto order = std::make_shared<Order>(m_io, std::move(wanted));
     Line& line = line_of(set_name);
+    if (order->order.again && !line.retries.spend(order->results.size())) {
+        LogEvent("pieces_not_again", LogLevel::Warn)
+            .kv("set", set_name)
+            .kv("request", distinct_requests(order->order.pieces))
+            .kv("count", order->results.size())
+            .kv("why", "retry_limit");
+        PieceAnswer refused;
+        refused.pieces = order->results;
+        co_return refused;
+    }
     for (std::size_t i = 0; i < order->order.pieces.size(); ++i) {
         const PieceId id = m_next++;
         order->ids.push_back(id);
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -377,6 +377,7 @@
     order.upstream_set = job.set_of(stage).spec.name;
     order.priority = job.wanted.priority;
     order.near = job.near;
+    order.again = job.wanted.again;
     order.result_bytes = job.resolved().spec.piece_stages[stage].result_bytes;
     // A point in time here; order() makes it a span.
     order.due_left = job.wanted.prompt_by
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -37,6 +37,7 @@
     bool homed = false; ///< the upstream that keeps the prompt decides the hall
     std::string reader_set; ///< the set whose leader chooses an upstream; empty: none
     PromptQuery prompt;
+    bool again = false; ///< they were made before: this is a retry at each set
 };
 
 /// A result with the set that it belongs to.
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -312,10 +312,7 @@
             context->resolved().state->note_first_byte(relay.first_byte);
             if (context->spec.asks_leader)
                 m_kernel.pieces->note_begun(context->set_name(), relay.call.attempt);
-            // An upstream that answers has read its inputs.  Another one would
-            // have to read them again.
-            if (!send.may_repeat)
-                m_kernel.pieces->free_results(std::exchange(relay.inputs, {}));
+            feed(InputsRead {send.attempt});
         };
         options.on_chunk = [&](std::string_view piece) {
             if (!sound || handle->cancelled())
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -193,6 +193,7 @@
     wanted.prompt_by = action.prompt_by;
     wanted.near = action.near;
     wanted.homed = action.homed;
+    wanted.again = action.again;
     if (context->spec.asks_leader) {
         const CallerCall& call = context->relay->call;
         wanted.reader_set = context->set_name();
@@ -222,6 +223,14 @@
                            std::move(made.identity)});
 }
 
+void
+Worker::act(const ReleaseInputs& action)
+{
+    const auto it = m_contexts.find(action.request);
+    if (it != m_contexts.end())
+        m_kernel.pieces->free_results(std::exchange(it->second->relay->inputs, {}));
+}
+
 void
 Worker::act(const CancelPreparation& action)
 {
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -158,6 +158,7 @@
     void act(const BeginClaim& action);
     void act(const EndClaim& action);
     void act(const BeginPreparation& action);
+    void act(const ReleaseInputs& action);
     void act(const CancelPreparation& action);
     void pieces_made(RequestId request, PiecesMade made);
     void act(const Reply& action);
--- a/testsuite/fuzz/world.h
+++ b/testsuite/fuzz/world.h
@@ -163,6 +163,7 @@
     // No pipeline of this world has pieces.
     void act(Daemon&, const BeginPreparation&) { }
     void act(Daemon&, const CancelPreparation&) { }
+    void act(Daemon&, const ReleaseInputs&) { }
     void act(Daemon& daemon, const Reply& action);
     void act(Daemon& daemon, const Forget& action);
     void end_attempt(Daemon& daemon, AttemptId attempt, AttemptStatus status,
