A stage whose results are read at the end starts as late as the longest path allows

Cause: chat requests have a stage that only the engine reads (1.5 MB a result) beside a chain of three; its results wait at their upstream for the chain, and take room from everybody.

Change: PiecePlan::take_due schedules backwards (critical path method): a stage that has slack starts when its slack is used up. Times are those of the sets' calls and an average of how much longer pieces of that priority took of late; looked at again when a stage is made, or when the time has come. No case for stages without readers: whatever is read together is made together.

Not tried: the waits that the set's leader tells as the estimate; they are of the moment.

Tests: pieces_test, two cases for the schedule.

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -19,6 +19,12 @@
 
 namespace cypressford {
 
+/// Stages to start now, and when the others are to be looked at.
+struct ReadyStages {
+    std::vector<std::size_t> now;
+    std::optional<Micros> next_in; ///< time until the next one should start; none waits
+};
+
 /// The pieces of one request: which of them can be made now, from what, and what
 /// the request itself is to read in the end.
 class PiecePlan {
@@ -29,12 +35,19 @@
     /// Stages that have all they need and were not given out before.
     std::vector<std::size_t> take_ready();
 
+    /// The same, but without those that had better start later: results that are read
+    /// together are to be made together, so that none takes room while it waits for
+    /// the others.  `left`: time until each stage is made if it starts now, 0 for those
+    /// that are made.  A stage that starts within `tolerance` starts now.
+    ReadyStages take_due(const std::vector<Micros>& left, Micros tolerance);
+
     int count(std::size_t stage) const { return m_counts[stage]; }
     /// Results that every piece of the stage is to read; empty for a first stage.
     std::vector<std::string> inputs_of(std::size_t stage) const;
     /// The results of a whole stage, one for each piece.
     void stage_made(std::size_t stage, std::vector<std::string> handles);
 
+    bool is_made(std::size_t stage) const { return m_stages[stage].made; }
     bool is_done() const;
     /// Results of the stages after which no other comes.
     std::vector<std::string> final_inputs() const;
@@ -56,12 +69,17 @@
 
     bool is_last(std::size_t stage) const;
     bool is_ready(const Stage& stage) const;
+    std::vector<Micros> slack_of_stages(const std::vector<Micros>& left) const;
     bool has_readers_left(std::size_t stage) const;
 
     std::vector<int> m_counts;
     std::vector<Stage> m_stages;
 };
 
+/// Time of a call with so many pieces, or of a full one if they are more, by what the
+/// set says of its calls.
+Micros call_time(const UpstreamSetSpec& set, int pieces);
+
 /// Shortest time for a request's pieces if nothing waits: the longest way through
 /// its stages, by what the sets say of their calls.
 Micros pieces_time(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -109,12 +109,31 @@
         return std::max<Micros>(0, told.wait.load(std::memory_order_relaxed) - age);
     }
 
+    /// Pieces of that priority took so much longer than their call alone takes.
+    void note_delay(int priority, Micros delay)
+    {
+        auto& average = m_delays.at(static_cast<std::size_t>(priority));
+        const Micros before = average.load(std::memory_order_relaxed);
+        average.store(before + (delay - before) / kDelayWeight, std::memory_order_relaxed);
+    }
+    /// The same as it was of late.
+    Micros typical_delay(int priority) const
+    {
+        return m_delays.at(static_cast<std::size_t>(priority))
+            .load(std::memory_order_relaxed);
+    }
+
 private:
+    /// One observation counts for this part of the average: some ten of them, less
+    /// than a second's, replace what was.
+    static constexpr Micros kDelayWeight = 8;
+
     struct Told {
         std::atomic<Micros> wait {0};
         std::atomic<Micros> at {0};
     };
     std::array<Told, kLowestPriority + 1> m_told;
+    std::array<std::atomic<Micros>, kLowestPriority + 1> m_delays {};
 };
 
 /// The upstreams of one set, own hall first.
--- a/src/libcypressford/piece_plan.cpp
+++ b/src/libcypressford/piece_plan.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/pieces.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace cypressford {
 
@@ -39,6 +40,53 @@
     return ready;
 }
 
+/// How much later each stage could start without delaying the request: the longest
+/// path through all stages, less the longest one through that stage (critical path
+/// method).
+std::vector<Micros>
+PiecePlan::slack_of_stages(const std::vector<Micros>& left) const
+{
+    const std::size_t count = m_stages.size();
+    std::vector<Micros> end(count, 0); // of each stage, if all start as early as they can
+    std::vector<Micros> after_end(count, 0); // from its end to the end of the last reader
+    // The stages may stand in any order, so a pass for each settles all of them.
+    for (std::size_t pass = 0; pass < count; ++pass)
+        for (std::size_t at = 0; at < count; ++at) {
+            if (m_counts[at] == 0)
+                continue;
+            Micros start = 0;
+            for (const std::size_t before : m_stages[at].after) {
+                start = std::max(start, end[before]);
+                after_end[before] = std::max(after_end[before], left[at] + after_end[at]);
+            }
+            end[at] = start + left[at];
+        }
+    const Micros last = count == 0 ? 0 : *std::max_element(end.begin(), end.end());
+    std::vector<Micros> slack(count, 0);
+    for (std::size_t at = 0; at < count; ++at)
+        slack[at] = last - end[at] - after_end[at];
+    return slack;
+}
+
+ReadyStages
+PiecePlan::take_due(const std::vector<Micros>& left, Micros tolerance)
+{
+    const std::vector<Micros> slack = slack_of_stages(left);
+    ReadyStages result;
+    for (std::size_t at = 0; at < m_stages.size(); ++at) {
+        Stage& stage = m_stages[at];
+        if (m_counts[at] == 0 || stage.given_out || !is_ready(stage))
+            continue;
+        if (slack[at] <= tolerance) {
+            stage.given_out = true;
+            result.now.push_back(at);
+        } else {
+            result.next_in = std::min(slack[at], result.next_in.value_or(slack[at]));
+        }
+    }
+    return result;
+}
+
 std::vector<std::string>
 PiecePlan::inputs_of(std::size_t stage) const
 {
@@ -137,6 +185,15 @@
     return left;
 }
 
+Micros
+call_time(const UpstreamSetSpec& set, int pieces)
+{
+    if (!set.batch)
+        return 0;
+    const int items = std::min(pieces, set.batch->items);
+    return set.batch->call_time + items * set.batch->item_time;
+}
+
 Micros
 pieces_time(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
             const std::vector<int>& counts)
@@ -151,9 +208,8 @@
             Micros start = 0;
             for (const std::size_t before : stages[at].after)
                 start = std::max(start, finish[before]);
-            const auto& batch = snapshot.sets[pipeline.piece_sets[at]].spec.batch;
-            const int items = batch ? std::min(counts[at], batch->items) : 1;
-            finish[at] = start + (batch ? batch->call_time + items * batch->item_time : 0);
+            const UpstreamSetSpec& set = snapshot.sets[pipeline.piece_sets[at]].spec;
+            finish[at] = start + call_time(set, counts[at]);
         }
     return finish.empty() ? 0 : *std::max_element(finish.begin(), finish.end());
 }
@@ -174,9 +230,8 @@
                 if (std::find(after.begin(), after.end(), at) != after.end())
                     later = std::max(later, left[next]);
             }
-            const auto& batch = snapshot.sets[pipeline.piece_sets[at]].spec.batch;
-            left[at]
-                = later + (batch ? batch->call_time + batch->items * batch->item_time : 0);
+            const UpstreamSetSpec& set = snapshot.sets[pipeline.piece_sets[at]].spec;
+            left[at] = later + call_time(set, std::numeric_limits<int>::max());
         }
     return left[stage];
 }
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -39,6 +39,36 @@
     CHECK(plan.final_inputs() == Handles {"d"});
 }
 
+TEST_CASE("a result that is read at the end is made when the others are")
+{
+    // Stage 0 is read by the request only, as is stage 3, the end of a chain.
+    PiecePlan plan({stage({}), stage({}), stage({1}), stage({2})}, {2, 1, 6, 10});
+    const auto ready = plan.take_due({300, 200, 400, 250}, 20);
+    CHECK(ready.now == Stages {1});
+    REQUIRE(ready.next_in);
+    CHECK(*ready.next_in == 550);
+    // The chain was faster than expected.
+    plan.stage_made(1, {"a"});
+    const auto next = plan.take_due({300, 0, 400, 250}, 20);
+    CHECK(next.now == Stages {2});
+    CHECK(*next.next_in == 350);
+    const auto later = plan.take_due({300, 0, 70, 250}, 20);
+    CHECK(later.now == Stages {0});
+    CHECK_FALSE(later.next_in);
+    CHECK(plan.take_due({300, 0, 70, 250}, 20).now.empty());
+}
+
+TEST_CASE("what is on the longest path, or near it, starts at once")
+{
+    PiecePlan one({stage({})}, {3});
+    CHECK(one.take_due({300}, 0).now == Stages {0});
+    PiecePlan equal({stage({}), stage({}), stage({0, 1})}, {1, 1, 1});
+    CHECK(equal.take_due({300, 290, 100}, 20).now == Stages {0, 1});
+    // A stage that is left out delays nobody.
+    PiecePlan left_out({stage({}), stage({}), stage({1})}, {1, 0, 0});
+    CHECK(left_out.take_due({300, 900, 900}, 0).now == Stages {0});
+}
+
 TEST_CASE("a stage with no pieces is left out, also as an input")
 {
     PiecePlan plan({stage({}), stage({}), stage({0, 1})}, {0, 1, 1});
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -24,6 +24,9 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
+/// A stage that could start less than this later starts now: about the time of the
+/// messages of one order.
+constexpr Micros kLeastHold = 20 * kMillisecond;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 /// Results that are given up wait so long for others of the same keeper.
@@ -38,6 +41,7 @@
         , plan(resolved().spec.piece_stages, wanted.counts)
         , done(std::move(done_))
         , near(wanted.near)
+        , started_at(resolved().piece_sets.size(), 0)
         , changed(io, asio::steady_timer::time_point::max())
     {
     }
@@ -55,6 +59,7 @@
     PiecePlan plan;
     Done done;
     std::string near; ///< hall for the results
+    std::vector<Micros> started_at; ///< by stage; 0: not yet
     bool failed = false;
     bool cancelled = false;
     int running = 0; ///< stages under way
@@ -186,12 +191,18 @@
         job->near = home.hall;
     }
     while (!job->failed && !job->cancelled && !job->plan.is_done()) {
-        for (const std::size_t stage : job->plan.take_ready()) {
+        const ReadyStages ready = job->plan.take_due(time_left(*job), kLeastHold);
+        for (const std::size_t stage : ready.now) {
             ++job->running;
+            job->started_at[stage] = monotonic_us();
             asio::co_spawn(m_io, run_stage(job, stage), asio::detached);
         }
         if (job->running == 0)
             break;
+        if (ready.next_in)
+            job->changed.expires_after(std::chrono::microseconds(*ready.next_in));
+        else
+            job->changed.expires_at(asio::steady_timer::time_point::max());
         co_await job->changed.async_wait(kToTuple);
         free_now(with_sets(*job, job->plan.take_spent()));
     }
@@ -224,10 +235,29 @@
         job->done(std::move(result));
 }
 
+/// Time until each stage is made, if it starts now: its call, and what such pieces
+/// waited of late.
+std::vector<Micros>
+PieceService::time_left(const Job& job)
+{
+    const Micros now = monotonic_us();
+    std::vector<Micros> left(job.started_at.size(), 0);
+    for (std::size_t stage = 0; stage < left.size(); ++stage) {
+        if (job.plan.count(stage) == 0 || job.plan.is_made(stage))
+            continue;
+        const UpstreamSet& set = job.set_of(stage);
+        left[stage] = call_time(set.spec, job.plan.count(stage))
+            + set.load->typical_delay(job.wanted.priority);
+        if (job.started_at[stage] != 0)
+            left[stage] -= std::min(left[stage], now - job.started_at[stage]);
+    }
+    return left;
+}
+
 asio::awaitable<void>
 PieceService::run_stage(JobPtr job, std::size_t stage)
 {
-    const Micros started = monotonic_us();
+    const Micros started = job->started_at[stage];
     const auto answer = co_await order(job, order_for(*job, stage));
     std::vector<std::string> handles;
     bool made = answer.has_value();
@@ -249,6 +279,12 @@
         .kv("cancelled", job->cancelled)
         .kv("us", monotonic_us() - started);
     --job->running;
+    if (made) {
+        const UpstreamSet& set = job->set_of(stage);
+        const Micros plain = call_time(set.spec, job->plan.count(stage));
+        set.load->note_delay(job->wanted.priority,
+                             std::max<Micros>(0, monotonic_us() - started - plain));
+    }
     const bool wanted = !job->failed && !job->cancelled;
     if (made && wanted) {
         job->plan.stage_made(stage, std::move(handles));
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -85,6 +85,7 @@
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
     boost::asio::awaitable<void> run(JobPtr job);
+    static std::vector<Micros> time_left(const Job& job);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
