Stages are made near what they read; results count with the size of their stage

Cause: a later stage was wanted where the request's prompt is kept, though each of its pieces fetches all results of the stage before: ten pieces that read six results of 60 KB move 3.6 MB, and leave 60 KB. Where most results lie was judged by one size for each upstream, so that a stage of 8 KB results hid another of 1.5 MB at the same upstream.

Change: hall_of_least_transfer weighs, for each stage, what its pieces fetch against what its readers fetch of it; bytes are counted by the stage that made a result.

Tests: pieces_test, "a stage is made where the fewest bytes move between halls".

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -53,6 +53,8 @@
     std::vector<std::string> final_inputs() const;
     /// Results that nothing will read any more, once each.
     std::vector<std::string> take_spent();
+    /// True if nothing but the request itself reads the results of the stage.
+    bool is_last(std::size_t stage) const;
     /// The stage that a result is of.
     std::size_t stage_of(const std::string& handle) const;
     /// All results that are not spent.
@@ -67,7 +69,6 @@
         std::vector<std::string> handles;
     };
 
-    bool is_last(std::size_t stage) const;
     bool is_ready(const Stage& stage) const;
     std::vector<Micros> slack_of_stages(const std::vector<Micros>& left) const;
     bool has_readers_left(std::size_t stage) const;
@@ -243,6 +244,24 @@
     std::uint64_t m_turn = 0;
 };
 
+/// Bytes of results, by the hall that they lie in.
+using BytesByHall = std::map<std::string, std::int64_t>;
+
+/// What decides in which hall a stage is best made.
+struct StageTransfer {
+    BytesByHall inputs; ///< each piece fetches all of them
+    int pieces = 0;
+    std::int64_t result_bytes = 0; ///< of all pieces
+    std::string reader; ///< hall where the results will be read; empty: not known yet
+};
+
+/// The hall where a stage moves the fewest bytes between halls, the reader's if several
+/// are equal.
+std::string hall_of_least_transfer(const StageTransfer& transfer);
+
+/// The hall with the most bytes; empty without any.
+std::string main_hall(const BytesByHall& bytes);
+
 /// The part that each hall has of the upstreams of a request's pieces, by the set
 /// that it has least of.
 std::map<std::string, double> hall_parts(const Snapshot& snapshot,
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -287,46 +287,6 @@
     return hopeless;
 }
 
-std::map<std::string, double>
-hall_parts(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
-           const std::vector<int>& counts, Micros now)
-{
-    std::map<std::string, double> weights; // the least part of any set
-    for (std::size_t at = 0; at < counts.size(); ++at) {
-        if (counts[at] == 0)
-            continue;
-        const UpstreamSet& set = snapshot.sets[pipeline.piece_sets[at]];
-        std::map<std::string, double> part;
-        const double all = std::max(1, count_usable(set, now));
-        for (const auto* side : {&set.own, &set.remote})
-            for (const auto& upstream : *side)
-                part[upstream->hall] += is_usable(*upstream, now) ? 1 / all : 0;
-        for (const auto& [hall, weight] : part) {
-            const auto known = weights.try_emplace(hall, weight).first;
-            known->second = std::min(known->second, weight);
-        }
-    }
-    return weights;
-}
-
-std::string
-choose_hall(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
-            const std::vector<int>& counts, std::uint64_t random, Micros now)
-{
-    const auto weights = hall_parts(snapshot, pipeline, counts, now);
-    double total = 0;
-    for (const auto& [hall, weight] : weights)
-        total += weight;
-    constexpr std::uint64_t steps = 1 << 20;
-    double left = total * static_cast<double>(random % steps) / steps;
-    for (const auto& [hall, weight] : weights) {
-        left -= weight;
-        if (left < 0)
-            return hall;
-    }
-    return {};
-}
-
 void
 PieceQueue::note_failure(const UpstreamState& upstream, Micros now)
 {
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -99,6 +99,19 @@
     CHECK(plan.stage_of("c") == 2);
 }
 
+TEST_CASE("a stage is made where the fewest bytes move between halls")
+{
+    // Each of ten pieces fetches all inputs: they outweigh results for another hall.
+    CHECK(hall_of_least_transfer({{{"a", 120'000}, {"b", 240'000}}, 10, 60'000, "c"})
+          == "b");
+    // A single piece with a large result is made where that is read.
+    CHECK(hall_of_least_transfer({{{"a", 8'000}}, 1, 1'500'000, "c"}) == "c");
+    CHECK(hall_of_least_transfer({{{"a", 8'000}, {"b", 8'000}}, 1, 0, "b"}) == "b");
+    CHECK(hall_of_least_transfer({{}, 1, 10, "c"}) == "c");
+    CHECK(main_hall({{"a", 8'000}, {"b", 1'500'000}, {"c", 60'000}}) == "b");
+    CHECK(main_hall({}).empty());
+}
+
 /// A set of single-slot upstreams, by hall.
 UpstreamSet
 make_set(const std::vector<std::string>& halls, int items = 8, double room_mb = 0)
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -33,6 +33,17 @@
 constexpr std::chrono::milliseconds kFreeLinger {5};
 constexpr Micros kFreePatience = 500 * kMillisecond;
 
+/// Empty if the set has no such upstream (any more).
+std::string
+hall_of(const UpstreamSet& set, const std::string& address)
+{
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side)
+            if (upstream->address == address)
+                return upstream->hall;
+    return {};
+}
+
 } // namespace
 
 struct PieceService::Job {
@@ -211,7 +222,7 @@
     if (result.made) {
         const auto inputs = job->plan.final_inputs();
         result.inputs = with_sets(*job, inputs);
-        result.hall = main_hall(*job, inputs);
+        result.hall = main_hall(bytes_by_hall(*job, inputs));
         if (!job->wanted.reader_set.empty()) {
             const std::string near
                 = result.hall.empty() ? m_kernel.settings.hall : result.hall;
@@ -258,7 +269,9 @@
 PieceService::run_stage(JobPtr job, std::size_t stage)
 {
     const Micros started = job->started_at[stage];
-    const auto answer = co_await order(job, order_for(*job, stage));
+    PieceOrder wanted = order_for(*job, stage);
+    const std::string wanted_at = wanted.near;
+    const auto answer = co_await order(job, std::move(wanted));
     std::vector<std::string> handles;
     bool made = answer.has_value();
     if (answer)
@@ -269,7 +282,7 @@
         }
     LogEvent("pieces")
         .kv("leader", m_peers.leader_of(job->set_of(stage).spec.name))
-        .kv("near", job->near)
+        .kv("near", wanted_at)
         .kv("expected_wait_us", answer ? answer->expected_wait : 0)
         .kv("request", job->wanted.attempt)
         .kv("stage", stage)
@@ -285,8 +298,8 @@
         set.load->note_delay(job->wanted.priority,
                              std::max<Micros>(0, monotonic_us() - started - plain));
     }
-    const bool wanted = !job->failed && !job->cancelled;
-    if (made && wanted) {
+    const bool is_over = job->failed || job->cancelled;
+    if (made && !is_over) {
         job->plan.stage_made(stage, std::move(handles));
     } else {
         job->failed = true;
@@ -301,7 +314,7 @@
 
 /// Hands an order to the daemon that leads the set, or to the next if it is silent.
 asio::awaitable<Result<PieceAnswer>>
-PieceService::order(JobPtr job, const PieceOrder& order)
+PieceService::order(JobPtr job, PieceOrder order)
 {
     const std::string set_name = order.upstream_set;
     for (int place = 0; place < kMaxPlaces; ++place) {
@@ -412,7 +425,7 @@
     PieceOrder order;
     order.upstream_set = job.set_of(stage).spec.name;
     order.priority = job.wanted.priority;
-    order.near = job.near;
+    order.near = hall_for(job, stage);
     order.again = job.wanted.again;
     order.result_bytes = job.resolved().spec.piece_stages[stage].result_bytes;
     // A point in time here; order() makes it a span.
@@ -431,30 +444,36 @@
     return order;
 }
 
-std::string
-PieceService::main_hall(const Job& job, const std::vector<std::string>& inputs) const
+/// Where results lie, and how large they are by what the pipeline says of them.
+BytesByHall
+PieceService::bytes_by_hall(const Job& job, const std::vector<std::string>& handles) const
 {
-    std::map<std::string, std::string> hall_by_address;
-    std::map<std::string, std::int64_t> bytes_of_address;
-    for (std::size_t stage = 0; stage < job.resolved().piece_sets.size(); ++stage) {
-        const UpstreamSet& set = job.set_of(stage);
-        for (const auto* side : {&set.own, &set.remote})
-            for (const auto& upstream : *side) {
-                hall_by_address[upstream->address] = upstream->hall;
-                bytes_of_address[upstream->address]
-                    = job.resolved().spec.piece_stages[stage].result_bytes;
-            }
+    BytesByHall bytes;
+    for (const std::string& handle : handles) {
+        const std::size_t stage = job.plan.stage_of(handle);
+        const std::string hall
+            = hall_of(job.set_of(stage), m_kernel.calls->keeper_of(handle));
+        bytes[hall] += job.resolved().spec.piece_stages[stage].result_bytes;
     }
-    std::map<std::string, std::int64_t> bytes_by_hall;
-    std::string best;
-    for (const std::string& handle : inputs) {
-        const std::string keeper = m_kernel.calls->keeper_of(handle);
-        const std::string hall = hall_by_address[keeper];
-        bytes_by_hall[hall] += bytes_of_address[keeper];
-        if (best.empty() || bytes_by_hall[hall] > bytes_by_hall[best])
-            best = hall;
+    return bytes;
+}
+
+/// The hall where the results of a stage are wanted.
+std::string
+PieceService::hall_for(const Job& job, std::size_t stage) const
+{
+    const std::vector<std::string> inputs = job.plan.inputs_of(stage);
+    if (inputs.empty())
+        return job.near;
+    StageTransfer transfer;
+    transfer.inputs = bytes_by_hall(job, inputs);
+    transfer.pieces = job.plan.count(stage);
+    if (job.plan.is_last(stage)) {
+        transfer.reader = job.near;
+        transfer.result_bytes
+            = transfer.pieces * job.resolved().spec.piece_stages[stage].result_bytes;
     }
-    return best;
+    return hall_of_least_transfer(transfer);
 }
 
 // ------------------------------------------------------------- housekeeping
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -87,13 +87,15 @@
     boost::asio::awaitable<void> run(JobPtr job);
     static std::vector<Micros> time_left(const Job& job);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
-    boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, const PieceOrder& order);
+    boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, PieceOrder order);
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
     static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
     Releases& release_at(const std::string& set_name);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
-    std::string main_hall(const Job& job, const std::vector<std::string>& inputs) const;
+    BytesByHall bytes_by_hall(const Job& job,
+                              const std::vector<std::string>& handles) const;
+    std::string hall_for(const Job& job, std::size_t stage) const;
     void free_now(const std::vector<PieceHandle>& results);
     void free_at_keepers(const Releases& spent);
     boost::asio::awaitable<void> tell_releases(Releases spent);
