cypressford losses: what bound, from the logs of all daemons; room is free once its keeper says so

Cause: why requests were refused or late, and why calls for pieces were half full, could only be guessed from the logs.

Change: 'cypressford losses LOG...' (also as JSON) tells by pipeline and second which requests were late, refused or failed and why; by upstream set the busy part, pieces a call against the bound, room, results never used; by engine set tokens read and read again and the time to the first event. The daemon logs what was missing: why pieces were not made, what kept pieces from a call that was not full (room, hall, group), the time to the first event, what a placed prompt makes its engine read. Log lines that are foreign, cut or out of order are counted, a daemon without a log is named. Reading logs is shared with the time line.

With it, since it showed calls refused for want of room: a release counts in the leader's account only when its keeper has answered, and one that is lost is logged. A call that was sent on the strength of a release could come before it.

Kept as the mend of the order of two messages.

Ruled out: that order as the cause of most refusals for room; those left miss by one to three pieces, as if results were not all of one size, or come in the seconds of a new leader.

--- a/src/cypressford/commands.h
+++ b/src/cypressford/commands.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "log_reader.h"
+
 namespace cypressford {
 
 /// Exit codes of the operators' command.
@@ -32,6 +34,13 @@
 int bundle_command(const std::vector<std::string>& words, const CommandOptions& options);
 int timeline_command(const std::vector<std::string>& files, const CommandOptions& options);
 
+/// What bound and which requests were lost, from the logs of all daemons.
+int losses_command(const std::vector<std::string>& files, const CommandOptions& options);
+
+/// Adds the events of these logs; false, with a word about it, if one can't be read.
+bool read_logs(const std::vector<std::string>& files, std::vector<LoggedEvent>& events,
+               LogFaults& faults);
+
 /// The whole text of a file; false if it can't be read.
 bool read_file(const std::string& path, std::string& text);
 
--- a/src/cypressford/cypressford.cpp
+++ b/src/cypressford/cypressford.cpp
@@ -43,6 +43,7 @@
   cypressford bundle list --platform=IP:PORT --trust=PUBLIC_KEY
   cypressford bundle status --daemons=IP:PORT,IP:PORT
   cypressford timeline [--output=text|json] [--request=ID] a.log b.log ...
+  cypressford losses [--output=text|json] a.log b.log ...
   cypressford settings check settings.yaml
   cypressford version
 
@@ -94,6 +95,8 @@
         return bundle_command(words, options);
     if (command == "timeline")
         return timeline_command(words, options);
+    if (command == "losses" && !words.empty())
+        return losses_command(words, options);
     if (command == "settings" && words.size() == 2 && words[0] == "check")
         return settings_check(words[1]);
     if (command == "version") {
--- a/src/cypressford/timeline.cpp
+++ b/src/cypressford/timeline.cpp
@@ -10,11 +10,11 @@
 #include <algorithm>
 #include <iostream>
 #include <map>
-#include <sstream>
 
 #include <boost/json.hpp>
 
 #include "libutil/hybrid_clock.h"
+#include "log_reader.h"
 
 namespace cypressford {
 
@@ -22,62 +22,9 @@
 
 namespace {
 
-struct TimelineEvent {
-    std::uint64_t stamp = 0;
-    std::string line;
-    std::map<std::string, std::string> fields;
-};
-
-/// Splits one line of key=value pairs; values may be quoted.
-std::map<std::string, std::string>
-split_fields(const std::string& line)
-{
-    std::map<std::string, std::string> fields;
-    std::size_t at = 0;
-    while (at < line.size()) {
-        const std::size_t equals = line.find('=', at);
-        if (equals == std::string::npos)
-            break;
-        const std::string key = line.substr(at, equals - at);
-        std::string value;
-        at = equals + 1;
-        if (at < line.size() && line[at] == '"') {
-            for (++at; at < line.size() && line[at] != '"'; ++at) {
-                if (line[at] == '\\' && at + 1 < line.size())
-                    ++at;
-                value += line[at];
-            }
-            ++at;
-        } else {
-            const std::size_t end = std::min(line.find(' ', at), line.size());
-            value = line.substr(at, end - at);
-            at = end;
-        }
-        fields[key] = value;
-        while (at < line.size() && line[at] == ' ')
-            ++at;
-    }
-    return fields;
-}
-
-void
-read_events(const std::string& text, std::vector<TimelineEvent>& events)
-{
-    std::istringstream lines(text);
-    std::string line;
-    while (std::getline(lines, line)) {
-        TimelineEvent event;
-        event.fields = split_fields(line);
-        event.stamp = parse_stamp(event.fields["hlc"]);
-        event.line = line;
-        if (event.stamp != 0)
-            events.push_back(std::move(event));
-    }
-}
-
 /// True if the line is about the request, alone or among others.
 bool
-names_request(const TimelineEvent& event, const std::string& request)
+names_request(const LoggedEvent& event, const std::string& request)
 {
     for (const char* key : {"request", "requests"}) {
         const auto it = event.fields.find(key);
@@ -92,11 +39,11 @@
 
 /// Trace Event Format, which browsers' trace viewers open.
 json::object
-to_trace(const std::vector<TimelineEvent>& events)
+to_trace(const std::vector<LoggedEvent>& events)
 {
     json::array trace;
     std::map<std::string, int> processes;
-    for (const TimelineEvent& event : events) {
+    for (const LoggedEvent& event : events) {
         const auto& fields = event.fields;
         const auto get = [&fields](const char* key) {
             auto it = fields.find(key);
@@ -133,26 +80,20 @@
 int
 timeline_command(const std::vector<std::string>& files, const CommandOptions& options)
 {
-    std::vector<TimelineEvent> events;
-    for (const std::string& path : files) {
-        std::string text;
-        if (!read_file(path, text)) {
-            std::cerr << "can't read '" << path << "'\n";
-            return kExitUsage;
-        }
-        read_events(text, events);
-    }
+    std::vector<LoggedEvent> events;
+    LogFaults faults;
+    if (!read_logs(files, events, faults))
+        return kExitUsage;
     if (!options.request.empty())
-        std::erase_if(events, [&options](const TimelineEvent& event) {
+        std::erase_if(events, [&options](const LoggedEvent& event) {
             return !names_request(event, options.request);
         });
-    std::stable_sort(events.begin(), events.end(),
-                     [](const auto& a, const auto& b) { return a.stamp < b.stamp; });
+    sort_events(events);
     if (options.json) {
         std::cout << json::serialize(to_trace(events)) << '\n';
         return kExitOk;
     }
-    for (const TimelineEvent& event : events)
+    for (const LoggedEvent& event : events)
         std::cout << event.line << '\n';
     return kExitOk;
 }
--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -71,7 +71,17 @@
 };
 
 /// What became of one piece.
-enum class PieceOutcome : unsigned char { Made, Late, InputGone, NoRoom, Failed };
+enum class PieceOutcome : unsigned char {
+    Made,
+    Late, ///< its time was over before its turn came
+    InputGone, ///< a result that it was to read is gone
+    NoRoom, ///< no upstream had room for its result
+    Failed,
+    NoRetry ///< one call failed, and the retry limit allows no other
+};
+
+/// Name for logs.
+std::string_view to_string(PieceOutcome outcome);
 
 struct PieceResult {
     PieceOutcome outcome = PieceOutcome::Failed;
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -104,10 +104,18 @@
     std::string near; ///< hall where its result is wanted; empty: anywhere
 };
 
+/// Pieces that stayed behind when a call left that was not full, by what kept them.
+struct LeftBehind {
+    int room = 0; ///< the upstream has no room for their results
+    int hall = 0; ///< they wait for an upstream of another hall
+    int group = 0; ///< their whole group did not fit
+};
+
 /// A call that is to be made now.
 struct PieceCall {
     std::shared_ptr<UpstreamState> upstream;
     std::vector<PieceId> pieces;
+    LeftBehind left;
 };
 
 /// Room that results take at the upstreams of one set, as far as the daemon that
@@ -227,6 +235,7 @@
     };
     void fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
               Micros now);
+    LeftBehind left_behind(const PieceCall& call, const UpstreamSet& set, Micros now);
     /// True if more waits than the upstreams take in half a round.
     bool is_saturated(const UpstreamSet& set, Micros now) const;
     static bool waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -25,7 +25,8 @@
     std::vector<PrefixPart> parts; ///< in order
     std::int64_t tokens = 0; ///< of the whole prompt
     std::uint64_t affinity = 0; ///< breaks ties the same way each time
-    std::string near; ///< hall that is preferred a little; may be empty
+    std::string near; ///< hall where what it reads besides lies; may be empty
+    std::int64_t near_bytes = 0; ///< of that; they cross to an upstream of another hall
     /// Part of the upstreams of the request's pieces that each hall has; empty: none
     /// are needed.  A prompt's home is found in a hall with that probability.
     std::map<std::string, double> hall_parts;
@@ -46,6 +47,13 @@
     std::shared_ptr<UpstreamState> place(const UpstreamSet& set, const PromptQuery& query,
                                          Micros now);
 
+    /// What the last reservation costs its upstream, for logs.
+    struct Read {
+        std::int64_t unread = 0; ///< tokens that it must read
+        std::int64_t again = 0; ///< of these, tokens that another upstream keeps
+    };
+    const Read& last_read() const { return m_last_read; }
+
     /// The answer began, so the prompt is read.
     void note_begun(const std::string& attempt);
     /// The answer ended, or the request was given up.
@@ -81,6 +89,8 @@
                                 Micros now);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
     double cost(const UpstreamState& upstream, const PromptQuery& query);
+    std::int64_t tokens_known_elsewhere(const PromptQuery& query,
+                                        std::int64_t unread) const;
     void reserve(const UpstreamState& upstream, const UpstreamSet& set,
                  const PromptQuery& query, Micros now);
     void expire(Micros now);
@@ -88,6 +98,7 @@
     std::unordered_map<std::string, Engine> m_engines; ///< by identity
     std::unordered_map<std::string, Placed> m_placed; ///< by attempt
     Micros m_expired_at = 0;
+    Read m_last_read;
 };
 
 } // namespace cypressford
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -9,6 +9,26 @@
 
 namespace cypressford {
 
+std::string_view
+to_string(PieceOutcome outcome)
+{
+    switch (outcome) {
+    case PieceOutcome::Made:
+        return "made";
+    case PieceOutcome::Late:
+        return "queue";
+    case PieceOutcome::InputGone:
+        return "input";
+    case PieceOutcome::NoRoom:
+        return "room";
+    case PieceOutcome::Failed:
+        return "upstream";
+    case PieceOutcome::NoRetry:
+        return "retry_limit";
+    }
+    return "unknown";
+}
+
 std::string
 encode(const PieceOrder& order)
 {
@@ -95,6 +115,7 @@
     out.set_tokens(prompt.tokens);
     out.set_affinity(prompt.affinity);
     out.set_near(prompt.near);
+    out.set_near_bytes(prompt.near_bytes);
     out.set_reserve(prompt.reserve);
     out.mutable_hall_parts()->insert(prompt.hall_parts.begin(), prompt.hall_parts.end());
     for (const PrefixPart& part : prompt.parts) {
@@ -119,6 +140,7 @@
     query.prompt.tokens = in.tokens();
     query.prompt.affinity = in.affinity();
     query.prompt.near = in.near();
+    query.prompt.near_bytes = in.near_bytes();
     query.prompt.reserve = in.reserve();
     query.prompt.hall_parts = {in.hall_parts().begin(), in.hall_parts().end()};
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
@@ -168,7 +190,7 @@
     PieceAnswer answer;
     answer.expected_wait = in.expected_wait_ms() * kMillisecond;
     for (const proto::PieceMade& piece : in.pieces()) {
-        const int last = static_cast<int>(PieceOutcome::Failed);
+        const int last = static_cast<int>(PieceOutcome::NoRetry);
         const int outcome = std::clamp(piece.outcome(), 0, last);
         answer.pieces.push_back({static_cast<PieceOutcome>(outcome), piece.handle()});
     }
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -204,6 +204,28 @@
     }
 }
 
+LeftBehind
+PieceQueue::left_behind(const PieceCall& call, const UpstreamSet& set, Micros now)
+{
+    LeftBehind left;
+    const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
+    if (call.pieces.size() >= items)
+        return left;
+    const std::int64_t room = free_room(*call.upstream, set, now);
+    int looked_at = 0;
+    for (const auto& [id, piece] : m_by_id) {
+        if (++looked_at > kMaxLookedAt)
+            break;
+        if (piece.result_bytes > room)
+            ++left.room;
+        else if (piece.near != call.upstream->hall && waits_for_hall(piece, set, now))
+            ++left.hall;
+        else
+            ++left.group;
+    }
+    return left;
+}
+
 /// One group, the least urgent of those that wait: it may well be lost time.
 void
 PieceQueue::take_probe(PieceCall& call, const UpstreamSet& set, Micros now)
@@ -250,6 +272,7 @@
     fill(m_late, call, set, {saturated, saturated || call.pieces.empty()}, now);
     if (call.pieces.empty())
         return std::nullopt;
+    call.left = left_behind(call, set, now);
     return call;
 }
 
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -134,6 +134,16 @@
     return best->upstream;
 }
 
+/// Tokens of those to be read that some other engine keeps.
+std::int64_t
+PromptPlacer::tokens_known_elsewhere(const PromptQuery& query, std::int64_t unread) const
+{
+    std::int64_t least = unread;
+    for (const auto& [identity, engine] : m_engines)
+        least = std::min(least, tokens_to_read(engine, query));
+    return unread - least;
+}
+
 void
 PromptPlacer::reserve(const UpstreamState& upstream, const UpstreamSet& set,
                       const PromptQuery& query, Micros now)
@@ -141,6 +151,7 @@
     note_ended(query.attempt);
     Engine& engine = m_engines[upstream.identity];
     const std::int64_t unread = tokens_to_read(engine, query);
+    m_last_read = {unread, tokens_known_elsewhere(query, unread)};
     engine.unread += unread;
     ++engine.running;
     m_placed[query.attempt] = {upstream.identity, unread, now};
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -390,6 +390,8 @@
         .kv("version", context.spec.snapshot->version)
         .kv("expected_us", context.reply ? context.reply->expected : 0)
         .kv("retry_after_us", context.reply ? context.reply->retry_after : 0)
+        .kv("first_us", context.relay ? context.relay->first_sent : 0)
+        .kv("aim_us", context.resolved().spec.target_latency)
         .kv("us", took);
 }
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -145,7 +145,7 @@
             .kv("count", order->results.size())
             .kv("why", "retry_limit");
         PieceAnswer refused;
-        refused.pieces = order->results;
+        refused.pieces.assign(order->results.size(), {PieceOutcome::NoRetry, {}});
         co_return refused;
     }
     for (std::size_t i = 0; i < order->order.pieces.size(); ++i) {
@@ -235,6 +235,7 @@
     const UpstreamSet& set = *find_set(*snapshot, set_name);
     std::vector<PieceItem> items;
     Micros last_deadline = 0;
+    const std::size_t left_waiting = line_of(set_name).queue.size();
     const Micros started = monotonic_us();
     for (const PieceId id : call.pieces) {
         const Piece& piece = m_pieces.at(id);
@@ -272,6 +273,11 @@
         .kv("upstream", call.upstream->address)
         .kv("identity", call.upstream->identity)
         .kv("pieces", items.size())
+        .kv("bound", set.spec.batch ? set.spec.batch->items : 0)
+        .kv("left_waiting", left_waiting)
+        .kv("left_for_room", call.left.room)
+        .kv("left_for_hall", call.left.hall)
+        .kv("left_for_group", call.left.group)
         .kv("status", answered ? result.response.status : 0)
         .kv("whole", whole)
         .kv("late", count(PieceOutcome::Late))
@@ -299,7 +305,8 @@
         }
         for (const PieceId id : call.pieces) {
             line.queue.room().give_back(id);
-            queue_again(set_name, id, result.status != CallStatus::NotSent);
+            queue_again(set_name, id, result.status != CallStatus::NotSent,
+                        PieceOutcome::Failed);
         }
     }
     pump(set_name);
@@ -319,7 +326,7 @@
     const bool elsewhere
         = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
     if (elsewhere)
-        queue_again(set_name, id, true);
+        queue_again(set_name, id, true, result.outcome);
     else
         finish(id, result);
 }
@@ -334,17 +341,20 @@
 }
 
 void
-PieceMaker::queue_again(const std::string& set_name, PieceId id, bool arrived)
+PieceMaker::queue_again(const std::string& set_name, PieceId id, bool arrived,
+                        PieceOutcome last)
 {
     Piece& piece = m_pieces.at(id);
     piece.out = false;
     Line& line = line_of(set_name);
     const bool may = !piece.order->over && piece.calls < kMaxCalls
-        && monotonic_us() < piece.order->deadline && (!arrived || line.retries.spend());
-    if (may)
-        line.queue.add(waiting_piece(*piece.order, id));
+        && monotonic_us() < piece.order->deadline;
+    if (!may)
+        finish(id, {last, {}});
+    else if (arrived && !line.retries.spend())
+        finish(id, {PieceOutcome::NoRetry, {}});
     else
-        finish(id, {PieceOutcome::Failed, {}});
+        line.queue.add(waiting_piece(*piece.order, id));
 }
 
 void
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -81,7 +81,9 @@
     boost::asio::awaitable<void> pump_later(std::string set_name, Micros pause);
     void settle(const std::string& set_name, const UpstreamState& upstream, PieceId id,
                 const PieceResult& result);
-    void queue_again(const std::string& set_name, PieceId id, bool arrived);
+    /// `arrived`: the last call may have reached an upstream; `last`: what it said.
+    void queue_again(const std::string& set_name, PieceId id, bool arrived,
+                     PieceOutcome last);
     void finish(PieceId id, const PieceResult& result);
     void give_up(const std::shared_ptr<Order>& order);
 
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -198,7 +198,7 @@
 PieceService::run(JobPtr job)
 {
     if (job->wanted.homed && job->wanted.near.empty() && !job->plan.is_done()) {
-        const PlaceAnswer home = co_await place(job, std::string(), false);
+        const PlaceAnswer home = co_await place(job, std::string(), 0, false);
         job->near = home.hall;
     }
     while (!job->failed && !job->cancelled && !job->plan.is_done()) {
@@ -222,11 +222,14 @@
     if (result.made) {
         const auto inputs = job->plan.final_inputs();
         result.inputs = with_sets(*job, inputs);
-        result.hall = main_hall(bytes_by_hall(*job, inputs));
+        const BytesByHall bytes = bytes_by_hall(*job, inputs);
+        result.hall = main_hall(bytes);
         if (!job->wanted.reader_set.empty()) {
             const std::string near
                 = result.hall.empty() ? m_kernel.settings.hall : result.hall;
-            const PlaceAnswer reader = co_await place(job, near, true);
+            const auto there = bytes.find(near);
+            const std::int64_t near_bytes = there == bytes.end() ? 0 : there->second;
+            const PlaceAnswer reader = co_await place(job, near, near_bytes, true);
             result.identity = reader.identity;
             LogEvent("placed")
                 .kv("request", job->wanted.attempt)
@@ -274,11 +277,17 @@
     const auto answer = co_await order(job, std::move(wanted));
     std::vector<std::string> handles;
     bool made = answer.has_value();
+    std::string_view why = made ? "made" : "leader";
     if (answer)
         for (const PieceResult& result : answer->pieces) {
-            made = made && result.outcome == PieceOutcome::Made;
-            if (result.outcome == PieceOutcome::Made)
+            if (result.outcome == PieceOutcome::Made) {
                 handles.push_back(result.handle);
+                continue;
+            }
+            // The pieces that were given up for the sake of one say less than that one.
+            if (made || result.outcome != PieceOutcome::Failed)
+                why = to_string(result.outcome);
+            made = false;
         }
     LogEvent("pieces")
         .kv("leader", m_peers.leader_of(job->set_of(stage).spec.name))
@@ -289,6 +298,7 @@
         .kv("set", job->set_of(stage).spec.name)
         .kv("count", job->plan.count(stage))
         .kv("made", made)
+        .kv("why", job->cancelled ? "cancelled" : why)
         .kv("cancelled", job->cancelled)
         .kv("us", monotonic_us() - started);
     --job->running;
@@ -374,10 +384,11 @@
 /// Asks whoever leads the set which upstream is to read the request's prompt.  No
 /// answer leaves the choice to the router.
 asio::awaitable<PlaceAnswer>
-PieceService::place(JobPtr job, std::string near, bool reserve)
+PieceService::place(JobPtr job, std::string near, std::int64_t near_bytes, bool reserve)
 {
     PlaceQuery query {job->wanted.reader_set, job->wanted.prompt};
     query.prompt.near = std::move(near);
+    query.prompt.near_bytes = near_bytes;
     query.prompt.reserve = reserve;
     query.prompt.avoid = unreachable(*job);
     if (job->wanted.homed)
@@ -404,8 +415,16 @@
     for (const UpstreamSet& set : snapshot->sets) {
         if (set.spec.name != query.upstream_set)
             continue;
-        const auto upstream
-            = m_placers[query.upstream_set].place(set, query.prompt, monotonic_us());
+        PromptPlacer& placer = m_placers[query.upstream_set];
+        const auto upstream = placer.place(set, query.prompt, monotonic_us());
+        if (upstream && query.prompt.reserve)
+            LogEvent("prompt_placed")
+                .kv("request", query.prompt.attempt)
+                .kv("set", query.upstream_set)
+                .kv("identity", upstream->identity)
+                .kv("tokens", query.prompt.tokens)
+                .kv("unread", placer.last_read().unread)
+                .kv("again", placer.last_read().again);
         return upstream ? PlaceAnswer {upstream->identity, upstream->hall} : PlaceAnswer {};
     }
     return {};
@@ -562,20 +581,34 @@
         for (const std::string& attempt : spent.ended)
             placer->second.note_ended(attempt);
     }
-    if (spent.handles.empty())
-        return;
-    m_maker.note_releases(spent);
-    std::map<std::string, std::vector<std::string>> by_keeper;
-    for (const std::string& handle : spent.handles)
-        by_keeper[m_kernel.calls->keeper_of(handle)].push_back(handle);
-    for (const auto& [keeper, handles] : by_keeper) {
-        CallOptions options;
-        options.deadline_us = monotonic_us() + kFreePatience;
-        options.send_clock = false;
-        HttpRequest request = m_kernel.calls->free_results(handles);
-        asio::co_spawn(m_io, m_client.call(keeper, std::move(request), std::move(options)),
-                       asio::detached);
+    std::map<std::string, Releases> by_keeper;
+    for (const std::string& handle : spent.handles) {
+        Releases& at_keeper = by_keeper[m_kernel.calls->keeper_of(handle)];
+        at_keeper.upstream_set = spent.upstream_set;
+        at_keeper.handles.push_back(handle);
+    }
+    for (auto& [keeper, releases] : by_keeper)
+        asio::co_spawn(m_io, free_at_keeper(keeper, std::move(releases)), asio::detached);
+}
+
+/// The room counts as free only when the keeper has answered: a call that is sent on
+/// the strength of it must not come there before.
+asio::awaitable<void>
+PieceService::free_at_keeper(std::string keeper, Releases releases)
+{
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kFreePatience;
+    options.send_clock = false;
+    const CallResult result = co_await m_client.call(
+        keeper, m_kernel.calls->free_results(releases.handles), std::move(options));
+    if (result.status == CallStatus::Answered) {
+        m_maker.note_releases(releases);
+        co_return;
     }
+    LogEvent("release_lost", LogLevel::Warn)
+        .kv("set", releases.upstream_set)
+        .kv("upstream", keeper)
+        .kv("results", releases.handles.size());
 }
 
 } // namespace cypressford
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -88,7 +88,8 @@
     static std::vector<Micros> time_left(const Job& job);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, PieceOrder order);
-    boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near, bool reserve);
+    boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near,
+                                              std::int64_t near_bytes, bool reserve);
     static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
     Releases& release_at(const std::string& set_name);
@@ -98,6 +99,7 @@
     std::string hall_for(const Job& job, std::size_t stage) const;
     void free_now(const std::vector<PieceHandle>& results);
     void free_at_keepers(const Releases& spent);
+    boost::asio::awaitable<void> free_at_keeper(std::string keeper, Releases releases);
     boost::asio::awaitable<void> tell_releases(Releases spent);
     static std::vector<PieceHandle> with_sets(const Job& job,
                                               const std::vector<std::string>& handles);
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -224,7 +224,7 @@
     while (!context->reply || !relay.unsent.empty()) {
         if (relay.unsent.empty()) {
             co_await context->changed.async_wait(kToTuple);
-        } else if (!co_await write_events(exchange, relay, begun)) {
+        } else if (!co_await write_events(exchange, relay, context->arrived, begun)) {
             context->caller_gone = true;
             feed(CallerClosed {context->spec.id});
             break;
@@ -250,12 +250,14 @@
 }
 
 asio::awaitable<bool>
-Worker::write_events(HttpExchange& exchange, Relay& relay, bool& begun)
+Worker::write_events(HttpExchange& exchange, Relay& relay, Micros arrived, bool& begun)
 {
     if (!begun)
         begun = co_await exchange.begin_stream(*relay.head);
     if (!begun)
         co_return false;
+    if (relay.first_sent == 0)
+        relay.first_sent = monotonic_us() - arrived;
     const std::string text = std::exchange(relay.unsent, {});
     co_return co_await exchange.write(text);
 }
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -41,6 +41,7 @@
     std::optional<HttpResponse> head; ///< of the stream, from its first upstream
     EventSplitter events;
     Micros first_byte = 0; ///< of the last attempt, from its sending
+    Micros first_sent = 0; ///< from the request's arrival to its first event; 0: none
     std::string unsent; ///< whole events that the caller does not have yet
 };
 
@@ -140,8 +141,9 @@
     boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
     Result<ContextPtr> make_relay(const HttpRequest& request);
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
+    /// `arrived`: of the request.
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
-                                              bool& begun);
+                                              Micros arrived, bool& begun);
     HttpResponse relayed_problem(const RequestContext& context) const;
     HttpResponse refusal(const Error& error) const;
     boost::asio::awaitable<AttemptStatus> call_relayed(const SendAttempt& send,
