A hall is waited for only where many bytes are at stake

Change: a stage wants a hall only if 500 KB or more would stay there; a request whose upstream is chosen near its results wants none for them.

Ruled out: that waiting less for halls moves more bytes; it moves less, since the upstream follows the results.

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -265,7 +265,8 @@
 };
 
 /// The hall where a stage moves the fewest bytes between halls, the reader's if several
-/// are equal.
+/// are equal; empty if so little is at stake that its pieces had better go wherever an
+/// upstream is free.
 std::string hall_of_least_transfer(const StageTransfer& transfer);
 
 /// The hall with the most bytes; empty without any.
--- a/src/libcypressford/result_halls.cpp
+++ b/src/libcypressford/result_halls.cpp
@@ -13,6 +13,15 @@
 
 namespace cypressford {
 
+namespace {
+
+/// Fewer bytes are not worth waiting for an upstream of a certain hall: they cross in a
+/// millisecond, and calls that leave pieces behind for it are less full.  Measured in
+/// docs/POLICY.md.
+constexpr std::int64_t kBytesWorthHall = 500'000;
+
+} // namespace
+
 std::string
 main_hall(const BytesByHall& bytes)
 {
@@ -31,6 +40,8 @@
     for (const auto& [hall, bytes] : transfer.inputs)
         staying[hall] += bytes * transfer.pieces;
     const std::string best = main_hall(staying);
+    if (best.empty() || staying[best] < kBytesWorthHall)
+        return {};
     const auto at_reader = staying.find(transfer.reader);
     const bool reader_is_as_good
         = at_reader != staying.end() && at_reader->second == staying[best];
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -477,17 +477,15 @@
     return bytes;
 }
 
-/// The hall where the results of a stage are wanted.
+/// The hall where the results of a stage are wanted; empty: anywhere.
 std::string
 PieceService::hall_for(const Job& job, std::size_t stage) const
 {
-    const std::vector<std::string> inputs = job.plan.inputs_of(stage);
-    if (inputs.empty())
-        return job.near;
     StageTransfer transfer;
-    transfer.inputs = bytes_by_hall(job, inputs);
+    transfer.inputs = bytes_by_hall(job, job.plan.inputs_of(stage));
     transfer.pieces = job.plan.count(stage);
-    if (job.plan.is_last(stage)) {
+    // Where no prompt is kept, the upstream is chosen near the results.
+    if (job.plan.is_last(stage) && job.wanted.homed) {
         transfer.reader = job.near;
         transfer.result_bytes
             = transfer.pieces * job.resolved().spec.piece_stages[stage].result_bytes;
