Prompts keep to their engine; its hall counts only where results outweigh the shared prompt

Cause: an engine in another hall cost a prompt 1,024 tokens whatever it reads there, so prompts with 568 shared tokens and 60 KB of results went near the results and had their shared part read again; and a queue longer by 230 tokens, 6 ms, moved them.

Change: the hall is kept if the bytes that would cross weigh more (3,000 to a token) than the shared part; an engine is as good as the best up to 0.8 of the shared part or 1,500 tokens.

Tests: the cases of the placer hold.

--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -84,6 +84,7 @@
         std::shared_ptr<UpstreamState> upstream;
         double cost = 0;
         double weight = 0;
+        bool is_near = false; ///< where the rest of what it reads lies, if that counts
     };
     std::vector<Choice> choices(const UpstreamSet& set, const PromptQuery& query,
                                 Micros now);
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
-/// An upstream in another hall than the preferred one must save this many tokens.
-constexpr double kTokensOfOtherHall = 1024;
+/// Bytes that cross between halls weigh as much as one token that is read again: 1.5 MB
+/// as much as a shared prompt of 500 tokens.
+constexpr double kBytesOfToken = 3000;
+/// An answer whose upstream is in another hall than its caller's daemon weighs as much,
+/// whatever else it reads.
+constexpr double kTokensOfOtherHall = 64;
 /// A running answer slows the reading of prompts by about this many tokens.
 constexpr double kTokensOfRunning = 48;
 /// Parts are believed to be kept in this part of an upstream's memory; the rest is
@@ -21,7 +25,9 @@
 constexpr double kKeptPart = 0.6;
 /// An upstream is about as good as the best if it costs no more than this part of
 /// the prompt's shared tokens in addition.
-constexpr double kToleratedPart = 0.4;
+constexpr double kToleratedPart = 0.8;
+/// Or no more than these: short prompts leave their upstream only when it is busy.
+constexpr double kToleratedTokens = 1500;
 /// A hall without upstreams for pieces counts as having this part of them.
 constexpr double kLeastPart = 0.02;
 /// Without a word of it, a request is forgotten after this time.
@@ -52,6 +58,31 @@
     return std::log(hash) / std::max(weight, kLeastPart);
 }
 
+/// Tokens that other prompts share, if nothing is known of them.
+double
+shared_tokens(const PromptQuery& query)
+{
+    if (query.parts.empty())
+        return 0;
+    return static_cast<double>(query.tokens - query.parts.back().tokens);
+}
+
+/// What it costs to answer in another hall than the preferred one, in tokens.
+double
+crossing_weight(const PromptQuery& query)
+{
+    if (query.near.empty())
+        return 0;
+    return kTokensOfOtherHall + static_cast<double>(query.near_bytes) / kBytesOfToken;
+}
+
+/// How much more than the least costly upstream one may cost.
+double
+tolerated(const PromptQuery& query)
+{
+    return std::max(kToleratedTokens, kToleratedPart * shared_tokens(query));
+}
+
 } // namespace
 
 void
@@ -91,8 +122,6 @@
     const Engine& engine = m_engines[upstream.identity];
     double tokens = static_cast<double>(engine.unread + tokens_to_read(engine, query));
     tokens += kTokensOfRunning * engine.running;
-    if (!query.near.empty() && upstream.hall != query.near)
-        tokens += kTokensOfOtherHall;
     return tokens;
 }
 
@@ -100,6 +129,7 @@
 PromptPlacer::choices(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
     std::vector<Choice> result;
+    const bool keeps_near = crossing_weight(query) > shared_tokens(query);
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side) {
             const bool avoided
@@ -107,8 +137,9 @@
                 != query.avoid.end();
             if (avoided || !is_usable(*upstream, now))
                 continue;
+            const bool is_near = keeps_near && upstream->hall == query.near;
             result.push_back(
-                {upstream, cost(*upstream, query), weight_of(*upstream, query)});
+                {upstream, cost(*upstream, query), weight_of(*upstream, query), is_near});
         }
     return result;
 }
@@ -121,13 +152,16 @@
     if (all.empty())
         return nullptr;
     const auto cheaper = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
-    double limit = std::min_element(all.begin(), all.end(), cheaper)->cost;
-    if (!query.parts.empty())
-        limit += kToleratedPart
-            * static_cast<double>(query.tokens - query.parts.back().tokens);
+    const double limit
+        = std::min_element(all.begin(), all.end(), cheaper)->cost + tolerated(query);
     const Choice* best = nullptr;
+    const auto is_better = [&](const Choice& choice) {
+        if (choice.is_near != best->is_near)
+            return choice.is_near;
+        return choice.weight > best->weight;
+    };
     for (const Choice& choice : all)
-        if (choice.cost <= limit && (!best || choice.weight > best->weight))
+        if (choice.cost <= limit && (!best || is_better(choice)))
             best = &choice;
     if (query.reserve)
         reserve(*best->upstream, set, query, now);
