An upstream that lacked room is left alone for 30 ms instead of 200

Change: it is tried again after 30 ms, about the time in which the next results are released.

More retries of pieces that lack room go to waste.

--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -28,7 +28,7 @@
 constexpr Micros kTimeoutFloor = 200 * kMillisecond;
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
-constexpr Micros kRestWhenNoRoom = 200 * kMillisecond;
+constexpr Micros kRestWhenNoRoom = 30 * kMillisecond;
 /// Between looks at pieces that wait for a certain upstream.
 constexpr Micros kLaterLook = 20 * kMillisecond;
 constexpr int kMaxCalls = 4; ///< that one piece goes out with
