Mechanisms of the decisions can be switched off one by one

Change: 'policy: without: [...]' in the settings, a closed list of thirteen names; an unknown name is a fault with its line and the names there are. All are on by default.

Tests: pieces_test (every name, and one switch's effect), testsuite/settings.sh.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -66,6 +66,9 @@
     /// A daemon without a new record for so long is silent.
     void set_silent_after(Micros time) { m_silent_after = time; }
 
+    /// Any node may lead, however weak.
+    void let_weak_lead() { m_weak_lead = true; }
+
 private:
     struct Known {
         DaemonRecord record;
@@ -75,7 +78,7 @@
 
     bool is_alive(const Known& known) const;
     std::vector<const Known*> candidates() const;
-    static void keep_strong(std::vector<const Known*>& candidates);
+    void keep_strong(std::vector<const Known*>& candidates) const;
     /// The candidate with the highest random weight for that key; null for none.
     static const Known* choose(const std::vector<const Known*>& candidates,
                                std::string_view key);
@@ -83,6 +86,7 @@
     const std::string m_own_node;
     Micros m_silent_after;
     Micros m_read_at = 0;
+    bool m_weak_lead = false;
     std::map<std::string, Known> m_daemons; ///< by node
 };
 
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include <cypressford/policy.h>
 #include <cypressford/upstream.h>
 
 namespace cypressford {
@@ -169,6 +170,11 @@
 /// calls come before both.
 class PieceQueue {
 public:
+    explicit PieceQueue(PolicySwitches switches = {})
+        : m_switches(switches)
+    {
+    }
+
     void add(const WaitingPiece& piece);
     /// False if it does not wait (any more).
     bool remove(PieceId id);
@@ -238,11 +244,12 @@
     LeftBehind left_behind(const PieceCall& call, const UpstreamSet& set, Micros now);
     /// True if more waits than the upstreams take in half a round.
     bool is_saturated(const UpstreamSet& set, Micros now) const;
-    static bool waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
-                               Micros now);
+    bool waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
+                        Micros now) const;
     void take_probe(PieceCall& call, const UpstreamSet& set, Micros now);
     void forget(PieceId id);
 
+    PolicySwitches m_switches;
     Tier m_prompt; ///< can still be prompt
     Tier m_late;
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <cypressford/call_dialect.h>
+#include <cypressford/policy.h>
 #include <cypressford/upstream.h>
 
 namespace cypressford {
@@ -43,6 +44,11 @@
 /// upstream) and costs time only.
 class PromptPlacer {
 public:
+    explicit PromptPlacer(PolicySwitches switches = {})
+        : m_switches(switches)
+    {
+    }
+
     /// Index of the chosen upstream within own + remote of the set, or nothing.
     std::shared_ptr<UpstreamState> place(const UpstreamSet& set, const PromptQuery& query,
                                          Micros now);
@@ -96,6 +102,7 @@
                  const PromptQuery& query, Micros now);
     void expire(Micros now);
 
+    PolicySwitches m_switches;
     std::unordered_map<std::string, Engine> m_engines; ///< by identity
     std::unordered_map<std::string, Placed> m_placed; ///< by attempt
     Micros m_expired_at = 0;
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -18,6 +18,7 @@
 
 #include <cypressford/admission.h>
 #include <cypressford/latency.h>
+#include <cypressford/policy.h>
 #include <cypressford/retry_budget.h>
 #include <cypressford/router.h>
 #include <cypressford/upstream.h>
@@ -184,6 +185,7 @@
     RetryLimit retry_limit; ///< over all daemons; comes before the four above if set
     bool hedging = true;
     bool eject = true; ///< take failing upstreams out for a while
+    PolicySwitches switches;
     /// Non-repeatable attempts that outlive their caller are followed this long.
     Micros detached_limit = 60 * kSecond;
 };
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -149,8 +149,10 @@
 
 /// Those with at least half of the capacity of the strongest.
 void
-DaemonTable::keep_strong(std::vector<const Known*>& candidates)
+DaemonTable::keep_strong(std::vector<const Known*>& candidates) const
 {
+    if (m_weak_lead)
+        return;
     double strongest = 0;
     for (const Known* known : candidates)
         strongest = std::max(strongest, known->record.capacity);
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -58,6 +58,8 @@
 void
 PieceQueue::move_late(Micros now)
 {
+    if (!m_switches.uses(Mechanism::LateTier))
+        return;
     for (auto it = m_prompt.begin(); it != m_prompt.end();) {
         if (it->due >= now) {
             ++it;
@@ -104,8 +106,11 @@
 /// True while the piece should go to its hall only; a hall without an upstream that
 /// is usable is not waited for.
 bool
-PieceQueue::waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set, Micros now)
+PieceQueue::waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
+                           Micros now) const
 {
+    if (!m_switches.uses(Mechanism::HallWaits))
+        return false;
     if (now - piece.queued_at >= patience(set, piece))
         return false;
     const auto is_there = [&](const auto& upstream) {
@@ -166,6 +171,8 @@
 bool
 PieceQueue::is_saturated(const UpstreamSet& set, Micros now) const
 {
+    if (!m_switches.uses(Mechanism::FullCallsFirst))
+        return false;
     const int items = set.spec.batch ? set.spec.batch->items : 1;
     const auto half_round = static_cast<std::size_t>(items)
         * static_cast<std::size_t>(count_usable(set, now));
@@ -178,6 +185,7 @@
 {
     const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     std::int64_t room = free_room(*call.upstream, set, now);
+    rule.split = rule.split || !m_switches.uses(Mechanism::WholeGroups);
     PieceId taking = 0; ///< group that is being taken
     for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
@@ -296,6 +304,8 @@
 std::vector<PieceId>
 PieceQueue::take_hopeless(const UpstreamSet& set, Micros now)
 {
+    if (!m_switches.uses(Mechanism::DropLatePieces))
+        return {};
     move_late(now);
     const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
     const Micros full_call = batch.call_time + batch.items * batch.item_time;
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -329,6 +329,32 @@
     CHECK(freed->ended == Handles {"e"});
 }
 
+TEST_CASE("mechanisms are found by their names, and each can be switched off")
+{
+    for (std::size_t at = 0; at < kMechanisms; ++at) {
+        const auto mechanism = mechanism_of(kMechanismNames.at(at));
+        REQUIRE(mechanism);
+        CHECK(static_cast<std::size_t>(*mechanism) == at);
+        PolicySwitches switches;
+        CHECK(switches.uses(*mechanism));
+        switches.switch_off(*mechanism);
+        CHECK_FALSE(switches.uses(*mechanism));
+    }
+    CHECK_FALSE(mechanism_of("hall_wait"));
+    // Without waits for halls a piece goes to the first free upstream.
+    PolicySwitches no_waits;
+    no_waits.switch_off(Mechanism::HallWaits);
+    UpstreamSet set = make_set({"a", "b"});
+    set.own[0]->in_flight.store(1);
+    const WaitingPiece far = piece(1, 1, 0, 10 * kSecond, "a");
+    PieceQueue patient;
+    patient.add(far);
+    CHECK_FALSE(patient.next_call(set, 0));
+    PieceQueue hasty(no_waits);
+    hasty.add(far);
+    CHECK(hasty.next_call(set, 0));
+}
+
 // ------------------------------------------------------------------ placing
 
 UpstreamSet
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -46,11 +46,10 @@
 /// Weight of an upstream in weighted rendezvous hashing (Schindelhauer and
 /// Schomaker, 2005); the highest is the home.
 double
-weight_of(const UpstreamState& upstream, const PromptQuery& query)
+weight_of(const UpstreamState& upstream, const PromptQuery& query, std::uint64_t key)
 {
     constexpr double range = 18446744073709551616.0; // 2^64
-    const double hash
-        = (static_cast<double>(mix(upstream.address_hash ^ query.affinity)) + 1) / range;
+    const double hash = (static_cast<double>(mix(upstream.address_hash ^ key)) + 1) / range;
     const auto part = query.hall_parts.find(upstream.hall);
     if (query.hall_parts.empty())
         return std::log(hash);
@@ -129,7 +128,11 @@
 PromptPlacer::choices(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
     std::vector<Choice> result;
-    const bool keeps_near = crossing_weight(query) > shared_tokens(query);
+    const std::uint64_t key = m_switches.uses(Mechanism::StableHomes)
+        ? query.affinity
+        : std::hash<std::string> {}(query.attempt);
+    const bool keeps_near = m_switches.uses(Mechanism::NearResults)
+        && crossing_weight(query) > shared_tokens(query);
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side) {
             const bool avoided
@@ -138,8 +141,8 @@
             if (avoided || !is_usable(*upstream, now))
                 continue;
             const bool is_near = keeps_near && upstream->hall == query.near;
-            result.push_back(
-                {upstream, cost(*upstream, query), weight_of(*upstream, query), is_near});
+            result.push_back({upstream, cost(*upstream, query),
+                              weight_of(*upstream, query, key), is_near});
         }
     return result;
 }
@@ -152,8 +155,8 @@
     if (all.empty())
         return nullptr;
     const auto cheaper = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
-    const double limit
-        = std::min_element(all.begin(), all.end(), cheaper)->cost + tolerated(query);
+    const double limit = std::min_element(all.begin(), all.end(), cheaper)->cost
+        + (m_switches.uses(Mechanism::ToleratedCost) ? tolerated(query) : 0);
     const Choice* best = nullptr;
     const auto is_better = [&](const Choice& choice) {
         if (choice.is_near != best->is_near)
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -145,7 +145,8 @@
     if (entry == entries.end())
         return;
     Request& request = entry->second->request;
-    if (request.preparation != PreparationState::Made || !request.spec.needs_pieces())
+    if (request.preparation != PreparationState::Made || !request.spec.needs_pieces()
+        || !options.switches.uses(Mechanism::EarlyRelease))
         return;
     if (!mutated(Mutation::SendFreedInputs))
         request.preparation = PreparationState::Wanted;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -239,7 +239,8 @@
 void
 Scheduler::Impl::arm_silence(const Request& request, AttemptId attempt)
 {
-    if (!request.is_relayed() || !admission.drops_hopeless())
+    if (!request.is_relayed() || !admission.drops_hopeless()
+        || !options.switches.uses(Mechanism::EjectSilent))
         return;
     const Micros typical = typical_time(request, request.stage);
     const Micros limit = std::max(kSilenceFloor, kSilenceOverTypical * typical);
--- a/src/libserve/peer_watch.cpp
+++ b/src/libserve/peer_watch.cpp
@@ -35,6 +35,8 @@
     , m_link(link)
     , m_daemons(kernel.settings.node, silent_after(1, kernel.settings.directory_writes))
 {
+    if (!kernel.settings.scheduler.switches.uses(Mechanism::StrongLeaders))
+        m_daemons.let_weak_lead();
 }
 
 void
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -106,7 +106,12 @@
 PieceMaker::Line&
 PieceMaker::line_of(const std::string& set_name)
 {
-    return m_lines.try_emplace(set_name, Line {{}, new_budget(), false}).first->second;
+    const auto known = m_lines.find(set_name);
+    if (known != m_lines.end())
+        return known->second;
+    PieceQueue queue(m_kernel.settings.scheduler.switches);
+    return m_lines.emplace(set_name, Line {std::move(queue), new_budget(), false})
+        .first->second;
 }
 
 /// The leader of a set spends for all daemons; half of the limit is left for a
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -3,6 +3,7 @@
 
 #include "piece_service.h"
 
+#include <limits>
 #include <set>
 
 #include <boost/asio/as_tuple.hpp>
@@ -27,6 +28,8 @@
 /// A stage that could start less than this later starts now: about the time of the
 /// messages of one order.
 constexpr Micros kLeastHold = 20 * kMillisecond;
+/// Longer than any slack: nothing is held back.
+constexpr Micros kNoHold = std::numeric_limits<Micros>::max();
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 /// Results that are given up wait so long for others of the same keeper.
@@ -202,7 +205,9 @@
         job->near = home.hall;
     }
     while (!job->failed && !job->cancelled && !job->plan.is_done()) {
-        const ReadyStages ready = job->plan.take_due(time_left(*job), kLeastHold);
+        const bool holds = uses(Mechanism::LatestStart);
+        const ReadyStages ready
+            = job->plan.take_due(time_left(*job), holds ? kLeastHold : kNoHold);
         for (const std::size_t stage : ready.now) {
             ++job->running;
             job->started_at[stage] = monotonic_us();
@@ -415,7 +420,10 @@
     for (const UpstreamSet& set : snapshot->sets) {
         if (set.spec.name != query.upstream_set)
             continue;
-        PromptPlacer& placer = m_placers[query.upstream_set];
+        PromptPlacer& placer
+            = m_placers
+                  .try_emplace(query.upstream_set, m_kernel.settings.scheduler.switches)
+                  .first->second;
         const auto upstream = placer.place(set, query.prompt, monotonic_us());
         if (upstream && query.prompt.reserve)
             LogEvent("prompt_placed")
@@ -481,6 +489,8 @@
 std::string
 PieceService::hall_for(const Job& job, std::size_t stage) const
 {
+    if (!uses(Mechanism::TransferHalls))
+        return job.near;
     StageTransfer transfer;
     transfer.inputs = bytes_by_hall(job, job.plan.inputs_of(stage));
     transfer.pieces = job.plan.count(stage);
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -85,6 +85,10 @@
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
     boost::asio::awaitable<void> run(JobPtr job);
+    bool uses(Mechanism mechanism) const
+    {
+        return m_kernel.settings.scheduler.switches.uses(mechanism);
+    }
     static std::vector<Micros> time_left(const Job& job);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, PieceOrder order);
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -135,6 +135,24 @@
     read_duration(reader, "write_ms", limits.write_time);
 }
 
+/// Mechanisms that are switched off, to measure what they are worth.
+void
+read_switches(YamlMapReader& reader, PolicySwitches& switches)
+{
+    std::vector<std::string> names;
+    reader.read("without", names);
+    for (const std::string& name : names) {
+        if (const auto mechanism = mechanism_of(name)) {
+            switches.switch_off(*mechanism);
+            continue;
+        }
+        std::string known;
+        for (const std::string_view one : kMechanismNames)
+            known += " " + std::string(one);
+        reader.add(reader.child("without"), "without: no '" + name + "' among:" + known);
+    }
+}
+
 void
 read_policy(YamlMapReader& reader, Settings& settings)
 {
@@ -153,6 +171,7 @@
     read_range(reader, "retry_limit_ratio", 0.0, 1.0, options.retry_limit.ratio);
     read_range(reader, "retry_limit_extra", 0.0, 1e6, options.retry_limit.extra);
     read_ms(reader, "token_life_ms", settings.token_life);
+    read_switches(reader, options.switches);
 }
 
 void
--- /dev/null
+++ b/testsuite/settings.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Switches of the policy are a closed list: an unknown name is a fault, with its line.
+#   settings.sh BUILD_DIRECTORY
+
+set -euo pipefail
+command="$1/src/cypressford/cypressford"
+file=$(mktemp)
+trap 'rm -f "$file"' EXIT
+
+write_settings() {
+  cat > "$file" <<YAML
+node: n
+hall: h
+listen:
+  callers: "127.0.0.1:1"
+platform:
+  kind: keyedlog
+  store: "127.0.0.1:2"
+policy:
+  without: [$1]
+YAML
+}
+
+write_settings "hall_waits, latest_start"
+"$command" settings check "$file" | grep -q ': ok$'
+
+write_settings "hall_waits, hall_wait"
+if faults=$("$command" settings check "$file" 2>&1); then
+  echo "an unknown mechanism was taken"
+  exit 1
+fi
+grep -q ":9: without: no 'hall_wait' among: hall_waits whole_groups" <<< "$faults"
+echo "settings: ok"
