Prompts stay with their engine until it costs one and a half shared prompts more

Change: an engine is as good as the best up to 1.5 times the shared part, 0.8 before. Reading the part again takes the engine as long as waiting for it.

--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -25,7 +25,7 @@
 constexpr double kKeptPart = 0.6;
 /// An upstream is about as good as the best if it costs no more than this part of
 /// the prompt's shared tokens in addition.
-constexpr double kToleratedPart = 0.8;
+constexpr double kToleratedPart = 1.5;
 /// Or no more than these: short prompts leave their upstream only when it is busy.
 constexpr double kToleratedTokens = 1500;
 /// A hall without upstreams for pieces counts as having this part of them.
