A margin of room that learns from refusals; retries are earned as they are paid

Change: ResultRoom leaves a part of the room free, 0.02 more with each call that lacked room, 0.002 less with each that nearly filled it and fitted, at most 0.12. And each piece earns its part of a retry, as each pays for one: a set's orders have up to ten pieces each, and earned one part.

Tests: pieces_test, "refusals leave more room free, calls that nearly fill it less".

--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -132,11 +132,11 @@
               Micros until);
     /// The result has got this name.
     void name(PieceId piece, const std::string& handle);
-    /// The upstream says that it has no room: nothing goes there until `until`.
-    void note_full(const UpstreamState& upstream, Micros until)
-    {
-        m_full_until[&upstream] = until;
-    }
+    /// The upstream says that it has no room: nothing goes there until `until`, and
+    /// more room is left free everywhere.
+    void note_full(const UpstreamState& upstream, Micros until);
+    /// All results of a call found room, and `left` bytes were believed to be free.
+    void note_fit(const BatchSpec& batch, std::int64_t left);
     /// No result came of it.
     void give_back(PieceId piece);
     /// The result of that name was given up.
@@ -157,6 +157,9 @@
     std::unordered_map<const UpstreamState*, std::int64_t> m_bytes;
     std::set<std::pair<Micros, PieceId>> m_ends;
     std::unordered_map<const UpstreamState*, Micros> m_full_until;
+    /// Part of the room that is left free, since results are of different sizes and
+    /// only their mean is known.  Grows with each refusal, shrinks while calls fit.
+    double m_margin = 0.04;
 };
 
 /// The pieces that wait for one upstream set at the daemon that leads it.  Calls
--- a/src/include/cypressford/retry_budget.h
+++ b/src/include/cypressford/retry_budget.h
@@ -20,8 +20,11 @@
     {
     }
 
-    /// A first attempt was made.
-    void earn() { m_tokens = std::min(m_burst, m_tokens + m_ratio); }
+    /// First attempts, one unless told otherwise, were made.
+    void earn(std::size_t attempts = 1)
+    {
+        m_tokens = std::min(m_burst, m_tokens + m_ratio * static_cast<double>(attempts));
+    }
 
     /// True if second attempts, one unless told otherwise, may be made; they are then
     /// paid for.
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -260,6 +260,32 @@
     CHECK(queue.next_call(set, kSecond));
 }
 
+TEST_CASE("refusals leave more room free, calls that nearly fill it less")
+{
+    const UpstreamSet set = make_set({"a"}, 8, 1.0); // 1 MB
+    const BatchSpec& batch = *set.spec.batch;
+    const UpstreamState& upstream = *set.own[0];
+    ResultRoom room;
+    // One result may take all of an empty upstream's room.
+    CHECK(room.free_bytes(upstream, batch, 0) == 1'000'000);
+    room.take(upstream, 1, 100'000, 100 * kSecond);
+    const std::int64_t before = room.free_bytes(upstream, batch, 0);
+    CHECK(before < 900'000);
+    room.note_full(upstream, kSecond);
+    CHECK(room.free_bytes(upstream, batch, 0) == 0);
+    const std::int64_t after = room.free_bytes(upstream, batch, 2 * kSecond);
+    CHECK(after < before);
+    // Calls that left much room say nothing.
+    room.note_fit(batch, 500'000);
+    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) == after);
+    for (int i = 0; i < 1000; ++i)
+        room.note_fit(batch, 20'000);
+    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) == 900'000);
+    for (int i = 0; i < 1000; ++i)
+        room.note_full(upstream, kSecond);
+    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) > 700'000);
+}
+
 TEST_CASE("an upstream that fails is backed off, longer each time, and probed")
 {
     const UpstreamSet set = make_set({"a"}, 8);
--- a/src/libcypressford/result_room.cpp
+++ b/src/libcypressford/result_room.cpp
@@ -3,6 +3,7 @@
 
 #include <cypressford/pieces.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace cypressford {
@@ -10,6 +11,13 @@
 namespace {
 
 constexpr double kBytesOfMb = 1e6;
+/// Steps of the margin, as parts of the room: two results of fifty for each refusal, and
+/// back over some twenty calls that fit (additive, as refusals are dear and room is not).
+constexpr double kMarginUp = 0.02;
+constexpr double kMarginDown = 0.002;
+constexpr double kMostMargin = 0.12;
+/// A call says that the margin is large enough only if it nearly filled the room.
+constexpr double kNearlyFull = 0.1;
 
 } // namespace
 
@@ -22,9 +30,26 @@
     const auto full = m_full_until.find(&upstream);
     if (full != m_full_until.end() && full->second > now)
         return 0;
+    const double room = batch.room_mb * kBytesOfMb;
     const auto it = m_bytes.find(&upstream);
-    const auto all = static_cast<std::int64_t>(batch.room_mb * kBytesOfMb);
-    return all - (it == m_bytes.end() ? 0 : it->second);
+    // One result may be as large as all of the room.
+    if (it == m_bytes.end())
+        return static_cast<std::int64_t>(room);
+    return static_cast<std::int64_t>((1 - m_margin) * room) - it->second;
+}
+
+void
+ResultRoom::note_full(const UpstreamState& upstream, Micros until)
+{
+    m_full_until[&upstream] = until;
+    m_margin = std::min(kMostMargin, m_margin + kMarginUp);
+}
+
+void
+ResultRoom::note_fit(const BatchSpec& batch, std::int64_t left)
+{
+    if (static_cast<double>(left) < kNearlyFull * batch.room_mb * kBytesOfMb)
+        m_margin = std::max(0.0, m_margin - kMarginDown);
 }
 
 void
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -159,7 +159,8 @@
         m_pieces[id] = {order, i, 0, false};
         line.queue.add(waiting_piece(*order, id));
     }
-    line.retries.earn();
+    if (!order->order.again)
+        line.retries.earn(order->ids.size());
     ticket->m_on_cancel = [weak = std::weak_ptr(order)] {
         if (const auto alive = weak.lock()) {
             alive->over = true;
@@ -241,6 +242,8 @@
     std::vector<PieceItem> items;
     Micros last_deadline = 0;
     const std::size_t left_waiting = line_of(set_name).queue.size();
+    const std::int64_t room_left = line_of(set_name).queue.room().free_bytes(
+        *call.upstream, set.spec.batch.value_or(BatchSpec {}), monotonic_us());
     const Micros started = monotonic_us();
     for (const PieceId id : call.pieces) {
         const Piece& piece = m_pieces.at(id);
@@ -280,6 +283,7 @@
         .kv("pieces", items.size())
         .kv("bound", set.spec.batch ? set.spec.batch->items : 0)
         .kv("left_waiting", left_waiting)
+        .kv("room_left_kb", room_left / kBytesOfKb)
         .kv("left_for_room", call.left.room)
         .kv("left_for_hall", call.left.hall)
         .kv("left_for_group", call.left.group)
@@ -297,9 +301,7 @@
                 / kBytesOfKb)
         .kv("us", now - started);
     if (whole) {
-        line.queue.note_success(*call.upstream);
-        for (std::size_t i = 0; i < results.size(); ++i)
-            settle(set_name, *call.upstream, call.pieces[i], results[i]);
+        settle_call(set, call, results, room_left);
     } else {
         if (answered && said.other_identity)
             call.upstream->mark_leaving();
@@ -317,17 +319,33 @@
     pump(set_name);
 }
 
+/// Every piece of the call has an answer.
 void
-PieceMaker::settle(const std::string& set_name, const UpstreamState& upstream, PieceId id,
-                   const PieceResult& result)
+PieceMaker::settle_call(const UpstreamSet& set, const PieceCall& call,
+                        const std::vector<PieceResult>& results, std::int64_t room_left)
+{
+    const std::string& set_name = set.spec.name;
+    PieceQueue& queue = line_of(set_name).queue;
+    queue.note_success(*call.upstream);
+    const bool lacked_room = std::any_of(results.begin(), results.end(), [](const auto& r) {
+        return r.outcome == PieceOutcome::NoRoom;
+    });
+    if (lacked_room)
+        queue.room().note_full(*call.upstream, monotonic_us() + kRestWhenNoRoom);
+    else
+        queue.room().note_fit(set.spec.batch.value_or(BatchSpec {}), room_left);
+    for (std::size_t i = 0; i < results.size(); ++i)
+        settle(set_name, call.pieces[i], results[i]);
+}
+
+void
+PieceMaker::settle(const std::string& set_name, PieceId id, const PieceResult& result)
 {
     ResultRoom& room = line_of(set_name).queue.room();
     if (result.outcome == PieceOutcome::Made)
         room.name(id, result.handle);
     else
         room.give_back(id);
-    if (result.outcome == PieceOutcome::NoRoom)
-        room.note_full(upstream, monotonic_us() + kRestWhenNoRoom);
     const bool elsewhere
         = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
     if (elsewhere)
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -79,8 +79,9 @@
     boost::asio::awaitable<void> run_call(std::string set_name, SnapshotPtr snapshot,
                                           PieceCall call);
     boost::asio::awaitable<void> pump_later(std::string set_name, Micros pause);
-    void settle(const std::string& set_name, const UpstreamState& upstream, PieceId id,
-                const PieceResult& result);
+    void settle_call(const UpstreamSet& set, const PieceCall& call,
+                     const std::vector<PieceResult>& results, std::int64_t room_left);
+    void settle(const std::string& set_name, PieceId id, const PieceResult& result);
     /// `arrived`: the last call may have reached an upstream; `last`: what it said.
     void queue_again(const std::string& set_name, PieceId id, bool arrived,
                      PieceOutcome last);
