--- a/src/cypressford/losses.cpp
+++ b/src/cypressford/losses.cpp
@@ -79,10 +79,10 @@
             trace.made[set] += event.number("count");
             m_losses.sets[set].made += event.number("count");
             m_losses.sets[set].took_us.push_back(took);
-        } else {
+        } else if (event.text("why") != "other_stage") {
             trace.failed_pieces = "pieces " + set + " " + std::string(event.text("why"));
         }
-        if (took > trace.slowest_us) {
+        if (event.text("made") == "true" && took > trace.slowest_us) {
             trace.slowest_us = took;
             trace.slowest_stage = set;
         }
--- a/src/cypressford/losses_test.cpp
+++ b/src/cypressford/losses_test.cpp
@@ -25,6 +25,8 @@
       "why=made leader=10.0.0.2:1 us=300000\n"
       "hlc=0000000000040000 node=n1 event=pieces request=a set=t count=6 made=false "
       "why=room leader=\"\" us=100\n"
+      "hlc=0000000000040001 node=n1 event=pieces request=a set=u count=1 made=false "
+      "why=other_stage leader=\"\" us=200\n"
       "hlc=0000000000050000 node=n1 event=request_end request=a pipeline=p "
       "outcome=no_upstream ran=not_run first_us=0 aim_us=1000 us=400000\n"
       "hlc=0000000000060000 node=n1 event=piece_call set=s identity=i pieces=3 bound=8 "
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -81,6 +81,7 @@
 /// Time of a call with so many pieces, or of a full one if they are more, by what the
 /// set says of its calls.
 Micros call_time(const UpstreamSetSpec& set, int pieces);
+Micros full_call_time(const UpstreamSetSpec& set);
 
 /// Shortest time for a request's pieces if nothing waits: the longest way through
 /// its stages, by what the sets say of their calls.
--- a/src/libcypressford/piece_plan.cpp
+++ b/src/libcypressford/piece_plan.cpp
@@ -194,6 +194,12 @@
     return set.batch->call_time + items * set.batch->item_time;
 }
 
+Micros
+full_call_time(const UpstreamSetSpec& set)
+{
+    return call_time(set, std::numeric_limits<int>::max());
+}
+
 Micros
 pieces_time(const Snapshot& snapshot, const ResolvedPipeline& pipeline,
             const std::vector<int>& counts)
@@ -231,7 +237,7 @@
                     later = std::max(later, left[next]);
             }
             const UpstreamSetSpec& set = snapshot.sets[pipeline.piece_sets[at]].spec;
-            left[at] = later + call_time(set, std::numeric_limits<int>::max());
+            left[at] = later + full_call_time(set);
         }
     return left[stage];
 }
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -97,10 +97,8 @@
 {
     if (piece.near.empty() || !set.spec.batch)
         return 0;
-    const BatchSpec& batch = *set.spec.batch;
     const Micros slack = std::max<Micros>(0, piece.due - piece.queued_at);
-    return std::min(batch.call_time + batch.items * batch.item_time,
-                    slack / kPatienceOfSlack);
+    return std::min(full_call_time(set.spec), slack / kPatienceOfSlack);
 }
 
 /// True while the piece should go to its hall only; a hall without an upstream that
@@ -130,8 +128,8 @@
 Micros
 PieceQueue::kept_until(const UpstreamSet& set, Micros now)
 {
-    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
-    return now + batch.call_time + batch.items * batch.item_time + batch.keep_time;
+    const Micros keep_time = set.spec.batch ? set.spec.batch->keep_time : 0;
+    return now + full_call_time(set.spec) + keep_time;
 }
 
 std::shared_ptr<UpstreamState>
@@ -296,7 +294,7 @@
     const auto ahead = static_cast<Micros>(std::distance(m_prompt.begin(), ahead_end));
     if (ahead == 0 && !free_upstreams(set, now).empty())
         return 0;
-    const Micros full_call = batch.call_time + batch.items * batch.item_time;
+    const Micros full_call = full_call_time(set.spec);
     const Micros rate_unit = std::max<Micros>(1, batch.items * usable);
     return full_call / (2 * usable) + ahead * full_call / rate_unit;
 }
@@ -307,8 +305,7 @@
     if (!m_switches.uses(Mechanism::DropLatePieces))
         return {};
     move_late(now);
-    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
-    const Micros full_call = batch.call_time + batch.items * batch.item_time;
+    const Micros full_call = full_call_time(set.spec);
     std::vector<PieceId> hopeless;
     for (const Rank& rank : m_late) {
         const WaitingPiece& piece = m_by_id.at(rank.id);
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -35,13 +35,6 @@
 constexpr int kOk = 200;
 constexpr std::int64_t kBytesOfKb = 1000;
 
-Micros
-typical_time(const UpstreamSet& set, std::size_t items)
-{
-    const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
-    return batch.call_time + static_cast<Micros>(items) * batch.item_time;
-}
-
 /// The requests that a call is for, some of them if they are many.
 std::string
 distinct_requests(const std::vector<PieceItem>& items)
@@ -253,7 +246,7 @@
         items.push_back(std::move(item));
     }
     CallOptions options;
-    const Micros typical = typical_time(set, items.size());
+    const Micros typical = call_time(set.spec, static_cast<int>(items.size()));
     options.deadline_us
         = std::min(last_deadline, started + kTimeoutOverTypical * typical + kTimeoutFloor);
     options.connect_deadline_us = started + kConnectTime;
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -282,7 +282,9 @@
     const auto answer = co_await order(job, std::move(wanted));
     std::vector<std::string> handles;
     bool made = answer.has_value();
-    std::string_view why = made ? "made" : "leader";
+    std::string_view why = "made";
+    if (!answer) // given up for the sake of another stage, or no leader was found
+        why = job->failed ? "other_stage" : "leader";
     if (answer)
         for (const PieceResult& result : answer->pieces) {
             if (result.outcome == PieceOutcome::Made) {
