--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <cypressford/policy.h>
@@ -167,8 +168,8 @@
 /// start as soon as an upstream has a free slot and take all that waits up to the
 /// set's bound: under load the waiting pieces fill the calls by themselves.
 ///
-/// Pieces that can still be prompt go first, by priority and then by the time
-/// they are due; those that can't fill what is left.  A piece waits a moment for
+/// Pieces go by priority; within one, those that can still be prompt go first, by the
+/// time they are due.  A piece waits a moment for
 /// an upstream of the hall where its result is wanted (delay scheduling, Zaharia
 /// et al., 2010), then takes any, and groups stay together.  When much waits, full
 /// calls come before both.
@@ -210,20 +211,21 @@
     void note_success(const UpstreamState& upstream) { m_failures.erase(&upstream); }
 
 private:
-    /// Order within a tier.
+    /// Order of the pieces that wait.
     struct Rank {
         int priority = 0;
+        bool late = false; ///< can't be prompt any more
         Micros due = 0;
         PieceId id = 0;
 
         auto operator<=>(const Rank&) const = default;
     };
-    using Tier = std::set<Rank>;
+    using Ranks = std::set<Rank>;
     using Upstreams = std::vector<std::shared_ptr<UpstreamState>>;
 
-    static Rank rank_of(const WaitingPiece& piece)
+    Rank rank_of(const WaitingPiece& piece) const
     {
-        return {piece.priority, piece.due, piece.id};
+        return {piece.priority, m_late.contains(piece.id), piece.due, piece.id};
     }
     void move_late(Micros now);
     bool is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const;
@@ -235,16 +237,14 @@
                                                 const Upstreams& free,
                                                 const UpstreamSet& set, bool saturated,
                                                 Micros now);
-    std::shared_ptr<UpstreamState> choose(const Tier& tier, const Upstreams& free,
-                                          const UpstreamSet& set, bool saturated,
-                                          Micros now);
+    std::shared_ptr<UpstreamState> choose(const Upstreams& free, const UpstreamSet& set,
+                                          bool saturated, Micros now);
     /// What a pass over a tier may take into a call.
     struct FillRule {
         bool any_hall = false; ///< also pieces that could wait for their hall
         bool split = false; ///< also a part of a group
     };
-    void fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
-              Micros now);
+    void fill(PieceCall& call, const UpstreamSet& set, FillRule rule, Micros now);
     LeftBehind left_behind(const PieceCall& call, const UpstreamSet& set, Micros now);
     /// True if more waits than the upstreams take in half a round.
     bool is_saturated(const UpstreamSet& set, Micros now) const;
@@ -254,8 +254,8 @@
     void forget(PieceId id);
 
     PolicySwitches m_switches;
-    Tier m_prompt; ///< can still be prompt
-    Tier m_late;
+    Ranks m_waiting;
+    std::unordered_set<PieceId> m_late; ///< of those that wait
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
     std::unordered_map<PieceId, std::size_t> m_group_sizes; ///< pieces that wait
     std::unordered_map<const UpstreamState*, Micros> m_resting;
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -19,7 +19,7 @@
     HallWaits, ///< pieces wait a moment for an upstream of their hall
     WholeGroups, ///< pieces that are of use only together go in one call
     FullCallsFirst, ///< when much waits, full calls come before halls and groups
-    LateTier, ///< pieces that can't be prompt any more go behind those that can
+    LateTier, ///< pieces that can't be prompt go behind those of their priority that can
     DropLatePieces, ///< pieces that wait long behind their time are given up
     EarlyRelease, ///< results are released when they are read, not at the end
     LatestStart, ///< stages start as late as the longest path allows
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -27,7 +27,7 @@
 {
     if (!m_by_id.emplace(piece.id, piece).second)
         return;
-    m_prompt.insert(rank_of(piece));
+    m_waiting.insert(rank_of(piece));
     ++m_group_sizes[piece.group];
 }
 
@@ -40,6 +40,7 @@
     if (--group->second == 0)
         m_group_sizes.erase(group);
     m_by_id.erase(it);
+    m_late.erase(id);
 }
 
 bool
@@ -48,9 +49,7 @@
     const auto it = m_by_id.find(id);
     if (it == m_by_id.end())
         return false;
-    const Rank rank = rank_of(it->second);
-    if (m_prompt.erase(rank) == 0)
-        m_late.erase(rank);
+    m_waiting.erase(rank_of(it->second));
     forget(id);
     return true;
 }
@@ -60,13 +59,15 @@
 {
     if (!m_switches.uses(Mechanism::LateTier))
         return;
-    for (auto it = m_prompt.begin(); it != m_prompt.end();) {
-        if (it->due >= now) {
-            ++it;
-            continue;
-        }
-        m_late.insert(*it);
-        it = m_prompt.erase(it);
+    std::vector<Rank> late;
+    for (const Rank& rank : m_waiting)
+        if (!rank.late && rank.due < now)
+            late.push_back(rank);
+    for (Rank rank : late) {
+        m_waiting.erase(rank);
+        rank.late = true;
+        m_waiting.insert(rank);
+        m_late.insert(rank.id);
     }
 }
 
@@ -153,11 +154,11 @@
 }
 
 std::shared_ptr<UpstreamState>
-PieceQueue::choose(const Tier& tier, const Upstreams& free, const UpstreamSet& set,
-                   bool saturated, Micros now)
+PieceQueue::choose(const Upstreams& free, const UpstreamSet& set, bool saturated,
+                   Micros now)
 {
     int looked_at = 0;
-    for (const Rank& rank : tier) {
+    for (const Rank& rank : m_waiting) {
         if (++looked_at > kMaxLookedAt)
             break;
         if (auto upstream = upstream_for(m_by_id.at(rank.id), free, set, saturated, now))
@@ -178,14 +179,14 @@
 }
 
 void
-PieceQueue::fill(Tier& tier, PieceCall& call, const UpstreamSet& set, FillRule rule,
-                 Micros now)
+PieceQueue::fill(PieceCall& call, const UpstreamSet& set, FillRule rule, Micros now)
 {
     const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     std::int64_t room = free_room(*call.upstream, set, now);
     rule.split = rule.split || !m_switches.uses(Mechanism::WholeGroups);
     PieceId taking = 0; ///< group that is being taken
-    for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
+    for (auto it = m_waiting.begin();
+         it != m_waiting.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
         const bool fits_hall = rule.any_hall || piece.near == call.upstream->hall
             || !waits_for_hall(piece, set, now);
@@ -206,7 +207,7 @@
         m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
         call.pieces.push_back(it->id);
         forget(it->id);
-        it = tier.erase(it);
+        it = m_waiting.erase(it);
     }
 }
 
@@ -236,10 +237,10 @@
 void
 PieceQueue::take_probe(PieceCall& call, const UpstreamSet& set, Micros now)
 {
-    Tier& tier = m_late.empty() ? m_prompt : m_late;
-    const PieceId group = m_by_id.at(tier.rbegin()->id).group;
+    const PieceId group = m_by_id.at(m_waiting.rbegin()->id).group;
     const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
-    for (auto it = tier.begin(); it != tier.end() && call.pieces.size() < items;) {
+    for (auto it = m_waiting.begin();
+         it != m_waiting.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
         if (piece.group != group) {
             ++it;
@@ -248,7 +249,7 @@
         m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
         call.pieces.push_back(it->id);
         forget(it->id);
-        it = tier.erase(it);
+        it = m_waiting.erase(it);
     }
 }
 
@@ -263,19 +264,16 @@
         return std::nullopt;
     const bool saturated = is_saturated(set, now);
     PieceCall call;
-    call.upstream = choose(m_prompt, free, set, saturated, now);
-    if (!call.upstream)
-        call.upstream = choose(m_late, free, set, saturated, now);
+    call.upstream = choose(free, set, saturated, now);
     if (!call.upstream)
         return std::nullopt;
     if (m_failures.contains(call.upstream.get())) {
         take_probe(call, set, now);
         return call;
     }
-    fill(m_prompt, call, set, {false, false}, now);
+    fill(call, set, {false, false}, now);
     if (saturated || call.pieces.empty())
-        fill(m_prompt, call, set, {saturated, true}, now);
-    fill(m_late, call, set, {saturated, saturated || call.pieces.empty()}, now);
+        fill(call, set, {saturated, true}, now);
     if (call.pieces.empty())
         return std::nullopt;
     call.left = left_behind(call, set, now);
@@ -289,9 +287,9 @@
     const int usable = count_usable(set, now);
     if (usable == 0)
         return kSecond;
-    // Less urgent pieces and late ones wait behind it.
-    const auto ahead_end = m_prompt.lower_bound({priority + 1, 0, 0});
-    const auto ahead = static_cast<Micros>(std::distance(m_prompt.begin(), ahead_end));
+    // Less urgent pieces, and late ones of its priority, wait behind it.
+    const auto ahead_end = m_waiting.lower_bound({priority, true, 0, 0});
+    const auto ahead = static_cast<Micros>(std::distance(m_waiting.begin(), ahead_end));
     if (ahead == 0 && !free_upstreams(set, now).empty())
         return 0;
     const Micros full_call = full_call_time(set.spec);
@@ -307,7 +305,9 @@
     move_late(now);
     const Micros full_call = full_call_time(set.spec);
     std::vector<PieceId> hopeless;
-    for (const Rank& rank : m_late) {
+    for (const Rank& rank : m_waiting) {
+        if (!rank.late)
+            continue;
         const WaitingPiece& piece = m_by_id.at(rank.id);
         if (now - std::max(piece.due, piece.queued_at) > full_call)
             hopeless.push_back(rank.id);
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -28,6 +28,8 @@
 constexpr Micros kTimeoutFloor = 200 * kMillisecond;
 /// An upstream that was full or did not answer is left alone for so long.
 constexpr Micros kRestWhenFull = 40 * kMillisecond;
+/// One that had no room for a result is tried again when the next results are released:
+/// a set's calls take 200 ms and more, and several of its upstreams end theirs meanwhile.
 constexpr Micros kRestWhenNoRoom = 30 * kMillisecond;
 /// Between looks at pieces that wait for a certain upstream.
 constexpr Micros kLaterLook = 20 * kMillisecond;
