--- a/src/cypressford/losses_report.cpp
+++ b/src/cypressford/losses_report.cpp
@@ -54,6 +54,7 @@
 reasons_as_text(const std::map<std::string, int>& reasons)
 {
     std::vector<std::pair<int, std::string>> sorted;
+    sorted.reserve(reasons.size());
     for (const auto& [reason, count] : reasons)
         sorted.emplace_back(count, reason);
     std::sort(sorted.rbegin(), sorted.rend());
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -148,7 +148,7 @@
         }
         std::string known;
         for (const std::string_view one : kMechanismNames)
-            known += " " + std::string(one);
+            known.append(" ").append(one);
         reader.add(reader.child("without"), "without: no '" + name + "' among:" + known);
     }
 }
