--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -169,10 +169,9 @@
 /// set's bound: under load the waiting pieces fill the calls by themselves.
 ///
 /// Pieces go by priority; within one, those that can still be prompt go first, by the
-/// time they are due.  A piece waits a moment for
-/// an upstream of the hall where its result is wanted (delay scheduling, Zaharia
-/// et al., 2010), then takes any, and groups stay together.  When much waits, full
-/// calls come before both.
+/// time they are due.  A piece waits a moment for an upstream of the hall where its
+/// result is wanted (delay scheduling, Zaharia et al., 2010), then takes any, and groups
+/// stay together.  When much waits, full calls come before both.
 class PieceQueue {
 public:
     explicit PieceQueue(PolicySwitches switches = {})
@@ -239,7 +238,7 @@
                                                 Micros now);
     std::shared_ptr<UpstreamState> choose(const Upstreams& free, const UpstreamSet& set,
                                           bool saturated, Micros now);
-    /// What a pass over a tier may take into a call.
+    /// What a pass over the waiting pieces may take into a call.
     struct FillRule {
         bool any_hall = false; ///< also pieces that could wait for their hall
         bool split = false; ///< also a part of a group
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -146,10 +146,11 @@
             switches.switch_off(*mechanism);
             continue;
         }
-        std::string known;
+        std::string fault = "without: no '";
+        fault.append(name).append("' among:");
         for (const std::string_view one : kMechanismNames)
-            known.append(" ").append(one);
-        reader.add(reader.child("without"), "without: no '" + name + "' among:" + known);
+            fault.append(" ").append(one);
+        reader.add(reader.child("without"), fault);
     }
 }
 
