Sight: sizes and times of configurations on their way

Cause: logs could not tell three explanations of a late configuration apart. Change: failed and large answers of the directory are logged with bytes and time, failed questions to the reader too; a configuration in force says how long decoding took, upstreams in force how long building took. No logic changes.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -24,6 +24,9 @@
 /// What is kept under keys.
 enum class DirectoryTopic : unsigned char { Configuration, Upstreams, Daemons };
 
+/// The topic's name in logs.
+std::string_view to_string(DirectoryTopic topic);
+
 /// One record; a key without a value was dropped.
 struct DirectoryRecord {
     std::string key;
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -15,6 +15,20 @@
 
 } // namespace
 
+std::string_view
+to_string(DirectoryTopic topic)
+{
+    switch (topic) {
+    case DirectoryTopic::Configuration:
+        return "configuration";
+    case DirectoryTopic::Upstreams:
+        return "upstreams";
+    case DirectoryTopic::Daemons:
+        break;
+    }
+    return "daemons";
+}
+
 bool
 DirectoryFold::offer_configuration(Bundle bundle)
 {
--- a/src/libserve/directory_store.cpp
+++ b/src/libserve/directory_store.cpp
@@ -5,6 +5,7 @@
 
 #include <cypressford/registry.h>
 
+#include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
 namespace cypressford {
@@ -15,6 +16,37 @@
 
 /// How long an answer may take beyond the time that the question waits.
 constexpr Micros kPatience = 800 * kMillisecond;
+/// Answers of so many bytes are logged: on a link of 10 Mbit/s they take 50 ms.
+constexpr std::size_t kLargeAnswer = 64 * 1024;
+
+std::string_view
+name_of(CallStatus status)
+{
+    switch (status) {
+    case CallStatus::Answered:
+        return "answered";
+    case CallStatus::NotSent:
+        return "not_sent";
+    case CallStatus::Lost:
+        break;
+    }
+    return "lost";
+}
+
+/// Says of failed and of large answers how much came and how long that took.
+void
+log_call(DirectoryTopic topic, const CallResult& result, Micros took)
+{
+    const bool answered = result.status == CallStatus::Answered;
+    const std::size_t bytes = result.response.body.size();
+    if (answered && bytes < kLargeAnswer)
+        return;
+    LogEvent("directory_call", answered ? LogLevel::Info : LogLevel::Warn)
+        .kv("topic", to_string(topic))
+        .kv("outcome", name_of(result.status))
+        .kv("bytes", bytes)
+        .kv("us", took);
+}
 
 } // namespace
 
@@ -26,13 +58,15 @@
 }
 
 asio::awaitable<HttpResponse>
-DirectoryStore::call(HttpRequest request, Micros patience)
+DirectoryStore::call(DirectoryTopic topic, HttpRequest request, Micros patience)
 {
     CallOptions options;
-    options.deadline_us = monotonic_us() + patience;
+    const Micros asked_at = monotonic_us();
+    options.deadline_us = asked_at + patience;
     options.send_clock = false;
     const CallResult result = co_await m_client.call(m_kernel.reloaded.load()->platform.log,
                                                      std::move(request), options);
+    log_call(topic, result, monotonic_us() - asked_at);
     HttpResponse response = result.response;
     if (result.status != CallStatus::Answered)
         response.status = 0;
@@ -43,7 +77,7 @@
 DirectoryStore::newest(DirectoryTopic topic, std::string after)
 {
     auto page = m_dialect->decode_newest(
-        co_await call(m_dialect->newest(topic, after), kPatience));
+        co_await call(topic, m_dialect->newest(topic, after), kPatience));
     co_return page;
 }
 
@@ -51,7 +85,7 @@
 DirectoryStore::read(DirectoryTopic topic, Offset from, Micros wait)
 {
     auto page = m_dialect->decode_read(
-        co_await call(m_dialect->read(topic, from, wait), wait + kPatience));
+        co_await call(topic, m_dialect->read(topic, from, wait), wait + kPatience));
     co_return page;
 }
 
@@ -59,7 +93,7 @@
 DirectoryStore::append(DirectoryTopic topic, DirectoryRecord record)
 {
     HttpRequest request = m_dialect->append(topic, record);
-    co_await call(std::move(request), kPatience);
+    co_await call(topic, std::move(request), kPatience);
 }
 
 } // namespace cypressford
--- a/src/libserve/directory_store.h
+++ b/src/libserve/directory_store.h
@@ -32,7 +32,8 @@
     const DirectoryDialect& dialect() const { return *m_dialect; }
 
 private:
-    boost::asio::awaitable<HttpResponse> call(HttpRequest request, Micros patience);
+    boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, HttpRequest request,
+                                             Micros patience);
 
     Kernel& m_kernel;
     const std::unique_ptr<DirectoryDialect> m_dialect;
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -202,10 +202,30 @@
     if (page->history_lost)
         view.next.reset();
     else
-        note(m_view.take_page(topic, from, page->records, asked_at, wait, monotonic_us()));
+        note_page(topic, from, *page, asked_at, wait);
     co_return Result<void> {};
 }
 
+void
+DirectoryWatch::note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
+                          Micros asked_at, Micros waited)
+{
+    const Micros now = monotonic_us();
+    const DirectoryChange change
+        = m_view.take_page(topic, from, page.records, asked_at, waited, now);
+    m_taken_us = monotonic_us() - now;
+    note(change);
+}
+
+void
+DirectoryWatch::note_answer(const FeedAnswer& answer, Micros asked_at)
+{
+    const Micros now = monotonic_us();
+    const DirectoryChange change = m_view.take_answer(answer, asked_at, now);
+    m_taken_us = monotonic_us() - now;
+    note(change);
+}
+
 /// What records said, wherever they came from.
 void
 DirectoryWatch::note(const DirectoryChange& change)
@@ -239,7 +259,7 @@
             suspect_reader(*asked, "silent");
             continue;
         }
-        note(m_view.take_answer(*answer, asked_at, monotonic_us()));
+        note_answer(*answer, asked_at);
         const Micros age = monotonic_us() - m_view.of(DirectoryTopic::Configuration).as_of;
         if (!m_reached && age < m_view.pace().stale_after)
             note_contact(true);
@@ -264,13 +284,20 @@
     request.headers.add("Content-Type", "application/x-protobuf");
     request.body = encode(query);
     CallOptions options;
-    options.deadline_us = monotonic_us() + query.wait + kReaderPatience;
-    options.connect_deadline_us = monotonic_us() + kConnectTime;
+    const Micros asked_at = monotonic_us();
+    options.deadline_us = asked_at + query.wait + kReaderPatience;
+    options.connect_deadline_us = asked_at + kConnectTime;
     options.send_clock = false;
     const CallResult result
         = co_await m_peers.call(reader.feed_address, std::move(request), options);
-    if (result.status != CallStatus::Answered || result.response.status != kOk)
+    if (result.status != CallStatus::Answered || result.response.status != kOk) {
+        LogEvent("reader_call_failed", LogLevel::Warn)
+            .kv("reader", reader.node)
+            .kv("status", result.response.status)
+            .kv("bytes", result.response.body.size())
+            .kv("us", monotonic_us() - asked_at);
         co_return fail(ErrorKind::UpstreamFailed, reader.node);
+    }
     co_return decode_feed_answer(result.response.body);
 }
 
@@ -327,14 +354,17 @@
         LogEvent("configuration_in_force")
             .kv("version", bundle->version)
             .kv("before", m_applied_version)
-            .kv("pipelines", bundle->pipelines.size());
+            .kv("pipelines", bundle->pipelines.size())
+            .kv("decode_us", m_taken_us);
     m_applied_version = bundle->version;
     m_applied_revision = fold.revision();
     const auto members = fold.members();
+    const Micros build_began_at = monotonic_us();
     m_kernel.snapshot.store(m_kernel.upstreams.build(*bundle, members));
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
-        .kv("upstreams", members.size());
+        .kv("upstreams", members.size())
+        .kv("build_us", monotonic_us() - build_began_at);
     if (m_on_change)
         m_on_change();
 }
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -59,6 +59,9 @@
     std::optional<DaemonRecord> reader() const;
     Micros retry_pause(int failures) const;
     void suspect_reader(const DaemonRecord& reader, std::string_view why);
+    void note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
+                   Micros asked_at, Micros waited);
+    void note_answer(const FeedAnswer& answer, Micros asked_at);
     void note(const DirectoryChange& change);
     void note_contact(bool reached);
     void bring_into_force();
@@ -72,6 +75,7 @@
     DirectoryFeedServer m_feed;
     std::uint64_t m_applied_version = 0;
     std::uint64_t m_applied_revision = 0;
+    Micros m_taken_us = 0; ///< spent on the records that were taken last
     Micros m_last_contact = 0;
     Micros m_daemons_told = -1; ///< state of the daemons' records that was passed on
     bool m_reached = true;
