An answer of the directory may take as long as its bytes keep coming

Cause: the limit of 0.8 s (store) and 0.3 s beyond the hold (reader) covered the whole body, so that a configuration of 836 kB was thrown away with 0.5 to 0.75 MB in hand and begun anew. Ruled out: longer fixed limits; they only move the size at which it begins again.

--- a/src/libserve/directory_store.cpp
+++ b/src/libserve/directory_store.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// How long an answer may take beyond the time that the question waits.
+/// How long an answer may take to begin, beyond the time that the question waits.
 constexpr Micros kPatience = 800 * kMillisecond;
 /// Answers of so many bytes are logged: on a link of 10 Mbit/s they take 50 ms.
 constexpr std::size_t kLargeAnswer = 64 * 1024;
@@ -63,6 +63,7 @@
     CallOptions options;
     const Micros asked_at = monotonic_us();
     options.deadline_us = asked_at + patience;
+    options.body = kLargeBody;
     options.send_clock = false;
     const CallResult result = co_await m_client.call(m_kernel.reloaded.load()->platform.log,
                                                      std::move(request), options);
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -29,6 +29,7 @@
 constexpr Micros kFirstRetryPause = 200 * kMillisecond;
 /// Without a reader, between looks whether there is one.
 constexpr Micros kReaderPause = 200 * kMillisecond;
+/// How long a reader's answer may take to begin, beyond the time that it is held.
 constexpr Micros kReaderPatience = 300 * kMillisecond;
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// A reader that did not tell what it should is not asked for so long.
@@ -278,14 +279,11 @@
 DirectoryWatch::ask_reader(const DaemonRecord& reader)
 {
     const FeedQuery query = m_view.query();
-    HttpRequest request;
-    request.method = "POST";
-    request.target = DirectoryFeedServer::kPath;
-    request.headers.add("Content-Type", "application/x-protobuf");
-    request.body = encode(query);
+    HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
     CallOptions options;
     const Micros asked_at = monotonic_us();
     options.deadline_us = asked_at + query.wait + kReaderPatience;
+    options.body = kLargeBody;
     options.connect_deadline_us = asked_at + kConnectTime;
     options.send_clock = false;
     const CallResult result
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -30,11 +30,7 @@
 asio::awaitable<Result<PieceAnswer>>
 PeerLink::order(std::string address, PieceOrder order, std::shared_ptr<CallHandle> handle)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = kOrderPath;
-    request.headers.add("Content-Type", "application/x-protobuf");
-    request.body = encode(order);
+    HttpRequest request = protobuf_post(kOrderPath, encode(order));
     CallOptions options;
     options.handle = handle;
     options.deadline_us = monotonic_us() + order.time_left;
@@ -62,11 +58,7 @@
 asio::awaitable<CallResult>
 PeerLink::post(std::string address, const char* path, std::string body)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = path;
-    request.headers.add("Content-Type", "application/x-protobuf");
-    request.body = std::move(body);
+    HttpRequest request = protobuf_post(path, std::move(body));
     CallOptions options;
     options.deadline_us = monotonic_us() + kSignPatience;
     co_return co_await m_client.call(std::move(address), std::move(request),
--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -68,6 +68,17 @@
     return {};
 }
 
+HttpRequest
+protobuf_post(std::string target, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::move(target);
+    request.headers.add("Content-Type", "application/x-protobuf");
+    request.body = std::move(body);
+    return request;
+}
+
 Address
 parse_address(std::string_view text)
 {
--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -45,6 +45,9 @@
     std::string_view query(std::string_view name) const;
 };
 
+/// A message to another daemon, in protocol buffers.
+HttpRequest protobuf_post(std::string target, std::string body);
+
 struct HttpResponse {
     int status = 200;
     std::string content_type = "application/json"; ///< empty: as in `headers`
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include "http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -176,7 +177,10 @@
                                     const CallOptions& options, HttpResponse& response)
     {
         std::array<char, kChunk> chunk {};
+        const std::int64_t until = monotonic_us() + options.body.limit_us;
         while (!parser.is_done()) {
+            if (options.body.gap_us > 0)
+                set_deadline(std::min(until, monotonic_us() + options.body.gap_us));
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
             auto [ec, size]
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -49,8 +49,21 @@
     bool m_cancelled = false;
 };
 
+/// How long the body of an answer may take.  A limit for the whole of it would cut off
+/// what is large on a thin link and have it begun anew from its start, so bytes that come
+/// keep a call alive.
+struct BodyPatience {
+    std::int64_t gap_us = 0; ///< between bytes; 0: the call's deadline holds for the body
+    std::int64_t limit_us = 0; ///< for all of it, against a sender of a byte now and then
+};
+
+/// For answers of the directory and of its readers: the largest that is taken (8 MB)
+/// needs 6.7 s on a link of 10 Mbit/s.  The gap bears two lost packets in a row.
+constexpr BodyPatience kLargeBody {800'000, 10'000'000};
+
 struct CallOptions {
     std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
+    BodyPatience body;
     bool fresh_connection = false; ///< never on a kept connection
     /// Send once more, on a new connection, if a kept one turns out to be closed.
     bool resend_if_stale = true;
