--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -105,9 +105,16 @@
         add_fields(message, response);
         message.keep_alive(m_keep_alive);
         message.prepare_payload();
+        http::response_serializer<http::string_body> serializer(message);
         Watchdog watchdog(m_socket);
-        watchdog.arm(m_limits.write_time);
-        auto [ec, size] = co_await http::async_write(m_socket, message, kToTuple);
+        boost::system::error_code ec;
+        // The limit is for progress: a large answer may take longer on a thin link.
+        while (!ec && !serializer.is_done()) {
+            watchdog.arm(m_limits.write_time);
+            std::size_t size = 0;
+            std::tie(ec, size)
+                = co_await http::async_write_some(m_socket, serializer, kToTuple);
+        }
         watchdog.disarm();
         co_return finish_write(ec);
     }
--- /dev/null
+++ b/src/libutil/http_server_test.cpp
@@ -0,0 +1,125 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http_server.h"
+
+namespace cypressford {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kBody = 48 * 1024 * 1024; ///< more than sockets buffer
+constexpr std::size_t kStep = 1024 * 1024;
+
+/// One server that answers with kBody bytes, and one caller of it.
+class LargeAnswer {
+public:
+    explicit LargeAnswer(std::chrono::milliseconds write_time)
+        : m_server(
+            m_io, limits_of(write_time),
+            [this](HttpExchange& exchange) { return answer(exchange); },
+            [](ErrorKind) { return HttpResponse {}; })
+        , m_caller(m_io)
+    {
+        const auto port = m_server.listen({"127.0.0.1", 0});
+        REQUIRE(port);
+        m_port = *port;
+    }
+
+    /// The caller reads all of it, with a pause before each step.
+    void read_slowly(std::chrono::milliseconds pause)
+    {
+        asio::co_spawn(m_io, read(pause), asio::detached);
+        m_io.run();
+    }
+
+    /// The caller reads nothing.
+    void read_nothing()
+    {
+        asio::co_spawn(m_io, ask(), asio::detached);
+        while (!sent && m_io.run_one() > 0) { }
+    }
+
+    std::optional<bool> sent; ///< what the server thinks of its answer
+    std::size_t bytes_read = 0;
+
+private:
+    static HttpLimits limits_of(std::chrono::milliseconds write_time)
+    {
+        HttpLimits limits;
+        limits.write_time = write_time;
+        return limits;
+    }
+
+    asio::awaitable<void> answer(HttpExchange& exchange)
+    {
+        HttpResponse response;
+        response.body.assign(kBody, 'x');
+        sent = co_await exchange.respond(std::move(response));
+    }
+
+    asio::awaitable<void> ask()
+    {
+        const tcp::endpoint server(asio::ip::make_address("127.0.0.1"), m_port);
+        co_await m_caller.async_connect(server, asio::use_awaitable);
+        const std::string question = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        co_await asio::async_write(m_caller, asio::buffer(question), asio::use_awaitable);
+    }
+
+    asio::awaitable<void> read(std::chrono::milliseconds pause)
+    {
+        co_await ask();
+        std::vector<char> step(kStep);
+        asio::steady_timer timer(m_io);
+        while (bytes_read < kBody) {
+            timer.expires_after(pause);
+            co_await timer.async_wait(asio::use_awaitable);
+            auto [ec, size]
+                = co_await m_caller.async_read_some(asio::buffer(step), kToTuple);
+            if (ec)
+                break;
+            bytes_read += size;
+        }
+        m_io.stop();
+    }
+
+    asio::io_context m_io;
+    HttpServer m_server;
+    tcp::socket m_caller;
+    unsigned short m_port = 0;
+};
+
+TEST_CASE("a caller that reads slowly gets all of a large answer")
+{
+    // 48 steps at least: more than twice the limit for one write.
+    LargeAnswer answer(std::chrono::milliseconds(1000));
+    answer.read_slowly(std::chrono::milliseconds(50));
+    CHECK(answer.bytes_read >= kBody);
+    CHECK(answer.sent == true);
+}
+
+TEST_CASE("a caller that does not read is left after the limit")
+{
+    LargeAnswer answer(std::chrono::milliseconds(200));
+    answer.read_nothing();
+    CHECK(answer.sent == false);
+}
+
+} // namespace
+} // namespace cypressford
