Pipelines are resolved once for each configuration

Cause: each upstream that came or went had all pipelines resolved anew, although only the sets of upstreams differ: 133 ms in the median on nodes of 0.12 of a core, while requests wait for the same core.

--- a/src/bench/bench_scheduler.cpp
+++ b/src/bench/bench_scheduler.cpp
@@ -94,7 +94,7 @@
         now += 10;
         ++spec.id;
         spec.deadline = now + 4 * kSecond;
-        spec.account = spec.id % shared.snapshot->accounts.size();
+        spec.account = spec.id % shared.snapshot->bundle->accounts.size();
         actions.clear();
         scheduler.handle(RequestArrived {spec}, now, actions);
         const auto* send = std::get_if<SendAttempt>(&actions.front());
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -32,8 +32,8 @@
 struct RequestSpec {
     RequestId id = 0;
     SnapshotPtr snapshot; ///< the bundle this request lives in to its end
-    std::size_t pipeline = 0; ///< index into snapshot->pipelines
-    std::size_t account = 0; ///< index into snapshot->accounts
+    std::size_t pipeline = 0; ///< index into snapshot->bundle->pipelines
+    std::size_t account = 0; ///< index into snapshot->bundle->accounts
     Micros deadline = 0; ///< point in time
     bool has_key = false; ///< the caller gave an Idempotency-Key
     std::uint64_t affinity = 0;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -172,7 +172,7 @@
 /// Pipelines that share a host and a path prefix.
 struct PathMatch {
     std::string path_prefix;
-    std::vector<std::size_t> pipelines; ///< indices into Snapshot::pipelines
+    std::vector<std::size_t> pipelines; ///< indices into ResolvedBundle::pipelines
     double total_weight = 0;
 };
 
@@ -182,12 +182,14 @@
     std::shared_ptr<AccountState> state;
 };
 
-/// Bundle in force and upstreams, resolved.  Never changes once made.
-struct Snapshot {
-    std::string bundle_name;
+/// A bundle with its pipelines and accounts resolved.  Never changes once made, and is
+/// shared by all snapshots of the bundle: while upstreams are replaced they change each
+/// second, and resolving 4,250 pipelines took a node of 0.12 of a core 133 ms each time
+/// (median of 675).
+struct ResolvedBundle {
+    std::string name;
     std::uint64_t version = 0;
-    std::uint64_t generation = 0; ///< counts snapshots of this process
-    std::vector<UpstreamSet> sets;
+    std::vector<UpstreamSetSpec> sets; ///< in the order of Snapshot::sets
     std::vector<ResolvedPipeline> pipelines;
     std::vector<ResolvedAccount> accounts;
     std::unordered_map<std::string, std::size_t> pipeline_by_name;
@@ -203,6 +205,15 @@
                                      std::uint64_t pick) const;
 };
 
+using ResolvedBundlePtr = std::shared_ptr<const ResolvedBundle>;
+
+/// Bundle in force and upstreams.  Never changes once made.
+struct Snapshot {
+    ResolvedBundlePtr bundle;
+    std::uint64_t generation = 0; ///< counts snapshots of this process
+    std::vector<UpstreamSet> sets;
+};
+
 /// An upstream as the platform lists it.
 struct UpstreamMember {
     std::string identity; ///< of this run of it
@@ -225,13 +236,17 @@
     {
     }
 
-    /// Resolves a bundle.  Not on the path of a request.
-    SnapshotPtr build(const Bundle& bundle);
+    /// Resolves a bundle.  Not on the path of a request, as all of these.
+    ResolvedBundlePtr resolve(const Bundle& bundle);
+
+    /// A snapshot of the bundle with the upstreams that it names and those that the
+    /// platform lists.  One that is listed no more gets nothing new from now on, also
+    /// under older snapshots.
+    SnapshotPtr build(ResolvedBundlePtr bundle, const std::vector<UpstreamMember>& members);
 
-    /// The same with upstreams that the platform lists, besides those that the
-    /// bundle names.  One that is listed no more gets nothing new from now on,
-    /// also under older snapshots.
-    SnapshotPtr build(const Bundle& bundle, const std::vector<UpstreamMember>& members);
+    /// Both in one.
+    SnapshotPtr build(const Bundle& bundle,
+                      const std::vector<UpstreamMember>& members = {});
 
     /// The upstream with that address, or null.
     std::shared_ptr<UpstreamState> find(std::string_view address) const;
@@ -244,9 +259,11 @@
                                             const std::string& hall,
                                             const std::string& identity = {});
     std::uint32_t id_of(const std::string& name);
-    UpstreamSet resolve(const UpstreamSetSpec& spec);
-    void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members,
-                     const std::map<std::string, std::size_t>& set_index);
+    UpstreamSet resolve_set(const UpstreamSetSpec& spec);
+    ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
+                                      const std::map<std::string, std::size_t>& set_index);
+    void add_accounts(ResolvedBundle& resolved, const std::vector<AccountSpec>& accounts);
+    void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members);
     void retire_unlisted(const std::vector<UpstreamMember>& members);
 
     const std::string m_hall;
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -61,7 +61,7 @@
         RequestSpec spec;
         spec.id = id;
         spec.snapshot = snapshot;
-        spec.account = snapshot->nobody;
+        spec.account = snapshot->bundle->nobody;
         spec.deadline = deadline;
         spec.pieces = std::move(pieces);
         spec.asks_leader = asks_leader;
@@ -453,12 +453,13 @@
     add("few", "/c/", 10);
     const auto snapshot = table.build(bundle);
     const auto name = [&](const char* path, std::uint64_t pick) {
-        return snapshot->pipelines[*snapshot->match("h", path, pick)].spec.name;
+        return snapshot->bundle->pipelines[*snapshot->bundle->match("h", path, pick)]
+            .spec.name;
     };
     CHECK(name("/a/x", 0) == "short");
     CHECK(name("/a/b/x", 0) == "long");
-    CHECK_FALSE(snapshot->match("h", "/b/", 0));
-    CHECK_FALSE(snapshot->match("other", "/a/", 0));
+    CHECK_FALSE(snapshot->bundle->match("h", "/b/", 0));
+    CHECK_FALSE(snapshot->bundle->match("other", "/a/", 0));
     CHECK(name("/c/", 0) == "many");
     CHECK(name("/c/", ~std::uint64_t {0}) == "few");
     CHECK(name("/c/", 1ULL << 63) == "many");
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -61,7 +61,7 @@
 
     const ResolvedPipeline& pipeline() const
     {
-        return spec.snapshot->pipelines[spec.pipeline];
+        return spec.snapshot->bundle->pipelines[spec.pipeline];
     }
     const StageSpec& stage_spec() const { return pipeline().spec.stages[stage]; }
     const UpstreamSet& set_of(std::size_t at) const
@@ -69,7 +69,10 @@
         return spec.snapshot->sets[pipeline().sets[at]];
     }
     const UpstreamSet& set() const { return set_of(stage); }
-    const ResolvedAccount& account() const { return spec.snapshot->accounts[spec.account]; }
+    const ResolvedAccount& account() const
+    {
+        return spec.snapshot->bundle->accounts[spec.account];
+    }
     int priority() const { return pipeline().spec.priority; }
 
     /// True if the present stage may run once only and nothing but the claim
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -97,10 +97,10 @@
 }
 
 void
-index_path(Snapshot& snapshot, std::size_t index)
+index_path(ResolvedBundle& bundle, std::size_t index)
 {
-    const PipelineSpec& spec = snapshot.pipelines[index].spec;
-    auto& paths = snapshot.paths_by_host[spec.host];
+    const PipelineSpec& spec = bundle.pipelines[index].spec;
+    auto& paths = bundle.paths_by_host[spec.host];
     auto it = std::find_if(paths.begin(), paths.end(), [&](const PathMatch& path) {
         return path.path_prefix == spec.path_prefix;
     });
@@ -111,9 +111,9 @@
 }
 
 void
-sort_paths(Snapshot& snapshot)
+sort_paths(ResolvedBundle& bundle)
 {
-    for (auto& [host, paths] : snapshot.paths_by_host)
+    for (auto& [host, paths] : bundle.paths_by_host)
         std::stable_sort(paths.begin(), paths.end(),
                          [](const PathMatch& a, const PathMatch& b) {
                              return a.path_prefix.size() > b.path_prefix.size();
@@ -122,24 +122,24 @@
 
 /// Callers without a credential share an account that has no name.
 void
-add_nobody(Snapshot& snapshot)
+add_nobody(ResolvedBundle& bundle)
 {
     constexpr double unbounded = 1e9;
     AccountSpec spec;
     spec.rate = unbounded;
     spec.burst = unbounded;
-    snapshot.nobody = snapshot.accounts.size();
-    snapshot.accounts.push_back({spec, std::make_shared<AccountState>()});
+    bundle.nobody = bundle.accounts.size();
+    bundle.accounts.push_back({spec, std::make_shared<AccountState>()});
 }
 
 /// Chooses by weight; `pick` is spread over the whole range of its type.
 std::size_t
-choose_by_weight(const Snapshot& snapshot, const PathMatch& path, std::uint64_t pick)
+choose_by_weight(const ResolvedBundle& bundle, const PathMatch& path, std::uint64_t pick)
 {
     constexpr double range = 18446744073709551616.0; // 2^64
     double left = static_cast<double>(pick) / range * path.total_weight;
     for (const std::size_t index : path.pipelines) {
-        left -= snapshot.pipelines[index].spec.weight;
+        left -= bundle.pipelines[index].spec.weight;
         if (left < 0)
             return index;
     }
@@ -149,7 +149,8 @@
 } // namespace
 
 std::optional<std::size_t>
-Snapshot::match(std::string_view host, std::string_view path, std::uint64_t pick) const
+ResolvedBundle::match(std::string_view host, std::string_view path,
+                      std::uint64_t pick) const
 {
     const auto it = paths_by_host.find(std::string(host));
     if (it == paths_by_host.end())
@@ -160,67 +161,102 @@
     return std::nullopt;
 }
 
-SnapshotPtr
-UpstreamTable::build(const Bundle& bundle)
+namespace {
+
+std::map<std::string, std::size_t>
+index_sets(const std::vector<UpstreamSetSpec>& sets)
 {
-    return build(bundle, {});
+    std::map<std::string, std::size_t> index;
+    for (std::size_t at = 0; at < sets.size(); ++at)
+        index[sets[at].name] = at;
+    return index;
 }
 
+} // namespace
+
 SnapshotPtr
 UpstreamTable::build(const Bundle& bundle, const std::vector<UpstreamMember>& members)
+{
+    return build(resolve(bundle), members);
+}
+
+SnapshotPtr
+UpstreamTable::build(ResolvedBundlePtr bundle, const std::vector<UpstreamMember>& members)
 {
     const std::lock_guard lock(m_mutex);
     auto snapshot = std::make_shared<Snapshot>();
-    snapshot->bundle_name = bundle.name;
-    snapshot->version = bundle.version;
+    snapshot->bundle = std::move(bundle);
     snapshot->generation = ++m_generation;
-    std::map<std::string, std::size_t> set_index;
-    for (const auto& spec : bundle.upstream_sets) {
-        set_index[spec.name] = snapshot->sets.size();
-        snapshot->sets.push_back(resolve(spec));
-    }
-    add_members(*snapshot, members, set_index);
+    for (const UpstreamSetSpec& spec : snapshot->bundle->sets)
+        snapshot->sets.push_back(resolve_set(spec));
+    add_members(*snapshot, members);
     retire_unlisted(members);
-    for (const auto& spec : bundle.pipelines) {
-        ResolvedPipeline pipeline;
-        pipeline.spec = spec;
-        pipeline.repeatable = spec.repeatable();
-        auto& learned = m_pipelines[spec.name];
-        if (!learned)
-            learned = std::make_shared<PipelineState>();
-        pipeline.state = learned;
-        for (const auto& stage : spec.stages) {
-            pipeline.sets.push_back(set_index.at(stage.upstream_set));
-            pipeline.stage_ids.push_back(id_of("stage/" + spec.name + "/" + stage.name));
-        }
-        for (std::size_t at = 0; at < spec.piece_stages.size(); ++at) {
-            pipeline.piece_sets.push_back(set_index.at(spec.piece_stages[at].upstream_set));
-            pipeline.piece_stage_ids.push_back(
-                id_of("piece/" + spec.name + "/" + std::to_string(at)));
-        }
-        const std::size_t index = snapshot->pipelines.size();
-        snapshot->pipeline_by_name[spec.name] = index;
-        snapshot->pipelines.push_back(std::move(pipeline));
+    return snapshot;
+}
+
+ResolvedBundlePtr
+UpstreamTable::resolve(const Bundle& bundle)
+{
+    const std::lock_guard lock(m_mutex);
+    auto resolved = std::make_shared<ResolvedBundle>();
+    resolved->name = bundle.name;
+    resolved->version = bundle.version;
+    resolved->sets = bundle.upstream_sets;
+    resolved->limits = bundle.limits;
+    const auto set_index = index_sets(bundle.upstream_sets);
+    for (const PipelineSpec& spec : bundle.pipelines) {
+        const std::size_t index = resolved->pipelines.size();
+        resolved->pipeline_by_name[spec.name] = index;
+        resolved->pipelines.push_back(resolve_pipeline(spec, set_index));
         if (spec.relayed)
-            index_path(*snapshot, index);
+            index_path(*resolved, index);
+    }
+    sort_paths(*resolved);
+    add_accounts(*resolved, bundle.accounts);
+    add_nobody(*resolved);
+    return resolved;
+}
+
+ResolvedPipeline
+UpstreamTable::resolve_pipeline(const PipelineSpec& spec,
+                                const std::map<std::string, std::size_t>& set_index)
+{
+    ResolvedPipeline pipeline;
+    pipeline.spec = spec;
+    pipeline.repeatable = spec.repeatable();
+    auto& learned = m_pipelines[spec.name];
+    if (!learned)
+        learned = std::make_shared<PipelineState>();
+    pipeline.state = learned;
+    for (const auto& stage : spec.stages) {
+        pipeline.sets.push_back(set_index.at(stage.upstream_set));
+        pipeline.stage_ids.push_back(id_of("stage/" + spec.name + "/" + stage.name));
     }
-    sort_paths(*snapshot);
-    snapshot->limits = bundle.limits;
-    for (const auto& spec : bundle.accounts) {
+    for (std::size_t at = 0; at < spec.piece_stages.size(); ++at) {
+        pipeline.piece_sets.push_back(set_index.at(spec.piece_stages[at].upstream_set));
+        pipeline.piece_stage_ids.push_back(
+            id_of("piece/" + spec.name + "/" + std::to_string(at)));
+    }
+    return pipeline;
+}
+
+void
+UpstreamTable::add_accounts(ResolvedBundle& resolved,
+                            const std::vector<AccountSpec>& accounts)
+{
+    for (const AccountSpec& spec : accounts) {
         auto& state = m_accounts[spec.name];
         if (!state)
             state = std::make_shared<AccountState>();
         for (const auto& digest : spec.more_credentials)
-            snapshot->account_by_digest[digest] = snapshot->accounts.size();
-        snapshot->account_by_digest[spec.credential_sha256] = snapshot->accounts.size();
-        snapshot->accounts.push_back({spec, state});
+            resolved.account_by_digest[digest] = resolved.accounts.size();
+        resolved.account_by_digest[spec.credential_sha256] = resolved.accounts.size();
+        resolved.accounts.push_back({spec, state});
     }
-    add_nobody(*snapshot);
-    return snapshot;
 }
 
 UpstreamSet
-UpstreamTable::resolve(const UpstreamSetSpec& spec)
+UpstreamTable::resolve_set(const UpstreamSetSpec& spec)
 {
     UpstreamSet set;
     set.id = id_of("set/" + spec.name);
@@ -233,9 +269,9 @@
 }
 
 void
-UpstreamTable::add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members,
-                           const std::map<std::string, std::size_t>& set_index)
+UpstreamTable::add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members)
 {
+    const auto set_index = index_sets(snapshot.bundle->sets);
     for (const UpstreamMember& member : members) {
         const auto set = set_index.find(member.upstream_set);
         if (set == set_index.end())
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -344,21 +344,21 @@
     const Bundle* bundle = fold.configuration();
     if (!bundle || !m_view.of(DirectoryTopic::Upstreams).next)
         return;
-    const bool same
-        = bundle->version == m_applied_version && fold.revision() == m_applied_revision;
-    if (same)
+    const bool is_new = !m_applied || bundle->version != m_applied->version;
+    if (!is_new && fold.revision() == m_applied_revision)
         return;
-    if (bundle->version != m_applied_version)
+    const Micros build_began_at = monotonic_us();
+    if (is_new) {
         LogEvent("configuration_in_force")
             .kv("version", bundle->version)
-            .kv("before", m_applied_version)
+            .kv("before", m_applied ? m_applied->version : 0)
             .kv("pipelines", bundle->pipelines.size())
             .kv("decode_us", m_taken_us);
-    m_applied_version = bundle->version;
+        m_applied = m_kernel.upstreams.resolve(*bundle);
+    }
     m_applied_revision = fold.revision();
     const auto members = fold.members();
-    const Micros build_began_at = monotonic_us();
-    m_kernel.snapshot.store(m_kernel.upstreams.build(*bundle, members));
+    m_kernel.snapshot.store(m_kernel.upstreams.build(m_applied, members));
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
         .kv("upstreams", members.size())
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -73,7 +73,7 @@
     std::map<DirectoryTopic, boost::asio::steady_timer> m_rests; ///< of the loops
     DirectoryView m_view;
     DirectoryFeedServer m_feed;
-    std::uint64_t m_applied_version = 0;
+    ResolvedBundlePtr m_applied; ///< the configuration in force
     std::uint64_t m_applied_revision = 0;
     Micros m_taken_us = 0; ///< spent on the records that were taken last
     Micros m_last_contact = 0;
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -55,8 +55,8 @@
     if (!header.starts_with(kBearer))
         return fail(ErrorKind::Unauthorized);
     const std::string digest = to_hex(sha256(header.substr(kBearer.size())));
-    auto it = snapshot.account_by_digest.find(digest);
-    if (it == snapshot.account_by_digest.end())
+    auto it = snapshot.bundle->account_by_digest.find(digest);
+    if (it == snapshot.bundle->account_by_digest.end())
         return fail(ErrorKind::Unauthorized);
     return it->second;
 }
@@ -119,8 +119,8 @@
     const auto account = find_account(request, *spec.snapshot);
     if (!account)
         return tl::unexpected(account.error());
-    const auto pipeline = spec.snapshot->pipeline_by_name.find(name);
-    if (pipeline == spec.snapshot->pipeline_by_name.end())
+    const auto pipeline = spec.snapshot->bundle->pipeline_by_name.find(name);
+    if (pipeline == spec.snapshot->bundle->pipeline_by_name.end())
         return fail(ErrorKind::NotFound);
     if (request.body.empty())
         return fail(ErrorKind::BadRequest, "empty body");
@@ -171,7 +171,7 @@
     session.pipeline = session_hash(context.pipeline);
     session.request = session_hash(context.body);
     session.expires = wall_ms() + m_kernel.settings.token_life / kMillisecond;
-    session.bundle_version = context.spec.snapshot->version;
+    session.bundle_version = context.spec.snapshot->bundle->version;
     const std::string_view token = request.headers.get("Last-Event-ID");
     if (token.empty() || !context.resolved().spec.stream)
         return {};
@@ -387,7 +387,7 @@
         .kv("outcome", outcome)
         .kv("ran", to_string(ran))
         .kv("key", context.key)
-        .kv("version", context.spec.snapshot->version)
+        .kv("version", context.spec.snapshot->bundle->version)
         .kv("expected_us", context.reply ? context.reply->expected : 0)
         .kv("retry_after_us", context.reply ? context.reply->retry_after : 0)
         .kv("first_us", context.relay ? context.relay->first_sent : 0)
--- a/src/libserve/hall_service.cpp
+++ b/src/libserve/hall_service.cpp
@@ -317,7 +317,7 @@
         if (m_membership.state(peer, now) == MemberState::Alive)
             for (const auto& [account, rate] : rates)
                 elsewhere[account] += rate;
-    for (const ResolvedAccount& account : snapshot->accounts) {
+    for (const ResolvedAccount& account : snapshot->bundle->accounts) {
         const std::uint64_t id = session_hash(account.spec.name);
         const std::uint64_t admitted
             = account.state->admitted.load(std::memory_order_relaxed);
--- a/src/libserve/operator_pages.cpp
+++ b/src/libserve/operator_pages.cpp
@@ -42,7 +42,7 @@
         total.merge(co_await asio::co_spawn(worker->io(), collect(), asio::use_awaitable));
     }
     const SnapshotPtr snapshot = kernel.snapshot.load();
-    const double version = snapshot ? static_cast<double>(snapshot->version) : 0;
+    const double version = snapshot ? static_cast<double>(snapshot->bundle->version) : 0;
     const std::vector<Gauge> gauges {
         {"cypressford_bundle_version", "Version of the bundle in force.", version},
         {"cypressford_in_progress", "Requests not answered yet.",
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -62,7 +62,7 @@
 
     const ResolvedPipeline& resolved() const
     {
-        return wanted.snapshot->pipelines[wanted.pipeline];
+        return wanted.snapshot->bundle->pipelines[wanted.pipeline];
     }
     const UpstreamSet& set_of(std::size_t stage) const
     {
--- a/src/libserve/placement_service.cpp
+++ b/src/libserve/placement_service.cpp
@@ -132,7 +132,7 @@
 PlacementService::wanted_models(const Snapshot& snapshot) const
 {
     std::vector<Wanted> result;
-    for (const ResolvedPipeline& pipeline : snapshot.pipelines) {
+    for (const ResolvedPipeline& pipeline : snapshot.bundle->pipelines) {
         for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at) {
             const StageSpec& stage = pipeline.spec.stages[at];
             const UpstreamSet& set = snapshot.sets[pipeline.sets[at]];
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -84,13 +84,14 @@
 account_of(const CallerCall& call, const Snapshot& snapshot, const PipelineSpec& spec)
 {
     if (!call.credential.empty()) {
-        const auto it = snapshot.account_by_digest.find(to_hex(sha256(call.credential)));
-        if (it != snapshot.account_by_digest.end())
+        const auto it
+            = snapshot.bundle->account_by_digest.find(to_hex(sha256(call.credential)));
+        if (it != snapshot.bundle->account_by_digest.end())
             return it->second;
     }
     // Without accounts there are no credentials to ask for.
-    if (spec.anonymous || snapshot.accounts.size() == 1)
-        return snapshot.nobody;
+    if (spec.anonymous || snapshot.bundle->accounts.size() == 1)
+        return snapshot.bundle->nobody;
     return fail(ErrorKind::Unauthorized);
 }
 
@@ -100,7 +101,7 @@
 Worker::apply_limits()
 {
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
-    const CallerLimits given = snapshot ? snapshot->limits : CallerLimits {};
+    const CallerLimits given = snapshot ? snapshot->bundle->limits : CallerLimits {};
     HttpLimits limits = m_kernel.reloaded.load()->limits;
     const auto duration
         = [](Micros time) { return std::chrono::milliseconds(time / kMillisecond); };
@@ -125,7 +126,7 @@
         const SnapshotPtr snapshot = m_kernel.snapshot.load();
         LogEvent("request_refused")
             .kv("request", call ? call->attempt : "")
-            .kv("version", snapshot ? snapshot->version : 0)
+            .kv("version", snapshot ? snapshot->bundle->version : 0)
             .kv("target", exchange.request().path())
             .kv("kind", error_row(made.error().kind).name)
             .kv("why", made.error().detail);
@@ -137,7 +138,7 @@
         .kv("request", context->log_id())
         .kv("pipeline", context->pipeline)
         .kv("account", context->account)
-        .kv("version", context->spec.snapshot->version)
+        .kv("version", context->spec.snapshot->bundle->version)
         .kv("generation", context->spec.snapshot->generation)
         .kv("deadline_us", context->spec.deadline - context->arrived)
         .kv("needs_pieces", context->spec.needs_pieces());
@@ -164,7 +165,8 @@
     auto call = m_kernel.calls->read_call(request);
     if (!call)
         return tl::unexpected(call.error());
-    const auto pipeline = spec.snapshot->match(call->host, request.path(), random_u64());
+    const auto pipeline
+        = spec.snapshot->bundle->match(call->host, request.path(), random_u64());
     if (!pipeline)
         return fail(ErrorKind::NotFound, call->host);
     spec.id = m_next_request++;
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -78,7 +78,7 @@
 
     const ResolvedPipeline& resolved() const
     {
-        return spec.snapshot->pipelines[spec.pipeline];
+        return spec.snapshot->bundle->pipelines[spec.pipeline];
     }
     /// What the log calls it: the caller's id, if it has one.
     std::string log_id() const
@@ -92,7 +92,7 @@
     }
     const ResolvedAccount& resolved_account() const
     {
-        return spec.snapshot->accounts[spec.account];
+        return spec.snapshot->bundle->accounts[spec.account];
     }
 };
 using ContextPtr = std::shared_ptr<RequestContext>;
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -269,7 +269,7 @@
         spec.id = id;
         spec.snapshot = m_snapshot;
         spec.pipeline = facts.pipeline;
-        spec.account = m_snapshot->nobody;
+        spec.account = m_snapshot->bundle->nobody;
         spec.deadline = m_now + kDeadline;
         spec.pieces = facts.counts;
         m_requests.emplace(id, std::move(facts));
@@ -446,7 +446,7 @@
                       || has_lost(facts.inputs));
         release_unreleased(facts.inputs);
         ++facts.preparations;
-        const auto& pipeline = m_snapshot->pipelines[facts.pipeline];
+        const auto& pipeline = m_snapshot->bundle->pipelines[facts.pipeline];
         facts.preparation.emplace(PiecePlan(pipeline.spec.piece_stages, facts.counts));
         m_preparing.insert(action.request);
     }
--- a/testsuite/fuzz/world.cpp
+++ b/testsuite/fuzz/world.cpp
@@ -170,18 +170,19 @@
     if (!daemon.alive || daemon.stopping || !daemon.snapshot)
         return;
     m_facts[id] = {index, daemon.incarnation, pipeline, key, body, 0, false, false, 0};
-    deliver(
-        index, daemon.incarnation, transit(), [this, id, pipeline, key, body](Daemon& d) {
-            RequestSpec spec;
-            spec.id = id;
-            spec.snapshot = d.snapshot;
-            spec.pipeline = pipeline;
-            spec.deadline = m_time.now() + d.snapshot->pipelines[pipeline].spec.deadline;
-            spec.has_key = !key.empty();
-            d.requests[id] = {body, std::nullopt};
-            m_facts[id].deadline = spec.deadline;
-            feed(d, RequestArrived {spec});
-        });
+    deliver(index, daemon.incarnation, transit(),
+            [this, id, pipeline, key, body](Daemon& d) {
+                RequestSpec spec;
+                spec.id = id;
+                spec.snapshot = d.snapshot;
+                spec.pipeline = pipeline;
+                spec.deadline
+                    = m_time.now() + d.snapshot->bundle->pipelines[pipeline].spec.deadline;
+                spec.has_key = !key.empty();
+                d.requests[id] = {body, std::nullopt};
+                m_facts[id].deadline = spec.deadline;
+                feed(d, RequestArrived {spec});
+            });
 }
 
 void
