Packed values are cached for each topic

Cause: the cache of packed values was one for all topics and went by the offset, so that two large records of different topics with one offset could be taken for each other. Change: a packer for each topic. The text dialect of the fuzzer is shared with unit tests; upstreams of the fuzzed world travel packed, too.

--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -96,8 +96,8 @@
     bool takes_packed = false; ///< daemons of an earlier version don't
 };
 
-/// Compresses large values for the daemons that ask for them, each against the value
-/// that its asker has.  A configuration of 836 kB crosses a link of 10 Mbit/s in
+/// Compresses large values of one topic for the daemons that ask for them, each against
+/// the value that its asker has.  A configuration of 836 kB crosses a link of 10 Mbit/s in
 /// 0.67 s, and a reader's link once for each of up to 32 followers.
 class RecordPacker {
 public:
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -28,6 +28,7 @@
     int misses = 0; ///< of the hall's reader, in a row
     int failures = 0; ///< of the directory itself, in a row
     RecordHistory history;
+    RecordPacker packer;
 };
 
 /// What a batch of records did.
@@ -117,7 +118,6 @@
     std::array<TopicView, std::size(kTopics)> m_views;
     DirectoryFold m_fold;
     DaemonTable m_daemons;
-    RecordPacker m_packer;
     std::vector<DaemonRecord> m_new_daemons;
     /// Newest record of each upstream, so that one that goes can be told with the
     /// sequence it had.
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -9,6 +9,9 @@
 #include <cypressford/daemon_table.h>
 #include <cypressford/directory.h>
 #include <cypressford/directory_feed.h>
+#include <cypressford/directory_view.h>
+
+#include "text_dialect.h"
 
 namespace cypressford {
 namespace {
@@ -417,6 +420,46 @@
     }
 }
 
+TEST_CASE("large records of two topics that have the same offset keep apart")
+{
+    const TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, kSecond);
+    DirectoryView reader(dialect, pace, kGrace, "reader", "hall", 400, 0);
+    DirectoryView follower(dialect, pace, kGrace, "follower", "hall", 400, 0);
+    for (DirectoryView* view : {&reader, &follower})
+        for (const DirectoryTopic topic : DirectoryView::kTopics)
+            view->end_listing(topic, 0, 0, 0);
+    const std::string filler(10'000, ' ');
+    reader.take_page(DirectoryTopic::Configuration, 0, {{"config", "7" + filler}}, 0, 0, 0);
+    reader.take_page(DirectoryTopic::Upstreams, 0, {{"a", "3" + filler + "!"}}, 0, 0, 0);
+    const FeedAnswer answer = reader.answer_to(follower.query(), 0);
+    REQUIRE(answer.topics.at(0).records.size() == 1);
+    CHECK(answer.topics[0].records[0].packed);
+    follower.take_answer(answer, 0, 0);
+    REQUIRE(follower.fold().configuration());
+    CHECK(follower.fold().configuration()->version == 7);
+    const auto members = follower.fold().members();
+    REQUIRE(members.size() == 1);
+    CHECK(members[0].leaving);
+}
+
+TEST_CASE("a daemon that can't unpack is sent whole values")
+{
+    const TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, kSecond);
+    DirectoryView reader(dialect, pace, kGrace, "reader", "hall", 400, 0);
+    for (const DirectoryTopic topic : DirectoryView::kTopics)
+        reader.end_listing(topic, 0, 0, 0);
+    const std::string value = "7" + std::string(10'000, ' ');
+    reader.take_page(DirectoryTopic::Configuration, 0, {{"config", value}}, 0, 0, 0);
+    FeedQuery query;
+    query.cursors = {{DirectoryTopic::Configuration, 0}};
+    const FeedAnswer answer = reader.answer_to(query, 0);
+    REQUIRE(answer.topics.at(0).records.size() == 1);
+    CHECK_FALSE(answer.topics[0].records[0].packed);
+    CHECK(answer.topics[0].records[0].record.value == value);
+}
+
 TEST_CASE("what goes through a reader is in force within the bound")
 {
     for (const Micros bound : {1000, 2000, 3000, 10000}) {
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -228,7 +228,7 @@
 {
     FeedAnswer answer;
     for (const FeedQuery::Cursor& cursor : query.cursors) {
-        const TopicView& view = of(cursor.topic);
+        TopicView& view = of(cursor.topic);
         FeedAnswer::Topic topic;
         topic.topic = cursor.topic;
         if (auto records = view.history.since(cursor.from)) {
@@ -238,7 +238,7 @@
             topic.records = *std::move(records);
             if (query.takes_packed)
                 for (OffsetRecord& entry : topic.records)
-                    entry = m_packer.pack(entry, view.history, cursor.base);
+                    entry = view.packer.pack(entry, view.history, cursor.base);
         }
         answer.topics.push_back(std::move(topic));
     }
--- /dev/null
+++ b/src/libcypressford/text_dialect.h
@@ -0,0 +1,58 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// A dialect for tests of what is decided from records, without any platform's format.
+
+#pragma once
+
+#include <string>
+
+#include <cypressford/directory.h>
+
+namespace cypressford {
+
+/// Records as plain text: a version, or "sequence" with "!" for one that is leaving.
+class TextDialect final : public DirectoryDialect {
+public:
+    HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
+    HttpRequest read(DirectoryTopic, Offset, Micros) const override { return {}; }
+    HttpRequest append(DirectoryTopic, const DirectoryRecord&) const override { return {}; }
+    Result<DirectoryPage> decode_newest(const HttpResponse&) const override { return {}; }
+    Result<DirectoryPage> decode_read(const HttpResponse&) const override { return {}; }
+
+    Result<Bundle> decode_configuration(const DirectoryRecord& record) const override
+    {
+        Bundle bundle;
+        bundle.name = "text";
+        bundle.version = std::stoull(record.value);
+        UpstreamSetSpec set;
+        set.name = "set";
+        set.kind = "service";
+        bundle.upstream_sets.push_back(set);
+        PipelineSpec pipeline;
+        pipeline.name = "pipeline";
+        pipeline.relayed = true;
+        pipeline.host = "host";
+        pipeline.path_prefix = "/";
+        pipeline.deadline = kSecond;
+        StageSpec stage;
+        stage.name = "answer";
+        stage.upstream_set = "set";
+        pipeline.stages.push_back(stage);
+        bundle.pipelines.push_back(pipeline);
+        return bundle;
+    }
+    Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const override
+    {
+        UpstreamRecord result;
+        result.sequence = std::stoull(record.value);
+        result.member.identity = record.key;
+        result.member.upstream_set = "set";
+        result.member.address = "127.0.0.1:1";
+        result.member.leaving = record.value.back() == '!';
+        return result;
+    }
+};
+
+} // namespace cypressford
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -25,6 +25,8 @@
 #include <cypressford/directory_view.h>
 #include <cypressford/mutation.h>
 
+#include "libcypressford/text_dialect.h"
+
 ABSL_FLAG(int, cases, 20000, "cases to run");
 ABSL_FLAG(std::uint64_t, seed, 20261202, "first seed");
 ABSL_FLAG(bool, mutations, false, "check that each deliberate fault is caught");
@@ -37,59 +39,22 @@
 constexpr std::size_t kUpstreams = 5;
 constexpr std::size_t kTopics = 2; ///< configuration and upstreams
 
-/// Larger than what is sent between daemons as it is, so that it goes there compressed.
-constexpr std::size_t kConfigurationBytes = 5000;
+/// Values are larger than what is sent between daemons as it is, so that they go there
+/// compressed.
+constexpr std::size_t kFillerBytes = 5000;
+
+std::string
+large_value(std::size_t number, const std::string& mark)
+{
+    return std::to_string(number) + std::string(kFillerBytes, ' ') + mark;
+}
 
 DirectoryRecord
 configuration_of(std::size_t version)
 {
-    const std::string number = std::to_string(version);
-    return {"config", number + std::string(kConfigurationBytes, ' ') + number};
+    return {"config", large_value(version, std::to_string(version))};
 }
 
-/// Records as plain text: a version, or "sequence" with "!" for one that is leaving.
-class TextDialect final : public DirectoryDialect {
-public:
-    HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
-    HttpRequest read(DirectoryTopic, Offset, Micros) const override { return {}; }
-    HttpRequest append(DirectoryTopic, const DirectoryRecord&) const override { return {}; }
-    Result<DirectoryPage> decode_newest(const HttpResponse&) const override { return {}; }
-    Result<DirectoryPage> decode_read(const HttpResponse&) const override { return {}; }
-
-    Result<Bundle> decode_configuration(const DirectoryRecord& record) const override
-    {
-        Bundle bundle;
-        bundle.name = "text";
-        bundle.version = std::stoull(record.value);
-        UpstreamSetSpec set;
-        set.name = "set";
-        set.kind = "service";
-        bundle.upstream_sets.push_back(set);
-        PipelineSpec pipeline;
-        pipeline.name = "pipeline";
-        pipeline.relayed = true;
-        pipeline.host = "host";
-        pipeline.path_prefix = "/";
-        pipeline.deadline = kSecond;
-        StageSpec stage;
-        stage.name = "answer";
-        stage.upstream_set = "set";
-        pipeline.stages.push_back(stage);
-        bundle.pipelines.push_back(pipeline);
-        return bundle;
-    }
-    Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const override
-    {
-        UpstreamRecord result;
-        result.sequence = std::stoull(record.value);
-        result.member.identity = record.key;
-        result.member.upstream_set = "set";
-        result.member.address = "127.0.0.1:1";
-        result.member.leaving = record.value.back() == '!';
-        return result;
-    }
-};
-
 struct Written {
     DirectoryRecord record;
     Micros at = 0;
@@ -267,7 +232,7 @@
             m_leaving.insert(upstream);
         const std::string mark = m_leaving.contains(upstream) ? "!" : "";
         append(DirectoryTopic::Upstreams,
-               {name_of(upstream), std::to_string(++m_sequences[upstream]) + mark});
+               {name_of(upstream), large_value(++m_sequences[upstream], mark)});
     }
 
     void go(std::size_t upstream)
@@ -289,7 +254,7 @@
         if (m_sequences[upstream] < 2)
             return;
         append(DirectoryTopic::Upstreams,
-               {name_of(upstream), std::to_string(m_sequences[upstream] - 1)});
+               {name_of(upstream), large_value(m_sequences[upstream] - 1, "")});
     }
 
     void restart(std::size_t daemon)
@@ -407,7 +372,8 @@
             const auto next = daemon.view->of(topic.topic).next;
             if (topic.topic != DirectoryTopic::Upstreams || !next)
                 continue;
-            for (const OffsetRecord& entry : topic.records) {
+            for (OffsetRecord entry : topic.records) {
+                RC_ASSERT(RecordPacker::unpack(entry, RecordHistory()));
                 note_told(daemon, entry.record);
                 if (entry.record.value.empty() && entry.offset >= *next)
                     daemon.ended.insert(entry.record.key);
