Releases are gathered and results given up by classes of their own

ReleaseOutbox gathers what requests are done with, ResultKeepers gives results up at their upstreams; the service keeps who is told.

--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -32,9 +32,6 @@
 constexpr Micros kNoHold = std::numeric_limits<Micros>::max();
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-/// Results that are given up wait so long for others of the same keeper.
-constexpr std::chrono::milliseconds kFreeLinger {5};
-constexpr Micros kFreePatience = 500 * kMillisecond;
 
 /// Empty if the set has no such upstream (any more).
 std::string
@@ -95,7 +92,11 @@
           io, kernel.settings.limits,
           [this](HttpExchange& exchange) { return serve(exchange); },
           [](ErrorKind kind) { return problem_response(problem_of(kind)); })
-    , m_client(io)
+    , m_outbox(io,
+               [this](Releases spent) {
+                   asio::co_spawn(m_io, tell_releases(std::move(spent)), asio::detached);
+               })
+    , m_keepers(io, kernel, [this](const Releases& freed) { m_maker.note_releases(freed); })
 {
 }
 
@@ -130,7 +131,7 @@
     } else if (path == PeerLink::kReleasePath) {
         const auto spent = decode_releases(exchange.request().body);
         if (spent)
-            free_at_keepers(*spent);
+            take_releases(*spent);
         HttpResponse done;
         done.content_type = "text/plain";
         co_await exchange.respond(std::move(done));
@@ -525,30 +526,18 @@
     asio::post(m_io, [this, results = std::move(results)] { free_now(results); });
 }
 
-Releases&
-PieceService::release_at(const std::string& set_name)
-{
-    if (!m_flushing) {
-        m_flushing = true;
-        asio::co_spawn(m_io, flush_freed(), asio::detached);
-    }
-    Releases& releases = m_releases[set_name];
-    releases.upstream_set = set_name;
-    return releases;
-}
-
 void
 PieceService::free_now(const std::vector<PieceHandle>& results)
 {
     for (const PieceHandle& result : results)
-        release_at(result.upstream_set).handles.push_back(result.handle);
+        m_outbox.add_result(result.upstream_set, result.handle);
 }
 
 void
 PieceService::note_begun(std::string set_name, std::string attempt)
 {
     asio::post(m_io, [this, set_name = std::move(set_name), attempt = std::move(attempt)] {
-        release_at(set_name).begun.push_back(attempt);
+        m_outbox.add_begun(set_name, attempt);
     });
 }
 
@@ -556,21 +545,10 @@
 PieceService::note_ended(std::string set_name, std::string attempt)
 {
     asio::post(m_io, [this, set_name = std::move(set_name), attempt = std::move(attempt)] {
-        release_at(set_name).ended.push_back(attempt);
+        m_outbox.add_ended(set_name, attempt);
     });
 }
 
-asio::awaitable<void>
-PieceService::flush_freed()
-{
-    asio::steady_timer timer(m_io);
-    timer.expires_after(kFreeLinger);
-    co_await timer.async_wait(kToTuple);
-    m_flushing = false;
-    for (auto& [set_name, releases] : std::exchange(m_releases, {}))
-        asio::co_spawn(m_io, tell_releases(std::move(releases)), asio::detached);
-}
-
 /// The daemon that leads the set gives results up at their keepers, so that it
 /// knows what room there is; if it is silent, they are given up from here.
 asio::awaitable<void>
@@ -579,11 +557,11 @@
     const std::string leader = m_peers.leader_of(spent.upstream_set);
     const bool told = !leader.empty() && co_await m_link.tell_releases(leader, spent);
     if (!told)
-        free_at_keepers(spent);
+        take_releases(spent);
 }
 
 void
-PieceService::free_at_keepers(const Releases& spent)
+PieceService::take_releases(const Releases& spent)
 {
     if (const auto placer = m_placers.find(spent.upstream_set); placer != m_placers.end()) {
         for (const std::string& attempt : spent.begun)
@@ -591,34 +569,7 @@
         for (const std::string& attempt : spent.ended)
             placer->second.note_ended(attempt);
     }
-    std::map<std::string, Releases> by_keeper;
-    for (const std::string& handle : spent.handles) {
-        Releases& at_keeper = by_keeper[m_kernel.calls->keeper_of(handle)];
-        at_keeper.upstream_set = spent.upstream_set;
-        at_keeper.handles.push_back(handle);
-    }
-    for (auto& [keeper, releases] : by_keeper)
-        asio::co_spawn(m_io, free_at_keeper(keeper, std::move(releases)), asio::detached);
-}
-
-/// The room counts as free only when the keeper has answered: a call that is sent on
-/// the strength of it must not come there before.
-asio::awaitable<void>
-PieceService::free_at_keeper(std::string keeper, Releases releases)
-{
-    CallOptions options;
-    options.deadline_us = monotonic_us() + kFreePatience;
-    options.send_clock = false;
-    const CallResult result = co_await m_client.call(
-        keeper, m_kernel.calls->free_results(releases.handles), std::move(options));
-    if (result.status == CallStatus::Answered) {
-        m_maker.note_releases(releases);
-        co_return;
-    }
-    LogEvent("release_lost", LogLevel::Warn)
-        .kv("set", releases.upstream_set)
-        .kv("upstream", keeper)
-        .kv("results", releases.handles.size());
+    m_keepers.free(spent);
 }
 
 } // namespace cypressford
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -20,6 +20,8 @@
 #include "peer_link.h"
 #include "peer_watch.h"
 #include "piece_maker.h"
+#include "release_outbox.h"
+#include "result_keepers.h"
 
 namespace cypressford {
 
@@ -96,19 +98,16 @@
                                               std::int64_t near_bytes, bool reserve);
     static std::vector<std::string> unreachable(const Job& job);
     PlaceAnswer place_here(const PlaceQuery& query);
-    Releases& release_at(const std::string& set_name);
     PieceOrder order_for(const Job& job, std::size_t stage) const;
     BytesByHall bytes_by_hall(const Job& job,
                               const std::vector<std::string>& handles) const;
     std::string hall_for(const Job& job, std::size_t stage) const;
     void free_now(const std::vector<PieceHandle>& results);
-    void free_at_keepers(const Releases& spent);
-    boost::asio::awaitable<void> free_at_keeper(std::string keeper, Releases releases);
+    void take_releases(const Releases& spent);
     boost::asio::awaitable<void> tell_releases(Releases spent);
     static std::vector<PieceHandle> with_sets(const Job& job,
                                               const std::vector<std::string>& handles);
     void note_wait(const Job& job, const std::string& set_name, Micros wait);
-    boost::asio::awaitable<void> flush_freed();
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
@@ -116,11 +115,10 @@
     PeerLink m_link;
     PeerWatch m_peers;
     HttpServer m_server;
-    HttpClient m_client;
+    ReleaseOutbox m_outbox;
+    ResultKeepers m_keepers;
     std::map<std::uint64_t, JobPtr> m_jobs;
     std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
-    std::map<std::string, Releases> m_releases; ///< to be told, by upstream set
-    bool m_flushing = false;
 };
 
 } // namespace cypressford
--- /dev/null
+++ b/src/libserve/release_outbox.cpp
@@ -0,0 +1,75 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "release_outbox.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// Releases wait so long for others of the same set: a leader gets 200 messages a second
+/// of one daemon at most.
+constexpr std::chrono::milliseconds kLinger {5};
+
+} // namespace
+
+ReleaseOutbox::ReleaseOutbox(asio::io_context& io, Tell tell)
+    : m_io(io)
+    , m_tell(std::move(tell))
+{
+}
+
+void
+ReleaseOutbox::add_result(const std::string& set_name, std::string handle)
+{
+    of(set_name).handles.push_back(std::move(handle));
+}
+
+void
+ReleaseOutbox::add_begun(const std::string& set_name, std::string attempt)
+{
+    of(set_name).begun.push_back(std::move(attempt));
+}
+
+void
+ReleaseOutbox::add_ended(const std::string& set_name, std::string attempt)
+{
+    of(set_name).ended.push_back(std::move(attempt));
+}
+
+Releases&
+ReleaseOutbox::of(const std::string& set_name)
+{
+    if (!m_flushing) {
+        m_flushing = true;
+        asio::co_spawn(m_io, flush(), asio::detached);
+    }
+    Releases& releases = m_releases[set_name];
+    releases.upstream_set = set_name;
+    return releases;
+}
+
+asio::awaitable<void>
+ReleaseOutbox::flush()
+{
+    asio::steady_timer timer(m_io);
+    timer.expires_after(kLinger);
+    co_await timer.async_wait(kToTuple);
+    m_flushing = false;
+    for (auto& [set_name, releases] : std::exchange(m_releases, {}))
+        m_tell(std::move(releases));
+}
+
+} // namespace cypressford
