--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -30,8 +30,9 @@
 };
 
 /// The newest records of one topic that changed something.  Bounded: the oldest go, but
-/// never the newest, however large it is.  A configuration of 1.3 MB was not handed on
-/// by a bound of 1 MB, and every daemon read it at the directory.
+/// never the newest, however large it is: what is not kept is not handed on, and every
+/// daemon of the hall reads it at the directory (5.1 MB instead of 2.6 for two changes of
+/// a configuration of 1.3 MB at two daemons).
 class RecordHistory {
 public:
     /// Nothing is known of what came before `end`.
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -183,9 +183,9 @@
 };
 
 /// A bundle with its pipelines and accounts resolved.  Never changes once made, and is
-/// shared by all snapshots of the bundle: while upstreams are replaced they change each
-/// second, and resolving 4,250 pipelines took a node of 0.12 of a core 133 ms each time
-/// (median of 675).
+/// shared by all snapshots of the bundle: upstreams that are replaced make a snapshot a
+/// second, and resolving 4,250 pipelines takes a node of 0.12 of a core 133 ms (median of
+/// 675).
 struct ResolvedBundle {
     std::string name;
     std::uint64_t version = 0;
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -49,16 +49,17 @@
     bool m_cancelled = false;
 };
 
-/// How long the body of an answer may take.  A limit for the whole of it would cut off
-/// what is large on a thin link and have it begun anew from its start, so bytes that come
-/// keep a call alive.
+/// How long the body of an answer may take.  A limit for the whole of it cuts off what is
+/// large on a thin link and has it begun anew from its start (275 of 314 transfers of a
+/// configuration of 836 kB with 0.8 s, 10 Mbit/s), so bytes that come keep a call alive.
 struct BodyPatience {
     std::int64_t gap_us = 0; ///< between bytes; 0: the call's deadline holds for the body
     std::int64_t limit_us = 0; ///< for all of it, against a sender of a byte now and then
 };
 
-/// For answers of the directory and of its readers: the largest that is taken (8 MB)
-/// needs 6.7 s on a link of 10 Mbit/s.  The gap bears two lost packets in a row.
+/// For answers whose size grows with a deployment: the largest that is taken (8 MB) needs
+/// 6.7 s on a link of 10 Mbit/s.  The gap bears two losses of one packet, resent after 0.2
+/// and 0.4 s.
 constexpr BodyPatience kLargeBody {800'000, 10'000'000};
 
 struct CallOptions {
