--- a/src/libserve/directory_store.cpp
+++ b/src/libserve/directory_store.cpp
@@ -3,6 +3,8 @@
 
 #include "directory_store.h"
 
+#include <utility>
+
 #include <cypressford/registry.h>
 
 #include "libutil/event_log.h"
@@ -58,8 +60,11 @@
 }
 
 asio::awaitable<HttpResponse>
-DirectoryStore::call(DirectoryTopic topic, HttpRequest request, Micros patience)
+DirectoryStore::call(DirectoryTopic topic, std::string_view kind, HttpRequest request,
+                     Micros patience)
 {
+    ++m_calls[std::string(kind) + "_" + std::string(to_string(topic))];
+    m_kernel.directory_calls.fetch_add(1, std::memory_order_relaxed);
     CallOptions options;
     const Micros asked_at = monotonic_us();
     options.deadline_us = asked_at + patience;
@@ -78,7 +83,7 @@
 DirectoryStore::newest(DirectoryTopic topic, std::string after)
 {
     auto page = m_dialect->decode_newest(
-        co_await call(topic, m_dialect->newest(topic, after), kPatience));
+        co_await call(topic, "list", m_dialect->newest(topic, after), kPatience));
     co_return page;
 }
 
@@ -86,7 +91,7 @@
 DirectoryStore::read(DirectoryTopic topic, Offset from, Micros wait)
 {
     auto page = m_dialect->decode_read(
-        co_await call(topic, m_dialect->read(topic, from, wait), wait + kPatience));
+        co_await call(topic, "read", m_dialect->read(topic, from, wait), wait + kPatience));
     co_return page;
 }
 
@@ -94,7 +99,18 @@
 DirectoryStore::append(DirectoryTopic topic, DirectoryRecord record)
 {
     HttpRequest request = m_dialect->append(topic, record);
-    co_await call(topic, std::move(request), kPatience);
+    co_await call(topic, "append", std::move(request), kPatience);
+}
+
+void
+DirectoryStore::log_calls(std::string_view role)
+{
+    if (m_calls.empty())
+        return;
+    LogEvent line("directory_calls");
+    line.kv("role", role);
+    for (const auto& [what, count] : std::exchange(m_calls, {}))
+        line.kv(what, count);
 }
 
 } // namespace cypressford
--- a/src/libserve/directory_store.h
+++ b/src/libserve/directory_store.h
@@ -3,8 +3,10 @@
 
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -31,13 +33,18 @@
 
     const DirectoryDialect& dialect() const { return *m_dialect; }
 
+    /// One log line on the calls since the last such line, if there were any.  `role`: of
+    /// this daemon, reader or follower.
+    void log_calls(std::string_view role);
+
 private:
-    boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, HttpRequest request,
-                                              Micros patience);
+    boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, std::string_view kind,
+                                              HttpRequest request, Micros patience);
 
     Kernel& m_kernel;
     const std::unique_ptr<DirectoryDialect> m_dialect;
     HttpClient m_client;
+    std::map<std::string, int> m_calls; ///< since the last line, by kind and topic
 };
 
 } // namespace cypressford
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -34,6 +34,8 @@
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// A reader that did not tell what it should is not asked for so long.
 constexpr Micros kDistrust = 3 * kSecond;
+/// Between log lines on the calls to the directory.
+constexpr Micros kReportPace = 10 * kSecond;
 constexpr int kOk = 200;
 
 } // namespace
@@ -66,6 +68,7 @@
         asio::co_spawn(m_io, follow(topic), asio::detached);
     asio::co_spawn(m_io, publish_own(), asio::detached);
     asio::co_spawn(m_io, follow_reader(), asio::detached);
+    asio::co_spawn(m_io, report_calls(), asio::detached);
     return {};
 }
 
@@ -114,6 +117,15 @@
     }
 }
 
+asio::awaitable<void>
+DirectoryWatch::report_calls()
+{
+    for (;;) {
+        co_await pause(kReportPace);
+        m_store.log_calls(reader() ? "follower" : "reader");
+    }
+}
+
 // --------------------------------------------------------- from the directory
 
 std::optional<DaemonRecord>
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -46,6 +46,7 @@
 private:
     boost::asio::awaitable<void> publish_own();
     boost::asio::awaitable<void> publish_once();
+    boost::asio::awaitable<void> report_calls();
 
     // One loop for each topic asks the directory; one more asks the reader of the hall.
     boost::asio::awaitable<void> follow(DirectoryTopic topic);
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -47,6 +47,7 @@
     std::atomic<bool> stopping {false};
     std::atomic<int> daemons_in_hall {1};
     std::atomic<int> daemons {1}; ///< live ones of all halls, as far as known
+    std::atomic<std::uint64_t> directory_calls {0}; ///< to the platform, since the start
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
