Who loses a leader asks the next leaders, not all daemons

Cause: each daemon that lost an order asked all others for a sign of life: 86,700 calls when 295 lose one leader, 0.6 s of a node of 0.12 of a core. Change: the leader and the next of each set are asked.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -51,14 +51,16 @@
     /// Alive daemons of one hall.
     int alive_in(std::string_view hall) const;
 
-    /// Addresses of the other daemons that are alive and not suspected.
-    std::vector<std::string> trusted() const;
-
     /// Address of the daemon that leads the set; empty for this daemon itself.  A lead
     /// is work in one lump, so only nodes with at least half of the capacity of the
     /// strongest get one.
     std::string leader_of(std::string_view set_name) const;
 
+    /// Addresses of the daemons that lead the set, now and when those before them go; not
+    /// this daemon's own.
+    std::vector<std::string> next_leaders(std::string_view set_name,
+                                          std::size_t count) const;
+
     /// The daemon that reads the directory for this one's part of the hall, a strong node;
     /// nothing for this daemon itself.
     std::optional<DaemonRecord> reader_of(std::string_view hall) const;
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -112,16 +112,6 @@
         }));
 }
 
-std::vector<std::string>
-DaemonTable::trusted() const
-{
-    std::vector<std::string> addresses;
-    for (const auto& [node, known] : m_daemons)
-        if (node != m_own_node && is_alive(known) && !known.suspected)
-            addresses.push_back(known.record.peers_address);
-    return addresses;
-}
-
 std::vector<const DaemonTable::Known*>
 DaemonTable::candidates() const
 {
@@ -171,6 +161,21 @@
     return is_other ? leader->record.peers_address : std::string {};
 }
 
+std::vector<std::string>
+DaemonTable::next_leaders(std::string_view set_name, std::size_t count) const
+{
+    std::vector<const Known*> able = candidates();
+    keep_strong(able);
+    std::vector<std::string> addresses;
+    while (addresses.size() < count && !able.empty()) {
+        const Known* leader = choose(able, set_name);
+        if (leader->record.node != m_own_node)
+            addresses.push_back(leader->record.peers_address);
+        std::erase(able, leader);
+    }
+    return addresses;
+}
+
 std::optional<DaemonRecord>
 DaemonTable::reader_of(std::string_view hall) const
 {
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -165,6 +165,27 @@
     CHECK(moved > 5);
 }
 
+TEST_CASE("the next leaders of a set are those that take it over, one after the other")
+{
+    DaemonTable table("own", 5 * kSecond);
+    table.apply(daemon("own", 1), 0);
+    constexpr int daemons = 300;
+    for (int i = 0; i < daemons; ++i)
+        table.apply(daemon("d" + std::to_string(i), 1), 0);
+    for (const char* set : {"engines", "encoders", "rerankers"}) {
+        const std::vector<std::string> next = table.next_leaders(set, 3);
+        REQUIRE(next.size() == 3);
+        DaemonTable later = table;
+        for (const std::string& address : next) {
+            if (later.leader_of(set).empty())
+                break; // this daemon itself comes in between
+            CHECK(later.leader_of(set) == address);
+            later.suspect(address);
+        }
+    }
+    CHECK(table.next_leaders("engines", 2 * daemons).size() == daemons);
+}
+
 TEST_CASE("a daemon is gone when it is silent, stopping or suspected")
 {
     DaemonTable table("own", 5 * kSecond);
--- a/src/libserve/peer_watch.cpp
+++ b/src/libserve/peer_watch.cpp
@@ -4,6 +4,7 @@
 #include "peer_watch.h"
 
 #include <algorithm>
+#include <set>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,8 +25,11 @@
 /// A daemon that lost an order leads nothing for so long, and until it gives a sign
 /// of life.
 constexpr std::chrono::milliseconds kSuspectTime {1500};
-/// Between checks of all other daemons.
+/// Between checks of those that lead.
 constexpr Micros kCheckPace = 500 * kMillisecond;
+/// Of each set its leader and the next are checked: a hall that goes takes both with it
+/// in 1 of 25 cases where there are five halls.
+constexpr std::size_t kCheckedOfSet = 2;
 
 } // namespace
 
@@ -69,18 +73,24 @@
     LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
     m_link.give_up(address);
     asio::co_spawn(m_io, watch_suspect(address), asio::detached);
-    check_others();
+    check_leaders();
 }
 
-/// Daemons often go together.  All others are asked at once, so that orders do not
-/// find out one daemon after the other.
+/// Daemons often go together.  Those that lead, or would next, are asked at once, so that
+/// orders do not find out one daemon after the other.  No others: when 295 daemons lose one
+/// leader, asking everybody is 86,700 calls, 0.6 s of a node of 0.12 of a core.
 void
-PeerWatch::check_others()
+PeerWatch::check_leaders()
 {
-    if (monotonic_us() - m_checked_at < kCheckPace)
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot || monotonic_us() - m_checked_at < kCheckPace)
         return;
     m_checked_at = monotonic_us();
-    for (const std::string& address : m_daemons.trusted())
+    std::set<std::string> checked;
+    for (const UpstreamSet& set : snapshot->sets)
+        for (std::string& address : m_daemons.next_leaders(set.spec.name, kCheckedOfSet))
+            checked.insert(std::move(address));
+    for (const std::string& address : checked)
         asio::co_spawn(m_io, check(address), asio::detached);
 }
 
--- a/src/libserve/peer_watch.h
+++ b/src/libserve/peer_watch.h
@@ -36,7 +36,7 @@
     void suspect(const std::string& address);
 
 private:
-    void check_others();
+    void check_leaders();
     boost::asio::awaitable<void> check(std::string address);
     boost::asio::awaitable<void> watch_suspect(std::string address);
 
@@ -44,7 +44,7 @@
     Kernel& m_kernel;
     PeerLink& m_link;
     DaemonTable m_daemons;
-    Micros m_checked_at = 0; ///< when all daemons were last asked for a sign of life
+    Micros m_checked_at = 0; ///< when those that lead were last asked for a sign of life
 };
 
 } // namespace cypressford
