Upstreams that one daemon can't reach are avoided by all

Cause: at 295 daemons each sends an engine a request in minutes, so that it never learns alone which are gone; while a hall of five is cut off, each request placed there loses 250 ms first. Change: a request that could not be given to the engine chosen for it is reported to the leader of the set, which keeps a circuit breaker for each engine and each pair of halls (reach_table).

--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -38,6 +38,7 @@
     std::vector<std::string> handles; ///< results that nobody will read any more
     std::vector<std::string> begun; ///< requests whose prompt is read
     std::vector<std::string> ended; ///< requests that the set runs no longer
+    std::vector<std::string> unreached; ///< that could not be given to their upstream
 };
 
 /// Which engine of a set is to read a prompt.
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -28,6 +28,7 @@
     ToleratedCost, ///< an engine that keeps the prompt may cost somewhat more
     NearResults, ///< engines near the results, where these outweigh the prompt
     EjectSilent, ///< upstreams that do not begin to answer are taken out
+    SharedReach, ///< upstreams that one daemon can't reach are avoided by all
     StrongLeaders, ///< only nodes with half of the strongest one's capacity lead
     kCount
 };
@@ -38,7 +39,7 @@
 inline constexpr std::array<std::string_view, kMechanisms> kMechanismNames {
     "hall_waits",    "whole_groups", "full_calls_first", "late_tier",    "drop_late_pieces",
     "early_release", "latest_start", "transfer_halls",   "stable_homes", "tolerated_cost",
-    "near_results",  "eject_silent", "strong_leaders"};
+    "near_results",  "eject_silent", "shared_reach",     "strong_leaders"};
 
 /// Nothing for an unknown name.
 constexpr std::optional<Mechanism>
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -16,6 +16,7 @@
 
 #include <cypressford/call_dialect.h>
 #include <cypressford/policy.h>
+#include <cypressford/reach_table.h>
 #include <cypressford/upstream.h>
 
 namespace cypressford {
@@ -32,6 +33,7 @@
     /// are needed.  A prompt's home is found in a hall with that probability.
     std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities
+    std::string from; ///< hall of the daemon that will send it
     bool reserve = false; ///< false: only a question
 };
 
@@ -64,6 +66,8 @@
     void note_begun(const std::string& attempt);
     /// The answer ended, or the request was given up.
     void note_ended(const std::string& attempt);
+    /// The request could not be given to the upstream chosen for it.
+    void note_unreached(const std::string& attempt, Micros now);
 
 private:
     struct KeptPart {
@@ -84,6 +88,8 @@
         std::string identity;
         std::int64_t unread = 0;
         Micros at = 0;
+        std::string hall; ///< of the upstream
+        std::string from; ///< hall of the daemon that sends it
     };
 
     struct Choice {
@@ -91,9 +97,11 @@
         double cost = 0;
         double weight = 0;
         bool is_near = false; ///< where the rest of what it reads lies, if that counts
+        bool is_avoided = false; ///< failed for others lately
     };
     std::vector<Choice> choices(const UpstreamSet& set, const PromptQuery& query,
                                 Micros now);
+    static void leave_out_avoided(std::vector<Choice>& choices);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
     double cost(const UpstreamState& upstream, const PromptQuery& query);
     std::int64_t tokens_known_elsewhere(const PromptQuery& query,
@@ -105,6 +113,7 @@
     PolicySwitches m_switches;
     std::unordered_map<std::string, Engine> m_engines; ///< by identity
     std::unordered_map<std::string, Placed> m_placed; ///< by attempt
+    ReachTable m_reach;
     Micros m_expired_at = 0;
     Read m_last_read;
 };
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -145,6 +145,10 @@
 struct ReleaseInputs {
     RequestId request = 0;
 };
+/// Tell whoever chose the upstream of `request` that it could not be reached.
+struct ReportUnreached {
+    RequestId request = 0;
+};
 /// Give up on the pieces of `request`.
 struct CancelPreparation {
     RequestId request = 0;
@@ -169,7 +173,7 @@
 };
 using Action
     = std::variant<SendAttempt, CancelAttempt, BeginClaim, EndClaim, BeginPreparation,
-                   CancelPreparation, ReleaseInputs, Reply, Forget>;
+                   CancelPreparation, ReleaseInputs, ReportUnreached, Reply, Forget>;
 using Actions = std::vector<Action>;
 
 /// Settings of a scheduler; the bundle knows nothing of these.
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -90,6 +90,8 @@
         out.add_begun(attempt);
     for (const std::string& attempt : spent.ended)
         out.add_ended(attempt);
+    for (const std::string& attempt : spent.unreached)
+        out.add_unreached(attempt);
     return out.SerializeAsString();
 }
 
@@ -102,7 +104,8 @@
     return Releases {in.upstream_set(),
                      {in.handles().begin(), in.handles().end()},
                      {in.begun().begin(), in.begun().end()},
-                     {in.ended().begin(), in.ended().end()}};
+                     {in.ended().begin(), in.ended().end()},
+                     {in.unreached().begin(), in.unreached().end()}};
 }
 
 std::string
@@ -116,6 +119,7 @@
     out.set_affinity(prompt.affinity);
     out.set_near(prompt.near);
     out.set_near_bytes(prompt.near_bytes);
+    out.set_from(prompt.from);
     out.set_reserve(prompt.reserve);
     out.mutable_hall_parts()->insert(prompt.hall_parts.begin(), prompt.hall_parts.end());
     for (const PrefixPart& part : prompt.parts) {
@@ -141,6 +145,7 @@
     query.prompt.affinity = in.affinity();
     query.prompt.near = in.near();
     query.prompt.near_bytes = in.near_bytes();
+    query.prompt.from = in.from();
     query.prompt.reserve = in.reserve();
     query.prompt.hall_parts = {in.hall_parts().begin(), in.hall_parts().end()};
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -350,9 +350,10 @@
     REQUIRE(told);
     REQUIRE(told->pieces.size() == 2);
     CHECK(told->pieces[1].outcome == PieceOutcome::Late);
-    const auto freed = decode_releases(encode(Releases {"s", {"h"}, {"b"}, {"e"}}));
+    const auto freed = decode_releases(encode(Releases {"s", {"h"}, {"b"}, {"e"}, {"u"}}));
     REQUIRE(freed);
     CHECK(freed->ended == Handles {"e"});
+    CHECK(freed->unreached == Handles {"u"});
 }
 
 TEST_CASE("mechanisms are found by their names, and each can be switched off")
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -30,6 +30,9 @@
 constexpr double kToleratedTokens = 1500;
 /// A hall without upstreams for pieces counts as having this part of them.
 constexpr double kLeastPart = 0.02;
+/// Upstreams that failed for others are avoided while at least this part of those that are
+/// usable is left; otherwise the fault is the teller's: one hall of six is enough to go on.
+constexpr double kLeastPartLeft = 0.16;
 /// Without a word of it, a request is forgotten after this time.
 constexpr Micros kForgetAfter = 15 * kSecond;
 constexpr Micros kExpirePace = 1 * kSecond;
@@ -141,12 +144,26 @@
             if (avoided || !is_usable(*upstream, now))
                 continue;
             const bool is_near = keeps_near && upstream->hall == query.near;
+            const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
+                && m_reach.avoids(query.from, upstream->identity, upstream->hall, now);
             result.push_back({upstream, cost(*upstream, query),
-                              weight_of(*upstream, query, key), is_near});
+                              weight_of(*upstream, query, key), is_near, is_avoided});
         }
+    leave_out_avoided(result);
     return result;
 }
 
+void
+PromptPlacer::leave_out_avoided(std::vector<Choice>& choices)
+{
+    const auto is_avoided = [](const Choice& choice) { return choice.is_avoided; };
+    const auto avoided
+        = std::count_if(choices.begin(), choices.end(), is_avoided);
+    const auto left = static_cast<double>(choices.size()) - static_cast<double>(avoided);
+    if (left >= kLeastPartLeft * static_cast<double>(choices.size()))
+        std::erase_if(choices, is_avoided);
+}
+
 std::shared_ptr<UpstreamState>
 PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
@@ -191,7 +208,9 @@
     m_last_read = {unread, tokens_known_elsewhere(query, unread)};
     engine.unread += unread;
     ++engine.running;
-    m_placed[query.attempt] = {upstream.identity, unread, now};
+    m_placed[query.attempt]
+        = {upstream.identity, unread, now, upstream.hall, query.from};
+    m_reach.note_sent(query.from, upstream.identity, upstream.hall, now);
     const auto capacity = static_cast<std::int64_t>(
         kKeptPart * static_cast<double>(set.spec.memory_tokens));
     for (const PrefixPart& part : query.parts)
@@ -204,8 +223,22 @@
     const auto it = m_placed.find(attempt);
     if (it == m_placed.end())
         return;
-    m_engines[it->second.identity].unread -= it->second.unread;
-    it->second.unread = 0;
+    Placed& placed = it->second;
+    m_engines[placed.identity].unread -= placed.unread;
+    placed.unread = 0;
+    m_reach.note_answered(placed.from, placed.identity, placed.hall);
+}
+
+void
+PromptPlacer::note_unreached(const std::string& attempt, Micros now)
+{
+    const auto it = m_placed.find(attempt);
+    if (it == m_placed.end())
+        return;
+    const Placed& placed = it->second;
+    m_reach.note_unreached(placed.from, placed.identity, placed.hall, now);
+    // It goes elsewhere now: its answer says nothing of this upstream.
+    note_ended(attempt);
 }
 
 void
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -153,6 +153,47 @@
     CHECK(*bench.find<Reply>()->error == ErrorKind::UpstreamFailed);
 }
 
+TEST_CASE("an upstream that can't be reached is reported to the leader that chose it")
+{
+    const auto begin = [](Bench& bench, Micros deadline) {
+        PipelineSpec spec = pipeline(true);
+        spec.stages[0].kind = StageKind::Generate;
+        bench.publish(spec);
+        bench.arrive(1, deadline, {}, true);
+        bench.handle(PreparationEnded {1, true, "a", "i2"});
+        REQUIRE(bench.find<SendAttempt>());
+        REQUIRE(bench.find<SendAttempt>()->upstream->identity == "i2");
+    };
+    Bench bench;
+    begin(bench, 10 * kSecond);
+    bench.handle(AttemptEnded {bench.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    CHECK(bench.find<ReportUnreached>());
+    // The next one was the router's choice.
+    const auto* second = bench.find<SendAttempt>();
+    REQUIRE(second);
+    CHECK(second->upstream->identity == "i1");
+    bench.handle(AttemptEnded {second->attempt, AttemptStatus::NotSent});
+    CHECK_FALSE(bench.find<ReportUnreached>());
+
+    Bench refused;
+    begin(refused, 10 * kSecond);
+    refused.handle(
+        AttemptEnded {refused.find<SendAttempt>()->attempt, AttemptStatus::Overloaded});
+    CHECK_FALSE(refused.find<ReportUnreached>());
+
+    // With too little time left for a connection, its end says nothing.
+    Bench late;
+    begin(late, 100 * kMillisecond);
+    late.handle(AttemptEnded {late.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    CHECK_FALSE(late.find<ReportUnreached>());
+
+    Bench silent;
+    begin(silent, 20 * kSecond);
+    silent.now = 10 * kSecond;
+    silent.handle(Tick {});
+    CHECK(silent.find<ReportUnreached>());
+}
+
 TEST_CASE("what never reached an upstream is not paid for, what did is")
 {
     SchedulerOptions options;
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -41,6 +41,9 @@
 /// what it takes usually, and after this time in any case, is taken for silent.
 inline constexpr Micros kSilenceOverTypical = 8;
 inline constexpr Micros kSilenceFloor = 1 * kSecond;
+/// A request that had less time left than a connection may take says nothing of its
+/// upstream.
+inline constexpr Micros kTimeToConnect = 250 * kMillisecond;
 /// Upstreams that one stage may fail to reach before it is given up.
 inline constexpr int kMaxUnreached = 6;
 /// Keeps divisions finite when no upstream is usable.
@@ -217,6 +220,7 @@
     void observe(const Attempt& attempt, AttemptStatus status);
     bool is_evidence(const Attempt& attempt, AttemptStatus status) const;
     bool may_eject(const Attempt& attempt) const;
+    void report_unreached(const Attempt& attempt);
     void settle_attempt(Entry& entry, const Attempt& attempt, AttemptStatus status);
     static ErrorKind failure_of(AttemptStatus status, bool once);
     static ErrorKind claim_error(ClaimResult result);
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -30,6 +30,8 @@
     case AttemptStatus::NotSent:
     case AttemptStatus::Failed:
     case AttemptStatus::Lost:
+        if (status == AttemptStatus::NotSent && !attempt.cancelled)
+            report_unreached(attempt);
         if (!attempt.cancelled && options.eject && is_evidence(attempt, status)
             && may_eject(attempt)
             && upstream.note_failure(
@@ -39,6 +41,21 @@
     }
 }
 
+/// Only of the upstream that the leader of the set had chosen: of others it does not know
+/// which request went there.
+void
+Scheduler::Impl::report_unreached(const Attempt& attempt)
+{
+    const auto it = entries.find(attempt.request);
+    if (it == entries.end() || !options.switches.uses(Mechanism::SharedReach))
+        return;
+    const Request& request = it->second->request;
+    const bool had_time = request.spec.deadline - attempt.sent_at > kTimeToConnect;
+    if (had_time && request.spec.asks_leader
+        && request.placed_at == attempt.upstream->identity)
+        out->push_back(ReportUnreached {attempt.request});
+}
+
 /// A call that its own request's deadline cut short says little about the
 /// upstream, unless it had taken far longer than such calls take.
 bool
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -398,6 +398,7 @@
     query.prompt.near = std::move(near);
     query.prompt.near_bytes = near_bytes;
     query.prompt.reserve = reserve;
+    query.prompt.from = m_kernel.settings.hall;
     query.prompt.avoid = unreachable(*job);
     if (job->wanted.homed)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
@@ -549,6 +550,14 @@
     });
 }
 
+void
+PieceService::note_unreached(std::string set_name, std::string attempt)
+{
+    asio::post(m_io, [this, set_name = std::move(set_name), attempt = std::move(attempt)] {
+        m_outbox.add_unreached(set_name, attempt);
+    });
+}
+
 /// The daemon that leads the set gives results up at their keepers, so that it
 /// knows what room there is; if it is silent, they are given up from here.
 asio::awaitable<void>
@@ -564,6 +573,8 @@
 PieceService::take_releases(const Releases& spent)
 {
     if (const auto placer = m_placers.find(spent.upstream_set); placer != m_placers.end()) {
+        for (const std::string& attempt : spent.unreached)
+            placer->second.note_unreached(attempt, monotonic_us());
         for (const std::string& attempt : spent.begun)
             placer->second.note_begun(attempt);
         for (const std::string& attempt : spent.ended)
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -75,6 +75,8 @@
     /// The answer of a request began, or ended, at the set.
     void note_begun(std::string set_name, std::string attempt);
     void note_ended(std::string set_name, std::string attempt);
+    /// A request could not be given to the upstream chosen for it.
+    void note_unreached(std::string set_name, std::string attempt);
     void take_daemons(std::vector<DaemonRecord> records);
 
     /// To be called on the service's own thread.
--- a/src/libserve/release_outbox.cpp
+++ b/src/libserve/release_outbox.cpp
@@ -49,6 +49,12 @@
     of(set_name).ended.push_back(std::move(attempt));
 }
 
+void
+ReleaseOutbox::add_unreached(const std::string& set_name, std::string attempt)
+{
+    of(set_name).unreached.push_back(std::move(attempt));
+}
+
 Releases&
 ReleaseOutbox::of(const std::string& set_name)
 {
--- a/src/libserve/release_outbox.h
+++ b/src/libserve/release_outbox.h
@@ -31,6 +31,8 @@
     /// The answer of a request began, or ended, at the set.
     void add_begun(const std::string& set_name, std::string attempt);
     void add_ended(const std::string& set_name, std::string attempt);
+    /// A request could not be given to the upstream chosen for it.
+    void add_unreached(const std::string& set_name, std::string attempt);
 
 private:
     Releases& of(const std::string& set_name);
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -231,6 +231,16 @@
         m_kernel.pieces->free_results(std::exchange(it->second->relay->inputs, {}));
 }
 
+void
+Worker::act(const ReportUnreached& action)
+{
+    const auto it = m_contexts.find(action.request);
+    if (it == m_contexts.end() || !it->second->relay || !m_kernel.pieces)
+        return;
+    const RequestContext& context = *it->second;
+    m_kernel.pieces->note_unreached(context.set_name(), context.relay->call.attempt);
+}
+
 void
 Worker::act(const CancelPreparation& action)
 {
--- a/src/libserve/worker.h
+++ b/src/libserve/worker.h
@@ -157,6 +157,7 @@
     void act(Actions& actions);
     void act(const SendAttempt& action);
     void act(const CancelAttempt& action);
+    void act(const ReportUnreached& action);
     void act(const BeginClaim& action);
     void act(const EndClaim& action);
     void act(const BeginPreparation& action);
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -470,6 +470,12 @@
         release_unreleased(facts.inputs);
     }
 
+    void act(const ReportUnreached& action)
+    {
+        // Of a request that an upstream has, nothing may be told.
+        RC_ASSERT(!m_requests.at(action.request).forgotten);
+    }
+
     void act(const Reply& action)
     {
         RequestFacts& facts = m_requests.at(action.request);
