One daemon reads the directory for the readers of all halls

Cause: ten readers made 26 calls a second to tell 295 daemons the same. Change: a root reader; the readers of halls ask it, and are told signs of life too, so that they know the newest sequence of an upstream when they come to read the directory themselves. Each step has its part of the bearable age; who loses the one it asks reads the directory itself.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -17,6 +17,24 @@
 
 namespace cypressford {
 
+/// Whom a daemon hears of the directory from.  One daemon of the fleet reads it, one of each
+/// part of a hall asks that one, and the others ask the reader of their part: a fleet of 295
+/// makes 2.6 calls a second so, and 26 if each of its ten readers reads by itself.
+enum class DirectoryRole : unsigned char {
+    Root, ///< reads the directory itself
+    HallReader, ///< asks the root reader, and is asked by its part of the hall
+    Follower
+};
+
+/// For logs.
+std::string_view to_string(DirectoryRole role);
+
+/// A role, and whom it asks.
+struct DirectorySource {
+    DirectoryRole role = DirectoryRole::Root;
+    std::optional<DaemonRecord> daemon; ///< nothing: the directory itself
+};
+
 /// Records of daemons, with the time each was last seen to change.  A lead is no
 /// lock: two daemons that lead the same set cost calls that are less full, and
 /// nothing else.
@@ -65,6 +83,13 @@
     /// nothing for this daemon itself.
     std::optional<DaemonRecord> reader_of(std::string_view hall) const;
 
+    /// The daemon that reads the directory for the readers of all halls, a strong node;
+    /// nothing for this daemon itself.
+    std::optional<DaemonRecord> root_reader() const;
+
+    /// Whom this daemon, of that hall, asks.
+    DirectorySource source_for(std::string_view hall) const;
+
     /// A daemon without a new record for so long is silent.
     void set_silent_after(Micros time) { m_silent_after = time; }
 
@@ -80,6 +105,7 @@
 
     bool is_alive(const Known& known) const;
     std::vector<const Known*> candidates() const;
+    std::optional<DaemonRecord> other_than_this(const Known* known) const;
     void keep_strong(std::vector<const Known*>& candidates) const;
     /// The candidate with the highest random weight for that key; null for none.
     static const Known* choose(const std::vector<const Known*>& candidates,
--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -27,6 +27,7 @@
     DirectoryRecord record;
     bool packed = false; ///< the value is compressed, on its way between daemons only
     std::uint64_t base = 0; ///< hash of the value it is compressed against; 0: none
+    bool is_sign = false; ///< of an upstream's life: it changed nothing
 };
 
 /// The newest records of one topic that changed something.  Bounded: the oldest go, but
@@ -80,9 +81,11 @@
     /// Without contact for so long, records may have lapsed by the directory's fault.
     Micros outage;
     Micros stale_after; ///< older knowledge is renewed at the directory itself
-    Micros read_wait; ///< a reader's question waits so long at the directory
-    Micros read_pause; ///< between a reader's looks at what changes all the time
-    Micros hold; ///< a question to a reader waits so long for news
+    Micros reader_stale_after; ///< the same of those that others ask
+    Micros read_wait; ///< a question waits so long at the directory
+    Micros read_pause; ///< between looks at what changes all the time
+    Micros hold; ///< a question to the reader of a hall waits so long for news
+    Micros reader_hold; ///< one reader's question to another waits so long
 };
 
 /// What a daemon asks the reader of its hall.
@@ -95,6 +98,10 @@
     std::vector<Cursor> cursors;
     Micros wait = 0; ///< for news
     bool takes_packed = false; ///< daemons of an earlier version don't
+    /// Also records that changed nothing: whoever may come to read the directory itself
+    /// must know an upstream's newest sequence, or takes an older record, written late,
+    /// for its return.
+    bool wants_signs = false;
 };
 
 /// Compresses large values of one topic for the daemons that ask for them, each against
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -75,7 +75,7 @@
     /// The directory answered what the reader should have told before.  True if the
     /// reader is not to be trusted any more: once, that may be because the directory
     /// was away until then.
-    bool note_missed(DirectoryTopic topic);
+    bool note_missed(DirectoryTopic topic, Micros now);
 
     // For other daemons.
 
@@ -83,12 +83,12 @@
     bool must_answer(const FeedQuery& query) const;
     FeedAnswer answer_to(const FeedQuery& query, Micros now);
 
-    /// The daemon that reads the directory for this hall; nothing for this daemon.
-    std::optional<DaemonRecord> reader() const;
+    /// What this daemon is to the directory, and whom it asks.
+    DirectorySource source() const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
     /// How long a question may wait at the directory.
-    Micros wait_of(DirectoryTopic topic) const;
+    Micros wait_of(DirectoryTopic topic, Micros now) const;
 
     /// Records of daemons that came since the last call.
     std::vector<DaemonRecord> take_new_daemons();
@@ -99,6 +99,8 @@
         return static_cast<std::size_t>(topic);
     }
     bool are_listed() const;
+    /// True while all daemons may be starting and don't know each other yet.
+    bool is_new(Micros now) const;
     bool is_after_outage(DirectoryTopic topic, Micros now) const;
     bool take_record(DirectoryTopic topic, const DirectoryRecord& record, bool after_outage,
                      Micros now, DirectoryChange& change);
@@ -108,6 +110,8 @@
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
                     DirectoryChange& change);
     void keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record);
+    void keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed);
+    void add_signs(std::vector<OffsetRecord>& records, Offset from) const;
     void confirm(DirectoryTopic topic, Micros as_of, Micros now);
 
     const DirectoryDialect& m_dialect;
@@ -119,9 +123,13 @@
     DirectoryFold m_fold;
     DaemonTable m_daemons;
     std::vector<DaemonRecord> m_new_daemons;
+    struct LastRecord {
+        std::string value;
+        Offset offset = 0; ///< 0: listed
+    };
     /// Newest record of each upstream, so that one that goes can be told with the
     /// sequence it had.
-    std::map<std::string, std::string> m_last_records;
+    std::map<std::string, LastRecord> m_last_records;
 };
 
 } // namespace cypressford
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -37,6 +37,20 @@
 
 } // namespace
 
+std::string_view
+to_string(DirectoryRole role)
+{
+    switch (role) {
+    case DirectoryRole::Root:
+        return "root";
+    case DirectoryRole::HallReader:
+        return "hall_reader";
+    case DirectoryRole::Follower:
+        break;
+    }
+    return "follower";
+}
+
 bool
 DaemonTable::apply(const DaemonRecord& record, Micros now)
 {
@@ -188,10 +202,40 @@
     const std::size_t groups = able.size() / kDaemonsOfReader + 1;
     const std::size_t group = weight_of(m_own_node, hall) % groups;
     keep_strong(able);
-    const Known* reader = choose(able, std::string(hall) + "/" + std::to_string(group));
-    if (!reader || reader->record.node == m_own_node)
+    return other_than_this(
+        choose(able, std::string(hall) + "/" + std::to_string(group)));
+}
+
+std::optional<DaemonRecord>
+DaemonTable::root_reader() const
+{
+    std::vector<const Known*> able = candidates();
+    std::erase_if(able,
+                  [](const Known* known) { return known->record.feed_address.empty(); });
+    keep_strong(able);
+    return other_than_this(choose(able, "root"));
+}
+
+DirectorySource
+DaemonTable::source_for(std::string_view hall) const
+{
+    // In this order, so that the root reader asks nobody: not the reader of its own hall,
+    // which asks it.
+    std::optional<DaemonRecord> root = root_reader();
+    if (!root)
+        return {DirectoryRole::Root, std::nullopt};
+    std::optional<DaemonRecord> of_hall = reader_of(hall);
+    if (!of_hall)
+        return {DirectoryRole::HallReader, std::move(root)};
+    return {DirectoryRole::Follower, std::move(of_hall)};
+}
+
+std::optional<DaemonRecord>
+DaemonTable::other_than_this(const Known* known) const
+{
+    if (!known || known->record.node == m_own_node)
         return std::nullopt;
-    return reader->record;
+    return known->record;
 }
 
 Micros
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -23,11 +23,15 @@
 /// Part of the time within which a change must be in force: knowledge that is older is
 /// renewed at the directory itself, which leaves a third of the time for asking.
 constexpr double kStalePart = 0.65;
-/// Parts of that age.  At worst a reader's knowledge is one wait old when an answer that
-/// was held begins its way: together they stay below the age, or every follower asks the
-/// directory besides its reader (295 daemons, bound 4 s, heartbeat 1.2 s: 2.2 s of 1.92).
-constexpr double kWaitPart = 0.46;
-constexpr double kHoldPart = 0.38;
+/// Parts of that age.  What a follower knows is at worst as old as one wait at the directory,
+/// one hold at the root reader, one at the reader of its hall and the messages together; if
+/// the root reader fails, as what a reader bears and one hold.  Both stay below the age, or
+/// every follower asks the directory besides its reader (295 daemons, bound 4 s, heartbeat
+/// 1.2 s, 2.2 s of 1.92: 712 changes of readers on a calm day, and half of all calls).
+constexpr double kReaderStalePart = 0.75;
+constexpr double kWaitPart = 0.42;
+constexpr double kReaderHoldPart = 0.25;
+constexpr double kHoldPart = 0.2;
 /// A record lapses after three heartbeats without a write, the last of which may be
 /// one heartbeat old when an outage begins.
 constexpr Micros kHeartbeatsOfOutage = 2;
@@ -178,7 +182,7 @@
     }
     if (known->value.empty())
         return entry;
-    return {entry.offset, {entry.record.key, known->value}, true, used};
+    return {entry.offset, {entry.record.key, known->value}, true, used, entry.is_sign};
 }
 
 bool
@@ -193,7 +197,7 @@
         = cypressford::unpack(entry.record.value, base.value_or(std::string_view {}));
     if (!value)
         return false;
-    entry = {entry.offset, {entry.record.key, *std::move(value)}, false, 0};
+    entry = {entry.offset, {entry.record.key, *std::move(value)}, false, 0, entry.is_sign};
     return true;
 }
 
@@ -201,9 +205,11 @@
     : outage(kHeartbeatsOfOutage * heartbeat)
     , stale_after(
           std::min(part_of(bound, kStalePart), part_of(outage, kStalePartOfOutage)))
+    , reader_stale_after(part_of(stale_after, kReaderStalePart))
     , read_wait(part_of(stale_after, kWaitPart))
     , read_pause(part_of(stale_after, kWaitPart))
     , hold(part_of(stale_after, kHoldPart))
+    , reader_hold(part_of(stale_after, kReaderHoldPart))
 {
 }
 
@@ -219,6 +225,7 @@
     }
     out.set_wait_ms(to_ms(query.wait));
     out.set_takes_packed(query.takes_packed);
+    out.set_wants_signs(query.wants_signs);
     return out.SerializeAsString();
 }
 
@@ -231,6 +238,7 @@
     FeedQuery query;
     query.wait = in.wait_ms() * kMillisecond;
     query.takes_packed = in.takes_packed();
+    query.wants_signs = in.wants_signs();
     for (const proto::FeedCursor& cursor : in.cursors())
         if (const auto topic = topic_of(cursor.topic()))
             query.cursors.push_back({*topic, cursor.offset(), cursor.base()});
@@ -255,6 +263,7 @@
             record->set_value(entry.record.value);
             record->set_packed(entry.packed);
             record->set_base(entry.base);
+            record->set_sign(entry.is_sign);
         }
     }
     return out.SerializeAsString();
@@ -281,7 +290,8 @@
             known.records.push_back({record.offset(),
                                      {record.key(), record.value()},
                                      record.packed(),
-                                     record.base()});
+                                     record.base(),
+                                     record.sign()});
         answer.topics.push_back(std::move(known));
     }
     return answer;
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -281,6 +281,78 @@
     CHECK(name_at(0) == name_at(1));
 }
 
+/// `daemons` in five halls, three strong ones in each.
+std::vector<DaemonRecord>
+fleet(int daemons)
+{
+    constexpr int halls = 5;
+    constexpr int strong = 15;
+    std::vector<DaemonRecord> records;
+    for (int i = 0; i < daemons; ++i) {
+        records.push_back(daemon("d" + std::to_string(i), 1));
+        records.back().hall = "h" + std::to_string(i % halls);
+        records.back().feed_address = records.back().node + ":2";
+        records.back().capacity = i < strong ? 0.5 : 0.12;
+    }
+    return records;
+}
+
+/// Whom each daemon of the fleet asks, by its node; those in `cut` can't be reached.
+std::map<std::string, DirectorySource>
+sources(const std::vector<DaemonRecord>& records, const std::set<std::string>& cut = {})
+{
+    std::map<std::string, DirectorySource> result;
+    for (const DaemonRecord& own : records) {
+        DaemonTable table(own.node, 5 * kSecond);
+        for (const DaemonRecord& record : records)
+            table.apply(record, 0);
+        for (const std::string& node : cut)
+            table.suspect(node + ":1");
+        result[own.node] = table.source_for(own.hall);
+    }
+    return result;
+}
+
+TEST_CASE("one daemon of the fleet reads the directory, others ask it in two steps")
+{
+    const std::vector<DaemonRecord> records = fleet(295);
+    std::map<std::string, DirectorySource> all = sources(records);
+    std::set<std::string> roots;
+    std::set<std::string> readers;
+    for (const auto& [node, source] : all) {
+        if (source.role == DirectoryRole::Root)
+            roots.insert(node);
+        if (source.role == DirectoryRole::HallReader)
+            readers.insert(node);
+    }
+    REQUIRE(roots.size() == 1);
+    CHECK(readers.size() >= 5);
+    CHECK(readers.size() <= 10);
+    for (const auto& [node, source] : all) {
+        if (source.role == DirectoryRole::HallReader)
+            CHECK(source.daemon->node == *roots.begin());
+        if (source.role != DirectoryRole::Follower)
+            continue;
+        // Nobody asks one that asks somebody who asks back.
+        const DirectorySource& asked = all.at(source.daemon->node);
+        CHECK(asked.role != DirectoryRole::Follower);
+    }
+    // If it goes, all agree on another one.
+    std::set<std::string> next;
+    for (const auto& [node, source] : sources(records, roots))
+        if (source.role == DirectoryRole::HallReader)
+            next.insert(source.daemon->node);
+    REQUIRE(next.size() == 1);
+    CHECK_FALSE(roots.contains(*next.begin()));
+}
+
+TEST_CASE("a daemon that is alone reads the directory itself")
+{
+    const std::vector<DaemonRecord> alone = fleet(1);
+    CHECK(sources(alone).begin()->second.role == DirectoryRole::Root);
+    CHECK_FALSE(sources(alone).begin()->second.daemon);
+}
+
 TEST_CASE("daemons of a large hall are spread over several readers")
 {
     std::map<std::string, int> followers;
@@ -490,10 +562,15 @@
     for (const Micros bound : {1000, 2000, 3000, 4000, 10000}) {
         const DirectoryPace pace(bound * kMillisecond, 1200 * kMillisecond);
         // A reader's knowledge is as old as its question; an answer may be held.
-        const Micros usual = std::max(pace.read_wait, pace.read_pause) + pace.hold;
+        const Micros of_root = std::max(pace.read_wait, pace.read_pause);
+        const Micros of_reader = of_root + pace.reader_hold;
+        CHECK(of_reader < pace.reader_stale_after);
+        CHECK(of_reader + pace.hold < pace.stale_after);
+        // A reader that loses the root reader renews what it knows before its followers
+        // ask the directory themselves.
+        CHECK(pace.reader_stale_after + pace.hold < pace.stale_after);
         CHECK(pace.stale_after < bound * kMillisecond);
         CHECK(pace.stale_after <= pace.outage);
-        CHECK(usual < pace.stale_after);
     }
 }
 
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/directory_view.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include <cypressford/mutation.h>
@@ -66,7 +67,7 @@
     for (const DirectoryRecord& record : records) {
         take_record(topic, record, after_outage, now, change);
         if (topic == DirectoryTopic::Upstreams)
-            m_last_records[record.key] = record.value;
+            m_last_records[record.key] = {record.value, 0};
     }
     return change;
 }
@@ -99,7 +100,7 @@
             change.news |= topic != DirectoryTopic::Daemons;
         }
         if (topic == DirectoryTopic::Upstreams && !record.value.empty())
-            m_last_records[record.key] = record.value;
+            m_last_records[record.key] = {record.value, offset};
         ++offset;
     }
     view.next = std::max(view.next.value_or(offset), offset);
@@ -125,7 +126,7 @@
     const bool is_end = topic == DirectoryTopic::Upstreams && record.value.empty();
     if (is_end && last != m_last_records.end()) {
         if (!mutated(Mutation::ForgetLastRecord))
-            history.append(offset, {last->first, last->second});
+            history.append(offset, {last->first, last->second.value});
         m_last_records.erase(last);
     }
     history.append(offset, record);
@@ -137,8 +138,10 @@
 DirectoryView::query() const
 {
     FeedQuery query;
-    query.wait = m_pace.hold;
+    const bool is_reader = source().role != DirectoryRole::Follower;
+    query.wait = is_reader ? m_pace.reader_hold : m_pace.hold;
     query.takes_packed = true;
+    query.wants_signs = is_reader;
     for (const DirectoryTopic topic : kTopics) {
         const TopicView& view = of(topic);
         query.cursors.push_back({topic, view.next.value_or(0), view.history.state_hash()});
@@ -184,11 +187,7 @@
         const bool changed
             = take_record(topic.topic, whole.record, after_outage, now, change);
         change.news |= changed && topic.topic != DirectoryTopic::Daemons;
-        // Kept also if it changed nothing here: it may do so elsewhere.
-        if (changed && topic.topic == DirectoryTopic::Configuration)
-            view.history.append_state(whole.offset, whole.record);
-        else
-            view.history.append(whole.offset, whole.record);
+        keep_told(topic.topic, whole, changed);
     }
     view.next = std::max(seen, topic.next);
     view.history.advance(*view.next);
@@ -197,10 +196,28 @@
     confirm(topic.topic, as_of, now);
 }
 
+/// Keeps what another daemon told for those that ask this one.
+void
+DirectoryView::keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed)
+{
+    RecordHistory& history = of(topic).history;
+    if (topic == DirectoryTopic::Upstreams) {
+        if (told.record.value.empty())
+            m_last_records.erase(told.record.key);
+        else
+            m_last_records[told.record.key] = {told.record.value, told.offset};
+    }
+    if (changed && topic == DirectoryTopic::Configuration)
+        history.append_state(told.offset, told.record);
+    else if (changed || !told.is_sign)
+        // Kept also if it changed nothing here: it may do so elsewhere.
+        history.append(told.offset, told.record);
+}
+
 bool
-DirectoryView::note_missed(DirectoryTopic topic)
+DirectoryView::note_missed(DirectoryTopic topic, Micros now)
 {
-    if (topic == DirectoryTopic::Daemons)
+    if (topic == DirectoryTopic::Daemons || is_new(now))
         return false;
     int& misses = of(topic).misses;
     if (++misses < kMissesAllowed)
@@ -236,6 +253,8 @@
             topic.next = view.history.next();
             topic.age = now - view.as_of;
             topic.records = *std::move(records);
+            if (query.wants_signs && cursor.topic == DirectoryTopic::Upstreams)
+                add_signs(topic.records, cursor.from);
             if (query.takes_packed)
                 for (OffsetRecord& entry : topic.records)
                     entry = view.packer.pack(entry, view.history, cursor.base);
@@ -245,12 +264,32 @@
     return answer;
 }
 
+/// Newest records of upstreams at `from` or later that changed nothing.
+void
+DirectoryView::add_signs(std::vector<OffsetRecord>& records, Offset from) const
+{
+    std::set<Offset> told;
+    for (const OffsetRecord& entry : records)
+        told.insert(entry.offset);
+    for (const auto& [key, last] : m_last_records)
+        if (last.offset >= from && !told.contains(last.offset))
+            records.push_back({last.offset, {key, last.value}, false, 0, true});
+    std::stable_sort(records.begin(), records.end(),
+                     [](const auto& a, const auto& b) { return a.offset < b.offset; });
+}
+
 // ------------------------------------------------------------- when and whom
 
-std::optional<DaemonRecord>
-DirectoryView::reader() const
+bool
+DirectoryView::is_new(Micros now) const
+{
+    return now - m_started_at < kFirstLooks;
+}
+
+DirectorySource
+DirectoryView::source() const
 {
-    return are_listed() ? m_daemons.reader_of(m_hall) : std::nullopt;
+    return are_listed() ? m_daemons.source_for(m_hall) : DirectorySource {};
 }
 
 Micros
@@ -260,27 +299,31 @@
     if (!view.next)
         return 0;
     const bool is_daemons = topic == DirectoryTopic::Daemons;
-    if (reader()) {
+    const DirectoryRole role = source().role;
+    if (role != DirectoryRole::Root) {
         if (view.overdue)
             return 0;
-        const Micros stale = is_daemons ? kDaemonsStale : m_pace.stale_after;
+        const Micros bearable = role == DirectoryRole::HallReader
+            ? m_pace.reader_stale_after
+            : m_pace.stale_after;
+        const Micros stale = is_daemons ? kDaemonsStale : bearable;
         // While the directory is away it is not asked without a pause.
         return std::max(view.as_of + stale, view.asked_at + kRetryPause) - now;
     }
-    if (topic == DirectoryTopic::Configuration)
+    // At first nearly all find out soon that another one reads: none of them waits there.
+    if (topic == DirectoryTopic::Configuration && !is_new(now))
         return 0;
-    const bool is_first = now - m_started_at < kFirstLooks;
-    const Micros daemons_pace = is_first ? kDaemonsFirstPace : kDaemonsPace;
+    const Micros daemons_pace = is_new(now) ? kDaemonsFirstPace : kDaemonsPace;
     return view.asked_at + (is_daemons ? daemons_pace : m_pace.read_pause) - now;
 }
 
 /// A record that came while a question waited leaves open when; asked again without
 /// waiting, the directory confirms it at once.
 Micros
-DirectoryView::wait_of(DirectoryTopic topic) const
+DirectoryView::wait_of(DirectoryTopic topic, Micros now) const
 {
-    const bool waits
-        = topic == DirectoryTopic::Configuration && !reader() && !of(topic).just_changed;
+    const bool waits = topic == DirectoryTopic::Configuration && !is_new(now)
+        && source().role == DirectoryRole::Root && !of(topic).just_changed;
     return waits ? m_pace.read_wait : 0;
 }
 
--- a/src/libserve/directory_store.h
+++ b/src/libserve/directory_store.h
@@ -34,7 +34,7 @@
     const DirectoryDialect& dialect() const { return *m_dialect; }
 
     /// One log line on the calls since the last such line, if there were any.  `role`: of
-    /// this daemon, reader or follower.
+    /// this daemon.
     void log_calls(std::string_view role);
 
 private:
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -122,16 +122,16 @@
 {
     for (;;) {
         co_await pause(kReportPace);
-        m_store.log_calls(reader() ? "follower" : "reader");
+        m_store.log_calls(to_string(source().role));
     }
 }
 
 // --------------------------------------------------------- from the directory
 
-std::optional<DaemonRecord>
-DirectoryWatch::reader() const
+DirectorySource
+DirectoryWatch::source() const
 {
-    return m_kernel.settings.feed_address.empty() ? std::nullopt : m_view.reader();
+    return m_kernel.settings.feed_address.empty() ? DirectorySource {} : m_view.source();
 }
 
 asio::awaitable<void>
@@ -146,7 +146,7 @@
             co_await timer.async_wait(kToTuple);
             continue;
         }
-        const std::optional<DaemonRecord> should_tell = reader();
+        const std::optional<DaemonRecord> should_tell = source().daemon;
         const bool missed = should_tell && !view.overdue;
         view.overdue = false;
         Result<void> done;
@@ -161,7 +161,7 @@
             continue;
         }
         view.failures = 0;
-        if (missed && m_view.note_missed(topic))
+        if (missed && m_view.note_missed(topic, monotonic_us()))
             suspect_reader(*should_tell, "stale");
     }
 }
@@ -173,7 +173,7 @@
 {
     if (!m_kernel.snapshot.load())
         return kFirstRetryPause;
-    if (!reader())
+    if (source().role == DirectoryRole::Root)
         return kRetryPause;
     return kRetryPause << std::min(failures, kMaxRetryDoublings);
 }
@@ -205,8 +205,8 @@
 DirectoryWatch::read(DirectoryTopic topic)
 {
     TopicView& view = m_view.of(topic);
-    const Micros wait = m_view.wait_of(topic);
     const Micros asked_at = monotonic_us();
+    const Micros wait = m_view.wait_of(topic, asked_at);
     view.asked_at = asked_at;
     const Offset from = *view.next;
     const auto page = co_await m_store.read(topic, from, wait);
@@ -261,7 +261,7 @@
 DirectoryWatch::follow_reader()
 {
     for (;;) {
-        const std::optional<DaemonRecord> asked = reader();
+        const std::optional<DaemonRecord> asked = source().daemon;
         if (!asked) {
             co_await pause(kReaderPause);
             continue;
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -57,7 +57,7 @@
     boost::asio::awaitable<void> trust_later(std::string peers_address);
     boost::asio::awaitable<void> pause(Micros time);
 
-    std::optional<DaemonRecord> reader() const;
+    DirectorySource source() const;
     Micros retry_pause(int failures) const;
     void suspect_reader(const DaemonRecord& reader, std::string_view why);
     void note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -172,7 +172,7 @@
             read(daemon, topic_of(step.b));
             break;
         case StepKind::Ask:
-            ask(daemon, step.b % kDaemons);
+            ask(daemon, step.b % kDaemons, step.b / kDaemons % 2 == 0);
             break;
         case StepKind::Answer:
             answer(step.a, step.b % 2 == 0);
@@ -328,12 +328,13 @@
             m_daemons[daemon].ended.clear();
     }
 
-    void ask(std::size_t from, std::size_t to)
+    void ask(std::size_t from, std::size_t to, bool wants_signs)
     {
         if (from == to)
             return;
         FeedQuery query = m_daemons[from].view->query();
         query.cursors.resize(kTopics);
+        query.wants_signs = wants_signs;
         m_questions.push_back({from, to, m_lives[from], query, m_now});
     }
 
