The reader of one part of a hall does not ask that of another

Cause: found by the new test of roles: in a hall with two readers, each could belong to the part of the other, so that one asked the other and, in one of four halls, each asked the other. Change: a daemon that reads for any part of its hall asks the root reader.

--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -202,8 +202,16 @@
     const std::size_t groups = able.size() / kDaemonsOfReader + 1;
     const std::size_t group = weight_of(m_own_node, hall) % groups;
     keep_strong(able);
-    return other_than_this(
-        choose(able, std::string(hall) + "/" + std::to_string(group)));
+    const auto reader_of_group = [&](std::size_t number) {
+        return choose(able, std::string(hall) + "/" + std::to_string(number));
+    };
+    // The reader of one part does not ask that of another, which may ask it in turn.
+    for (std::size_t other = 0; other < groups; ++other) {
+        const Known* reader = reader_of_group(other);
+        if (reader && reader->record.node == m_own_node)
+            return std::nullopt;
+    }
+    return other_than_this(reader_of_group(group));
 }
 
 std::optional<DaemonRecord>
