A suspected leader is asked again after 0.2 s, then ever later

Cause: after all nodes lost power they start within 0.3 s, and who came first shunned who came last for 1.5 s. Change: 0.2 s, doubling to 1.6 s.

--- a/src/libserve/peer_watch.cpp
+++ b/src/libserve/peer_watch.cpp
@@ -23,8 +23,10 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// A daemon that lost an order leads nothing for so long, and until it gives a sign
-/// of life.
-constexpr std::chrono::milliseconds kSuspectTime {1500};
+/// of life.  Doubles with each that it does not give: after all nodes have lost power they
+/// start within 0.3 s of each other, and who came first would shun who came last.
+constexpr std::chrono::milliseconds kFirstSuspectTime {200};
+constexpr std::chrono::milliseconds kLongestSuspectTime {1600};
 /// Between checks of those that lead.
 constexpr Micros kCheckPace = 500 * kMillisecond;
 /// Of each set its leader and the next are checked: a hall that goes takes both with it
@@ -107,11 +109,13 @@
 PeerWatch::watch_suspect(std::string address)
 {
     asio::steady_timer timer(m_io);
+    std::chrono::milliseconds time = kFirstSuspectTime;
     bool is_alive = false;
     // Of one that is gone the directory tells; it is not asked for ever.
     while (!is_alive && m_daemons.is_suspected(address)) {
-        timer.expires_after(kSuspectTime);
+        timer.expires_after(time);
         co_await timer.async_wait(kToTuple);
+        time = std::min(2 * time, kLongestSuspectTime);
         is_alive = co_await m_link.is_alive(address);
     }
     m_daemons.trust(address);
