--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t kDaemonsOfReader = 32;
 /// Of the writes that the directory bears, records of daemons take this part.
 constexpr double kPartOfWrites = 0.0025;
-/// A fleet of 12 nodes writes each of its records in 3 s by that.
-constexpr double kLeastRecordsPerSecond = 4;
+/// A fleet of 9 nodes writes each of its records in 4.5 s by that.
+constexpr double kLeastRecordsPerSecond = 2;
 constexpr Micros kShortestPace = 3 * kSecond;
 constexpr int kRecordsMissed = 3;
 
