One silent connection is enough to leave all kept to its address

Cause: connections may go silent for good while new ones work; of up to 64 kept to an address each cost a call its whole time, and two silent answers make a leader suspected. Change: after a call on a kept connection without a byte, the others kept to the address go. Measured: a test that failed first.

--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -224,6 +224,12 @@
     if (!options.fresh_connection) {
         if (auto kept = take_idle(address, options)) {
             CallResult result = co_await attempt(*kept, request, options);
+            const bool is_silent = result.status == CallStatus::Lost && !kept->got_bytes()
+                && !options.handle->cancelled();
+            // What silenced this connection may have silenced all that are as old: with 64
+            // kept, each would cost a call its whole time.
+            if (is_silent)
+                m_idle.erase(address);
             const bool stale = options.resend_if_stale && result.status == CallStatus::Lost
                 && !kept->got_bytes() && !options.handle->cancelled()
                 && monotonic_us() < options.deadline_us;
--- a/src/libutil/http_client_test.cpp
+++ b/src/libutil/http_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -124,5 +125,96 @@
     CHECK(result.response.body.size() < kPieces);
 }
 
+/// Answers each request at once, but nothing more on connections that were open when it
+/// went silent.
+class GoesSilent {
+public:
+    explicit GoesSilent(asio::io_context& io)
+        : m_io(io)
+        , m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    void go_silent() { ++m_age; }
+    int accepted() const { return m_accepted; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++m_accepted;
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        const int age = m_age;
+        std::string bytes(4096, ' ');
+        for (;;) {
+            auto [ec, size] = co_await socket.async_read_some(
+                asio::buffer(bytes), asio::as_tuple(asio::use_awaitable));
+            if (ec)
+                co_return;
+            if (age == m_age)
+                co_await asio::async_write(
+                    socket,
+                    asio::buffer(
+                        std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+                    asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    int m_age = 0;
+    int m_accepted = 0;
+};
+
+TEST_CASE("one silent connection is enough to leave all that were kept to the address")
+{
+    asio::io_context io;
+    GoesSilent server(io);
+    HttpClient client(io);
+    const auto ask = [&]() -> asio::awaitable<CallResult> {
+        HttpRequest request;
+        CallOptions options;
+        options.deadline_us = monotonic_us() + 300 * kMs;
+        co_return co_await client.call(server.address(), std::move(request), options);
+    };
+    constexpr int kept = 5;
+    int answered = 0;
+    CallResult first;
+    CallResult second;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            for (int i = 0; i < kept; ++i)
+                asio::co_spawn(io, ask(), [&](const std::exception_ptr&, CallResult r) {
+                    answered += r.status == CallStatus::Answered ? 1 : 0;
+                });
+            asio::steady_timer timer(io);
+            while (answered < kept) {
+                timer.expires_after(std::chrono::milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+            }
+            server.go_silent();
+            first = co_await ask();
+            second = co_await ask();
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    CHECK(server.accepted() == kept + 1);
+    CHECK(first.status == CallStatus::Lost);
+    CHECK(second.status == CallStatus::Answered);
+}
+
 } // namespace
 } // namespace cypressford
