Readers ask a directory that is away at the same pace all along

Cause: with a root reader, the reader of a hall is one that hears from another, so it backed off to 2 s like any follower; its hall then learned late of a store that had come back. Change: only followers back off; the decision moved into DirectoryView, where a test reaches it. Measured: the new test.

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -92,6 +92,9 @@
     DirectorySource source() const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
+    /// Until a directory that did not answer so many times in a row is asked again.  Readers
+    /// ask at the same pace all along: on them hangs how soon others know.
+    Micros retry_pause(int failures) const;
     /// How long a question may wait at the directory.
     Micros wait_of(DirectoryTopic topic, Micros now) const;
 
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -366,6 +366,31 @@
     CHECK(view.can_serve(10 * kMillisecond));
 }
 
+TEST_CASE("a reader asks a directory that is away at the same pace all along")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    std::map<DirectoryRole, Micros> longest;
+    const std::vector<DaemonRecord> records = fleet(40);
+    for (const DaemonRecord& own : records) {
+        DirectoryView view(dialect, pace, 0, own.node, own.hall, 400, 0);
+        CHECK(view.retry_pause(9) < 500 * kMillisecond);
+        for (const DirectoryTopic topic : DirectoryView::kTopics) {
+            view.begin_listing(topic, 0);
+            if (topic == DirectoryTopic::Configuration)
+                view.take_listed(topic, {{"config", "1"}}, 0);
+            view.end_listing(topic, 1, 0, 0);
+        }
+        for (const DaemonRecord& record : records)
+            view.daemons().apply(record, 0);
+        longest[view.source().role] = view.retry_pause(9);
+    }
+    REQUIRE(longest.size() == 3);
+    CHECK(longest[DirectoryRole::Root] == 500 * kMillisecond);
+    CHECK(longest[DirectoryRole::HallReader] == 500 * kMillisecond);
+    CHECK(longest[DirectoryRole::Follower] == 2 * kSecond);
+}
+
 TEST_CASE("a daemon that is alone reads the directory itself")
 {
     const std::vector<DaemonRecord> alone = fleet(1);
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -13,8 +13,12 @@
 
 namespace {
 
-/// Between attempts of a daemon that follows a reader to ask the directory itself.
+/// Between attempts to reach a directory that does not answer; doubles so often for those
+/// that hear from a reader.
 constexpr Micros kRetryPause = 500 * kMillisecond;
+constexpr int kMaxRetryDoublings = 2;
+/// A daemon that knows nothing yet tries more often.
+constexpr Micros kFirstRetryPause = 200 * kMillisecond;
 /// Between looks at the records of daemons: short at first, while all may be starting.
 constexpr Micros kDaemonsPace = 2500 * kMillisecond;
 constexpr Micros kDaemonsFirstPace = 300 * kMillisecond;
@@ -328,6 +332,16 @@
     return view.asked_at + (is_daemons ? daemons_pace : m_pace.read_pause) - now;
 }
 
+Micros
+DirectoryView::retry_pause(int failures) const
+{
+    if (!m_fold.configuration())
+        return kFirstRetryPause;
+    if (source().role != DirectoryRole::Follower)
+        return kRetryPause;
+    return kRetryPause << std::min(failures, kMaxRetryDoublings);
+}
+
 /// A record that came while a question waited leaves open when; asked again without
 /// waiting, the directory confirms it at once.
 Micros
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -22,11 +22,6 @@
 namespace {
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
-/// Between attempts to reach a directory that does not answer.
-constexpr Micros kRetryPause = 500 * kMillisecond;
-constexpr int kMaxRetryDoublings = 2;
-/// A daemon that knows nothing yet tries more often.
-constexpr Micros kFirstRetryPause = 200 * kMillisecond;
 /// Without a reader, between looks whether there is one.
 constexpr Micros kReaderPause = 200 * kMillisecond;
 /// How long a reader's answer may take to begin, beyond the time that it is held.
@@ -157,7 +152,7 @@
         note_contact(done.has_value());
         bring_into_force(); // also what was believed for a while only may be over
         if (!done) {
-            co_await pause(retry_pause(++view.failures));
+            co_await pause(m_view.retry_pause(++view.failures));
             continue;
         }
         view.failures = 0;
@@ -166,18 +161,6 @@
     }
 }
 
-/// A directory that is away is asked by the reader of the hall; the others, which hear
-/// from it, ask less and less often.
-Micros
-DirectoryWatch::retry_pause(int failures) const
-{
-    if (!m_kernel.snapshot.load())
-        return kFirstRetryPause;
-    if (source().role == DirectoryRole::Root)
-        return kRetryPause;
-    return kRetryPause << std::min(failures, kMaxRetryDoublings);
-}
-
 asio::awaitable<Result<void>>
 DirectoryWatch::list(DirectoryTopic topic)
 {
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -59,7 +59,6 @@
 
     DirectorySource source() const;
     void note_source(const DirectorySource& from);
-    Micros retry_pause(int failures) const;
     void suspect_reader(const DaemonRecord& reader, std::string_view why);
     void note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
                    Micros asked_at, Micros waited);
