A configuration written again is told to who listed an older one

Cause: soak ("does not know configuration"): an older configuration was written late, a fresh daemon listed that one, then the newest was written once more. To its reader that record changed nothing, so the reader kept it back, and the fresh daemon held the older configuration while it was told that it was up to date. As old as the reader of a hall; with a root reader it reaches more daemons. Change: the record of the configuration in force is kept for others however often it is written.

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -92,7 +92,7 @@
     DirectorySource source() const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
-    /// Until a directory that did not answer so many times in a row is asked again.  Readers
+    /// Until a directory that did not answer so many times in a row is asked again. Readers
     /// ask at the same pace all along: on them hangs how soon others know.
     Micros retry_pause(int failures) const;
     /// How long a question may wait at the directory.
@@ -118,6 +118,7 @@
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
                     DirectoryChange& change);
     void keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record);
+    bool is_in_force(DirectoryTopic topic, const DirectoryRecord& record) const;
     void keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed);
     void add_signs(std::vector<OffsetRecord>& records, Offset from) const;
     void confirm(DirectoryTopic topic, Micros as_of, Micros now);
@@ -131,6 +132,7 @@
     DirectoryFold m_fold;
     DaemonTable m_daemons;
     std::vector<DaemonRecord> m_new_daemons;
+    std::uint64_t m_configuration_hash = 0; ///< of the value in force; 0: none
     struct LastRecord {
         std::string value;
         Offset offset = 0; ///< 0: listed
--- a/src/libcypressford/directory_test.cpp
+++ b/src/libcypressford/directory_test.cpp
@@ -391,6 +391,27 @@
     CHECK(longest[DirectoryRole::Follower] == 2 * kSecond);
 }
 
+TEST_CASE("a configuration that is written again reaches who listed an older one")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    const auto list = [](DirectoryView& view, const char* version, Offset end) {
+        view.begin_listing(DirectoryTopic::Configuration, 0);
+        view.take_listed(DirectoryTopic::Configuration, {{"config", version}}, 0);
+        view.end_listing(DirectoryTopic::Configuration, end, 0, 0);
+    };
+    // 7, then 3 written late, then 7 again.
+    DirectoryView reader(dialect, pace, 0, "reader", "hall", 400, 0);
+    list(reader, "7", 1);
+    reader.take_page(DirectoryTopic::Configuration, 1, {{"config", "3"}}, 0, 0, 0);
+    DirectoryView fresh(dialect, pace, 0, "fresh", "hall", 400, 0);
+    list(fresh, "3", 2);
+    CHECK(fresh.fold().configuration()->version == 3);
+    reader.take_page(DirectoryTopic::Configuration, 2, {{"config", "7"}}, 0, 0, 0);
+    fresh.take_answer(reader.answer_to(fresh.query(), 0), 0, 0);
+    CHECK(fresh.fold().configuration()->version == 7);
+}
+
 TEST_CASE("a daemon that is alone reads the directory itself")
 {
     const std::vector<DaemonRecord> alone = fleet(1);
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -9,6 +9,8 @@
 
 #include <cypressford/mutation.h>
 
+#include "libutil/crypto.h"
+
 namespace cypressford {
 
 namespace {
@@ -102,10 +104,11 @@
     for (const DirectoryRecord& record : records) {
         // The reader of the hall may have told of it meanwhile.
         const bool is_seen = view.next && offset < *view.next;
-        if (!is_seen && take_record(topic, record, after_outage, now, change)) {
+        const bool changed
+            = !is_seen && take_record(topic, record, after_outage, now, change);
+        if (changed || (!is_seen && is_in_force(topic, record)))
             keep(topic, offset, record);
-            change.news |= topic != DirectoryTopic::Daemons;
-        }
+        change.news |= changed && topic != DirectoryTopic::Daemons;
         if (topic == DirectoryTopic::Upstreams && !record.value.empty())
             m_last_records[record.key] = {record.value, offset};
         ++offset;
@@ -118,6 +121,15 @@
     return change;
 }
 
+/// True for the configuration in force, written once more: it changes nothing here, but
+/// whoever listed an older one, written late in between, has missed it.
+bool
+DirectoryView::is_in_force(DirectoryTopic topic, const DirectoryRecord& record) const
+{
+    return topic == DirectoryTopic::Configuration
+        && fast_hash(record.value) == m_configuration_hash;
+}
+
 /// Keeps a record for daemons that ask for it.
 void
 DirectoryView::keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record)
@@ -214,7 +226,8 @@
         else
             m_last_records[told.record.key] = {told.record.value, told.offset};
     }
-    if (changed && topic == DirectoryTopic::Configuration)
+    if (topic == DirectoryTopic::Configuration
+        && (changed || is_in_force(topic, told.record)))
         history.append_state(told.offset, told.record);
     else if (changed || !told.is_sign)
         // Kept also if it changed nothing here: it may do so elsewhere.
@@ -408,7 +421,10 @@
         change.unread.push_back(record.key + ": " + faults.front().message);
         return false;
     }
-    return m_fold.offer_configuration(*std::move(bundle));
+    const bool is_newer = m_fold.offer_configuration(*std::move(bundle));
+    if (is_newer)
+        m_configuration_hash = fast_hash(record.value);
+    return is_newer;
 }
 
 bool
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -434,6 +434,22 @@
         // Whoever has read the topic has a configuration, if there was one.
         const auto next = daemon.view->of(DirectoryTopic::Configuration).next;
         RC_ASSERT(!next || *next == 0 || bundle);
+        if (next && *next > 0)
+            check_newest(*next, version);
+    }
+
+    /// The newest configuration, if it was written last, is in force at whoever has read so
+    /// far, whoever told it.
+    void check_newest(Offset next, std::uint64_t version)
+    {
+        const auto& records = of(DirectoryTopic::Configuration).records;
+        std::uint64_t newest = 0;
+        std::uint64_t last = 0;
+        for (Offset at = 0; at < next; ++at) {
+            last = std::stoull(records[static_cast<std::size_t>(at)].record.value);
+            newest = std::max(newest, last);
+        }
+        RC_ASSERT(last < newest || version >= newest);
     }
 
     /// Nothing that exists is missing, and what another daemon told to be gone stays so.
