Evacuated halls get nothing new

Change: EvacuationTable holds which halls operators evacuated, by the place of the newest record in the log; it comes through the directory beside the configuration, from the log, from other daemons and from listings, and an older listing or record undoes nothing.

--- a/src/cypressford/bundle_commands.cpp
+++ b/src/cypressford/bundle_commands.cpp
@@ -8,19 +8,16 @@
 #include <iostream>
 #include <optional>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
 #include <cypressford/bundle_fold.h>
-#include <cypressford/platform.h>
-#include <cypressford/registry.h>
 
 #include "libserve/settings.h"
 #include "libutil/crypto.h"
 #include "libutil/http_client.h"
 #include "libutil/hybrid_clock.h"
+#include "operator_log.h"
 
 namespace cypressford {
 
@@ -29,64 +26,6 @@
 
 namespace {
 
-constexpr const char* kStream = "bundles";
-constexpr int kAppendTries = 5;
-
-/// Runs a coroutine to its end and returns its result.
-template <class T>
-T
-run(asio::io_context& io, asio::awaitable<T> task)
-{
-    std::optional<T> result;
-    asio::co_spawn(io, std::move(task), [&result](const std::exception_ptr&, T value) {
-        result = std::move(value);
-    });
-    io.restart();
-    while (!result && io.run_one() > 0) { }
-    return *std::move(result);
-}
-
-/// The log service, for one command.
-class Log {
-public:
-    explicit Log(const std::string& address)
-        : m_client(Registry<PlatformClient>::instance().make("httplog"))
-    {
-        PlatformSettings settings;
-        settings.log = address;
-        settings.nodes = address;
-        m_client->open(m_io, settings);
-    }
-
-    Result<Offset> append(const std::string& record)
-    {
-        return run(m_io, m_client->append(kStream, record));
-    }
-
-    /// All retained records, with the offset of the first one.
-    Result<std::pair<Offset, std::vector<std::string>>> read_all()
-    {
-        std::vector<std::string> records;
-        std::optional<Offset> first;
-        Offset next = 0;
-        for (;;) {
-            auto page = run(m_io, m_client->read(kStream, next, 0));
-            if (!page)
-                return tl::unexpected(page.error());
-            first = first.value_or(page->from);
-            next = page->from + static_cast<Offset>(page->records.size());
-            for (std::string& record : page->records)
-                records.push_back(std::move(record));
-            if (next >= page->next)
-                return std::pair {*first, std::move(records)};
-        }
-    }
-
-private:
-    asio::io_context m_io;
-    std::unique_ptr<PlatformClient> m_client;
-};
-
 int
 print_faults(const std::string& path, const std::vector<Fault>& faults)
 {
@@ -94,77 +33,6 @@
     return kExitUsage;
 }
 
-int
-unavailable(const Error& error)
-{
-    std::cerr << error.detail << '\n';
-    return kExitUnavailable;
-}
-
-int
-bad_key(const Error& error)
-{
-    std::cerr << error.detail << '\n';
-    return kExitUsage;
-}
-
-std::string
-read_key(const CommandOptions& options)
-{
-    std::string pem;
-    if (!read_file(options.key_file, pem))
-        std::cerr << "can't read the key '" << options.key_file << "'\n";
-    return pem;
-}
-
-/// Finds what the fold made of `record`, now that it is in the log.
-std::optional<FoldResult>
-verdict_on(Log& log, const BundleRecord& record, const CommandOptions& options)
-{
-    const auto all = log.read_all();
-    if (!all)
-        return std::nullopt;
-    BundleTrust trust {options.trust, from_hex(options.daemon_key)};
-    trust.operators.push_back(record.key);
-    // Records of operators that are not in --trust count for nothing here, so
-    // the list has to be the one in the daemons' settings.
-    BundleFold fold(std::move(trust));
-    const std::string wanted = encode(record);
-    std::optional<FoldResult> result;
-    Offset offset = all->first;
-    fold.note_first_retained(offset);
-    for (const std::string& text : all->second) {
-        const FoldResult outcome = fold.apply(offset++, text);
-        if (text == wanted && (!result || outcome == FoldResult::Accepted))
-            result = outcome;
-    }
-    return result;
-}
-
-/// Appends until the record is met in the log: an append whose answer was lost
-/// may have taken effect, and a second copy does no harm.
-int
-append_and_tell(const BundleRecord& record, const CommandOptions& options)
-{
-    Log log(options.platform);
-    std::optional<FoldResult> verdict;
-    for (int i = 0; i < kAppendTries && !verdict; ++i) {
-        log.append(encode(record));
-        verdict = verdict_on(log, record, options);
-    }
-    if (!verdict)
-        return unavailable({ErrorKind::Internal, "the log service can't be reached"});
-    const std::string name(to_string(*verdict));
-    if (options.json)
-        std::cout << json::serialize(json::object {
-            {"name", record.name}, {"version", record.version}, {"result", name}})
-                  << '\n';
-    else
-        std::cout << record.name << " version " << record.version << ": " << name << '\n';
-    const bool done = *verdict == FoldResult::Accepted || *verdict == FoldResult::Repeated;
-    return done ? kExitOk : kExitRefused;
-}
-
 tl::expected<BundleRecord, int>
 signed_publish(const std::string& path, const CommandOptions& options)
 {
@@ -244,18 +112,12 @@
 int
 list(const CommandOptions& options)
 {
-    Log log(options.platform);
-    const auto all = log.read_all();
-    if (!all)
-        return unavailable(all.error());
-    BundleFold fold({options.trust, from_hex(options.daemon_key)});
-    Offset offset = all->first;
-    fold.note_first_retained(offset);
-    for (const std::string& text : all->second)
-        fold.apply(offset++, text);
+    const auto fold = read_fold(options);
+    if (!fold)
+        return unavailable(fold.error());
     json::array versions;
-    for (const BundleRecord& record : fold.snapshot().accepted) {
-        const bool in_force = record.version == fold.in_force_version();
+    for (const BundleRecord& record : fold->snapshot().accepted) {
+        const bool in_force = record.version == fold->in_force_version();
         versions.push_back(json::object {
             {"name", record.name}, {"version", record.version}, {"in_force", in_force}});
         if (!options.json)
--- a/src/cypressford/commands.h
+++ b/src/cypressford/commands.h
@@ -32,6 +32,8 @@
 
 int keygen(const CommandOptions& options);
 int bundle_command(const std::vector<std::string>& words, const CommandOptions& options);
+/// Evacuations of halls on the product's own platform.
+int hall_command(const std::vector<std::string>& words, const CommandOptions& options);
 int timeline_command(const std::vector<std::string>& files, const CommandOptions& options);
 
 /// What bound and which requests were lost, from the logs of all daemons.
--- a/src/cypressford/cypressford.cpp
+++ b/src/cypressford/cypressford.cpp
@@ -21,7 +21,8 @@
 ABSL_FLAG(std::string, out, "", "file to write to; standard output if empty");
 ABSL_FLAG(std::vector<std::string>, daemons, {},
           "callers' addresses of daemons, ip:port,...");
-ABSL_FLAG(std::vector<std::string>, trust, {}, "operators' public keys in hex, for list");
+ABSL_FLAG(std::vector<std::string>, trust, {},
+          "operators' public keys in hex, for list and hall");
 ABSL_FLAG(std::string, daemon_key, "", "the daemons' common key in hex, for snapshots");
 ABSL_FLAG(std::string, output, "text", "text or json");
 ABSL_FLAG(std::string, request, "", "timeline: only lines that name this request");
@@ -42,6 +43,9 @@
   cypressford bundle retire --platform=IP:PORT --key=operator.pem NAME VERSION
   cypressford bundle list --platform=IP:PORT --trust=PUBLIC_KEY
   cypressford bundle status --daemons=IP:PORT,IP:PORT
+  cypressford hall evacuate --platform=IP:PORT --key=operator.pem HALL
+  cypressford hall end-evacuation --platform=IP:PORT --key=operator.pem HALL
+  cypressford hall list --platform=IP:PORT --trust=PUBLIC_KEY
   cypressford timeline [--output=text|json] [--request=ID] a.log b.log ...
   cypressford losses [--output=text|json] a.log b.log ...
   cypressford settings check settings.yaml
@@ -93,6 +97,8 @@
         return keygen(options);
     if (command == "bundle")
         return bundle_command(words, options);
+    if (command == "hall")
+        return hall_command(words, options);
     if (command == "timeline")
         return timeline_command(words, options);
     if (command == "losses" && !words.empty())
--- /dev/null
+++ b/src/cypressford/operator_log.h
@@ -0,0 +1,67 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// The product's own log as one command of an operator reads and writes it.
+
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cypressford/bundle_fold.h>
+#include <cypressford/platform.h>
+
+#include "commands.h"
+
+namespace cypressford {
+
+/// Runs a coroutine to its end and returns its result.
+template <class T>
+T
+run(boost::asio::io_context& io, boost::asio::awaitable<T> task)
+{
+    std::optional<T> result;
+    boost::asio::co_spawn(
+        io, std::move(task),
+        [&result](const std::exception_ptr&, T value) { result = std::move(value); });
+    io.restart();
+    while (!result && io.run_one() > 0) { }
+    return *std::move(result);
+}
+
+/// The log service, for one command.
+class OperatorLog {
+public:
+    explicit OperatorLog(const std::string& address);
+
+    Result<Offset> append(const std::string& record);
+
+    /// All retained records, with the offset of the first one.
+    Result<std::pair<Offset, std::vector<std::string>>> read_all();
+
+private:
+    boost::asio::io_context m_io;
+    std::unique_ptr<PlatformClient> m_client;
+};
+
+/// What the records of the log amount to for those who trust the operators of `options`.
+Result<BundleFold> read_fold(const CommandOptions& options);
+
+/// Tells the operator of it and returns the exit code.
+int unavailable(const Error& error);
+int bad_key(const Error& error);
+
+/// The operator's private key, or an empty text, with a word about it.
+std::string read_key(const CommandOptions& options);
+
+/// Appends until the record is met in the log: an append whose answer was lost may have
+/// taken effect, and a second copy does no harm.  Prints the verdict.
+int append_and_tell(const BundleRecord& record, const CommandOptions& options);
+
+} // namespace cypressford
--- a/src/include/cypressford/bundle_fold.h
+++ b/src/include/cypressford/bundle_fold.h
@@ -2,8 +2,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Which bundle is in force: a deterministic fold over the records of the
-/// bundles stream.  Every daemon that has read the same records says the same.
+/// Which bundle is in force and which halls are evacuated: a deterministic fold over
+/// the records of the bundles stream.  Every daemon that has read the same records says the
+/// same.
 
 #pragma once
 
@@ -14,16 +15,19 @@
 
 #include <cypressford/bundle.h>
 #include <cypressford/claims.h>
+#include <cypressford/evacuation.h>
 
 namespace cypressford {
 
-/// What an operator does with a bundle version.
-enum class BundleAction : unsigned char { Publish, Roll, Retire };
+/// What an operator does with a bundle version, or with a hall.
+enum class BundleAction : unsigned char { Publish, Roll, Retire, Evacuate, EndEvacuation };
 
 /// One signed record of an operator.
 struct BundleRecord {
     BundleAction action = BundleAction::Publish;
-    std::string name;
+    std::string name; ///< of the bundle, or of the hall
+    /// With a hall: rises with each record, so that an older one, appended late, undoes
+    /// nothing.
     std::uint64_t version = 0;
     std::string bundle; ///< canonical form, with Publish
     std::string key; ///< operator's public key, hex
@@ -37,6 +41,7 @@
     std::uint64_t newest = 0; ///< newest version accepted
     std::uint64_t in_force = 0; ///< 0 for none
     std::vector<BundleRecord> accepted; ///< not retired, in order of version
+    std::vector<BundleRecord> evacuations; ///< the newest record of each hall
     std::string mac; ///< by the daemons' common key, hex
 };
 
@@ -91,6 +96,7 @@
     BundleSnapshot snapshot() const;
 
     const Bundle* in_force() const;
+    const EvacuationTable& evacuations() const { return m_evacuations; }
     std::uint64_t in_force_version() const { return m_in_force; }
     std::uint64_t newest_version() const { return m_newest; }
     Offset next() const { return m_next; }
@@ -108,6 +114,7 @@
     FoldResult publish(const BundleRecord& record);
     FoldResult roll(std::uint64_t version);
     FoldResult retire(std::uint64_t version);
+    FoldResult evacuate(const BundleRecord& record);
     FoldResult load(const BundleSnapshot& snapshot);
     bool authentic(const BundleSnapshot& snapshot) const;
     bool trusts(const BundleRecord& record) const;
@@ -119,6 +126,8 @@
     std::uint64_t m_newest = 0;
     std::uint64_t m_in_force = 0;
     std::map<std::uint64_t, Accepted> m_accepted;
+    EvacuationTable m_evacuations;
+    std::map<std::string, BundleRecord> m_evacuation_records; ///< by hall
 };
 
 } // namespace cypressford
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <cypressford/claims.h>
+#include <cypressford/evacuation.h>
 #include <cypressford/upstream.h>
 
 #include "libutil/http.h"
@@ -31,6 +32,7 @@
 struct DirectoryRecord {
     std::string key;
     std::string value;
+    Offset offset = -1; ///< in a listing: its place in the log
 };
 
 /// Records from one offset on, or the newest record of each key.
@@ -73,6 +75,10 @@
 
     /// Nothing: the record is not the configuration.
     virtual Result<Bundle> decode_configuration(const DirectoryRecord& record) const = 0;
+    /// Nothing: the record is not about an evacuation.  These stand beside the
+    /// configuration.
+    virtual std::optional<EvacuationRecord>
+    decode_evacuation(const DirectoryRecord& record) const = 0;
     virtual Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const = 0;
 };
 
@@ -95,6 +101,11 @@
         return m_configuration ? &*m_configuration : nullptr;
     }
 
+    EvacuationTable& evacuations() { return m_evacuations; }
+    const EvacuationTable& evacuations() const { return m_evacuations; }
+    /// To be called when evacuations() changed.
+    void note_evacuations_changed() { ++m_revision; }
+
     /// The listing that follows names all upstreams there are.
     void begin_listing();
     void end_listing(Micros now, bool after_outage);
@@ -108,7 +119,7 @@
 
     /// Upstreams that are believed in.
     std::vector<UpstreamMember> members() const;
-    /// Counts changes of members().
+    /// Counts changes of members() and evacuations().
     std::uint64_t revision() const { return m_revision; }
 
 private:
@@ -124,6 +135,7 @@
 
     const Micros m_vanish_grace;
     std::optional<Bundle> m_configuration;
+    EvacuationTable m_evacuations;
     std::map<std::string, Known> m_known;
     std::uint64_t m_revision = 0;
 };
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -110,9 +110,12 @@
     /// True while all daemons may be starting and don't know each other yet.
     bool is_new(Micros now) const;
     bool is_after_outage(DirectoryTopic topic, Micros now) const;
-    bool take_record(DirectoryTopic topic, const DirectoryRecord& record, bool after_outage,
-                     Micros now, DirectoryChange& change);
-    bool take_configuration(const DirectoryRecord& record, DirectoryChange& change);
+    bool take_record(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
+                     bool after_outage, Micros now, DirectoryChange& change);
+    bool take_configuration(const DirectoryRecord& record, Offset at,
+                            DirectoryChange& change);
+    bool take_evacuation(const EvacuationRecord& evacuation, Offset at);
+    void keep_configuration(Offset offset, const DirectoryRecord& record);
     bool take_upstream(const DirectoryRecord& record, bool after_outage, Micros now);
     void take_daemon(const DirectoryRecord& record, Micros now);
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -59,6 +59,7 @@
     std::atomic<Micros> reported_at {-1}; ///< when the report was made; -1 for never
     std::atomic<std::uint64_t> incarnation {0};
     std::atomic<bool> leaving {false};
+    std::atomic<bool> evacuated {false}; ///< operators have evacuated its hall
     std::atomic<Micros> ejected_until {0};
     std::atomic<int> failures {0}; ///< consecutive
     std::atomic<int> ejections {0}; ///< since the last success
@@ -248,6 +249,10 @@
     SnapshotPtr build(const Bundle& bundle,
                       const std::vector<UpstreamMember>& members = {});
 
+    /// These halls are evacuated and no others: their upstreams get nothing new from now
+    /// on, also under older snapshots.
+    void set_evacuated(std::vector<std::string> halls, Micros now);
+
     /// The upstream with that address, or null.
     std::shared_ptr<UpstreamState> find(std::string_view address) const;
 
@@ -266,7 +271,10 @@
     void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members);
     void retire_unlisted(const std::vector<UpstreamMember>& members);
 
+    bool is_evacuated(const std::string& hall) const;
+
     const std::string m_hall;
+    std::vector<std::string> m_evacuated; ///< halls
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
     std::map<std::string, std::shared_ptr<AccountState>> m_accounts;
--- a/src/libcypressford/bundle_fold.cpp
+++ b/src/libcypressford/bundle_fold.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 3> kActionNames {"publish", "roll", "retire"};
+constexpr std::array<std::string_view, 5> kActionNames {"publish", "roll", "retire",
+                                                        "evacuate", "end_evacuation"};
 constexpr std::string_view kSnapshotKind = "snapshot";
 
 json::object
@@ -47,6 +48,21 @@
     return record;
 }
 
+/// False if the value is no list of records.
+bool
+read_records(const json::value& value, std::vector<BundleRecord>& records)
+{
+    if (!value.is_array())
+        return false;
+    for (const json::value& item : value.as_array()) {
+        auto record = item.is_object() ? record_from(item.as_object()) : std::nullopt;
+        if (!record)
+            return false;
+        records.push_back(*std::move(record));
+    }
+    return true;
+}
+
 std::optional<BundleSnapshot>
 snapshot_from(const json::object& object)
 {
@@ -58,26 +74,36 @@
     snapshot.newest = json_integer<std::uint64_t>(object, "newest", 0);
     snapshot.in_force = json_integer<std::uint64_t>(object, "in_force", 0);
     snapshot.mac = json_text(object, "mac");
-    for (const json::value& item : accepted->as_array()) {
-        auto record = item.is_object() ? record_from(item.as_object()) : std::nullopt;
-        if (!record)
-            return std::nullopt;
-        snapshot.accepted.push_back(std::move(*record));
-    }
+    if (!read_records(*accepted, snapshot.accepted))
+        return std::nullopt;
+    const json::value* evacuations = object.if_contains("evacuations");
+    if (evacuations && !read_records(*evacuations, snapshot.evacuations))
+        return std::nullopt;
     return snapshot;
 }
 
+json::array
+to_json(const std::vector<BundleRecord>& records)
+{
+    json::array result;
+    for (const BundleRecord& record : records)
+        result.push_back(to_json(record));
+    return result;
+}
+
 json::object
 body_of(const BundleSnapshot& snapshot)
 {
-    json::array accepted;
-    for (const BundleRecord& record : snapshot.accepted)
-        accepted.push_back(to_json(record));
-    return {{"kind", kSnapshotKind},
-            {"covers", snapshot.covers},
-            {"newest", snapshot.newest},
-            {"in_force", snapshot.in_force},
-            {"accepted", std::move(accepted)}};
+    json::object body {{"kind", kSnapshotKind},
+                       {"covers", snapshot.covers},
+                       {"newest", snapshot.newest},
+                       {"in_force", snapshot.in_force},
+                       {"accepted", to_json(snapshot.accepted)}};
+    // Left out where there is nothing to say: daemons of an earlier version authenticate
+    // the text without it.
+    if (!snapshot.evacuations.empty())
+        body["evacuations"] = to_json(snapshot.evacuations);
+    return body;
 }
 
 } // namespace
@@ -204,6 +230,9 @@
             return FoldResult::BadBundle;
         accepted.emplace(record.version, Accepted {record, *std::move(bundle)});
     }
+    if (!std::all_of(snapshot.evacuations.begin(), snapshot.evacuations.end(),
+                     [this](const BundleRecord& record) { return trusts(record); }))
+        return FoldResult::BadSignature;
     // Never go back, whatever a snapshot says.
     if (snapshot.in_force < m_in_force || snapshot.newest < m_newest)
         return FoldResult::Conflict;
@@ -211,6 +240,8 @@
     m_newest = snapshot.newest;
     m_in_force = snapshot.in_force;
     m_has_base = true;
+    for (const BundleRecord& record : snapshot.evacuations)
+        evacuate(record);
     return FoldResult::Accepted;
 }
 
@@ -226,6 +257,9 @@
         return roll(record.version);
     case BundleAction::Retire:
         return retire(record.version);
+    case BundleAction::Evacuate:
+    case BundleAction::EndEvacuation:
+        return evacuate(record);
     }
     return FoldResult::BadBundle;
 }
@@ -270,6 +304,25 @@
     return m_accepted.erase(version) > 0 ? FoldResult::Accepted : FoldResult::Repeated;
 }
 
+FoldResult
+BundleFold::evacuate(const BundleRecord& record)
+{
+    if (record.name.empty() || record.version == 0)
+        return FoldResult::BadBundle;
+    const auto at = static_cast<Offset>(record.version);
+    const Offset newest = m_evacuations.newest(record.name);
+    const bool begun = record.action == BundleAction::Evacuate;
+    if (at < newest)
+        return FoldResult::Conflict;
+    if (at == newest)
+        return m_evacuation_records.at(record.name).action == record.action
+            ? FoldResult::Repeated
+            : FoldResult::Conflict;
+    m_evacuation_records[record.name] = record;
+    m_evacuations.apply({record.name, begun}, at);
+    return FoldResult::Accepted;
+}
+
 BundleSnapshot
 BundleFold::snapshot() const
 {
@@ -279,6 +332,8 @@
     snapshot.in_force = m_in_force;
     for (const auto& [version, accepted] : m_accepted)
         snapshot.accepted.push_back(accepted.record);
+    for (const auto& [hall, record] : m_evacuation_records)
+        snapshot.evacuations.push_back(record);
     snapshot.mac = to_hex(hmac_sha256(m_trust.daemon_key, authenticated_text(snapshot)));
     return snapshot;
 }
--- a/src/libcypressford/bundle_test.cpp
+++ b/src/libcypressford/bundle_test.cpp
@@ -45,6 +45,15 @@
         record.version = version;
         return encode(*sign_record(record, keys.private_pem));
     }
+    std::string on_hall(BundleAction action, const std::string& hall,
+                        std::uint64_t number) const
+    {
+        BundleRecord record;
+        record.action = action;
+        record.name = hall;
+        record.version = number;
+        return encode(*sign_record(record, keys.private_pem));
+    }
     std::string roll(std::uint64_t version) const
     {
         return act(BundleAction::Roll, version);
@@ -132,3 +141,38 @@
     forged.replace(forged.find("\"in_force\":1"), 12, "\"in_force\":2");
     CHECK(BundleFold(op.trust).adopt(forged) == FoldResult::BadSignature);
 }
+
+TEST_CASE("operators evacuate halls, and an older record undoes nothing")
+{
+    const Operator op;
+    BundleFold fold(op.trust);
+    using Halls = std::vector<std::string>;
+    CHECK(fold.apply(0, op.on_hall(BundleAction::Evacuate, "north", 1))
+          == FoldResult::Accepted);
+    CHECK(fold.evacuations().halls() == Halls {"north"});
+    CHECK(fold.apply(1, op.on_hall(BundleAction::EndEvacuation, "north", 2))
+          == FoldResult::Accepted);
+    CHECK(fold.evacuations().halls().empty());
+    // The first record again: its append had lost its answer and takes effect late.
+    CHECK(fold.apply(2, op.on_hall(BundleAction::Evacuate, "north", 1))
+          == FoldResult::Conflict);
+    CHECK(fold.apply(3, op.on_hall(BundleAction::EndEvacuation, "north", 2))
+          == FoldResult::Repeated);
+    CHECK(fold.apply(4, op.on_hall(BundleAction::Evacuate, "", 3))
+          == FoldResult::BadBundle);
+    CHECK(fold.evacuations().halls().empty());
+}
+
+TEST_CASE("a snapshot carries evacuations, and a forged one is refused")
+{
+    const Operator op;
+    BundleFold fold(op.trust);
+    fold.apply(0, op.publish(1, 0));
+    fold.apply(1, op.on_hall(BundleAction::Evacuate, "north", 1));
+    BundleFold fresh(op.trust);
+    CHECK(fresh.adopt(encode(fold.snapshot())) == FoldResult::Accepted);
+    CHECK(fresh.evacuations().halls() == std::vector<std::string> {"north"});
+    std::string forged = encode(fold.snapshot());
+    forged.replace(forged.find("north"), 5, "south");
+    CHECK(BundleFold(op.trust).adopt(forged) == FoldResult::BadSignature);
+}
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -132,7 +132,10 @@
 {
     const bool leaving = upstream.leaving.load(std::memory_order_relaxed)
         && !mutated(Mutation::SendToLeaving);
-    return !leaving && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
+    const bool evacuated = upstream.evacuated.load(std::memory_order_relaxed)
+        && !mutated(Mutation::SendToEvacuated);
+    return !leaving && !evacuated
+        && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
 }
 
 void
@@ -167,13 +170,32 @@
     return share;
 }
 
+namespace {
+
+template <class Predicate>
 int
-count_usable(const UpstreamSet& set, Micros now)
+count_upstreams(const UpstreamSet& set, Predicate&& counts)
 {
-    const auto usable = [now](const auto& upstream) { return is_usable(*upstream, now); };
-    const auto own = std::count_if(set.own.begin(), set.own.end(), usable);
-    const auto remote = std::count_if(set.remote.begin(), set.remote.end(), usable);
+    const auto own = std::count_if(set.own.begin(), set.own.end(), counts);
+    const auto remote = std::count_if(set.remote.begin(), set.remote.end(), counts);
     return static_cast<int>(own + remote);
 }
 
+} // namespace
+
+int
+count_in_service(const UpstreamSet& set)
+{
+    return count_upstreams(set, [](const auto& upstream) {
+        return !upstream->evacuated.load(std::memory_order_relaxed);
+    });
+}
+
+int
+count_usable(const UpstreamSet& set, Micros now)
+{
+    return count_upstreams(
+        set, [now](const auto& upstream) { return is_usable(*upstream, now); });
+}
+
 } // namespace cypressford
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -40,7 +40,7 @@
 /// Calls that this daemon may have in flight to one upstream.
 int slot_limit(const UpstreamState& upstream, int slots, int daemons_in_hall);
 
-/// True unless the upstream is leaving or taken out after failures.
+/// True unless the upstream is leaving, in an evacuated hall or taken out after failures.
 bool is_usable(const UpstreamState& upstream, Micros now);
 
 /// Sets up to this size are always looked at whole.
@@ -56,6 +56,9 @@
 /// Calls the own hall's part of this daemon can run at a time, as a fraction.
 double share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now);
 
+/// Upstreams anywhere that are not in an evacuated hall.
+int count_in_service(const UpstreamSet& set);
+
 /// Usable upstreams anywhere.
 int count_usable(const UpstreamSet& set, Micros now);
 
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -65,6 +65,8 @@
     of(topic).asked_at = now;
     if (topic == DirectoryTopic::Upstreams)
         m_fold.begin_listing();
+    if (topic == DirectoryTopic::Configuration)
+        m_fold.evacuations().begin_listing();
 }
 
 DirectoryChange
@@ -74,7 +76,7 @@
     DirectoryChange change;
     const bool after_outage = is_after_outage(topic, now);
     for (const DirectoryRecord& record : records) {
-        take_record(topic, record, after_outage, now, change);
+        take_record(topic, record, record.offset, after_outage, now, change);
         if (topic == DirectoryTopic::Upstreams)
             m_last_records[record.key] = {record.value, 0};
     }
@@ -87,6 +89,8 @@
     TopicView& view = of(topic);
     if (topic == DirectoryTopic::Upstreams)
         m_fold.end_listing(now, is_after_outage(topic, now));
+    if (topic == DirectoryTopic::Configuration && m_fold.evacuations().end_listing(end))
+        m_fold.note_evacuations_changed();
     view.next = end;
     view.history.restart(end);
     confirm(topic, asked_at, now);
@@ -105,7 +109,7 @@
         // The reader of the hall may have told of it meanwhile.
         const bool is_seen = view.next && offset < *view.next;
         const bool changed
-            = !is_seen && take_record(topic, record, after_outage, now, change);
+            = !is_seen && take_record(topic, record, offset, after_outage, now, change);
         if (changed || (!is_seen && is_in_force(topic, record)))
             keep(topic, offset, record);
         change.news |= changed && topic != DirectoryTopic::Daemons;
@@ -130,13 +134,24 @@
         && fast_hash(record.value) == m_configuration_hash;
 }
 
+/// A configuration takes the place of all before it; an evacuation stands beside it.
+void
+DirectoryView::keep_configuration(Offset offset, const DirectoryRecord& record)
+{
+    RecordHistory& history = of(DirectoryTopic::Configuration).history;
+    if (m_dialect.decode_evacuation(record))
+        history.append(offset, record);
+    else
+        history.append_state(offset, record);
+}
+
 /// Keeps a record for daemons that ask for it.
 void
 DirectoryView::keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record)
 {
     RecordHistory& history = of(topic).history;
     if (topic == DirectoryTopic::Configuration) {
-        history.append_state(offset, record);
+        keep_configuration(offset, record);
         return;
     }
     // Others were not told of signs of life.  With the last of them they take no
@@ -203,8 +218,8 @@
             view.overdue = true;
             return;
         }
-        const bool changed
-            = take_record(topic.topic, whole.record, after_outage, now, change);
+        const bool changed = take_record(topic.topic, whole.record, whole.offset,
+                                         after_outage, now, change);
         change.news |= changed && topic.topic != DirectoryTopic::Daemons;
         keep_told(topic.topic, whole, changed);
     }
@@ -228,7 +243,7 @@
     }
     if (topic == DirectoryTopic::Configuration
         && (changed || is_in_force(topic, told.record)))
-        history.append_state(told.offset, told.record);
+        keep_configuration(told.offset, told.record);
     else if (changed || !told.is_sign)
         // Kept also if it changed nothing here: it may do so elsewhere.
         history.append(told.offset, told.record);
@@ -393,12 +408,12 @@
 
 /// True if the record changed something that other daemons must know.
 bool
-DirectoryView::take_record(DirectoryTopic topic, const DirectoryRecord& record,
+DirectoryView::take_record(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
                            bool after_outage, Micros now, DirectoryChange& change)
 {
     switch (topic) {
     case DirectoryTopic::Configuration:
-        return take_configuration(record, change);
+        return take_configuration(record, at, change);
     case DirectoryTopic::Upstreams:
         return take_upstream(record, after_outage, now);
     case DirectoryTopic::Daemons:
@@ -409,8 +424,11 @@
 }
 
 bool
-DirectoryView::take_configuration(const DirectoryRecord& record, DirectoryChange& change)
+DirectoryView::take_configuration(const DirectoryRecord& record, Offset at,
+                                  DirectoryChange& change)
 {
+    if (const auto evacuation = m_dialect.decode_evacuation(record))
+        return take_evacuation(*evacuation, at);
     auto bundle = m_dialect.decode_configuration(record);
     if (!bundle) {
         change.unread.push_back(record.key + ": " + bundle.error().detail);
@@ -427,6 +445,15 @@
     return is_newer;
 }
 
+bool
+DirectoryView::take_evacuation(const EvacuationRecord& evacuation, Offset at)
+{
+    const bool changed = m_fold.evacuations().apply(evacuation, at);
+    if (changed)
+        m_fold.note_evacuations_changed();
+    return changed;
+}
+
 bool
 DirectoryView::take_upstream(const DirectoryRecord& record, bool after_outage, Micros now)
 {
--- /dev/null
+++ b/src/libcypressford/evacuation.cpp
@@ -0,0 +1,61 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/evacuation.h>
+
+#include <cypressford/mutation.h>
+
+namespace cypressford {
+
+bool
+EvacuationTable::apply(const EvacuationRecord& record, Offset at)
+{
+    Known& known = m_halls[record.hall];
+    known.listed = true;
+    if (at <= known.at && !mutated(Mutation::EvacuationGoesBack))
+        return false;
+    known.at = at;
+    const bool changed = known.begun != record.begun;
+    known.begun = record.begun;
+    return changed;
+}
+
+void
+EvacuationTable::begin_listing()
+{
+    for (auto& [hall, known] : m_halls)
+        known.listed = false;
+}
+
+bool
+EvacuationTable::end_listing(Offset end)
+{
+    bool changed = false;
+    for (auto& [hall, known] : m_halls) {
+        if (!known.begun || known.listed || known.at >= end)
+            continue;
+        known.begun = false;
+        known.at = end - 1;
+        changed = true;
+    }
+    return changed;
+}
+
+Offset
+EvacuationTable::newest(const std::string& hall) const
+{
+    const auto known = m_halls.find(hall);
+    return known == m_halls.end() ? -1 : known->second.at;
+}
+
+std::vector<std::string>
+EvacuationTable::halls() const
+{
+    std::vector<std::string> result;
+    for (const auto& [hall, known] : m_halls)
+        if (known.begun)
+            result.push_back(hall);
+    return result;
+}
+
+} // namespace cypressford
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -78,7 +78,8 @@
     if (it == entries.end())
         return true;
     const UpstreamSet& set = it->second->request.set_of(attempt.stage);
-    const auto all = static_cast<int>(set.own.size() + set.remote.size());
+    // Those of evacuated halls can't take over and don't count.
+    const int all = count_in_service(set);
     return 2 * (count_usable(set, now) - 1) >= all;
 }
 
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -12,7 +12,8 @@
 
 namespace cypressford {
 
-/// Records as plain text: a version, or "sequence" with "!" for one that is leaving.
+/// Records as plain text: a version, or "sequence" with "!" for one that is leaving; under
+/// "evacuate/HALL" anything while the hall is evacuated.
 class TextDialect final : public DirectoryDialect {
 public:
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
@@ -43,6 +44,14 @@
         bundle.pipelines.push_back(pipeline);
         return bundle;
     }
+    std::optional<EvacuationRecord>
+    decode_evacuation(const DirectoryRecord& record) const override
+    {
+        constexpr std::string_view prefix = "evacuate/";
+        if (!record.key.starts_with(prefix))
+            return std::nullopt;
+        return EvacuationRecord {record.key.substr(prefix.size()), !record.value.empty()};
+    }
     Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const override
     {
         UpstreamRecord result;
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -305,11 +305,28 @@
                         const std::string& identity)
 {
     auto& state = m_upstreams[upstream_key(address, identity)];
-    if (!state)
+    if (!state) {
         state = std::make_shared<UpstreamState>(address, hall, identity);
+        state->evacuated.store(is_evacuated(hall), std::memory_order_relaxed);
+    }
     return state;
 }
 
+bool
+UpstreamTable::is_evacuated(const std::string& hall) const
+{
+    return std::find(m_evacuated.begin(), m_evacuated.end(), hall) != m_evacuated.end();
+}
+
+void
+UpstreamTable::set_evacuated(std::vector<std::string> halls, Micros /*now*/)
+{
+    const std::lock_guard lock(m_mutex);
+    m_evacuated = std::move(halls);
+    for (const auto& [key, state] : m_upstreams)
+        state->evacuated.store(is_evacuated(state->hall), std::memory_order_relaxed);
+}
+
 std::uint32_t
 UpstreamTable::id_of(const std::string& name)
 {
--- a/src/libserve/bundle_service.cpp
+++ b/src/libserve/bundle_service.cpp
@@ -30,6 +30,7 @@
     , m_kernel(kernel)
     , m_platform(platform)
     , m_fold({kernel.settings.operators, kernel.settings.daemon_key})
+    , m_evacuations(kernel)
 {
 }
 
@@ -109,10 +110,16 @@
 BundleService::bring_into_force()
 {
     const Bundle* bundle = m_fold.in_force();
-    if (!bundle || m_fold.in_force_version() <= m_applied_version)
+    if (!bundle)
+        return;
+    const bool is_new = m_fold.in_force_version() > m_applied_version;
+    SnapshotPtr snapshot
+        = is_new ? m_kernel.upstreams.build(*bundle) : m_kernel.snapshot.load();
+    m_evacuations.apply(m_fold.evacuations().halls(), *snapshot);
+    if (!is_new)
         return;
     m_applied_version = m_fold.in_force_version();
-    m_kernel.snapshot.store(m_kernel.upstreams.build(*bundle));
+    m_kernel.snapshot.store(std::move(snapshot));
     LogEvent("bundle_in_force").kv("bundle", bundle->name).kv("version", m_applied_version);
 }
 
--- a/src/libserve/bundle_service.h
+++ b/src/libserve/bundle_service.h
@@ -11,6 +11,7 @@
 #include <cypressford/bundle_fold.h>
 #include <cypressford/platform.h>
 
+#include "evacuations.h"
 #include "kernel.h"
 
 namespace cypressford {
@@ -45,6 +46,7 @@
     Kernel& m_kernel;
     PlatformClient& m_platform;
     BundleFold m_fold;
+    Evacuations m_evacuations;
     std::uint64_t m_applied_version = 0;
     bool m_reader = true;
     std::function<void()> m_on_news;
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -46,6 +46,7 @@
              kernel.settings.vanish_grace, kernel.settings.node, kernel.settings.hall,
              kernel.settings.directory_writes, monotonic_us())
     , m_feed(io, kernel.settings.limits, m_view)
+    , m_evacuations(kernel)
     , m_last_contact(monotonic_us())
 {
     for (const DirectoryTopic topic : DirectoryView::kTopics)
@@ -370,7 +371,9 @@
     }
     m_applied_revision = fold.revision();
     const auto members = fold.members();
-    m_kernel.snapshot.store(m_kernel.upstreams.build(m_applied, members));
+    SnapshotPtr snapshot = m_kernel.upstreams.build(m_applied, members);
+    m_evacuations.apply(fold.evacuations().halls(), *snapshot);
+    m_kernel.snapshot.store(std::move(snapshot));
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
         .kv("upstreams", members.size())
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -17,6 +17,7 @@
 
 #include "directory_feed_server.h"
 #include "directory_store.h"
+#include "evacuations.h"
 #include "kernel.h"
 #include "libutil/http_client.h"
 
@@ -77,6 +78,7 @@
     ResolvedBundlePtr m_applied; ///< the configuration in force
     std::uint64_t m_applied_revision = 0;
     Micros m_taken_us = 0; ///< spent on the records that were taken last
+    Evacuations m_evacuations;
     Micros m_last_contact = 0;
     Micros m_daemons_told = -1; ///< state of the daemons' records that was passed on
     bool m_reached = true;
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -48,6 +48,7 @@
     std::atomic<int> daemons_in_hall {1};
     std::atomic<int> daemons {1}; ///< live ones of all halls, as far as known
     std::atomic<std::uint64_t> directory_calls {0}; ///< to the platform, since the start
+    std::atomic<int> evacuated_halls {0};
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
--- a/src/libserve/operator_pages.cpp
+++ b/src/libserve/operator_pages.cpp
@@ -53,6 +53,8 @@
          static_cast<double>(kernel.daemons_in_hall.load())},
         {"cypressford_directory_calls", "Calls to the platform's directory.",
          static_cast<double>(kernel.directory_calls.load())},
+        {"cypressford_evacuated_halls", "Halls whose upstreams get nothing new.",
+         static_cast<double>(kernel.evacuated_halls.load())},
         {"cypressford_placement_holder", "1 while this daemon places models.",
          kernel.holds_placement.load() ? 1.0 : 0.0},
         {"cypressford_log_out", "1 while the log takes no appends.",
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -4,8 +4,8 @@
 /// \file
 /// Stateful fuzzing of DirectoryView: three daemons of a hall read a log themselves
 /// and ask each other, in any order and with any delay, while upstreams come, drain
-/// and go, older records are written late, configurations change and the log
-/// forgets.  A simple oracle knows the whole log.
+/// and go, older records are written late, configurations change, halls are evacuated
+/// and the log forgets.  A simple oracle knows the whole log.
 ///
 ///   cypressford_directory_fuzz               fixed cases
 ///   cypressford_directory_fuzz --mutations   each deliberate fault must be caught
@@ -37,6 +37,7 @@
 
 constexpr std::size_t kDaemons = 3;
 constexpr std::size_t kUpstreams = 5;
+constexpr std::size_t kHalls = 2; ///< that operators evacuate
 constexpr std::size_t kTopics = 2; ///< configuration and upstreams
 
 /// Values are larger than what is sent between daemons as it is, so that they go there
@@ -55,6 +56,13 @@
     return {"config", large_value(version, std::to_string(version))};
 }
 
+/// Begins or ends the evacuation of one of the halls.
+DirectoryRecord
+evacuation(std::size_t hall, bool begun)
+{
+    return {"evacuate/" + std::to_string(hall % kHalls), begun ? "{}" : ""};
+}
+
 struct Written {
     DirectoryRecord record;
     Micros at = 0;
@@ -81,6 +89,7 @@
     WriteLate,
     Configure,
     WriteOlder,
+    Evacuate,
     Forget,
     Read,
     Ask,
@@ -91,13 +100,14 @@
 };
 
 /// How often each kind is drawn.
-constexpr std::array<std::pair<StepKind, std::size_t>, 13> kWeights {{
+constexpr std::array<std::pair<StepKind, std::size_t>, 14> kWeights {{
     {StepKind::Beat, 16},
     {StepKind::Drain, 1},
     {StepKind::Go, 3},
     {StepKind::WriteLate, 10},
     {StepKind::Configure, 2},
     {StepKind::WriteOlder, 2},
+    {StepKind::Evacuate, 3},
     {StepKind::Forget, 1},
     {StepKind::Read, 10},
     {StepKind::Ask, 24},
@@ -165,6 +175,9 @@
         case StepKind::WriteOlder:
             write_older(step.a);
             break;
+        case StepKind::Evacuate:
+            append(DirectoryTopic::Configuration, evacuation(step.a, step.b % 2 == 0));
+            break;
         case StepKind::Forget:
             of(topic_of(step.b)).first = of(topic_of(step.b)).end();
             break;
@@ -311,13 +324,16 @@
     {
         DirectoryView& view = *m_daemons[daemon].view;
         const Topic& log = of(topic);
-        std::map<std::string, std::string> newest;
-        for (const Written& written : log.records)
-            newest[written.record.key] = written.record.value;
+        std::map<std::string, DirectoryRecord> newest;
+        Offset offset = 0;
+        for (const Written& written : log.records) {
+            newest[written.record.key] = written.record;
+            newest[written.record.key].offset = offset++;
+        }
         std::vector<DirectoryRecord> records;
-        for (const auto& [key, value] : newest)
-            if (!value.empty())
-                records.push_back({key, value});
+        for (const auto& [key, record] : newest)
+            if (!record.value.empty())
+                records.push_back(record);
         if (topic == DirectoryTopic::Upstreams)
             for (const DirectoryRecord& record : records)
                 note_told(m_daemons[daemon], record);
@@ -410,6 +426,7 @@
         for (std::size_t t = 0; t < kTopics; ++t)
             check_age(view, topic_of(t));
         check_version(daemon);
+        check_evacuations(daemon);
         check_members(daemon);
     }
 
@@ -433,20 +450,56 @@
         daemon.version = version;
         // Whoever has read the topic has a configuration, if there was one.
         const auto next = daemon.view->of(DirectoryTopic::Configuration).next;
-        RC_ASSERT(!next || *next == 0 || bundle);
+        if (next && has_configuration_before(*next))
+            RC_ASSERT(bundle != nullptr);
         if (next && *next > 0)
             check_newest(*next, version);
     }
 
+    bool has_configuration_before(Offset end)
+    {
+        for (Offset at = 0; at < end; ++at)
+            if (!m_dialect.decode_evacuation(configuration_record(at)))
+                return true;
+        return false;
+    }
+
+    /// Whoever has read so far knows the halls that are evacuated by then, and no others.
+    void check_evacuations(Daemon& daemon)
+    {
+        const auto next = daemon.view->of(DirectoryTopic::Configuration).next;
+        if (!next)
+            return;
+        std::set<std::string> halls;
+        for (Offset at = 0; at < *next; ++at) {
+            const DirectoryRecord& record = configuration_record(at);
+            const auto evacuation = m_dialect.decode_evacuation(record);
+            if (evacuation && evacuation->begun)
+                halls.insert(evacuation->hall);
+            else if (evacuation)
+                halls.erase(evacuation->hall);
+        }
+        const auto known = daemon.view->fold().evacuations().halls();
+        RC_ASSERT(std::set<std::string>(known.begin(), known.end()) == halls);
+    }
+
+    const DirectoryRecord& configuration_record(Offset at)
+    {
+        const auto& records = of(DirectoryTopic::Configuration).records;
+        return records[static_cast<std::size_t>(at)].record;
+    }
+
     /// The newest configuration, if it was written last, is in force at whoever has read so
     /// far, whoever told it.
     void check_newest(Offset next, std::uint64_t version)
     {
-        const auto& records = of(DirectoryTopic::Configuration).records;
         std::uint64_t newest = 0;
         std::uint64_t last = 0;
         for (Offset at = 0; at < next; ++at) {
-            last = std::stoull(records[static_cast<std::size_t>(at)].record.value);
+            const DirectoryRecord& record = configuration_record(at);
+            if (m_dialect.decode_evacuation(record))
+                continue;
+            last = std::stoull(record.value);
             newest = std::max(newest, last);
         }
         RC_ASSERT(last < newest || version >= newest);
@@ -507,6 +560,26 @@
     });
 }
 
+/// Records of evacuations reach a daemon by several ways and in any order; what holds in
+/// the end is what the log holds.
+bool
+run_evacuation_cases(int cases, std::uint64_t seed)
+{
+    const std::string parameters = case_parameters(cases, seed);
+    setenv("RC_PARAMS", parameters.c_str(), 1);
+    return rc::check("the newest record of a hall is in force in any order", [] {
+        const auto offsets
+            = *rc::gen::container<std::vector<Offset>>(rc::gen::inRange<Offset>(0, 12));
+        EvacuationTable table;
+        Offset newest = -1;
+        for (const Offset at : offsets) {
+            table.apply({"hall", at % 2 == 0}, at);
+            newest = std::max(newest, at);
+        }
+        RC_ASSERT(table.halls().empty() == (newest % 2 != 0));
+    });
+}
+
 /// True if each deliberate fault was caught.
 bool
 check_mutations(int cases, std::uint64_t seed)
@@ -516,11 +589,12 @@
         {Mutation::ForgetTransit, "ForgetTransit"},
         {Mutation::GapInHistory, "GapInHistory"},
         {Mutation::ConfigurationGoesBack, "ConfigurationGoesBack"},
+        {Mutation::EvacuationGoesBack, "EvacuationGoesBack"},
         {Mutation::ReturnOfGone, "ReturnOfGone"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
         g_mutation = fault;
-        const bool caught = !run_cases(cases, seed);
+        const bool caught = !run_cases(cases, seed) || !run_evacuation_cases(cases, seed);
         std::cout << name << (caught ? ": caught" : ": NOT CAUGHT") << '\n';
         all = all && caught;
     }
@@ -540,6 +614,7 @@
     const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
     const bool good = absl::GetFlag(FLAGS_mutations)
         ? cypressford::fuzz::check_mutations(cases, seed)
-        : cypressford::fuzz::run_cases(cases, seed);
+        : cypressford::fuzz::run_cases(cases, seed)
+            && cypressford::fuzz::run_evacuation_cases(cases, seed);
     return good ? 0 : 1;
 }
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -3,12 +3,14 @@
 
 /// \file
 /// Stateful fuzzing of relayed requests and their pieces: one scheduler over fake
-/// upstreams that refuse, break off, stay silent or lose results, in any order.  An
-/// oracle knows which results exist, who released them and what ran.
+/// upstreams that refuse, break off, stay silent or lose results, in any order, while
+/// operators evacuate halls.  An oracle knows which results exist, who released them, what
+/// ran and where nothing may go.
 ///
 ///   cypressford_relay_fuzz               fixed cases
 ///   cypressford_relay_fuzz --mutations   each deliberate fault must be caught
 
+#include <algorithm>
 #include <array>
 #include <iostream>
 #include <map>
@@ -87,10 +89,11 @@
     Lose,
     Fail,
     CallerLeaves,
+    Evacuate,
     Wait,
     RepeatLast,
 };
-constexpr std::array<std::pair<Step, std::size_t>, 13> kWeights {{{Step::Arrive, 4},
+constexpr std::array<std::pair<Step, std::size_t>, 14> kWeights {{{Step::Arrive, 4},
                                                                   {Step::StartStages, 8},
                                                                   {Step::MakeStage, 10},
                                                                   {Step::FailStage, 1},
@@ -101,6 +104,7 @@
                                                                   {Step::Lose, 3},
                                                                   {Step::Fail, 1},
                                                                   {Step::CallerLeaves, 1},
+                                                                  {Step::Evacuate, 1},
                                                                   {Step::Wait, 3},
                                                                   {Step::RepeatLast, 1}}};
 
@@ -184,6 +188,9 @@
             if (const auto it = pick(m_requests, number); it != m_requests.end())
                 handle(CallerClosed {it->first});
             break;
+        case Step::Evacuate:
+            evacuate(number);
+            break;
         case Step::Wait:
             m_now += static_cast<Micros>(1 + number % 20) * 20 * kMillisecond;
             handle(Tick {});
@@ -253,10 +260,21 @@
         m_snapshot = m_table.build(bundle,
                                    {{"i1", "set", "10.0.0.1:1", "a", 0, false},
                                     {"i2", "set", "10.0.0.2:1", "a", 0, false},
-                                    {"i3", "set", "10.0.0.3:1", "a", 0, false},
+                                    {"i3", "set", "10.0.0.3:1", "b", 0, false},
                                     {"s1", "pool", "10.0.0.4:1", "a", 0, false}});
     }
 
+    /// Any set of the two halls is evacuated now.
+    void evacuate(std::size_t number)
+    {
+        m_evacuated.clear();
+        if (number % 2 == 1)
+            m_evacuated.push_back("a");
+        if (number / 2 % 2 == 1)
+            m_evacuated.push_back("b");
+        m_table.set_evacuated(m_evacuated, m_now);
+    }
+
     void arrive(std::size_t number)
     {
         const RequestId id = m_next_request++;
@@ -421,6 +439,9 @@
         RequestFacts& facts = m_requests.at(action.request);
         ++facts.sent;
         RC_ASSERT(!facts.forgotten);
+        const std::string& hall = action.upstream->hall;
+        RC_ASSERT(std::find(m_evacuated.begin(), m_evacuated.end(), hall)
+                  == m_evacuated.end());
         const bool needs_pieces = facts.counts.front() > 0;
         RC_ASSERT(!needs_pieces || !facts.inputs.empty());
         for (const std::string& input : facts.inputs)
@@ -515,6 +536,7 @@
     UpstreamTable m_table;
     Scheduler m_scheduler;
     SnapshotPtr m_snapshot;
+    std::vector<std::string> m_evacuated; ///< halls
     Micros m_now = kSecond;
     std::map<RequestId, RequestFacts> m_requests;
     std::set<RequestId> m_preparing;
@@ -556,7 +578,8 @@
         {Mutation::SendFreedInputs, "SendFreedInputs"},
         {Mutation::FreeBeforeRead, "FreeBeforeRead"},
         {Mutation::RetryOnce, "RetryOnce"},
-        {Mutation::FalseNotRun, "FalseNotRun"}};
+        {Mutation::FalseNotRun, "FalseNotRun"},
+        {Mutation::SendToEvacuated, "SendToEvacuated"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
         g_mutation = fault;
