Cold upstreams get no more than they bear, and warm ones go first

Cause: an upstream that has just started, or a hall taken back from an evacuation, was taken for as able as the others.

Change: ColdState bounds what all daemons together send a cold upstream, without asking each other: the leader of a set grants half of its rate, daemons that choose by themselves have equal parts of a quarter, each from a point of its interval that is its own. Cold is what records, answers or the end of an evacuation say. Warm upstreams go first.

Also: a daemon whose hall has no upstream in service ran one call at a time, since its share of slots counted its own hall only (test failed first); it now counts its part of the other halls. relay_fuzz plays any number of daemons and catches ColdBoundForEach.

--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -86,6 +86,12 @@
     Micros keep_time = 0; ///< a result that is not given up lies there so long
 };
 
+/// What an upstream of a set bears just after its start.
+struct ColdSpec {
+    Micros time = 0; ///< it is cold so long from its start; 0: never
+    double per_s = 0; ///< requests a second that it bears then; 0: no bound known
+};
+
 /// Upstreams of one kind, by hall.
 struct UpstreamSetSpec {
     std::string name;
@@ -96,6 +102,7 @@
     int max_connections = 0; ///< one upstream takes from all daemons; 0: no bound known
     std::int64_t memory_tokens = 0; ///< of prompts and answers, for sets of engines
     std::optional<BatchSpec> batch; ///< for sets that make pieces
+    ColdSpec cold;
     std::map<std::string, std::vector<std::string>> halls; ///< hall to "ip:port"
 };
 
--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -58,6 +58,7 @@
     bool other_identity = false; ///< not the upstream that was meant; not run
     bool input_gone = false; ///< not run, since a result it was to read is gone
     bool is_encoded = false; ///< the body is not as the upstream made it
+    Micros cold_left = 0; ///< the upstream is cold for so long yet
 };
 
 /// One piece of one request, as it goes to an upstream.
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -47,6 +47,7 @@
 struct UpstreamRecord {
     UpstreamMember member;
     std::uint64_t sequence = 0; ///< counts the records of one identity
+    Micros cold_left = 0; ///< it was cold for so long yet when it wrote this
 };
 
 /// A daemon's own record.
@@ -110,8 +111,9 @@
     void begin_listing();
     void end_listing(Micros now, bool after_outage);
 
-    /// True if something besides the sequence is news.
-    bool apply(const UpstreamRecord& record);
+    /// True if something besides the sequence is news.  Its time cold counts from `now`,
+    /// which is late rather than early.
+    bool apply(const UpstreamRecord& record, Micros now = 0);
     /// The record of that identity was dropped.
     void drop(const std::string& identity, Micros now, bool after_outage);
     /// Forgets upstreams whose grace is over.
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include <cypressford/bundle.h>
+#include <cypressford/cold.h>
 
 namespace cypressford {
 
@@ -39,10 +40,13 @@
 /// Live state of one upstream.  Shared by all threads; every member is atomic
 /// because it is read and written on the path of a request.
 struct UpstreamState {
-    UpstreamState(std::string address_, std::string hall_, std::string identity_ = {})
+    /// `seed`: drawn by this daemon.
+    UpstreamState(std::string address_, std::string hall_, std::string identity_ = {},
+                  std::uint64_t seed = 0)
         : address(std::move(address_))
         , hall(std::move(hall_))
         , identity(std::move(identity_))
+        , cold(seed ^ address_hash ^ std::hash<std::string> {}(identity))
     {
     }
 
@@ -66,6 +70,7 @@
     std::atomic<bool> probing {false}; ///< one trial call is under way
     std::atomic<Micros> latency {0}; ///< moving average; 0 while unknown
     std::atomic<Micros> answered_at {0}; ///< time of the last whole answer
+    ColdState cold;
 
     /// Takes over a load report that was made at `at`.  Older ones are ignored.
     void apply_report(const LoadReport& report, Micros at);
@@ -223,6 +228,7 @@
     std::string hall;
     int slots = 0; ///< 0: as its set says
     bool leaving = false;
+    Micros cold_until = 0; ///< it has started lately, and is cold until then
 
     bool operator==(const UpstreamMember&) const = default;
 };
@@ -232,8 +238,10 @@
 /// Makes snapshots and carries live state over from one to the next.
 class UpstreamTable {
 public:
-    explicit UpstreamTable(std::string hall)
+    /// `hall`: of this daemon.  `seed`: drawn by it.
+    explicit UpstreamTable(std::string hall, std::uint64_t seed = 0)
         : m_hall(std::move(hall))
+        , m_seed(seed)
     {
     }
 
@@ -250,7 +258,8 @@
                       const std::vector<UpstreamMember>& members = {});
 
     /// These halls are evacuated and no others: their upstreams get nothing new from now
-    /// on, also under older snapshots.
+    /// on, also under older snapshots.  A hall that comes back comes back cold: its
+    /// upstreams may have been started while they got nothing.
     void set_evacuated(std::vector<std::string> halls, Micros now);
 
     /// The upstream with that address, or null.
@@ -274,6 +283,7 @@
     bool is_evacuated(const std::string& hall) const;
 
     const std::string m_hall;
+    const std::uint64_t m_seed;
     std::vector<std::string> m_evacuated; ///< halls
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -84,7 +84,13 @@
     reader.read("checks_fence", set.checks_fence);
     reader.read("deduplicates", set.deduplicates);
     reader.read("halls", set.halls, true);
+    std::uint64_t cold_ms = 0;
+    reader.read("cold_ms", cold_ms);
+    reader.read("cold_per_s", set.cold.per_s);
     reader.refuse_unknown_keys();
+    if (cold_ms > kMaxDeadlineMs)
+        reader.add(node, "upstream set: cold_ms must be 0 to 600000");
+    set.cold.time = static_cast<Micros>(cold_ms) * kMillisecond;
     return set;
 }
 
@@ -270,12 +276,18 @@
     json::object halls;
     for (const auto& [hall, addresses] : set.halls)
         halls[hall] = to_json(addresses);
-    return {{"name", set.name},
-            {"kind", set.kind},
-            {"slots", set.slots},
-            {"checks_fence", set.checks_fence},
-            {"deduplicates", set.deduplicates},
-            {"halls", std::move(halls)}};
+    json::object object {{"name", set.name},
+                         {"kind", set.kind},
+                         {"slots", set.slots},
+                         {"checks_fence", set.checks_fence},
+                         {"deduplicates", set.deduplicates},
+                         {"halls", std::move(halls)}};
+    // Left out where they say nothing, so that signatures of earlier bundles hold.
+    if (set.cold.time > 0)
+        object["cold_ms"] = set.cold.time / kMillisecond;
+    if (set.cold.per_s > 0)
+        object["cold_per_s"] = set.cold.per_s;
+    return object;
 }
 
 json::object
@@ -318,10 +330,13 @@
     check_unique(bundle.accounts, "account", faults);
     for (const auto& pipeline : bundle.pipelines)
         check_pipeline(bundle, pipeline, faults);
-    for (const auto& set : bundle.upstream_sets)
+    for (const auto& set : bundle.upstream_sets) {
+        const std::string where = "upstream set '" + set.name + "': ";
         if (set.slots < 1 || set.slots > kMaxSlots)
-            faults.push_back(
-                {0, "upstream set '" + set.name + "': slots must be 1 to 4096"});
+            faults.push_back({0, where + "slots must be 1 to 4096"});
+        if (!std::isfinite(set.cold.per_s) || set.cold.per_s < 0 || set.cold.time < 0)
+            faults.push_back({0, where + "cold_ms and cold_per_s must not be negative"});
+    }
     for (const auto& account : bundle.accounts) {
         const bool positive = std::isfinite(account.rate) && std::isfinite(account.burst)
             && account.rate > 0 && account.burst >= 1;
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -69,12 +69,24 @@
         != query.tried.end();
 }
 
+/// True for warm upstreams, and for cold ones that the call may go to.
+bool
+is_warm_enough(const UpstreamState& upstream, const CandidateQuery& query)
+{
+    if (!upstream.cold.is_cold(query.now))
+        return true;
+    if (!query.granted.empty() && upstream.identity == query.granted)
+        return true;
+    return query.allow_cold && upstream.cold.may_send(query.daemons, query.now);
+}
+
 /// Adds the upstream to `out` if it can take the call.
 void
 consider(const std::shared_ptr<UpstreamState>& upstream, const UpstreamSet& set,
          const CandidateQuery& query, bool remote, Candidates& out)
 {
-    if (!is_usable(*upstream, query.now) || was_tried(*upstream, query))
+    if (!is_usable(*upstream, query.now) || was_tried(*upstream, query)
+        || !is_warm_enough(*upstream, query))
         return;
     if (query.limit_slots
         && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
@@ -155,21 +167,50 @@
         collect(set.remote, set, query, true, out);
 }
 
+namespace {
+
+/// This daemon's part of the slots of warm upstreams.
 double
-share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now)
+warm_share(const std::vector<std::shared_ptr<UpstreamState>>& upstreams,
+           const UpstreamSet& set, int daemons, Micros now)
 {
     double share = 0;
-    for (const auto& upstream : set.own) {
-        if (!is_usable(*upstream, now))
+    for (const auto& upstream : upstreams) {
+        if (!is_usable(*upstream, now) || upstream->cold.is_cold(now))
             continue;
         const int slots = slots_of(*upstream, set);
-        const double even = static_cast<double>(slots) / std::max(1, daemons_in_hall);
+        const double even = static_cast<double>(slots) / std::max(1, daemons);
         const int left = slots - upstream->others.load(std::memory_order_relaxed);
         share += std::clamp(static_cast<double>(left), even, 2 * even);
     }
     return share;
 }
 
+/// Calls under way at cold upstreams if this daemon sends them what it may (Little's law).
+double
+cold_share(const UpstreamSet& set, int daemons, Micros typical, Micros now)
+{
+    double calls_per_s = 0;
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side)
+            if (is_usable(*upstream, now) && upstream->cold.is_cold(now))
+                calls_per_s += upstream->cold.own_rate(daemons);
+    return calls_per_s * static_cast<double>(typical) / kSecond;
+}
+
+} // namespace
+
+double
+share_of_slots(const UpstreamSet& set, Sharers sharers, Micros typical, Micros now)
+{
+    double share = warm_share(set.own, set, sharers.daemons_in_hall, now);
+    // A daemon whose hall is evacuated, cut down or cold works with the other halls: held
+    // to the slots of its own it would run one call at a time.
+    if (share <= 0)
+        share = warm_share(set.remote, set, sharers.daemons, now);
+    return share + cold_share(set, sharers.daemons, typical, now);
+}
+
 namespace {
 
 template <class Predicate>
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -26,6 +26,12 @@
     /// Upstreams of this hall go first, if one can take the call; empty: the own.
     std::string_view near;
     bool any_hall = false; ///< upstreams of all halls alike
+    /// Cold upstreams are left out but for the one with this identity, to which the leader
+    /// of the set has granted the call ...
+    std::string_view granted;
+    /// ... and those that this daemon, one of `daemons`, may send a call by itself.
+    bool allow_cold = false;
+    int daemons = 1;
 };
 
 /// Upstreams that can take a call, with the states behind them.
@@ -53,8 +59,16 @@
 void collect_candidates(const UpstreamSet& set, const CandidateQuery& query,
                         Candidates& out);
 
-/// Calls the own hall's part of this daemon can run at a time, as a fraction.
-double share_of_slots(const UpstreamSet& set, int daemons_in_hall, Micros now);
+/// Who shares the upstreams of a set.
+struct Sharers {
+    int daemons_in_hall = 1;
+    int daemons = 1; ///< of all halls
+};
+
+/// Calls that this daemon can run at a time, as a fraction: its part of the own hall's
+/// upstreams, or of those of all halls where the own hall has none that are warm and
+/// usable.  `typical`: time of a call, by which a cold upstream's rate becomes slots.
+double share_of_slots(const UpstreamSet& set, Sharers sharers, Micros typical, Micros now);
 
 /// Upstreams anywhere that are not in an evacuated hall.
 int count_in_service(const UpstreamSet& set);
--- /dev/null
+++ b/src/libcypressford/cold_test.cpp
@@ -0,0 +1,341 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Cold upstreams: what all daemons together send them.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <cypressford/directory.h>
+#include <cypressford/pieces.h>
+#include <cypressford/prompt_placer.h>
+#include <cypressford/registry.h>
+#include <cypressford/scheduler.h>
+
+namespace cypressford {
+namespace {
+
+constexpr double kRate = 9;
+constexpr Micros kColdTime = 3 * kSecond;
+constexpr ColdSpec kCold {kColdTime, kRate};
+/// What a cold upstream stands in any one second before it breaks down.
+constexpr std::size_t kBound = 18;
+
+/// Most of these times that lie within one second.
+std::size_t
+most_in_a_second(std::vector<Micros> times)
+{
+    std::sort(times.begin(), times.end());
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= kSecond)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+/// Daemons that each have a request for the upstream every 50 ms, in turn.
+std::vector<Micros>
+play(int daemons, Micros end, const std::function<bool(int, Micros)>& may)
+{
+    constexpr Micros pace = 50 * kMillisecond;
+    std::vector<Micros> sent;
+    for (Micros round = 0; round < end; round += pace)
+        for (int daemon = 0; daemon < daemons; ++daemon) {
+            const Micros now = round + pace * daemon / daemons;
+            if (may(daemon, now))
+                sent.push_back(now);
+        }
+    return sent;
+}
+
+std::vector<std::unique_ptr<ColdState>>
+cold_states(int daemons)
+{
+    std::vector<std::unique_ptr<ColdState>> states;
+    for (int daemon = 0; daemon < daemons; ++daemon) {
+        states.push_back(std::make_unique<ColdState>(1000 + daemon));
+        states.back()->set_spec(kCold);
+        states.back()->note(kColdTime);
+    }
+    return states;
+}
+
+TEST_CASE("one leader grants half of the rate, two leaders stay within it")
+{
+    for (const int leaders : {1, 2}) {
+        const auto states = cold_states(leaders);
+        const auto sent = play(295, kColdTime, [&](int daemon, Micros now) {
+            return states[static_cast<std::size_t>(daemon % leaders)]->take_grant(now);
+        });
+        CHECK(sent.size() >= 12 * static_cast<std::size_t>(leaders));
+        CHECK(most_in_a_second(sent) <= kBound);
+    }
+}
+
+TEST_CASE("295 daemons that choose by themselves neither starve a cold upstream nor "
+          "pass its bound")
+{
+    constexpr int daemons = 295;
+    const auto states = cold_states(daemons);
+    const auto parts = play(daemons, kColdTime, [&](int daemon, Micros now) {
+        return states[static_cast<std::size_t>(daemon)]->take_send(daemons, now);
+    });
+    // The same, but every daemon may begin at once.
+    std::vector<CallPacer> at_once(daemons);
+    const auto bursts = play(daemons, kColdTime, [&](int daemon, Micros now) {
+        const auto interval = static_cast<Micros>(daemons * kSecond / (0.25 * kRate));
+        return at_once[static_cast<std::size_t>(daemon)].take(0, interval, now);
+    });
+    // Two daemons chosen by hashing have it all; five more were cut off, and each of them
+    // takes itself for one of the two.
+    std::vector<CallPacer> few(daemons);
+    const auto chosen = play(daemons, kColdTime, [&](int daemon, Micros now) {
+        const auto interval = static_cast<Micros>(2 * kSecond / kRate);
+        return daemon < 7 && few[static_cast<std::size_t>(daemon)].take(0, interval, now);
+    });
+    MESSAGE("calls to a cold upstream of 9 requests/s in 3 s, most in a second: own parts ",
+            parts.size(), ", ", most_in_a_second(parts), "; all begin at once ",
+            bursts.size(), ", ", most_in_a_second(bursts),
+            "; two chosen daemons and five "
+            "cut off ",
+            chosen.size(), ", ", most_in_a_second(chosen));
+    CHECK(parts.size() >= 3);
+    CHECK(most_in_a_second(parts) <= kBound / 2);
+    CHECK(most_in_a_second(bursts) > kBound);
+    CHECK(most_in_a_second(chosen) > kBound);
+}
+
+TEST_CASE("without a rate, or when its time is over, an upstream is not cold")
+{
+    ColdState state(7);
+    state.note(kSecond);
+    CHECK_FALSE(state.is_cold(0));
+    state.set_spec(kCold);
+    CHECK(state.is_cold(0));
+    CHECK_FALSE(state.is_cold(kSecond));
+    state.assume(2 * kSecond);
+    CHECK(state.is_cold(4 * kSecond));
+    // An earlier end does not shorten it.
+    state.note(3 * kSecond);
+    CHECK(state.is_cold(4 * kSecond));
+}
+
+UpstreamSet
+set_of(std::vector<std::shared_ptr<UpstreamState>> own)
+{
+    UpstreamSet set;
+    set.spec.name = "set";
+    set.spec.slots = 4;
+    set.spec.cold = kCold;
+    set.spec.memory_tokens = 100'000;
+    set.own = std::move(own);
+    for (const auto& upstream : set.own)
+        upstream->cold.set_spec(kCold);
+    return set;
+}
+
+TEST_CASE("the leader places prompts at a cold engine at the rate that it bears")
+{
+    auto warm = std::make_shared<UpstreamState>("10.0.0.1:1", "a", "warm");
+    auto cold = std::make_shared<UpstreamState>("10.0.0.2:1", "a", "cold");
+    const UpstreamSet set = set_of({warm, cold});
+    cold->cold.note(kColdTime);
+    PromptPlacer placer;
+    std::vector<Micros> at_cold;
+    int at_warm = 0;
+    for (int i = 0; i < 300; ++i) {
+        const Micros now = i * 10 * kMillisecond;
+        PromptQuery query;
+        query.attempt = std::to_string(i);
+        query.parts = {{static_cast<std::uint64_t>(i), 500}, {1000ULL + i, 100}};
+        query.tokens = 600;
+        query.affinity = static_cast<std::uint64_t>(i) * 7919;
+        query.reserve = true;
+        const auto chosen = placer.place(set, query, now);
+        REQUIRE(chosen);
+        if (chosen == cold)
+            at_cold.push_back(now);
+        else
+            ++at_warm;
+        placer.note_begun(query.attempt);
+        placer.note_ended(query.attempt);
+    }
+    CHECK(at_warm > 0);
+    CHECK(at_cold.size() >= 10);
+    CHECK(most_in_a_second(at_cold) <= kBound / 2);
+}
+
+TEST_CASE("pieces go to warm upstreams first, and to cold ones at their rate")
+{
+    auto warm = std::make_shared<UpstreamState>("10.0.0.1:1", "a", "warm");
+    auto cold = std::make_shared<UpstreamState>("10.0.0.2:1", "a", "cold");
+    UpstreamSet set = set_of({cold, warm});
+    set.spec.slots = 100;
+    set.spec.batch = BatchSpec {1, 2, 150 * kMillisecond, kMillisecond, 0, 0};
+    cold->cold.note(kColdTime);
+    PieceQueue queue;
+    const auto add = [&](PieceId id) {
+        WaitingPiece piece;
+        piece.id = id;
+        piece.group = id;
+        piece.due = 10 * kSecond;
+        piece.deadline = 20 * kSecond;
+        queue.add(piece);
+    };
+    for (PieceId id = 1; id <= 20; ++id) {
+        add(id);
+        const auto call = queue.next_call(set, 0);
+        REQUIRE(call);
+        CHECK(call->upstream == warm);
+    }
+    warm->leaving = true;
+    std::vector<Micros> at_cold;
+    for (PieceId id = 100; id < 400; ++id) {
+        const Micros now = static_cast<Micros>(id - 100) * 10 * kMillisecond;
+        add(id);
+        if (queue.next_call(set, now))
+            at_cold.push_back(now);
+    }
+    CHECK(at_cold.size() >= 10);
+    CHECK(most_in_a_second(at_cold) <= kBound / 2);
+}
+
+UpstreamRecord
+record(std::uint64_t sequence, Micros cold_left)
+{
+    UpstreamRecord result;
+    result.member = {"a", "set", "10.0.0.1:80", "hall", 1, false};
+    result.sequence = sequence;
+    result.cold_left = cold_left;
+    return result;
+}
+
+TEST_CASE("records tell that an upstream is cold, and are news when it turns cold again")
+{
+    DirectoryFold fold(0);
+    CHECK(fold.apply(record(1, 3 * kSecond), 0));
+    CHECK(fold.members().front().cold_until == 3 * kSecond);
+    // The same start, told once more and read a little later.
+    CHECK_FALSE(fold.apply(record(2, 1800 * kMillisecond), 1900 * kMillisecond));
+    CHECK_FALSE(fold.apply(record(3, 0), 3 * kSecond));
+    CHECK(fold.members().front().cold_until == 3 * kSecond);
+    CHECK(fold.apply(record(4, 3 * kSecond), 20 * kSecond));
+    CHECK(fold.members().front().cold_until == 23 * kSecond);
+}
+
+/// A scheduler over upstreams of two halls.
+class Fleet {
+public:
+    explicit Fleet(int daemons)
+        : m_router(Registry<Router>::instance().make("adaptive"))
+        , m_admission(Registry<Admission>::instance().make("budget"))
+        , table("a", 5)
+        , m_scheduler({}, *m_router, *m_admission, [] { return 0; })
+    {
+        m_scheduler.set_daemons(daemons);
+        Bundle bundle;
+        bundle.name = "b";
+        bundle.version = 1;
+        UpstreamSetSpec set;
+        set.name = "set";
+        set.slots = 4;
+        set.cold = kCold;
+        bundle.upstream_sets.push_back(set);
+        PipelineSpec pipeline;
+        pipeline.name = "p";
+        pipeline.relayed = true;
+        pipeline.host = "h";
+        pipeline.path_prefix = "/";
+        pipeline.stages.emplace_back();
+        pipeline.stages[0].upstream_set = "set";
+        bundle.pipelines.push_back(pipeline);
+        snapshot = table.build(bundle,
+                               {{"ia", "set", "10.0.0.1:1", "a", 0, false},
+                                {"ib", "set", "10.0.0.2:1", "b", 0, false}});
+        ia = snapshot->sets[0].own[0];
+        ib = snapshot->sets[0].remote[0];
+    }
+
+    /// The upstream that a request is sent to at once, or null.
+    const UpstreamState* arrive()
+    {
+        RequestSpec spec;
+        spec.id = ++m_id;
+        spec.snapshot = snapshot;
+        spec.account = snapshot->bundle->nobody;
+        spec.deadline = now + 10 * kSecond;
+        Actions actions;
+        m_scheduler.handle(RequestArrived {std::move(spec)}, now, actions);
+        for (const Action& action : actions)
+            if (const auto* send = std::get_if<SendAttempt>(&action))
+                return send->upstream.get();
+        return nullptr;
+    }
+
+private:
+    std::unique_ptr<Router> m_router;
+    std::unique_ptr<Admission> m_admission;
+
+public:
+    UpstreamTable table;
+    SnapshotPtr snapshot;
+    std::shared_ptr<UpstreamState> ia;
+    std::shared_ptr<UpstreamState> ib;
+    Micros now = 0;
+
+private:
+    Scheduler m_scheduler;
+    RequestId m_id = 0;
+};
+
+TEST_CASE("requests go to warm upstreams of other halls while the own hall is cold")
+{
+    Fleet fleet(2);
+    fleet.ia->cold.note(kColdTime);
+    for (int i = 0; i < 2; ++i)
+        CHECK(fleet.arrive() == fleet.ib.get());
+    fleet.now = kColdTime;
+    CHECK(fleet.arrive() == fleet.ia.get());
+}
+
+TEST_CASE("with cold upstreams only, a daemon sends its part and no more")
+{
+    Fleet fleet(1);
+    fleet.ia->cold.note(kColdTime);
+    fleet.ib->evacuated = true;
+    int sent = 0;
+    for (int i = 0; i < 20; ++i)
+        sent += fleet.arrive() ? 1 : 0;
+    CHECK(sent <= 1);
+}
+
+TEST_CASE("a hall that comes back from an evacuation comes back cold")
+{
+    Fleet fleet(2);
+    fleet.table.set_evacuated({"a"}, 0);
+    CHECK_FALSE(fleet.ia->cold.is_cold(0));
+    fleet.now = kSecond;
+    fleet.table.set_evacuated({}, fleet.now);
+    CHECK(fleet.ia->cold.is_cold(fleet.now));
+    CHECK_FALSE(fleet.ib->cold.is_cold(fleet.now));
+    CHECK(fleet.arrive() == fleet.ib.get());
+}
+
+TEST_CASE("a daemon whose own hall has no upstream in service runs more than one call")
+{
+    Fleet fleet(1);
+    fleet.table.set_evacuated({"a"}, 0);
+    for (int i = 0; i < 4; ++i)
+        CHECK(fleet.arrive() == fleet.ib.get());
+}
+
+} // namespace
+} // namespace cypressford
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -12,6 +12,9 @@
 /// Identities that are gone are remembered this long, so that a late record of
 /// theirs does not bring them back.
 constexpr Micros kRememberGone = 120 * kSecond;
+/// Records of one start of an upstream place the end of its cold time within this: they
+/// are up to one heartbeat old when they are read.  A later end is a new start.
+constexpr Micros kColdTolerance = 1500 * kMillisecond;
 
 } // namespace
 
@@ -55,7 +58,7 @@
 }
 
 bool
-DirectoryFold::apply(const UpstreamRecord& record)
+DirectoryFold::apply(const UpstreamRecord& record, Micros now)
 {
     auto [it, is_new] = m_known.try_emplace(record.member.identity);
     Known& known = it->second;
@@ -69,6 +72,10 @@
         return false;
     UpstreamMember member = record.member;
     member.leaving |= known.member.leaving;
+    const Micros cold_until = record.cold_left > 0 ? now + record.cold_left : 0;
+    member.cold_until = cold_until > known.member.cold_until + kColdTolerance
+        ? cold_until
+        : known.member.cold_until;
     const bool changed = is_new || !known.present || !(member == known.member);
     known.sequence = record.sequence;
     known.present = true;
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -462,7 +462,7 @@
         return true;
     }
     const auto upstream = m_dialect.decode_upstream(record);
-    return upstream && m_fold.apply(*upstream);
+    return upstream && m_fold.apply(*upstream, now);
 }
 
 void
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -79,6 +79,7 @@
         return false;
     const int slots = std::max(1, set.spec.slots);
     return is_usable(upstream, now)
+        && (!upstream.cold.is_cold(now) || upstream.cold.may_grant(now))
         && upstream.in_flight.load(std::memory_order_relaxed) < slots;
 }
 
@@ -98,6 +99,10 @@
         for (const auto& upstream : *side)
             if (is_free(*upstream, set, now))
                 free.push_back({upstream, free_room(*upstream, set, now)});
+    const auto is_cold
+        = [now](const FreeUpstream& f) { return f.upstream->cold.is_cold(now); };
+    if (!std::all_of(free.begin(), free.end(), is_cold))
+        std::erase_if(free, is_cold);
     return free;
 }
 
@@ -285,14 +290,16 @@
         return std::nullopt;
     if (m_failures.contains(call.upstream.get())) {
         take_probe(call, set, now);
-        return call;
+    } else {
+        fill(call, set, {false, false}, now);
+        if (saturated || call.pieces.empty())
+            fill(call, set, {saturated, true}, now);
+        if (call.pieces.empty())
+            return std::nullopt;
+        call.left = left_behind(call, set, now);
     }
-    fill(call, set, {false, false}, now);
-    if (saturated || call.pieces.empty())
-        fill(call, set, {saturated, true}, now);
-    if (call.pieces.empty())
-        return std::nullopt;
-    call.left = left_behind(call, set, now);
+    if (call.upstream->cold.is_cold(now))
+        call.upstream->cold.take_grant(now);
     return call;
 }
 
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -143,6 +143,9 @@
                 != query.avoid.end();
             if (avoided || !is_usable(*upstream, now))
                 continue;
+            // A cold engine takes what it bears; the others go on to warm ones.
+            if (upstream->cold.is_cold(now) && !upstream->cold.may_grant(now))
+                continue;
             const bool is_near = keeps_near && upstream->hall == query.near;
             const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
                 && m_reach.avoids(query.from, upstream->identity, upstream->hall, now);
@@ -182,8 +185,11 @@
     for (const Choice& choice : all)
         if (choice.cost <= limit && (!best || is_better(choice)))
             best = &choice;
-    if (query.reserve)
+    if (query.reserve) {
+        if (best->upstream->cold.is_cold(now))
+            best->upstream->cold.take_grant(now);
         reserve(*best->upstream, set, query, now);
+    }
     return best->upstream;
 }
 
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -112,7 +112,8 @@
         && now - capacity.at < kCapacityAge;
     if (!fresh)
         capacity = {now, generation, count_usable(set, now),
-                    share_of_slots(set, options.daemons_in_hall, now)};
+                    share_of_slots(set, {options.daemons_in_hall, daemons},
+                                   typical_time(request, at), now)};
     return capacity;
 }
 
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -136,11 +136,18 @@
     query.any_hall = (homed && request.is_relayed()) || !request.prepared_identity.empty();
     if (!query.any_hall)
         query.near = request.prepared_hall;
+    query.granted = request.prepared_identity;
+    query.daemons = daemons;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
         collect_candidates(set, query, candidates);
     }
+    // Cold ones come last: others wait there, or break down, while these have places.
+    if (candidates.empty()) {
+        query.allow_cold = true;
+        collect_candidates(set, query, candidates);
+    }
     if (candidates.empty())
         return false;
     for (const auto* state : candidates.states)
@@ -154,7 +161,7 @@
     context.random = random();
     context.sequence = queue_of(set.id).decisions++;
     chosen = *candidates.states[router.pick(candidates.values, context)];
-    return true;
+    return !chosen->cold.is_cold(now) || chosen->cold.take_send(daemons, now);
 }
 
 /// The pieces are wanted where the stage that reads them would run now.
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -53,6 +53,8 @@
     if (report.incarnation < known)
         return;
     if (report.incarnation > known) {
+        if (known != 0)
+            cold.assume(at);
         incarnation.store(report.incarnation, std::memory_order_relaxed);
         leaving.store(report.leaving, std::memory_order_relaxed);
     } else if (report.leaving) {
@@ -265,6 +267,9 @@
     for (const auto& [hall, addresses] : spec.halls)
         for (const auto& address : addresses)
             (hall == m_hall ? set.own : set.remote).push_back(upstream(address, hall));
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& state : *side)
+            state->cold.set_spec(spec.cold);
     return set;
 }
 
@@ -281,6 +286,8 @@
         if (member.leaving)
             state->mark_leaving();
         UpstreamSet& target = snapshot.sets[set->second];
+        state->cold.set_spec(target.spec.cold);
+        state->cold.note(member.cold_until);
         (member.hall == m_hall ? target.own : target.remote).push_back(std::move(state));
     }
 }
@@ -306,7 +313,7 @@
 {
     auto& state = m_upstreams[upstream_key(address, identity)];
     if (!state) {
-        state = std::make_shared<UpstreamState>(address, hall, identity);
+        state = std::make_shared<UpstreamState>(address, hall, identity, m_seed);
         state->evacuated.store(is_evacuated(hall), std::memory_order_relaxed);
     }
     return state;
@@ -319,12 +326,16 @@
 }
 
 void
-UpstreamTable::set_evacuated(std::vector<std::string> halls, Micros /*now*/)
+UpstreamTable::set_evacuated(std::vector<std::string> halls, Micros now)
 {
     const std::lock_guard lock(m_mutex);
     m_evacuated = std::move(halls);
-    for (const auto& [key, state] : m_upstreams)
-        state->evacuated.store(is_evacuated(state->hall), std::memory_order_relaxed);
+    for (const auto& [key, state] : m_upstreams) {
+        const bool evacuated = is_evacuated(state->hall);
+        const bool before = state->evacuated.exchange(evacuated, std::memory_order_relaxed);
+        if (before && !evacuated)
+            state->cold.assume(now);
+    }
 }
 
 std::uint32_t
--- a/src/libserve/attempt.cpp
+++ b/src/libserve/attempt.cpp
@@ -101,6 +101,7 @@
         .kv("upstream", send.upstream->address)
         .kv("identity", send.upstream->identity)
         .kv("may_repeat", send.may_repeat)
+        .kv("cold", send.upstream->cold.is_cold(started))
         .kv("left_us", send.deadline - started)
         .kv("status", to_string(status))
         .kv("first_byte_us", context->relay ? context->relay->first_byte : 0)
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -33,6 +33,14 @@
 constexpr Micros kReportPace = 10 * kSecond;
 constexpr int kOk = 200;
 
+std::ptrdiff_t
+count_cold(const std::vector<UpstreamMember>& members)
+{
+    const Micros now = monotonic_us();
+    return std::count_if(members.begin(), members.end(),
+                         [now](const auto& member) { return member.cold_until > now; });
+}
+
 } // namespace
 
 DirectoryWatch::DirectoryWatch(asio::io_context& io, Kernel& kernel)
@@ -377,6 +385,7 @@
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
         .kv("upstreams", members.size())
+        .kv("cold", count_cold(members))
         .kv("build_us", monotonic_us() - build_began_at);
     if (m_on_change)
         m_on_change();
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -262,6 +262,8 @@
     Line& line = line_of(set_name);
     const UpstreamAnswer said = m_kernel.calls->read_answer(result.response);
     const bool answered = result.status == CallStatus::Answered;
+    if (said.cold_left > 0)
+        call.upstream->cold.note(now + said.cold_left);
     std::vector<PieceResult> results;
     if (answered && result.response.status == kOk)
         if (auto decoded = m_kernel.calls->decode_piece_call(result.response))
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -333,6 +333,8 @@
         co_return AttemptStatus::Lost;
     const HttpResponse& response = result.response;
     const UpstreamAnswer answer = dialect.read_answer(response);
+    if (answer.cold_left > 0)
+        send.upstream->cold.note(monotonic_us() + answer.cold_left);
     if (answer.input_gone)
         co_return AttemptStatus::InputGone;
     if (answer.other_identity)
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -546,6 +546,12 @@
     RequestId m_next_request = 1;
 };
 
+std::uint64_t
+seed_of(int daemon)
+{
+    return 0x51ed270b0a1f39c1ULL * static_cast<std::uint64_t>(daemon + 1);
+}
+
 /// Cases that the last call of run_cases() took, those that made a failure smaller
 /// included.
 int g_cases = 0;
@@ -570,6 +576,43 @@
     });
 }
 
+/// Requests come to any number of daemons at any time; a cold upstream gets no more than
+/// it bears from all of them and the leader of its set together.
+bool
+run_cold_cases(int cases, std::uint64_t seed)
+{
+    const std::string parameters = "max_success=" + std::to_string(cases)
+        + " max_size=200 verbose_progress=0 noshrink=1 seed=" + std::to_string(seed);
+    setenv("RC_PARAMS", parameters.c_str(), 1);
+    return rc::check("cold upstreams get what they bear", [] {
+        const auto per_s = static_cast<double>(*rc::gen::inRange(1, 20));
+        const auto daemons = *rc::gen::inRange(1, 300);
+        const auto gap = *rc::gen::inRange<Micros>(kMillisecond, 40 * kMillisecond);
+        constexpr Micros time = 3 * kSecond;
+        std::vector<std::unique_ptr<ColdState>> states;
+        for (int i = 0; i < daemons; ++i) {
+            states.push_back(std::make_unique<ColdState>(seed_of(i)));
+            states.back()->set_spec({time, per_s});
+            states.back()->note(time);
+        }
+        std::vector<Micros> sent;
+        for (Micros now = 0; now < time; now += gap) {
+            const auto daemon = static_cast<std::size_t>(now / gap * 7 % daemons);
+            // The first leads, and the others reach it every other time.
+            const bool granted = now / gap % 2 == 0 && states.front()->take_grant(now);
+            if (granted || states[daemon]->take_send(daemons, now))
+                sent.push_back(now);
+        }
+        const double bound = 1.5 * per_s + 5;
+        for (const Micros from : sent) {
+            const auto in_window = std::count_if(sent.begin(), sent.end(), [&](Micros at) {
+                return at >= from && at < from + kSecond;
+            });
+            RC_ASSERT(static_cast<double>(in_window) <= bound);
+        }
+    });
+}
+
 /// True if each deliberate fault was caught.
 bool
 check_mutations(int cases, std::uint64_t seed)
@@ -579,11 +622,12 @@
         {Mutation::FreeBeforeRead, "FreeBeforeRead"},
         {Mutation::RetryOnce, "RetryOnce"},
         {Mutation::FalseNotRun, "FalseNotRun"},
+        {Mutation::ColdBoundForEach, "ColdBoundForEach"},
         {Mutation::SendToEvacuated, "SendToEvacuated"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
         g_mutation = fault;
-        const bool caught = !run_cases(cases, seed);
+        const bool caught = !run_cases(cases, seed) || !run_cold_cases(cases, seed);
         std::cout << name << (caught ? ": caught, cases " : ": NOT CAUGHT, cases ")
                   << g_cases << '\n';
         all = all && caught;
@@ -604,6 +648,7 @@
     const std::uint64_t seed = absl::GetFlag(FLAGS_seed);
     const bool good = absl::GetFlag(FLAGS_mutations)
         ? cypressford::fuzz::check_mutations(cases, seed)
-        : cypressford::fuzz::run_cases(cases, seed);
+        : cypressford::fuzz::run_cases(cases, seed)
+            && cypressford::fuzz::run_cold_cases(cases, seed);
     return good ? 0 : 1;
 }
