Requests stay in the regions that their route and account allow

Cause: allowed regions of routes and client accounts were not read, so a request, its pieces, retries and hedges went to any hall.

Change: regions of pipelines and accounts become a HallLimit by the settings' region of each hall; both bind. Candidates, waiting pieces and prompts are held to it, also at the daemon that leads the set, to which it travels. With no allowed hall left a request is refused at once as no_allowed_hall (503, not run).

--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -71,6 +71,8 @@
     int max_attempts = 0; ///< upstreams one request may be sent to; 0: the scheduler's
     Micros target_latency = 0; ///< time of an answer that counts as prompt; 0: none
     std::vector<PieceStageSpec> piece_stages;
+    /// Requests are worked on in these regions only; empty: in all.
+    std::vector<std::string> regions;
 
     /// True if every stage may be repeated.
     bool repeatable() const;
@@ -114,6 +116,9 @@
     double burst = 100; ///< requests that may come at once
     std::vector<std::string> more_credentials {}; ///< further digests like the first
     int priority = 0; ///< stands before that of the pipeline
+    /// Requests are worked on in these regions only; empty: in all.  A pipeline's regions
+    /// hold besides.
+    std::vector<std::string> regions {};
 };
 
 /// A model and the adapters that may be loaded beside it.
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -24,6 +24,7 @@
     std::string near; ///< hall where the results are wanted; empty: anywhere
     std::int64_t result_bytes = 0; ///< of each piece, about
     bool again = false; ///< made before and gone: each piece is a retry
+    HallLimit halls; ///< they may be made there only
     std::vector<PieceItem> pieces; ///< `time_left` of each is the order's
 };
 
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -105,6 +105,7 @@
     Micros queued_at = 0;
     std::int64_t result_bytes = 0;
     std::string near; ///< hall where its result is wanted; empty: anywhere
+    HallLimit halls; ///< it may be made there only
 };
 
 /// Pieces that stayed behind when a call left that was not full, by what kept them.
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -33,6 +33,7 @@
     /// are needed.  A prompt's home is found in a hall with that probability.
     std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities
+    HallLimit halls; ///< it may be read there only
     std::string from; ///< hall of the daemon that will send it
     bool reserve = false; ///< false: only a question
 };
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -42,6 +42,7 @@
     /// pipeline; 0 leaves a piece stage out.
     std::vector<int> pieces;
 
+    HallLimit halls; ///< where it may be worked on
     /// Whoever leads the upstream set is asked which upstream is to have it.
     bool asks_leader = false;
 
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -22,6 +22,7 @@
 
 #include <cypressford/bundle.h>
 #include <cypressford/cold.h>
+#include <cypressford/hall_limit.h>
 
 namespace cypressford {
 
@@ -173,6 +174,7 @@
     std::vector<StageId> stage_ids; ///< per stage: id for learned latencies
     std::vector<std::size_t> piece_sets; ///< per piece stage: index into Snapshot::sets
     std::vector<StageId> piece_stage_ids; ///< per piece stage
+    HallLimit halls; ///< by its regions
 };
 
 /// Pipelines that share a host and a path prefix.
@@ -186,6 +188,7 @@
 struct ResolvedAccount {
     AccountSpec spec;
     std::shared_ptr<AccountState> state;
+    HallLimit halls {}; ///< by its regions
 };
 
 /// A bundle with its pipelines and accounts resolved.  Never changes once made, and is
@@ -238,10 +241,14 @@
 /// Makes snapshots and carries live state over from one to the next.
 class UpstreamTable {
 public:
+    /// Region of each hall.
+    using Regions = std::map<std::string, std::string>;
+
     /// `hall`: of this daemon.  `seed`: drawn by it.
-    explicit UpstreamTable(std::string hall, std::uint64_t seed = 0)
+    explicit UpstreamTable(std::string hall, std::uint64_t seed = 0, Regions regions = {})
         : m_hall(std::move(hall))
         , m_seed(seed)
+        , m_regions(std::move(regions))
     {
     }
 
@@ -282,8 +289,12 @@
 
     bool is_evacuated(const std::string& hall) const;
 
+    /// Halls of these regions; all if there are none.
+    HallLimit halls_of(const std::vector<std::string>& regions) const;
+
     const std::string m_hall;
     const std::uint64_t m_seed;
+    const Regions m_regions;
     std::vector<std::string> m_evacuated; ///< halls
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -63,6 +63,7 @@
     reader.read("priority", pipeline.priority, true);
     reader.read("deadline_ms", deadline_ms, true);
     reader.read("stream", pipeline.stream);
+    reader.read("regions", pipeline.regions);
     reader.each("stages", [&](const YAML::Node& item) {
         pipeline.stages.push_back(read_stage(item, faults));
     });
@@ -103,6 +104,7 @@
     reader.read("credential_sha256", account.credential_sha256, true);
     reader.read("rate", account.rate, true);
     reader.read("burst", account.burst, true);
+    reader.read("regions", account.regions);
     reader.refuse_unknown_keys();
     return account;
 }
@@ -263,11 +265,14 @@
     json::array stages;
     for (const auto& stage : pipeline.stages)
         stages.push_back(to_json(stage));
-    return {{"name", pipeline.name},
-            {"priority", pipeline.priority},
-            {"deadline_ms", pipeline.deadline / kMillisecond},
-            {"stream", pipeline.stream},
-            {"stages", std::move(stages)}};
+    json::object object {{"name", pipeline.name},
+                         {"priority", pipeline.priority},
+                         {"deadline_ms", pipeline.deadline / kMillisecond},
+                         {"stream", pipeline.stream},
+                         {"stages", std::move(stages)}};
+    if (!pipeline.regions.empty())
+        object["regions"] = to_json(pipeline.regions);
+    return object;
 }
 
 json::object
@@ -293,10 +298,13 @@
 json::object
 to_json(const AccountSpec& account)
 {
-    return {{"name", account.name},
-            {"credential_sha256", account.credential_sha256},
-            {"rate", account.rate},
-            {"burst", account.burst}};
+    json::object object {{"name", account.name},
+                         {"credential_sha256", account.credential_sha256},
+                         {"rate", account.rate},
+                         {"burst", account.burst}};
+    if (!account.regions.empty())
+        object["regions"] = to_json(account.regions);
+    return object;
 }
 
 } // namespace
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -88,6 +88,8 @@
     if (!is_usable(*upstream, query.now) || was_tried(*upstream, query)
         || !is_warm_enough(*upstream, query))
         return;
+    if (query.halls && !query.halls->allows(upstream->hall))
+        return;
     if (query.limit_slots
         && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
         return;
@@ -233,10 +235,11 @@
 }
 
 int
-count_usable(const UpstreamSet& set, Micros now)
+count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls)
 {
-    return count_upstreams(
-        set, [now](const auto& upstream) { return is_usable(*upstream, now); });
+    return count_upstreams(set, [now, &halls](const auto& upstream) {
+        return is_usable(*upstream, now) && halls.allows(upstream->hall);
+    });
 }
 
 } // namespace cypressford
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -31,6 +31,7 @@
     std::string_view granted;
     /// ... and those that this daemon, one of `daemons`, may send a call by itself.
     bool allow_cold = false;
+    const HallLimit* halls = nullptr; ///< no others; null: all
     int daemons = 1;
 };
 
@@ -73,7 +74,7 @@
 /// Upstreams anywhere that are not in an evacuated hall.
 int count_in_service(const UpstreamSet& set);
 
-/// Usable upstreams anywhere.
-int count_usable(const UpstreamSet& set, Micros now);
+/// Usable upstreams in these halls.
+int count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls = {});
 
 } // namespace cypressford
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -29,6 +29,29 @@
     return "unknown";
 }
 
+namespace {
+
+/// Absent where all halls are allowed.
+template <class Message>
+void
+write_halls(const HallLimit& limit, Message& out)
+{
+    if (limit.is_set())
+        out.mutable_halls()->mutable_halls()->Assign(limit.halls().begin(),
+                                                     limit.halls().end());
+}
+
+template <class Message>
+HallLimit
+read_halls(const Message& in)
+{
+    if (!in.has_halls())
+        return {};
+    return HallLimit({in.halls().halls().begin(), in.halls().halls().end()});
+}
+
+} // namespace
+
 std::string
 encode(const PieceOrder& order)
 {
@@ -41,6 +64,7 @@
     out.set_near(order.near);
     out.set_result_bytes(order.result_bytes);
     out.set_again(order.again);
+    write_halls(order.halls, out);
     for (const PieceItem& item : order.pieces) {
         proto::PieceWanted* piece = out.add_pieces();
         piece->set_attempt(item.attempt);
@@ -67,6 +91,7 @@
     order.near = in.near();
     order.result_bytes = in.result_bytes();
     order.again = in.again();
+    order.halls = read_halls(in);
     for (const proto::PieceWanted& piece : in.pieces()) {
         PieceItem item;
         item.attempt = piece.attempt();
@@ -119,6 +144,7 @@
     out.set_affinity(prompt.affinity);
     out.set_near(prompt.near);
     out.set_near_bytes(prompt.near_bytes);
+    write_halls(prompt.halls, out);
     out.set_from(prompt.from);
     out.set_reserve(prompt.reserve);
     out.mutable_hall_parts()->insert(prompt.hall_parts.begin(), prompt.hall_parts.end());
@@ -146,6 +172,7 @@
     query.prompt.near = in.near();
     query.prompt.near_bytes = in.near_bytes();
     query.prompt.from = in.from();
+    query.prompt.halls = read_halls(in);
     query.prompt.reserve = in.reserve();
     query.prompt.hall_parts = {in.hall_parts().begin(), in.hall_parts().end()};
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -121,7 +121,7 @@
 PieceQueue::waits_for_hall(const WaitingPiece& piece, const UpstreamSet& set,
                            Micros now) const
 {
-    if (!m_switches.uses(Mechanism::HallWaits))
+    if (!m_switches.uses(Mechanism::HallWaits) || !piece.halls.allows(piece.near))
         return false;
     if (now - piece.queued_at >= patience(set, piece))
         return false;
@@ -156,7 +156,7 @@
     ++m_turn;
     for (std::size_t i = 0; i < free.size(); ++i) {
         const auto& [upstream, room] = free[(m_turn + i) % free.size()];
-        if (room < piece.result_bytes)
+        if (room < piece.result_bytes || !piece.halls.allows(upstream->hall))
             continue;
         if (upstream->hall == piece.near)
             return upstream;
@@ -218,7 +218,8 @@
         const bool too_large = group > items && call.pieces.empty();
         const bool begun = piece.group == taking || goes_whole || too_large;
         const bool fits = begun || rule.split;
-        if (!fits_hall || !fits || piece.result_bytes > room) {
+        const bool allowed = piece.halls.allows(call.upstream->hall);
+        if (!allowed || !fits_hall || !fits || piece.result_bytes > room) {
             ++it;
             continue;
         }
@@ -263,7 +264,7 @@
     for (auto it = m_waiting.begin();
          it != m_waiting.end() && call.pieces.size() < items;) {
         const WaitingPiece& piece = m_by_id.at(it->id);
-        if (piece.group != group) {
+        if (piece.group != group || !piece.halls.allows(call.upstream->hall)) {
             ++it;
             continue;
         }
@@ -294,10 +295,10 @@
         fill(call, set, {false, false}, now);
         if (saturated || call.pieces.empty())
             fill(call, set, {saturated, true}, now);
-        if (call.pieces.empty())
-            return std::nullopt;
         call.left = left_behind(call, set, now);
     }
+    if (call.pieces.empty())
+        return std::nullopt;
     if (call.upstream->cold.is_cold(now))
         call.upstream->cold.take_grant(now);
     return call;
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -141,7 +141,8 @@
             const bool avoided
                 = std::find(query.avoid.begin(), query.avoid.end(), upstream->identity)
                 != query.avoid.end();
-            if (avoided || !is_usable(*upstream, now))
+            if (avoided || !is_usable(*upstream, now)
+                || !query.halls.allows(upstream->hall))
                 continue;
             // A cold engine takes what it bears; the others go on to warm ones.
             if (upstream->cold.is_cold(now) && !upstream->cold.may_grant(now))
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -21,6 +21,8 @@
         return {false, ErrorKind::KeyRequired, 0, 0};
     if (waiting_count >= options.max_waiting)
         return {false, ErrorKind::QueueFull, kSecond, 0};
+    if (!is_allowed_anywhere(request))
+        return {false, ErrorKind::NoAllowedHall, kSecond, 0};
     AdmissionQuery query;
     query.now = now;
     query.deadline = request.spec.deadline;
@@ -47,6 +49,25 @@
     return verdict;
 }
 
+/// True if each set that the request needs has an upstream that is usable where the
+/// request may be worked on.  Asked of limited requests only; others are judged by their
+/// stages' outlooks.
+bool
+Scheduler::Impl::is_allowed_anywhere(const Request& request) const
+{
+    const HallLimit& halls = request.spec.halls;
+    if (!halls.is_set())
+        return true;
+    const ResolvedPipeline& pipeline = request.pipeline();
+    const Snapshot& snapshot = *request.spec.snapshot;
+    const auto is_usable_there
+        = [&](std::size_t set) { return count_usable(snapshot.sets[set], now, halls) > 0; };
+    for (std::size_t at = 0; at < pipeline.piece_sets.size(); ++at)
+        if (request.spec.pieces[at] > 0 && !is_usable_there(pipeline.piece_sets[at]))
+            return false;
+    return std::all_of(pipeline.sets.begin(), pipeline.sets.end(), is_usable_there);
+}
+
 /// How long a stage takes as its caller feels it: a relayed stream counts up to
 /// its first byte.
 Micros
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -194,6 +194,7 @@
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
+    bool is_allowed_anywhere(const Request& request) const;
     Micros typical_time(const Request& request, std::size_t at) const;
     StageOutlook outlook(const Request& request, std::size_t at);
     StageOutlook pieces_outlook(const Request& request);
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -93,7 +93,7 @@
 {
     Request& request = entry.request;
     if (!has_share_left(request) || !choose_upstream(request)) {
-        if (count_usable(request.set(), now) > 0)
+        if (count_usable(request.set(), now, request.spec.halls) > 0)
             return false;
         entry.machine.give_up(ErrorKind::NoUpstream);
         forget_if_over(entry);
@@ -138,6 +138,9 @@
         query.near = request.prepared_hall;
     query.granted = request.prepared_identity;
     query.daemons = daemons;
+    const bool leaves_home = mutated(Mutation::LeaveHomeOnRetry) && !request.tried.empty();
+    if (!leaves_home)
+        query.halls = &request.spec.halls;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
         query.tried = {};
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -226,6 +226,7 @@
     ResolvedPipeline pipeline;
     pipeline.spec = spec;
     pipeline.repeatable = spec.repeatable();
+    pipeline.halls = halls_of(spec.regions);
     auto& learned = m_pipelines[spec.name];
     if (!learned)
         learned = std::make_shared<PipelineState>();
@@ -253,7 +254,7 @@
         for (const auto& digest : spec.more_credentials)
             resolved.account_by_digest[digest] = resolved.accounts.size();
         resolved.account_by_digest[spec.credential_sha256] = resolved.accounts.size();
-        resolved.accounts.push_back({spec, state});
+        resolved.accounts.push_back({spec, state, halls_of(spec.regions)});
     }
 }
 
@@ -319,6 +320,18 @@
     return state;
 }
 
+HallLimit
+UpstreamTable::halls_of(const std::vector<std::string>& regions) const
+{
+    if (regions.empty())
+        return {};
+    std::vector<std::string> halls;
+    for (const auto& [hall, region] : m_regions)
+        if (std::find(regions.begin(), regions.end(), region) != regions.end())
+            halls.push_back(hall);
+    return HallLimit(std::move(halls));
+}
+
 bool
 UpstreamTable::is_evacuated(const std::string& hall) const
 {
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/front_door.cpp
@@ -127,6 +127,7 @@
     spec.id = m_next_request++;
     spec.account = *account;
     spec.pipeline = pipeline->second;
+    spec.halls = context->resolved().halls & context->resolved_account().halls;
     context->account = context->resolved_account().spec.name;
     context->pipeline = name;
     context->body = request.body;
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -31,7 +31,7 @@
     , calls(Registry<CallDialect>::instance().make(settings.platform.kind))
     , tokens(settings.daemon_key)
     , incarnation(random_u64())
-    , upstreams(settings.hall, incarnation)
+    , upstreams(settings.hall, incarnation, settings.hall_regions)
 {
     reloaded.store(std::make_shared<const Settings>(settings));
 }
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -86,6 +86,7 @@
     piece.deadline = order.deadline;
     piece.queued_at = monotonic_us();
     piece.near = order.order.near;
+    piece.halls = order.order.halls;
     piece.result_bytes = order.order.result_bytes;
     return piece;
 }
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -400,6 +400,7 @@
     query.prompt.reserve = reserve;
     query.prompt.from = m_kernel.settings.hall;
     query.prompt.avoid = unreachable(*job);
+    query.prompt.halls = job->wanted.halls;
     if (job->wanted.homed)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
@@ -458,6 +459,7 @@
     order.priority = job.wanted.priority;
     order.near = hall_for(job, stage);
     order.again = job.wanted.again;
+    order.halls = job.wanted.halls;
     order.result_bytes = job.resolved().spec.piece_stages[stage].result_bytes;
     // A point in time here; order() makes it a span.
     order.due_left = job.wanted.prompt_by
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -39,6 +39,7 @@
     bool homed = false; ///< the upstream that keeps the prompt decides the hall
     std::string reader_set; ///< the set whose leader chooses an upstream; empty: none
     PromptQuery prompt;
+    HallLimit halls; ///< where pieces are made and the prompt is read
     bool again = false; ///< they were made before: this is a retry at each set
 };
 
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -177,6 +177,7 @@
         return tl::unexpected(account.error());
     spec.account = *account;
     context->account = context->resolved_account().spec.name;
+    spec.halls = context->resolved().halls & context->resolved_account().halls;
     context->pipeline = of.name;
     spec.deadline
         = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -266,6 +266,9 @@
 {
     reader.read("node", settings.node, true);
     reader.read("hall", settings.hall, true);
+    reader.read("regions", settings.hall_regions);
+    if (!settings.hall_regions.empty() && !settings.hall_regions.contains(settings.hall))
+        reader.add(reader.child("regions"), "regions: '" + settings.hall + "' is missing");
     read_range(reader, "threads", 1, 64, settings.threads);
     read_range(reader, "capacity", 0.001, 1e6, settings.capacity);
     section(reader, "listen", faults, [&](YamlMapReader& r) {
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -6,6 +6,7 @@
 
 #pragma once
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,7 @@
 struct Settings {
     std::string node;
     std::string hall;
+    std::map<std::string, std::string> hall_regions; ///< region of each hall; may be empty
     std::string callers_address; ///< "ip:port" for callers
     std::string peers_address; ///< "ip:port" for other daemons; empty for none
     std::string readiness_address; ///< "ip:port" of its own for readiness; empty for none
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -194,6 +194,7 @@
     wanted.near = action.near;
     wanted.homed = action.homed;
     wanted.again = action.again;
+    wanted.halls = context->spec.halls;
     if (context->spec.asks_leader) {
         const CallerCall& call = context->relay->call;
         wanted.reader_set = context->set_name();
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -4,8 +4,8 @@
 /// \file
 /// Stateful fuzzing of relayed requests and their pieces: one scheduler over fake
 /// upstreams that refuse, break off, stay silent or lose results, in any order, while
-/// operators evacuate halls.  An oracle knows which results exist, who released them, what
-/// ran and where nothing may go.
+/// operators evacuate halls and some requests are bound to a region.  An oracle knows
+/// which results exist, who released them, what ran and where nothing may go.
 ///
 ///   cypressford_relay_fuzz               fixed cases
 ///   cypressford_relay_fuzz --mutations   each deliberate fault must be caught
@@ -60,6 +60,7 @@
 struct RequestFacts {
     std::size_t pipeline = 0;
     std::vector<int> counts;
+    HallLimit halls;
     std::vector<std::string> inputs; ///< results that an attempt is sent with
     std::optional<Preparation> preparation;
     int preparations = 0;
@@ -144,7 +145,7 @@
     RelayWorld()
         : m_router(Registry<Router>::instance().make("adaptive"))
         , m_admission(Registry<Admission>::instance().make("budget"))
-        , m_table("a")
+        , m_table("a", 0, {{"a", "north"}, {"b", "south"}})
         , m_scheduler(options(), *m_router, *m_admission, [] { return 0; })
     {
         publish();
@@ -290,6 +291,9 @@
         spec.account = m_snapshot->bundle->nobody;
         spec.deadline = m_now + kDeadline;
         spec.pieces = facts.counts;
+        if (number % 4 == 0)
+            facts.halls = HallLimit({number % 8 == 0 ? "a" : "b"});
+        spec.halls = facts.halls;
         m_requests.emplace(id, std::move(facts));
         handle(RequestArrived {std::move(spec)});
     }
@@ -440,6 +444,7 @@
         ++facts.sent;
         RC_ASSERT(!facts.forgotten);
         const std::string& hall = action.upstream->hall;
+        RC_ASSERT(facts.halls.allows(hall));
         RC_ASSERT(std::find(m_evacuated.begin(), m_evacuated.end(), hall)
                   == m_evacuated.end());
         const bool needs_pieces = facts.counts.front() > 0;
@@ -623,6 +628,7 @@
         {Mutation::RetryOnce, "RetryOnce"},
         {Mutation::FalseNotRun, "FalseNotRun"},
         {Mutation::ColdBoundForEach, "ColdBoundForEach"},
+        {Mutation::LeaveHomeOnRetry, "LeaveHomeOnRetry"},
         {Mutation::SendToEvacuated, "SendToEvacuated"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
