--- a/src/budget.admission/budget.cpp
+++ b/src/budget.admission/budget.cpp
@@ -56,7 +56,7 @@
         return {true, ErrorKind::DeadlineUnreachable, 0, finish};
     }
     bool queues_here() const override { return true; }
-    bool drops_hopeless() const override { return true; }
+    bool drops_late() const override { return true; }
 
 private:
     static bool over_share(const AdmissionQuery& query)
--- a/src/cypressford/losses.cpp
+++ b/src/cypressford/losses.cpp
@@ -103,8 +103,8 @@
         }
         set.broken_calls += event.text("whole") == "true" ? 0 : 1;
         set.input_gone += event.number("input_gone");
-        set.no_room += event.number("no_room");
-        set.room_kb.push_back(event.number("room_kb"));
+        set.no_memory += event.number("no_memory");
+        set.memory_kb.push_back(event.number("memory_kb"));
     }
 
     void take_prompt(const LoggedEvent& event)
--- a/src/cypressford/losses.h
+++ b/src/cypressford/losses.h
@@ -39,10 +39,10 @@
     std::int64_t pieces_with_waiting = 0; ///< of these calls
     std::int64_t broken_calls = 0; ///< without an answer to each piece
     std::int64_t input_gone = 0; ///< pieces
-    std::int64_t no_room = 0; ///< pieces
+    std::int64_t no_memory = 0; ///< pieces
     std::int64_t made = 0; ///< pieces, as their requests saw it
     std::int64_t unused = 0; ///< of these, of requests that were not answered
-    std::vector<std::int64_t> room_kb; ///< left behind each call
+    std::vector<std::int64_t> memory_kb; ///< left behind each call
     std::vector<std::int64_t> took_us; ///< of a request's pieces, queue included
 };
 
--- a/src/cypressford/losses_report.cpp
+++ b/src/cypressford/losses_report.cpp
@@ -92,7 +92,7 @@
 write_sets(std::ostream& out, const Losses& losses)
 {
     out << "\nupstream sets          calls  busy pieces/call when others wait   of  "
-           "p50 ms  p90 ms room p50 KB  p10 KB no room  made unused input gone broken\n";
+           "p50 ms  p90 ms  mem p50 KB  p10 KB  no mem  made unused input gone broken\n";
     for (const auto& [name, set] : losses.sets) {
         out << std::left << std::setw(20) << name << std::right << std::setw(8) << set.calls
             << std::fixed << std::setprecision(2) << std::setw(6) << busy_part(set, losses)
@@ -101,10 +101,10 @@
             << std::setw(5) << set.bound << std::setprecision(0) << std::setw(8)
             << static_cast<double>(percentile(set.took_us, 0.5)) / kUsOfMs << std::setw(8)
             << static_cast<double>(percentile(set.took_us, 0.9)) / kUsOfMs << std::setw(12)
-            << percentile(set.room_kb, 0.5) << std::setw(8) << percentile(set.room_kb, 0.1)
-            << std::setw(8) << set.no_room << std::setw(6) << set.made << std::setw(7)
-            << set.unused << std::setw(11) << set.input_gone << std::setw(7)
-            << set.broken_calls << '\n';
+            << percentile(set.memory_kb, 0.5) << std::setw(8)
+            << percentile(set.memory_kb, 0.1) << std::setw(8) << set.no_memory
+            << std::setw(6) << set.made << std::setw(7) << set.unused << std::setw(11)
+            << set.input_gone << std::setw(7) << set.broken_calls << '\n';
     }
 }
 
@@ -148,11 +148,11 @@
             {"pieces_with_waiting", set.pieces_with_waiting},
             {"broken_calls", set.broken_calls},
             {"input_gone", set.input_gone},
-            {"no_room", set.no_room},
+            {"no_memory", set.no_memory},
             {"made", set.made},
             {"unused", set.unused},
-            {"room_kb_p50", percentile(set.room_kb, 0.5)},
-            {"room_kb_p10", percentile(set.room_kb, 0.1)},
+            {"memory_kb_p50", percentile(set.memory_kb, 0.5)},
+            {"memory_kb_p10", percentile(set.memory_kb, 0.1)},
             {"took_us_p50", percentile(set.took_us, 0.5)},
             {"took_us_p90", percentile(set.took_us, 0.9)}};
 }
--- a/src/cypressford/losses_test.cpp
+++ b/src/cypressford/losses_test.cpp
@@ -24,13 +24,13 @@
       "hlc=0000000000030000 node=n1 event=pieces request=a set=s count=2 made=true "
       "why=made leader=10.0.0.2:1 us=300000\n"
       "hlc=0000000000040000 node=n1 event=pieces request=a set=t count=6 made=false "
-      "why=room leader=\"\" us=100\n"
+      "why=memory leader=\"\" us=100\n"
       "hlc=0000000000040001 node=n1 event=pieces request=a set=u count=1 made=false "
       "why=other_stage leader=\"\" us=200\n"
       "hlc=0000000000050000 node=n1 event=request_end request=a pipeline=p "
       "outcome=no_upstream ran=not_run first_us=0 aim_us=1000 us=400000\n"
       "hlc=0000000000060000 node=n1 event=piece_call set=s identity=i pieces=3 bound=8 "
-      "left_waiting=9 whole=true input_gone=0 no_room=1 room_kb=40 us=2000\n"
+      "left_waiting=9 whole=true input_gone=0 no_memory=1 memory_kb=40 us=2000\n"
       "hlc=0000000000070000 node=n1 event=pieces request=b set=s count=1 made=true "
       "why=made leader=\"\" us=900000\n"
       "hlc=0000000000080000 node=n1 event=prompt_placed request=b set=e tokens=100 "
@@ -48,7 +48,7 @@
     CHECK(counts.refused == 1);
     CHECK(counts.late == 1);
     CHECK(counts.reasons
-          == std::map<std::string, int> {{"pieces t room", 1}, {"late pieces s", 1}});
+          == std::map<std::string, int> {{"pieces t memory", 1}, {"late pieces s", 1}});
     CHECK(losses.by_second.at(0).asked == 2);
 }
 
@@ -58,7 +58,7 @@
     const SetLosses& set = losses.sets.at("s");
     CHECK(set.made == 3);
     CHECK(set.unused == 2);
-    CHECK(set.no_room == 1);
+    CHECK(set.no_memory == 1);
     CHECK(set.calls_with_waiting == 1);
     CHECK(set.pieces_with_waiting == 3);
     CHECK(set.bound == 8);
--- a/src/fixed.admission/fixed.cpp
+++ b/src/fixed.admission/fixed.cpp
@@ -20,7 +20,7 @@
         return {false, ErrorKind::QueueFull, kSecond};
     }
     bool queues_here() const override { return false; }
-    bool drops_hopeless() const override { return false; }
+    bool drops_late() const override { return false; }
 };
 
 static const Registration<Admission, FixedAdmission> s_registration("fixed");
--- a/src/include/cypressford/admission.h
+++ b/src/include/cypressford/admission.h
@@ -52,7 +52,7 @@
     virtual bool queues_here() const = 0;
 
     /// True if work that can no longer make its deadline is dropped early.
-    virtual bool drops_hopeless() const = 0;
+    virtual bool drops_late() const = 0;
 };
 
 } // namespace cypressford
--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -84,8 +84,8 @@
     int queue = 0; ///< calls that may wait at one upstream
     Micros call_time = 0; ///< of a call, whatever it holds
     Micros item_time = 0; ///< and of each piece, about
-    double room_mb = 0; ///< for results at one upstream; 0: no bound known
-    Micros keep_time = 0; ///< a result that is not given up lies there so long
+    double memory_mb = 0; ///< for results at one upstream; 0: no bound known
+    Micros keep_time = 0; ///< a result that is not released lies there so long
 };
 
 /// What an upstream of a set bears just after its start.
--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -76,7 +76,7 @@
     Made,
     Late, ///< its time was over before its turn came
     InputGone, ///< a result that it was to read is gone
-    NoRoom, ///< no upstream had room for its result
+    NoMemory, ///< no upstream had memory for its result
     Failed,
     NoRetry ///< one call failed, and the retry limit allows no other
 };
--- a/src/include/cypressford/claims.h
+++ b/src/include/cypressford/claims.h
@@ -81,7 +81,7 @@
     Micros min_append_gap = 20 * kMillisecond; ///< between appends, after a burst
     int append_burst = 4; ///< appends that may come without the gap
     std::size_t max_batch = 256; ///< entries in one append
-    Micros outage_patience = 500 * kMillisecond; ///< then new claims fail at once
+    Micros outage_wait_limit = 500 * kMillisecond; ///< then new claims fail at once
     Micros retry_append = 100 * kMillisecond; ///< after a failed append
 };
 
--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -94,7 +94,7 @@
     void set_silent_after(Micros time) { m_silent_after = time; }
 
     /// Any node may lead, however weak.
-    void let_weak_lead() { m_weak_lead = true; }
+    void let_weak_nodes_lead() { m_weak_nodes_lead = true; }
 
 private:
     struct Known {
@@ -114,7 +114,7 @@
     const std::string m_own_node;
     Micros m_silent_after;
     Micros m_read_at = 0;
-    bool m_weak_lead = false;
+    bool m_weak_nodes_lead = false;
     std::map<std::string, Known> m_daemons; ///< by node
 };
 
--- a/src/include/cypressford/error.h
+++ b/src/include/cypressford/error.h
@@ -33,7 +33,7 @@
     QueueFull, ///< the bounded queue is full
     NoUpstream, ///< no usable upstream for a stage
     NoAllowedHall, ///< none in the regions that the pipeline and the account allow
-    UpstreamFailed, ///< upstreams failed and the retry budget is spent
+    UpstreamFailed, ///< upstreams failed and the retry budget is exhausted
     UpstreamRejected, ///< an upstream finds the request itself wrong
     DeadlineExceeded, ///< the deadline passed after something was sent
     KeyRequired, ///< non-repeatable pipeline called without a key
--- a/src/include/cypressford/membership.h
+++ b/src/include/cypressford/membership.h
@@ -30,7 +30,7 @@
 
 enum class MemberState : unsigned char { Alive, Suspect, Dead };
 
-/// Times after which a silent member is doubted and given up.
+/// Times after which a silent member is suspected and taken for dead.
 struct MembershipOptions {
     Micros suspect_after = 6 * kSecond;
     Micros dead_after = 30 * kSecond;
--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -34,7 +34,7 @@
     ReturnOfGone, ///< an older record brings an upstream back that is gone
     EvacuationGoesBack, ///< an older record of an evacuation undoes a newer one
     SendToEvacuated, ///< routes to upstreams of evacuated halls
-    LeaveHomeOnRetry, ///< a second attempt may go to a region that is not allowed
+    LeaveRegionOnRetry, ///< a second attempt may go to a region that is not allowed
     ColdBoundForEach, ///< each daemon takes the whole rate of a cold upstream for itself
 };
 
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -58,7 +58,7 @@
 std::string encode(const PlaceAnswer& answer);
 Result<PlaceAnswer> decode_place_answer(std::string_view bytes);
 
-std::string encode(const Releases& spent);
+std::string encode(const Releases& releases);
 Result<Releases> decode_releases(std::string_view bytes);
 std::string encode(const PieceOrder& order);
 Result<PieceOrder> decode_piece_order(std::string_view bytes);
--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -38,7 +38,7 @@
     std::vector<std::size_t> take_ready();
 
     /// The same, but without those that had better start later: results that are read
-    /// together are to be made together, so that none takes room while it waits for
+    /// together are to be made together, so that none takes memory while it waits for
     /// the others.  `left`: time until each stage is made if it starts now, 0 for those
     /// that are made.  A stage that starts within `tolerance` starts now.
     ReadyStages take_due(const std::vector<Micros>& left, Micros tolerance);
@@ -54,20 +54,20 @@
     /// Results of the stages after which no other comes.
     std::vector<std::string> final_inputs() const;
     /// Results that nothing will read any more, once each.
-    std::vector<std::string> take_spent();
+    std::vector<std::string> take_releasable();
     /// True if nothing but the request itself reads the results of the stage.
     bool is_last(std::size_t stage) const;
     /// The stage that a result is of.
     std::size_t stage_of(const std::string& handle) const;
-    /// All results that are not spent.
-    std::vector<std::string> unspent() const;
+    /// All results that are not released.
+    std::vector<std::string> unreleased() const;
 
 private:
     struct Stage {
         std::vector<std::size_t> after; ///< stages left out are left out here too
         bool given_out = false;
         bool made = false;
-        bool spent = false;
+        bool released = false;
         std::vector<std::string> handles;
     };
 
@@ -110,7 +110,7 @@
 
 /// Pieces that stayed behind when a call left that was not full, by what kept them.
 struct LeftBehind {
-    int room = 0; ///< the upstream has no room for their results
+    int memory = 0; ///< the upstream has no memory for their results
     int hall = 0; ///< they wait for an upstream of another hall
     int group = 0; ///< their whole group did not fit
 };
@@ -122,9 +122,9 @@
     LeftBehind left;
 };
 
-/// Room that results take at the upstreams of one set, as far as the daemon that
+/// Memory that results take at the upstreams of one set, as far as the daemon that
 /// leads it knows.  What it is not told of ends with the time results are kept.
-class ResultRoom {
+class ResultMemory {
 public:
     /// Bytes that are free at the upstream; it never ends where no bound is known.
     std::int64_t free_bytes(const UpstreamState& upstream, const BatchSpec& batch,
@@ -135,14 +135,14 @@
               Micros until);
     /// The result has got this name.
     void name(PieceId piece, const std::string& handle);
-    /// The upstream says that it has no room: nothing goes there until `until`, and
-    /// more room is left free everywhere.
+    /// The upstream says that it has no memory: nothing goes there until `until`, and
+    /// more memory is left free everywhere.
     void note_full(const UpstreamState& upstream, Micros until);
-    /// All results of a call found room, and `left` bytes were believed to be free.
+    /// All results of a call found memory, and `left` bytes were believed to be free.
     void note_fit(const BatchSpec& batch, std::int64_t left);
     /// No result came of it.
     void give_back(PieceId piece);
-    /// The result of that name was given up.
+    /// The result of that name was released.
     void give_back(const std::string& handle);
 
 private:
@@ -160,7 +160,7 @@
     std::unordered_map<const UpstreamState*, std::int64_t> m_bytes;
     std::set<std::pair<Micros, PieceId>> m_ends;
     std::unordered_map<const UpstreamState*, Micros> m_full_until;
-    /// Part of the room that is left free, since results are of different sizes and
+    /// Part of the memory that is left free, since results are of different sizes and
     /// only their mean is known.  Grows with each refusal, shrinks while calls fit.
     double m_margin = 0.04;
 };
@@ -186,14 +186,14 @@
     std::size_t size() const { return m_by_id.size(); }
 
     /// The next call, if a piece waits and an upstream is free for it; to be asked
-    /// until it has none, and again after patience().
+    /// until it has none, and again after hall_wait_limit().
     std::optional<PieceCall> next_call(const UpstreamSet& set, Micros now);
 
     /// How long a piece waits for an upstream of its hall.
-    static Micros patience(const UpstreamSet& set, const WaitingPiece& piece);
+    static Micros hall_wait_limit(const UpstreamSet& set, const WaitingPiece& piece);
 
     /// What the results at the upstreams take.
-    ResultRoom& room() { return m_room; }
+    ResultMemory& memory() { return m_memory; }
 
     /// Until a piece of that priority that comes now would be made, over its own
     /// call's time.
@@ -201,10 +201,10 @@
 
     /// Takes out pieces that are not worth waiting any longer: they can't be prompt,
     /// and no upstream was idle for them for the time of a call.
-    std::vector<PieceId> take_hopeless(const UpstreamSet& set, Micros now);
+    std::vector<PieceId> take_overdue(const UpstreamSet& set, Micros now);
 
     /// The upstream is left alone for a while: it was full.
-    void rest(const UpstreamState& upstream, Micros until);
+    void back_off(const UpstreamState& upstream, Micros until);
     /// It failed: left alone for a while that doubles each time, then tried with one
     /// group of pieces.
     void note_failure(const UpstreamState& upstream, Micros now);
@@ -221,10 +221,10 @@
         auto operator<=>(const Rank&) const = default;
     };
     using Ranks = std::set<Rank>;
-    /// An upstream with a free slot, and the room for results there.
+    /// An upstream with a free slot, and the memory for results there.
     struct FreeUpstream {
         std::shared_ptr<UpstreamState> upstream;
-        std::int64_t room = 0; ///< bytes
+        std::int64_t memory = 0; ///< bytes
     };
     using Upstreams = std::vector<FreeUpstream>;
 
@@ -234,8 +234,8 @@
     }
     void move_late(Micros now);
     bool is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const;
-    std::int64_t free_room(const UpstreamState& upstream, const UpstreamSet& set,
-                           Micros now);
+    std::int64_t free_memory(const UpstreamState& upstream, const UpstreamSet& set,
+                             Micros now);
     static Micros kept_until(const UpstreamSet& set, Micros now);
     bool has_free_upstream(const UpstreamSet& set, Micros now) const;
     Upstreams free_upstreams(const UpstreamSet& set, Micros now);
@@ -264,9 +264,9 @@
     std::unordered_set<PieceId> m_late; ///< of those that wait
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
     std::unordered_map<PieceId, std::size_t> m_group_sizes; ///< pieces that wait
-    std::unordered_map<const UpstreamState*, Micros> m_resting;
+    std::unordered_map<const UpstreamState*, Micros> m_backed_off;
     std::unordered_map<const UpstreamState*, int> m_failures; ///< in a row
-    ResultRoom m_room;
+    ResultMemory m_memory;
     std::uint64_t m_turn = 0;
 };
 
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -20,11 +20,11 @@
     WholeGroups, ///< pieces that are of use only together go in one call
     FullCallsFirst, ///< when much waits, full calls come before halls and groups
     LateTier, ///< pieces that can't be prompt go behind those of their priority that can
-    DropLatePieces, ///< pieces that wait long behind their time are given up
+    DropLatePieces, ///< pieces that wait long behind their time are dropped
     EarlyRelease, ///< results are released when they are read, not at the end
     LatestStart, ///< stages start as late as the longest path allows
     TransferHalls, ///< stages are made where the fewest bytes move
-    StableHomes, ///< a prompt's engine is found by hashing, the same at each leader
+    StableEngines, ///< a prompt's engine is found by hashing, the same at each leader
     ToleratedCost, ///< an engine that keeps the prompt may cost somewhat more
     NearResults, ///< engines near the results, where these outweigh the prompt
     EjectSilent, ///< upstreams that do not begin to answer are taken out
@@ -39,7 +39,7 @@
 inline constexpr std::array<std::string_view, kMechanisms> kMechanismNames {
     "hall_waits",       "whole_groups",   "full_calls_first", "late_tier",
     "drop_late_pieces", "early_release",  "latest_start",     "transfer_halls",
-    "stable_homes",     "tolerated_cost", "near_results",     "eject_silent",
+    "stable_engines",   "tolerated_cost", "near_results",     "eject_silent",
     "shared_reach",     "strong_leaders"};
 
 /// Nothing for an unknown name.
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -30,7 +30,7 @@
     std::string near; ///< hall where what it reads besides lies; may be empty
     std::int64_t near_bytes = 0; ///< of that; they cross to an upstream of another hall
     /// Part of the upstreams of the request's pieces that each hall has; empty: none
-    /// are needed.  A prompt's home is found in a hall with that probability.
+    /// are needed.  A prompt's engine is found in a hall with that probability.
     std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities
     HallLimit halls; ///< it may be read there only
@@ -65,7 +65,7 @@
 
     /// The answer began, so the prompt is read.
     void note_begun(const std::string& attempt);
-    /// The answer ended, or the request was given up.
+    /// The answer ended, or the request was cancelled.
     void note_ended(const std::string& attempt);
     /// The request could not be given to the upstream chosen for it.
     void note_unreached(const std::string& attempt, Micros now);
--- a/src/include/cypressford/retry_budget.h
+++ b/src/include/cypressford/retry_budget.h
@@ -12,7 +12,7 @@
 /// retries can't multiply the load of an outage.
 class RetryBudget {
 public:
-    /// `saved`: what may be spent before anything is earned.
+    /// `saved`: available before anything is earned.
     RetryBudget(double ratio, double burst, double saved)
         : m_ratio(ratio)
         , m_burst(burst)
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -138,7 +138,7 @@
     RequestId request = 0;
     Micros deadline = 0;
     Micros prompt_by = 0; ///< when they must be made for a prompt answer
-    bool homed = false; ///< the upstream that keeps its prompt decides the hall
+    bool follows_prompt = false; ///< the upstream that keeps its prompt decides the hall
     std::string near; ///< hall for the results otherwise
     bool again = false; ///< they were made before and are gone
 };
--- a/src/libcypressford/claimer.cpp
+++ b/src/libcypressford/claimer.cpp
@@ -325,7 +325,7 @@
 bool
 Claimer::log_is_out(Micros now) const
 {
-    return m_failing_since && now - *m_failing_since >= m_options.outage_patience;
+    return m_failing_since && now - *m_failing_since >= m_options.outage_wait_limit;
 }
 
 } // namespace cypressford
--- a/src/libcypressford/claims_test.cpp
+++ b/src/libcypressford/claims_test.cpp
@@ -119,7 +119,7 @@
     CHECK(last(bench.a) == ClaimResult::Won);
 }
 
-TEST_CASE("a claim that was given up can't win later, though its append lands late")
+TEST_CASE("a claim that was abandoned can't win later, though its append lands late")
 {
     Bench bench;
     bench.want(bench.a, 1, "k");
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -156,7 +156,7 @@
 void
 DaemonTable::keep_strong(std::vector<const Known*>& candidates) const
 {
-    if (m_weak_lead)
+    if (m_weak_nodes_lead)
         return;
     double strongest = 0;
     for (const Known* known : candidates)
--- a/src/libcypressford/evacuation_test.cpp
+++ b/src/libcypressford/evacuation_test.cpp
@@ -298,13 +298,13 @@
     query.tokens = 9100;
     query.affinity = 17;
     query.reserve = true;
-    const auto home = placer.place(set, query, 0);
-    REQUIRE(home);
-    home->evacuated = true;
+    const auto engine = placer.place(set, query, 0);
+    REQUIRE(engine);
+    engine->evacuated = true;
     query.attempt = "r2";
     const auto other = placer.place(set, query, 0);
     REQUIRE(other);
-    CHECK(other->identity != home->identity);
+    CHECK(other->identity != engine->identity);
     other->evacuated = true;
     query.attempt = "r3";
     CHECK_FALSE(placer.place(set, query, 0));
--- a/src/libcypressford/membership_test.cpp
+++ b/src/libcypressford/membership_test.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-TEST_CASE("a silent member is suspected before it is given up, and may come back")
+TEST_CASE("a silent member is suspected before it is taken for dead, and may come back")
 {
     Membership view(info("a", 0), kOptions);
     view.beat(0);
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -19,8 +19,8 @@
         return "queue";
     case PieceOutcome::InputGone:
         return "input";
-    case PieceOutcome::NoRoom:
-        return "room";
+    case PieceOutcome::NoMemory:
+        return "memory";
     case PieceOutcome::Failed:
         return "upstream";
     case PieceOutcome::NoRetry:
@@ -105,17 +105,17 @@
 }
 
 std::string
-encode(const Releases& spent)
+encode(const Releases& releases)
 {
     proto::Releases out;
-    out.set_upstream_set(spent.upstream_set);
-    for (const std::string& handle : spent.handles)
+    out.set_upstream_set(releases.upstream_set);
+    for (const std::string& handle : releases.handles)
         out.add_handles(handle);
-    for (const std::string& attempt : spent.begun)
+    for (const std::string& attempt : releases.begun)
         out.add_begun(attempt);
-    for (const std::string& attempt : spent.ended)
+    for (const std::string& attempt : releases.ended)
         out.add_ended(attempt);
-    for (const std::string& attempt : spent.unreached)
+    for (const std::string& attempt : releases.unreached)
         out.add_unreached(attempt);
     return out.SerializeAsString();
 }
--- a/src/libcypressford/piece_plan.cpp
+++ b/src/libcypressford/piece_plan.cpp
@@ -151,17 +151,17 @@
 }
 
 std::vector<std::string>
-PiecePlan::take_spent()
+PiecePlan::take_releasable()
 {
-    std::vector<std::string> spent;
+    std::vector<std::string> released;
     for (std::size_t at = 0; at < m_stages.size(); ++at) {
         Stage& stage = m_stages[at];
-        if (!stage.made || stage.spent || has_readers_left(at))
+        if (!stage.made || stage.released || has_readers_left(at))
             continue;
-        stage.spent = true;
-        spent.insert(spent.end(), stage.handles.begin(), stage.handles.end());
+        stage.released = true;
+        released.insert(released.end(), stage.handles.begin(), stage.handles.end());
     }
-    return spent;
+    return released;
 }
 
 std::size_t
@@ -176,11 +176,11 @@
 }
 
 std::vector<std::string>
-PiecePlan::unspent() const
+PiecePlan::unreleased() const
 {
     std::vector<std::string> left;
     for (const Stage& stage : m_stages)
-        if (stage.made && !stage.spent)
+        if (stage.made && !stage.released)
             left.insert(left.end(), stage.handles.begin(), stage.handles.end());
     return left;
 }
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -14,9 +14,9 @@
 
 /// A piece waits for an upstream of its hall no longer than this part of the time
 /// that it may wait at all.
-constexpr Micros kPatienceOfSlack = 3;
-constexpr Micros kFirstRest = 400 * kMillisecond;
-constexpr int kMaxRestDoublings = 4;
+constexpr Micros kHallWaitPartOfSlack = 3;
+constexpr Micros kFirstBackOff = 400 * kMillisecond;
+constexpr int kMaxBackOffDoublings = 4;
 /// Pieces that a search for a match looks at.
 constexpr int kMaxLookedAt = 64;
 
@@ -74,8 +74,8 @@
 bool
 PieceQueue::is_free(const UpstreamState& upstream, const UpstreamSet& set, Micros now) const
 {
-    const auto resting = m_resting.find(&upstream);
-    if (resting != m_resting.end() && resting->second > now)
+    const auto backed_off = m_backed_off.find(&upstream);
+    if (backed_off != m_backed_off.end() && backed_off->second > now)
         return false;
     const int slots = std::max(1, set.spec.slots);
     return is_usable(upstream, now)
@@ -98,7 +98,7 @@
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side)
             if (is_free(*upstream, set, now))
-                free.push_back({upstream, free_room(*upstream, set, now)});
+                free.push_back({upstream, free_memory(*upstream, set, now)});
     const auto is_cold
         = [now](const FreeUpstream& f) { return f.upstream->cold.is_cold(now); };
     if (!std::all_of(free.begin(), free.end(), is_cold))
@@ -107,12 +107,12 @@
 }
 
 Micros
-PieceQueue::patience(const UpstreamSet& set, const WaitingPiece& piece)
+PieceQueue::hall_wait_limit(const UpstreamSet& set, const WaitingPiece& piece)
 {
     if (piece.near.empty() || !set.spec.batch)
         return 0;
     const Micros slack = std::max<Micros>(0, piece.due - piece.queued_at);
-    return std::min(full_call_time(set.spec), slack / kPatienceOfSlack);
+    return std::min(full_call_time(set.spec), slack / kHallWaitPartOfSlack);
 }
 
 /// True while the piece should go to its hall only; a hall without an upstream that
@@ -123,7 +123,7 @@
 {
     if (!m_switches.uses(Mechanism::HallWaits) || !piece.halls.allows(piece.near))
         return false;
-    if (now - piece.queued_at >= patience(set, piece))
+    if (now - piece.queued_at >= hall_wait_limit(set, piece))
         return false;
     const auto is_there = [&](const auto& upstream) {
         return upstream->hall == piece.near && is_usable(*upstream, now);
@@ -133,9 +133,9 @@
 }
 
 std::int64_t
-PieceQueue::free_room(const UpstreamState& upstream, const UpstreamSet& set, Micros now)
+PieceQueue::free_memory(const UpstreamState& upstream, const UpstreamSet& set, Micros now)
 {
-    return m_room.free_bytes(upstream, set.spec.batch.value_or(BatchSpec {}), now);
+    return m_memory.free_bytes(upstream, set.spec.batch.value_or(BatchSpec {}), now);
 }
 
 /// When a result of a call that starts now is gone for sure.
@@ -152,11 +152,11 @@
 {
     const bool patient = !saturated && waits_for_hall(piece, set, now);
     std::shared_ptr<UpstreamState> any;
-    // In turn, so that results spread over the upstreams' room.
+    // In turn, so that results spread over the upstreams' memory.
     ++m_turn;
     for (std::size_t i = 0; i < free.size(); ++i) {
-        const auto& [upstream, room] = free[(m_turn + i) % free.size()];
-        if (room < piece.result_bytes || !piece.halls.allows(upstream->hall))
+        const auto& [upstream, memory] = free[(m_turn + i) % free.size()];
+        if (memory < piece.result_bytes || !piece.halls.allows(upstream->hall))
             continue;
         if (upstream->hall == piece.near)
             return upstream;
@@ -203,7 +203,7 @@
 PieceQueue::fill(PieceCall& call, const UpstreamSet& set, FillRule rule, Micros now)
 {
     const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
-    std::int64_t room = free_room(*call.upstream, set, now);
+    std::int64_t memory = free_memory(*call.upstream, set, now);
     rule.split = rule.split || !m_switches.uses(Mechanism::WholeGroups);
     PieceId taking = 0; ///< group that is being taken
     for (auto it = m_waiting.begin();
@@ -213,20 +213,20 @@
             || !waits_for_hall(piece, set, now);
         const std::size_t group = m_group_sizes.at(piece.group);
         const bool goes_whole = group <= items - call.pieces.size()
-            && static_cast<std::int64_t>(group) * piece.result_bytes <= room;
+            && static_cast<std::int64_t>(group) * piece.result_bytes <= memory;
         // A group that is larger than a call can't stay together.
         const bool too_large = group > items && call.pieces.empty();
         const bool begun = piece.group == taking || goes_whole || too_large;
         const bool fits = begun || rule.split;
         const bool allowed = piece.halls.allows(call.upstream->hall);
-        if (!allowed || !fits_hall || !fits || piece.result_bytes > room) {
+        if (!allowed || !fits_hall || !fits || piece.result_bytes > memory) {
             ++it;
             continue;
         }
         if (begun)
             taking = piece.group;
-        room -= piece.result_bytes;
-        m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
+        memory -= piece.result_bytes;
+        m_memory.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
         call.pieces.push_back(it->id);
         forget(it->id);
         it = m_waiting.erase(it);
@@ -240,13 +240,13 @@
     const auto items = static_cast<std::size_t>(set.spec.batch ? set.spec.batch->items : 1);
     if (call.pieces.size() >= items)
         return left;
-    const std::int64_t room = free_room(*call.upstream, set, now);
+    const std::int64_t memory = free_memory(*call.upstream, set, now);
     int looked_at = 0;
     for (const auto& [id, piece] : m_by_id) {
         if (++looked_at > kMaxLookedAt)
             break;
-        if (piece.result_bytes > room)
-            ++left.room;
+        if (piece.result_bytes > memory)
+            ++left.memory;
         else if (piece.near != call.upstream->hall && waits_for_hall(piece, set, now))
             ++left.hall;
         else
@@ -268,7 +268,7 @@
             ++it;
             continue;
         }
-        m_room.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
+        m_memory.take(*call.upstream, it->id, piece.result_bytes, kept_until(set, now));
         call.pieces.push_back(it->id);
         forget(it->id);
         it = m_waiting.erase(it);
@@ -322,36 +322,37 @@
 }
 
 std::vector<PieceId>
-PieceQueue::take_hopeless(const UpstreamSet& set, Micros now)
+PieceQueue::take_overdue(const UpstreamSet& set, Micros now)
 {
     if (!m_switches.uses(Mechanism::DropLatePieces))
         return {};
     move_late(now);
     const Micros full_call = full_call_time(set.spec);
-    std::vector<PieceId> hopeless;
+    std::vector<PieceId> overdue;
     for (const Rank& rank : m_waiting) {
         if (!rank.late)
             continue;
         const WaitingPiece& piece = m_by_id.at(rank.id);
         if (now - std::max(piece.due, piece.queued_at) > full_call)
-            hopeless.push_back(rank.id);
+            overdue.push_back(rank.id);
     }
-    for (const PieceId id : hopeless)
+    for (const PieceId id : overdue)
         remove(id);
-    return hopeless;
+    return overdue;
 }
 
 void
 PieceQueue::note_failure(const UpstreamState& upstream, Micros now)
 {
     const int before = m_failures[&upstream]++;
-    m_resting[&upstream] = now + (kFirstRest << std::min(before, kMaxRestDoublings));
+    m_backed_off[&upstream]
+        = now + (kFirstBackOff << std::min(before, kMaxBackOffDoublings));
 }
 
 void
-PieceQueue::rest(const UpstreamState& upstream, Micros until)
+PieceQueue::back_off(const UpstreamState& upstream, Micros until)
 {
-    m_resting[&upstream] = until;
+    m_backed_off[&upstream] = until;
 }
 
 } // namespace cypressford
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -83,19 +83,19 @@
     CHECK(last_left_out.final_inputs() == Handles {"a"});
 }
 
-TEST_CASE("a result is spent when its last reader is made, and once")
+TEST_CASE("a result is released when its last reader is made, and once")
 {
     PiecePlan plan({stage({}), stage({0}), stage({0})}, {1, 1, 1});
     plan.take_ready();
     plan.stage_made(0, {"a"});
     plan.take_ready();
     plan.stage_made(1, {"b"});
-    CHECK(plan.take_spent().empty());
-    CHECK(plan.unspent() == Handles {"a", "b"});
+    CHECK(plan.take_releasable().empty());
+    CHECK(plan.unreleased() == Handles {"a", "b"});
     plan.stage_made(2, {"c"});
-    CHECK(plan.take_spent() == Handles {"a"});
-    CHECK(plan.take_spent().empty());
-    CHECK(plan.unspent() == Handles {"b", "c"});
+    CHECK(plan.take_releasable() == Handles {"a"});
+    CHECK(plan.take_releasable().empty());
+    CHECK(plan.unreleased() == Handles {"b", "c"});
     CHECK(plan.stage_of("c") == 2);
 }
 
@@ -117,13 +117,13 @@
 
 /// A set of single-slot upstreams, by hall.
 UpstreamSet
-make_set(const std::vector<std::string>& halls, int items = 8, double room_mb = 0)
+make_set(const std::vector<std::string>& halls, int items = 8, double memory_mb = 0)
 {
     UpstreamSet set;
     set.spec.name = "set";
     set.spec.slots = 1;
-    set.spec.batch
-        = BatchSpec {items, 2, 150 * kMillisecond, 16 * kMillisecond, room_mb, 4 * kSecond};
+    set.spec.batch = BatchSpec {
+        items, 2, 150 * kMillisecond, 16 * kMillisecond, memory_mb, 4 * kSecond};
     for (std::size_t i = 0; i < halls.size(); ++i)
         set.own.push_back(std::make_shared<UpstreamState>(
             "10.0.0." + std::to_string(i) + ":80", halls[i], "i" + std::to_string(i)));
@@ -182,10 +182,10 @@
     PieceQueue queue;
     queue.add(piece(1, 1, 0, kSecond, "b"));
     CHECK_FALSE(queue.next_call(set, 0));
-    const Micros patience = PieceQueue::patience(set, piece(1, 1, 0, kSecond, "b"));
-    CHECK(patience > 0);
-    CHECK(patience < kSecond);
-    const auto call = queue.next_call(set, patience);
+    const Micros limit = PieceQueue::hall_wait_limit(set, piece(1, 1, 0, kSecond, "b"));
+    CHECK(limit > 0);
+    CHECK(limit < kSecond);
+    const auto call = queue.next_call(set, limit);
     REQUIRE(call);
     CHECK(call->upstream->hall == "a");
 }
@@ -227,7 +227,7 @@
     CHECK(queue.next_call(set, 0)->pieces == Ids {3});
 }
 
-TEST_CASE("results never take more than the room that is there")
+TEST_CASE("results never take more than the memory that is there")
 {
     const UpstreamSet set = make_set({"a"}, 8, 10);
     PieceQueue queue;
@@ -240,50 +240,50 @@
     REQUIRE(call);
     CHECK(call->pieces.size() == 3);
     CHECK_FALSE(queue.next_call(set, 0));
-    queue.room().name(call->pieces[0], "h0");
-    queue.room().give_back("h0");
+    queue.memory().name(call->pieces[0], "h0");
+    queue.memory().give_back("h0");
     CHECK(queue.next_call(set, 0)->pieces.size() == 1);
     // What nobody gives up ends with the time that results are kept.
     CHECK_FALSE(queue.next_call(set, kSecond));
     CHECK(queue.next_call(set, 6 * kSecond)->pieces.size() == 3);
 }
 
-TEST_CASE("an upstream that says it has no room is left alone for a while")
+TEST_CASE("an upstream that says it has no memory is left alone for a while")
 {
     const UpstreamSet set = make_set({"a"}, 8, 10);
     PieceQueue queue;
     WaitingPiece big = piece(1, 1, 0, 10 * kSecond);
     big.result_bytes = 1;
     queue.add(big);
-    queue.room().note_full(*set.own.front(), kSecond);
+    queue.memory().note_full(*set.own.front(), kSecond);
     CHECK_FALSE(queue.next_call(set, 0));
     CHECK(queue.next_call(set, kSecond));
 }
 
-TEST_CASE("refusals leave more room free, calls that nearly fill it less")
+TEST_CASE("refusals leave more memory free, calls that nearly fill it less")
 {
     const UpstreamSet set = make_set({"a"}, 8, 1.0); // 1 MB
     const BatchSpec& batch = *set.spec.batch;
     const UpstreamState& upstream = *set.own[0];
-    ResultRoom room;
-    // One result may take all of an empty upstream's room.
-    CHECK(room.free_bytes(upstream, batch, 0) == 1'000'000);
-    room.take(upstream, 1, 100'000, 100 * kSecond);
-    const std::int64_t before = room.free_bytes(upstream, batch, 0);
+    ResultMemory memory;
+    // One result may take all of an empty upstream's memory.
+    CHECK(memory.free_bytes(upstream, batch, 0) == 1'000'000);
+    memory.take(upstream, 1, 100'000, 100 * kSecond);
+    const std::int64_t before = memory.free_bytes(upstream, batch, 0);
     CHECK(before < 900'000);
-    room.note_full(upstream, kSecond);
-    CHECK(room.free_bytes(upstream, batch, 0) == 0);
-    const std::int64_t after = room.free_bytes(upstream, batch, 2 * kSecond);
+    memory.note_full(upstream, kSecond);
+    CHECK(memory.free_bytes(upstream, batch, 0) == 0);
+    const std::int64_t after = memory.free_bytes(upstream, batch, 2 * kSecond);
     CHECK(after < before);
-    // Calls that left much room say nothing.
-    room.note_fit(batch, 500'000);
-    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) == after);
+    // Calls that left much memory say nothing.
+    memory.note_fit(batch, 500'000);
+    CHECK(memory.free_bytes(upstream, batch, 2 * kSecond) == after);
     for (int i = 0; i < 1000; ++i)
-        room.note_fit(batch, 20'000);
-    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) == 900'000);
+        memory.note_fit(batch, 20'000);
+    CHECK(memory.free_bytes(upstream, batch, 2 * kSecond) == 900'000);
     for (int i = 0; i < 1000; ++i)
-        room.note_full(upstream, kSecond);
-    CHECK(room.free_bytes(upstream, batch, 2 * kSecond) > 700'000);
+        memory.note_full(upstream, kSecond);
+    CHECK(memory.free_bytes(upstream, batch, 2 * kSecond) > 700'000);
 }
 
 TEST_CASE("an upstream that fails is backed off, longer each time, and probed")
@@ -303,15 +303,15 @@
     CHECK(queue.next_call(set, 800 * kMillisecond)->pieces.size() == 2);
 }
 
-TEST_CASE("hopeless pieces are taken out after a call's time, prompt ones never")
+TEST_CASE("overdue pieces are taken out after a call's time, prompt ones never")
 {
     const UpstreamSet set = make_set({"a"}, 8);
     set.own.front()->in_flight = 1;
     PieceQueue queue;
     queue.add(piece(1, 1, 0, 0));
     queue.add(piece(2, 2, 0, 100 * kSecond));
-    CHECK(queue.take_hopeless(set, 278 * kMillisecond).empty());
-    CHECK(queue.take_hopeless(set, 279 * kMillisecond) == Ids {1});
+    CHECK(queue.take_overdue(set, 278 * kMillisecond).empty());
+    CHECK(queue.take_overdue(set, 279 * kMillisecond) == Ids {1});
     CHECK(queue.size() == 1);
 }
 
@@ -410,28 +410,28 @@
 {
     const UpstreamSet set = engines(6);
     PromptPlacer placer;
-    const auto home = placer.place(set, prompt("1", 77), 0);
+    const auto engine = placer.place(set, prompt("1", 77), 0);
     placer.note_begun("1");
     for (int i = 2; i < 8; ++i) {
         const std::string attempt = std::to_string(i);
-        CHECK(placer.place(set, prompt(attempt, 77), 0) == home);
+        CHECK(placer.place(set, prompt(attempt, 77), 0) == engine);
         placer.note_begun(attempt);
         placer.note_ended(attempt);
     }
 }
 
-TEST_CASE("a home with too much to read gets help")
+TEST_CASE("an engine with too much to read gets help")
 {
     const UpstreamSet set = engines(6);
     PromptPlacer placer;
-    const auto home = placer.place(set, prompt("1", 77), 0);
+    const auto engine = placer.place(set, prompt("1", 77), 0);
     bool helped = false;
     for (int i = 2; i < 30; ++i)
-        helped |= placer.place(set, prompt(std::to_string(i), 77), 0) != home;
+        helped |= placer.place(set, prompt(std::to_string(i), 77), 0) != engine;
     CHECK(helped);
 }
 
-TEST_CASE("two leaders that know nothing choose the same home")
+TEST_CASE("two leaders that know nothing choose the same engine")
 {
     const UpstreamSet set = engines(6);
     for (std::uint64_t subject = 1; subject < 40; ++subject) {
@@ -457,10 +457,10 @@
 {
     const UpstreamSet set = engines(2);
     PromptPlacer placer;
-    const auto home = placer.place(set, prompt("0", 5), 0);
+    const auto engine = placer.place(set, prompt("0", 5), 0);
     for (int i = 1; i < 20; ++i)
         placer.place(set, prompt(std::to_string(i), 5), 0);
-    CHECK(placer.place(set, prompt("x", 5, false), 20 * kSecond) == home);
+    CHECK(placer.place(set, prompt("x", 5, false), 20 * kSecond) == engine);
 }
 
 } // namespace
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -47,7 +47,7 @@
 }
 
 /// Weight of an upstream in weighted rendezvous hashing (Schindelhauer and
-/// Schomaker, 2005); the highest is the home.
+/// Schomaker, 2005); the highest is preferred.
 double
 weight_of(const UpstreamState& upstream, const PromptQuery& query, std::uint64_t key)
 {
@@ -131,7 +131,7 @@
 PromptPlacer::choices(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
     std::vector<Choice> result;
-    const std::uint64_t key = m_switches.uses(Mechanism::StableHomes)
+    const std::uint64_t key = m_switches.uses(Mechanism::StableEngines)
         ? query.affinity
         : std::hash<std::string> {}(query.attempt);
     const bool keeps_near = m_switches.uses(Mechanism::NearResults)
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -91,7 +91,7 @@
     }
 };
 
-/// The kind that is true of a request that is given up: whether anything was
+/// The kind that is true of a request that is aborted: whether anything was
 /// sent decides between the kinds that promise "not run" and those that don't.
 ErrorKind settle_kind(ErrorKind kind, const Request& request);
 
--- a/src/libcypressford/request_machine.cpp
+++ b/src/libcypressford/request_machine.cpp
@@ -23,7 +23,7 @@
 struct HedgeDue { };
 struct StageDone { };
 struct AttemptLost { };
-struct GiveUp {
+struct Abort {
     ErrorKind kind;
 };
 
@@ -53,12 +53,12 @@
     void complete(const StageDone&) { host->complete(); }
     void wait_for_others(const AttemptLost&) { }
     void retry(const AttemptLost&) { }
-    void fail(const AttemptLost&) { host->give_up(host->failure_kind()); }
-    void abandon(const GiveUp& event) { host->give_up(event.kind); }
-    void detach(const GiveUp&) { host->reply_unknown(); }
+    void fail(const AttemptLost&) { host->abort(host->failure_kind()); }
+    void abandon(const Abort& event) { host->abort(event.kind); }
+    void detach(const Abort&) { host->reply_unknown(); }
     void settle_done(const StageDone&) { host->settle(true); }
     void settle_lost(const AttemptLost&) { host->settle(false); }
-    void settle_given_up(const GiveUp&) { host->settle(false); }
+    void settle_given_up(const Abort&) { host->settle(false); }
 
     bool is_last(const StageDone&) { return host->at_last_stage(); }
     bool is_not_last(const StageDone&) { return !host->at_last_stage(); }
@@ -67,8 +67,8 @@
     {
         return !host->others_running() && host->may_retry();
     }
-    bool runs_once(const GiveUp&) { return host->once_running(); }
-    bool runs_not_once(const GiveUp&) { return !host->once_running(); }
+    bool runs_once(const Abort&) { return host->once_running(); }
+    bool runs_not_once(const Abort&) { return !host->once_running(); }
 
     using D = Definition;
     // Rows with the same source and event are tried from the last to the first.
@@ -78,23 +78,23 @@
     struct transition_table : mpl::vector<
         a_row<Waiting,  SlotGranted,   Running,  &D::send>,
         a_row<Waiting,  ClaimRequired, Claiming, &D::begin_claim>,
-        a_row<Waiting,  GiveUp,        Finished, &D::abandon>,
+        a_row<Waiting,  Abort,        Finished, &D::abandon>,
         a_row<Claiming, ClaimWon,      Waiting,  &D::keep_claim>,
-        a_row<Claiming, GiveUp,        Finished, &D::abandon>,
+        a_row<Claiming, Abort,        Finished, &D::abandon>,
         a_row<Waiting,  PreparationRequired, Preparing, &D::begin_preparation>,
         a_row<Preparing, PreparationMade,   Waiting,  &D::keep_preparation>,
-        a_row<Preparing, GiveUp,       Finished, &D::abandon>,
+        a_row<Preparing, Abort,       Finished, &D::abandon>,
         a_irow<Running, HedgeDue,                &D::hedge>,
           row<Running,  StageDone,     Finished, &D::complete,   &D::is_last>,
           row<Running,  StageDone,     Waiting,  &D::next_stage, &D::is_not_last>,
         a_row<Running,  AttemptLost,   Finished, &D::fail>,
           row<Running,  AttemptLost,   Waiting,  &D::retry,      &D::can_retry>,
          irow<Running,  AttemptLost,             &D::wait_for_others, &D::has_others>,
-          row<Running,  GiveUp,        Finished, &D::abandon,    &D::runs_not_once>,
-          row<Running,  GiveUp,        Detached, &D::detach,     &D::runs_once>,
+          row<Running,  Abort,        Finished, &D::abandon,    &D::runs_not_once>,
+          row<Running,  Abort,        Detached, &D::detach,     &D::runs_once>,
         a_row<Detached, StageDone,     Finished, &D::settle_done>,
         a_row<Detached, AttemptLost,   Finished, &D::settle_lost>,
-        a_row<Detached, GiveUp,        Finished, &D::settle_given_up>
+        a_row<Detached, Abort,        Finished, &D::settle_given_up>
     > { };
     // clang-format on
 
@@ -172,9 +172,9 @@
 }
 
 void
-RequestMachine::give_up(ErrorKind kind)
+RequestMachine::abort(ErrorKind kind)
 {
-    m_impl->backend.process_event(GiveUp {kind});
+    m_impl->backend.process_event(Abort {kind});
 }
 
 RequestState
--- a/src/libcypressford/request_machine.h
+++ b/src/libcypressford/request_machine.h
@@ -23,7 +23,7 @@
     virtual void begin_preparation() = 0;
     virtual void next_stage() = 0;
     virtual void complete() = 0; ///< the last stage is done
-    virtual void give_up(ErrorKind kind) = 0;
+    virtual void abort(ErrorKind kind) = 0;
     virtual void reply_unknown() = 0; ///< the caller's time is over, the run goes on
     virtual void settle(bool done) = 0; ///< a run that outlived its caller has ended
 
@@ -60,7 +60,7 @@
     void hedge_due();
     void stage_done();
     void attempt_lost();
-    void give_up(ErrorKind kind);
+    void abort(ErrorKind kind);
 
     RequestState state() const;
 
--- a/src/libcypressford/result_room.cpp
+++ b/src/libcypressford/result_memory.cpp
@@ -11,50 +11,50 @@
 namespace {
 
 constexpr double kBytesOfMb = 1e6;
-/// Steps of the margin, as parts of the room: two results of fifty for each refusal, and
-/// back over some twenty calls that fit (additive, as refusals are dear and room is not).
+/// Steps of the margin, as parts of the memory: two results of fifty for each refusal, and
+/// back over some twenty calls that fit (additive, as refusals are dear and memory is not).
 constexpr double kMarginUp = 0.02;
 constexpr double kMarginDown = 0.002;
 constexpr double kMostMargin = 0.12;
-/// A call says that the margin is large enough only if it nearly filled the room.
+/// A call says that the margin is large enough only if it nearly filled the memory.
 constexpr double kNearlyFull = 0.1;
 
 } // namespace
 
 std::int64_t
-ResultRoom::free_bytes(const UpstreamState& upstream, const BatchSpec& batch, Micros now)
+ResultMemory::free_bytes(const UpstreamState& upstream, const BatchSpec& batch, Micros now)
 {
-    if (batch.room_mb <= 0)
+    if (batch.memory_mb <= 0)
         return std::numeric_limits<std::int64_t>::max();
     expire(now);
     const auto full = m_full_until.find(&upstream);
     if (full != m_full_until.end() && full->second > now)
         return 0;
-    const double room = batch.room_mb * kBytesOfMb;
+    const double memory = batch.memory_mb * kBytesOfMb;
     const auto it = m_bytes.find(&upstream);
-    // One result may be as large as all of the room.
+    // One result may be as large as all of the memory.
     if (it == m_bytes.end())
-        return static_cast<std::int64_t>(room);
-    return static_cast<std::int64_t>((1 - m_margin) * room) - it->second;
+        return static_cast<std::int64_t>(memory);
+    return static_cast<std::int64_t>((1 - m_margin) * memory) - it->second;
 }
 
 void
-ResultRoom::note_full(const UpstreamState& upstream, Micros until)
+ResultMemory::note_full(const UpstreamState& upstream, Micros until)
 {
     m_full_until[&upstream] = until;
     m_margin = std::min(kMostMargin, m_margin + kMarginUp);
 }
 
 void
-ResultRoom::note_fit(const BatchSpec& batch, std::int64_t left)
+ResultMemory::note_fit(const BatchSpec& batch, std::int64_t left)
 {
-    if (static_cast<double>(left) < kNearlyFull * batch.room_mb * kBytesOfMb)
+    if (static_cast<double>(left) < kNearlyFull * batch.memory_mb * kBytesOfMb)
         m_margin = std::max(0.0, m_margin - kMarginDown);
 }
 
 void
-ResultRoom::take(const UpstreamState& upstream, PieceId piece, std::int64_t bytes,
-                 Micros until)
+ResultMemory::take(const UpstreamState& upstream, PieceId piece, std::int64_t bytes,
+                   Micros until)
 {
     m_taken[piece] = {&upstream, bytes, until, {}};
     m_bytes[&upstream] += bytes;
@@ -62,7 +62,7 @@
 }
 
 void
-ResultRoom::name(PieceId piece, const std::string& handle)
+ResultMemory::name(PieceId piece, const std::string& handle)
 {
     const auto it = m_taken.find(piece);
     if (it == m_taken.end())
@@ -72,7 +72,7 @@
 }
 
 void
-ResultRoom::give_back(PieceId piece)
+ResultMemory::give_back(PieceId piece)
 {
     const auto it = m_taken.find(piece);
     if (it == m_taken.end())
@@ -88,7 +88,7 @@
 }
 
 void
-ResultRoom::give_back(const std::string& handle)
+ResultMemory::give_back(const std::string& handle)
 {
     const auto it = m_by_handle.find(handle);
     if (it != m_by_handle.end())
@@ -96,7 +96,7 @@
 }
 
 void
-ResultRoom::expire(Micros now)
+ResultMemory::expire(Micros now)
 {
     while (!m_ends.empty() && m_ends.begin()->first <= now)
         give_back(PieceId {m_ends.begin()->second});
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -86,7 +86,7 @@
         entry.request.claim = ClaimState::Won;
         // A holder that was paused finds out here, before it sends anything.
         if (now >= entry.request.spec.deadline)
-            entry.machine.give_up(ErrorKind::DeadlineExceeded);
+            entry.machine.abort(ErrorKind::DeadlineExceeded);
         else
             entry.machine.claim_won();
     } else {
@@ -94,7 +94,7 @@
         if (event.result == ClaimResult::Replayed)
             reply_replayed(entry);
         else
-            entry.machine.give_up(claim_error(event.result));
+            entry.machine.abort(claim_error(event.result));
     }
     advance(entry);
     forget_if_over(entry);
@@ -107,7 +107,7 @@
     if (it == entries.end())
         return;
     Entry& entry = *it->second;
-    entry.machine.give_up(ErrorKind::CallerGone);
+    entry.machine.abort(ErrorKind::CallerGone);
     forget_if_over(entry);
 }
 
@@ -128,13 +128,13 @@
         entry.machine.preparation_made();
     } else {
         request.preparation = PreparationState::Wanted;
-        entry.machine.give_up(ErrorKind::NoUpstream);
+        entry.machine.abort(ErrorKind::NoUpstream);
     }
     advance(entry);
     forget_if_over(entry);
 }
 
-/// Room for results is scarce, so they are released as soon as they were read.  A
+/// Memory for results is scarce, so they are released as soon as they were read.  A
 /// later attempt has them made again.
 void
 Scheduler::Impl::on(const InputsRead& event)
@@ -169,7 +169,7 @@
         else if (timer.kind == TimerKind::Silence)
             check_silence(timer.attempt);
         else
-            entry.machine.give_up(ErrorKind::DeadlineExceeded);
+            entry.machine.abort(ErrorKind::DeadlineExceeded);
         forget_if_over(entry);
     }
     for (SetId id = 0; id < queues.size(); ++id)
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -36,7 +36,7 @@
 inline constexpr double kLeastDrain = 0.05;
 /// A shared prompt shorter than this is read again faster than results of pieces
 /// cross to where it is kept, so it binds no request to an upstream.
-inline constexpr std::int64_t kTokensWorthHome = 1024;
+inline constexpr std::int64_t kTokensWorthFollowing = 1024;
 /// An upstream that has not begun to answer a relayed request after this many times
 /// what it takes usually, and after this time in any case, is taken for silent.
 inline constexpr Micros kSilenceOverTypical = 8;
@@ -44,7 +44,7 @@
 /// A request that had less time left than a connection may take says nothing of its
 /// upstream.
 inline constexpr Micros kTimeToConnect = 250 * kMillisecond;
-/// Upstreams that one stage may fail to reach before it is given up.
+/// Upstreams that one stage may fail to reach before it fails.
 inline constexpr int kMaxUnreached = 6;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
@@ -115,12 +115,12 @@
             owner.end_claim(request, ClaimOutcome::Done);
             owner.finish(request);
         }
-        void give_up(ErrorKind kind) override
+        void abort(ErrorKind kind) override
         {
             const ErrorKind settled = settle_kind(kind, request);
-            owner.answer(request,
-                         Reply {0, settled, settle_ran(settled, request),
-                                kRetryAfterGivingUp, false});
+            owner.answer(
+                request,
+                Reply {0, settled, settle_ran(settled, request), kRetryAfterAbort, false});
             const bool in_doubt
                 = request.once_may_have_run && !mutated(Mutation::ReleaseAfterLost);
             owner.end_claim(request,
@@ -131,7 +131,7 @@
         {
             owner.answer(request,
                          Reply {0, ErrorKind::OutcomeUnknown, Ran::Unknown,
-                                kRetryAfterGivingUp, false});
+                                kRetryAfterAbort, false});
             owner.timers.push({owner.now + owner.options.detached_limit,
                                TimerKind::Deadline, request.spec.id, 0});
         }
@@ -178,8 +178,8 @@
         RequestMachine machine;
     };
 
-    /// Advice to callers whose request was given up after it was admitted.
-    static constexpr Micros kRetryAfterGivingUp = kSecond;
+    /// Advice to callers whose request was aborted after it was admitted.
+    static constexpr Micros kRetryAfterAbort = kSecond;
 
     Impl(SchedulerOptions options, const Router& router, const Admission& admission,
          RandomBits random);
@@ -206,7 +206,7 @@
     void leave_queue(Request& request);
     void pump_dirty();
     void pump(SetId id);
-    bool is_hopeless(const Request& request) const;
+    bool cannot_meet_deadline(const Request& request) const;
     bool try_start(Entry& entry);
     bool has_share_left(const Request& request);
     bool choose_upstream(const Request& request);
@@ -251,11 +251,11 @@
         return own > 0 ? own : options.max_attempts;
     }
     /// True if the present stage is best run by whoever keeps its prompt.
-    static bool has_home(const Request& request)
+    static bool follows_prompt(const Request& request)
     {
         const RequestSpec& spec = request.spec;
         const bool is_short
-            = spec.shared_tokens >= 0 && spec.shared_tokens < kTokensWorthHome;
+            = spec.shared_tokens >= 0 && spec.shared_tokens < kTokensWorthFollowing;
         return request.stage_spec().kind == StageKind::Generate && spec.affinity != 0
             && !(is_short && spec.needs_pieces());
     }
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -62,8 +62,8 @@
     while (position != queue_of(id).waiting.end() && passed_over < kMaxPassedOver) {
         Entry& entry = *entries.at(position->request);
         ++position;
-        if (is_hopeless(entry.request)) {
-            entry.machine.give_up(ErrorKind::DeadlineExceeded);
+        if (cannot_meet_deadline(entry.request)) {
+            entry.machine.abort(ErrorKind::DeadlineExceeded);
             forget_if_over(entry);
             continue;
         }
@@ -75,12 +75,12 @@
 }
 
 bool
-Scheduler::Impl::is_hopeless(const Request& request) const
+Scheduler::Impl::cannot_meet_deadline(const Request& request) const
 {
     const Micros left = request.spec.deadline - now;
     if (left <= 0)
         return true;
-    if (!admission.drops_hopeless())
+    if (!admission.drops_late())
         return false;
     Micros needed = 0;
     for (std::size_t at = request.stage; at < request.pipeline().spec.stages.size(); ++at)
@@ -95,7 +95,7 @@
     if (!has_share_left(request) || !choose_upstream(request)) {
         if (count_usable(request.set(), now, request.spec.halls) > 0)
             return false;
-        entry.machine.give_up(ErrorKind::NoUpstream);
+        entry.machine.abort(ErrorKind::NoUpstream);
         forget_if_over(entry);
         return true;
     }
@@ -129,17 +129,19 @@
     query.limit_slots = admission.queues_here();
     query.allow_probe = request.stage_spec().repeatable;
     query.tried = request.tried;
-    const bool homed = has_home(request);
-    query.want_all = homed || !router.samples() || !request.prepared_identity.empty();
+    const bool by_prompt = follows_prompt(request);
+    query.want_all = by_prompt || !router.samples() || !request.prepared_identity.empty();
     query.random = random();
     // Whoever keeps a session's prefix is worth more than a near one.
-    query.any_hall = (homed && request.is_relayed()) || !request.prepared_identity.empty();
+    query.any_hall
+        = (by_prompt && request.is_relayed()) || !request.prepared_identity.empty();
     if (!query.any_hall)
         query.near = request.prepared_hall;
     query.granted = request.prepared_identity;
     query.daemons = daemons;
-    const bool leaves_home = mutated(Mutation::LeaveHomeOnRetry) && !request.tried.empty();
-    if (!leaves_home)
+    const bool leaves_region
+        = mutated(Mutation::LeaveRegionOnRetry) && !request.tried.empty();
+    if (!leaves_region)
         query.halls = &request.spec.halls;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
@@ -160,7 +162,7 @@
             return true;
         }
     RouteContext context;
-    context.affinity = homed ? request.spec.affinity : 0;
+    context.affinity = by_prompt ? request.spec.affinity : 0;
     context.random = random();
     context.sequence = queue_of(set.id).decisions++;
     chosen = *candidates.states[router.pick(candidates.values, context)];
@@ -177,9 +179,9 @@
     begin.request = request.spec.id;
     begin.deadline = request.spec.deadline;
     begin.prompt_by = request.arrived + aim - request.pipeline().state->first_byte.load();
-    begin.homed = has_home(request);
+    begin.follows_prompt = follows_prompt(request);
     begin.again = request.prepared_before;
-    if (!begin.homed)
+    if (!begin.follows_prompt)
         begin.near = choose_hall(*request.spec.snapshot, request.pipeline(),
                                  request.spec.pieces, random(), now);
     return begin;
@@ -220,7 +222,7 @@
     attempts.emplace(attempt.id, std::move(attempt));
 }
 
-/// A repeatable call that takes several times its usual tail is given up while
+/// A repeatable call that takes several times its usual tail is cancelled while
 /// there is time left for another one.
 Micros
 Scheduler::Impl::attempt_deadline(const Request& request) const
@@ -229,8 +231,7 @@
     const auto tail = model.p95(request.pipeline().stage_ids[request.stage]);
     // A relayed stream takes as long as its text; its pace is watched instead.
     const bool is_stream = request.is_relayed() && request.pipeline().spec.stream;
-    if (!request.stage_spec().repeatable || is_stream || !tail
-        || !admission.drops_hopeless())
+    if (!request.stage_spec().repeatable || is_stream || !tail || !admission.drops_late())
         return last;
     return std::min(last, now + kTimeoutOverTail * *tail + kTimeoutFloor);
 }
@@ -249,7 +250,7 @@
 void
 Scheduler::Impl::arm_silence(const Request& request, AttemptId attempt)
 {
-    if (!request.is_relayed() || !admission.drops_hopeless()
+    if (!request.is_relayed() || !admission.drops_late()
         || !options.switches.uses(Mechanism::EjectSilent))
         return;
     const Micros typical = typical_time(request, request.stage);
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -113,10 +113,10 @@
         entry.machine.stage_done();
     } else if (status == AttemptStatus::Rejected) {
         cancel_running(request);
-        entry.machine.give_up(ErrorKind::UpstreamRejected);
+        entry.machine.abort(ErrorKind::UpstreamRejected);
     } else if (now >= request.spec.deadline && !attempt.once) {
         cancel_running(request);
-        entry.machine.give_up(ErrorKind::DeadlineExceeded);
+        entry.machine.abort(ErrorKind::DeadlineExceeded);
     } else {
         request.last_failure = failure_of(status, attempt.once);
         entry.machine.attempt_lost();
@@ -197,7 +197,7 @@
 Scheduler::Impl::reply_replayed(Entry& entry)
 {
     answer(entry.request, Reply {0, std::nullopt, Ran::Ran, 0, true});
-    entry.machine.give_up(ErrorKind::Internal);
+    entry.machine.abort(ErrorKind::Internal);
 }
 
 void
--- a/src/libserve/directory_store.cpp
+++ b/src/libserve/directory_store.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 /// How long an answer may take to begin, beyond the time that the question waits.
-constexpr Micros kPatience = 800 * kMillisecond;
+constexpr Micros kWaitLimit = 800 * kMillisecond;
 /// Answers of so many bytes are logged: on a link of 10 Mbit/s they take 50 ms.
 constexpr std::size_t kLargeAnswer = 64 * 1024;
 
@@ -61,13 +61,13 @@
 
 asio::awaitable<HttpResponse>
 DirectoryStore::call(DirectoryTopic topic, std::string_view kind, HttpRequest request,
-                     Micros patience)
+                     Micros wait_limit)
 {
     ++m_calls[std::string(kind) + "_" + std::string(to_string(topic))];
     m_kernel.directory_calls.fetch_add(1, std::memory_order_relaxed);
     CallOptions options;
     const Micros asked_at = monotonic_us();
-    options.deadline_us = asked_at + patience;
+    options.deadline_us = asked_at + wait_limit;
     options.body = kLargeBody;
     options.send_clock = false;
     const CallResult result = co_await m_client.call(m_kernel.reloaded.load()->platform.log,
@@ -83,15 +83,15 @@
 DirectoryStore::newest(DirectoryTopic topic, std::string after)
 {
     auto page = m_dialect->decode_newest(
-        co_await call(topic, "list", m_dialect->newest(topic, after), kPatience));
+        co_await call(topic, "list", m_dialect->newest(topic, after), kWaitLimit));
     co_return page;
 }
 
 asio::awaitable<Result<DirectoryPage>>
 DirectoryStore::read(DirectoryTopic topic, Offset from, Micros wait)
 {
-    auto page = m_dialect->decode_read(
-        co_await call(topic, "read", m_dialect->read(topic, from, wait), wait + kPatience));
+    auto page = m_dialect->decode_read(co_await call(
+        topic, "read", m_dialect->read(topic, from, wait), wait + kWaitLimit));
     co_return page;
 }
 
@@ -99,7 +99,7 @@
 DirectoryStore::append(DirectoryTopic topic, DirectoryRecord record)
 {
     HttpRequest request = m_dialect->append(topic, record);
-    co_await call(topic, "append", std::move(request), kPatience);
+    co_await call(topic, "append", std::move(request), kWaitLimit);
 }
 
 void
--- a/src/libserve/directory_store.h
+++ b/src/libserve/directory_store.h
@@ -39,7 +39,7 @@
 
 private:
     boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, std::string_view kind,
-                                              HttpRequest request, Micros patience);
+                                              HttpRequest request, Micros wait_limit);
 
     Kernel& m_kernel;
     const std::unique_ptr<DirectoryDialect> m_dialect;
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory_watch.cpp
@@ -25,7 +25,7 @@
 /// Without a reader, between looks whether there is one.
 constexpr Micros kReaderPause = 200 * kMillisecond;
 /// How long a reader's answer may take to begin, beyond the time that it is held.
-constexpr Micros kReaderPatience = 300 * kMillisecond;
+constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// A reader that did not tell what it should is not asked for so long.
 constexpr Micros kDistrust = 3 * kSecond;
@@ -58,7 +58,7 @@
     , m_last_contact(monotonic_us())
 {
     for (const DirectoryTopic topic : DirectoryView::kTopics)
-        m_rests.emplace(topic, io);
+        m_pauses.emplace(topic, io);
 }
 
 Result<void>
@@ -145,7 +145,7 @@
     for (;;) {
         const Micros rest = m_view.time_until_read(topic, monotonic_us());
         if (rest > 0) {
-            asio::steady_timer& timer = m_rests.at(topic);
+            asio::steady_timer& timer = m_pauses.at(topic);
             timer.expires_after(std::chrono::microseconds(rest));
             co_await timer.async_wait(kToTuple);
             continue;
@@ -274,7 +274,7 @@
         for (const DirectoryTopic topic : DirectoryView::kTopics) {
             complete = complete && !m_view.of(topic).overdue;
             if (m_view.of(topic).overdue)
-                m_rests.at(topic).cancel();
+                m_pauses.at(topic).cancel();
         }
         if (!complete)
             co_await pause(kReaderPause);
@@ -293,7 +293,7 @@
     m_asked = asked;
     LogEvent("directory_source").kv("role", to_string(from.role)).kv("asks", asked);
     for (const DirectoryTopic topic : DirectoryView::kTopics)
-        m_rests.at(topic).cancel();
+        m_pauses.at(topic).cancel();
 }
 
 asio::awaitable<Result<FeedAnswer>>
@@ -303,7 +303,7 @@
     HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
     CallOptions options;
     const Micros asked_at = monotonic_us();
-    options.deadline_us = asked_at + query.wait + kReaderPatience;
+    options.deadline_us = asked_at + query.wait + kReaderWaitLimit;
     options.body = kLargeBody;
     options.connect_deadline_us = asked_at + kConnectTime;
     options.send_clock = false;
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory_watch.h
@@ -72,12 +72,12 @@
     Kernel& m_kernel;
     DirectoryStore m_store;
     HttpClient m_peers;
-    std::map<DirectoryTopic, boost::asio::steady_timer> m_rests; ///< of the loops
+    std::map<DirectoryTopic, boost::asio::steady_timer> m_pauses; ///< of the loops
     DirectoryView m_view;
     DirectoryFeedServer m_feed;
     ResolvedBundlePtr m_applied; ///< the configuration in force
     std::uint64_t m_applied_revision = 0;
-    Micros m_taken_us = 0; ///< spent on the records that were taken last
+    Micros m_taken_us = 0; ///< taken by the records that were taken last
     Evacuations m_evacuations;
     Micros m_last_contact = 0;
     Micros m_daemons_told = -1; ///< state of the daemons' records that was passed on
--- a/src/libserve/peer_link.cpp
+++ b/src/libserve/peer_link.cpp
@@ -20,7 +20,7 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Micros kConnectTime = 250 * kMillisecond;
 constexpr std::chrono::milliseconds kSignPace {200};
-constexpr Micros kSignPatience = 200 * kMillisecond;
+constexpr Micros kSignWaitLimit = 200 * kMillisecond;
 /// Signs of life that may be missed in a row.
 constexpr int kMissesAllowed = 1;
 constexpr int kOk = 200;
@@ -47,7 +47,7 @@
 }
 
 void
-PeerLink::give_up(const std::string& address)
+PeerLink::cancel_orders(const std::string& address)
 {
     const auto lost = m_open[address];
     for (const auto& handle : lost)
@@ -60,7 +60,7 @@
 {
     HttpRequest request = protobuf_post(path, std::move(body));
     CallOptions options;
-    options.deadline_us = monotonic_us() + kSignPatience;
+    options.deadline_us = monotonic_us() + kSignWaitLimit;
     co_return co_await m_client.call(std::move(address), std::move(request),
                                      std::move(options));
 }
@@ -89,7 +89,7 @@
     HttpRequest request;
     request.target = kAlivePath;
     CallOptions options;
-    options.deadline_us = monotonic_us() + kSignPatience;
+    options.deadline_us = monotonic_us() + kSignWaitLimit;
     const CallResult result
         = co_await m_client.call(address, std::move(request), std::move(options));
     co_return result.status == CallStatus::Answered ? result.response.status : 0;
@@ -117,7 +117,7 @@
         misses = status != 0 ? 0 : misses + 1;
         if (misses <= kMissesAllowed)
             continue;
-        give_up(address);
+        cancel_orders(address);
         break;
     }
     m_watched.erase(address);
--- a/src/libserve/peer_link.h
+++ b/src/libserve/peer_link.h
@@ -33,10 +33,10 @@
                                                       std::shared_ptr<CallHandle> handle);
 
     /// Orders that are open at the daemon are lost.
-    void give_up(const std::string& address);
+    void cancel_orders(const std::string& address);
 
     /// False: the daemon did not take note.
-    boost::asio::awaitable<bool> tell_releases(std::string address, Releases spent);
+    boost::asio::awaitable<bool> tell_releases(std::string address, Releases releases);
 
     /// An error says that the daemon did not answer.
     boost::asio::awaitable<Result<PlaceAnswer>> place(std::string address,
--- a/src/libserve/peer_watch.cpp
+++ b/src/libserve/peer_watch.cpp
@@ -42,7 +42,7 @@
     , m_daemons(kernel.settings.node, silent_after(1, kernel.settings.directory_writes))
 {
     if (!kernel.settings.scheduler.switches.uses(Mechanism::StrongLeaders))
-        m_daemons.let_weak_lead();
+        m_daemons.let_weak_nodes_lead();
 }
 
 void
@@ -73,7 +73,7 @@
     if (!m_daemons.suspect(address))
         return;
     LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
-    m_link.give_up(address);
+    m_link.cancel_orders(address);
     asio::co_spawn(m_io, watch_suspect(address), asio::detached);
     check_leaders();
 }
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/piece_maker.cpp
@@ -27,10 +27,10 @@
 constexpr Micros kTimeoutOverTypical = 2;
 constexpr Micros kTimeoutFloor = 200 * kMillisecond;
 /// An upstream that was full or did not answer is left alone for so long.
-constexpr Micros kRestWhenFull = 40 * kMillisecond;
-/// One that had no room for a result is tried again when the next results are released:
+constexpr Micros kBackOffWhenFull = 40 * kMillisecond;
+/// One that had no memory for a result is tried again when the next results are released:
 /// a set's calls take 200 ms and more, and several of its upstreams end theirs meanwhile.
-constexpr Micros kRestWhenNoRoom = 30 * kMillisecond;
+constexpr Micros kBackOffWhenNoMemory = 30 * kMillisecond;
 /// Between looks at pieces that wait for a certain upstream.
 constexpr Micros kLaterLook = 20 * kMillisecond;
 constexpr int kMaxCalls = 4; ///< that one piece goes out with
@@ -172,7 +172,7 @@
         co_await order->changed.async_wait(kToTuple);
     }
     ticket->m_on_cancel = nullptr;
-    give_up(order);
+    cancel(order);
     PieceAnswer answer;
     answer.pieces = order->results;
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
@@ -184,7 +184,7 @@
 
 /// Takes back the pieces of an order that has no reader any more.
 void
-PieceMaker::give_up(const std::shared_ptr<Order>& order)
+PieceMaker::cancel(const std::shared_ptr<Order>& order)
 {
     order->over = true;
     Line& line = line_of(order->order.upstream_set);
@@ -201,7 +201,7 @@
     if (!set)
         return;
     Line& line = line_of(set_name);
-    for (const PieceId id : line.queue.take_hopeless(*set, monotonic_us()))
+    for (const PieceId id : line.queue.take_overdue(*set, monotonic_us()))
         finish(id, {PieceOutcome::Late, {}});
     while (auto call = line.queue.next_call(*set, monotonic_us())) {
         call->upstream->in_flight.fetch_add(1, std::memory_order_relaxed);
@@ -238,7 +238,7 @@
     std::vector<PieceItem> items;
     Micros last_deadline = 0;
     const std::size_t left_waiting = line_of(set_name).queue.size();
-    const std::int64_t room_left = line_of(set_name).queue.room().free_bytes(
+    const std::int64_t memory_left = line_of(set_name).queue.memory().free_bytes(
         *call.upstream, set.spec.batch.value_or(BatchSpec {}), monotonic_us());
     const Micros started = monotonic_us();
     for (const PieceId id : call.pieces) {
@@ -281,35 +281,35 @@
         .kv("pieces", items.size())
         .kv("bound", set.spec.batch ? set.spec.batch->items : 0)
         .kv("left_waiting", left_waiting)
-        .kv("room_left_kb", room_left / kBytesOfKb)
-        .kv("left_for_room", call.left.room)
+        .kv("memory_left_kb", memory_left / kBytesOfKb)
+        .kv("left_for_memory", call.left.memory)
         .kv("left_for_hall", call.left.hall)
         .kv("left_for_group", call.left.group)
         .kv("status", answered ? result.response.status : 0)
         .kv("whole", whole)
         .kv("late", count(PieceOutcome::Late))
         .kv("input_gone", count(PieceOutcome::InputGone))
-        .kv("no_room", count(PieceOutcome::NoRoom))
+        .kv("no_memory", count(PieceOutcome::NoMemory))
         .kv("failed", count(PieceOutcome::Failed))
         .kv("requests", distinct_requests(items))
         .kv("waiting", line.queue.size())
-        .kv("room_kb",
-            line.queue.room().free_bytes(*call.upstream,
-                                         set.spec.batch.value_or(BatchSpec {}), now)
+        .kv("memory_kb",
+            line.queue.memory().free_bytes(*call.upstream,
+                                           set.spec.batch.value_or(BatchSpec {}), now)
                 / kBytesOfKb)
         .kv("us", now - started);
     if (whole) {
-        settle_call(set, call, results, room_left);
+        settle_call(set, call, results, memory_left);
     } else {
         if (answered && said.other_identity)
             call.upstream->mark_leaving();
         else if (answered && said.not_run)
-            line.queue.rest(*call.upstream, now + kRestWhenFull);
+            line.queue.back_off(*call.upstream, now + kBackOffWhenFull);
         else {
             line.queue.note_failure(*call.upstream, now);
         }
         for (const PieceId id : call.pieces) {
-            line.queue.room().give_back(id);
+            line.queue.memory().give_back(id);
             queue_again(set_name, id, result.status != CallStatus::NotSent,
                         PieceOutcome::Failed);
         }
@@ -320,18 +320,18 @@
 /// Every piece of the call has an answer.
 void
 PieceMaker::settle_call(const UpstreamSet& set, const PieceCall& call,
-                        const std::vector<PieceResult>& results, std::int64_t room_left)
+                        const std::vector<PieceResult>& results, std::int64_t memory_left)
 {
     const std::string& set_name = set.spec.name;
     PieceQueue& queue = line_of(set_name).queue;
     queue.note_success(*call.upstream);
-    const bool lacked_room = std::any_of(results.begin(), results.end(), [](const auto& r) {
-        return r.outcome == PieceOutcome::NoRoom;
-    });
-    if (lacked_room)
-        queue.room().note_full(*call.upstream, monotonic_us() + kRestWhenNoRoom);
+    const bool lacked_memory
+        = std::any_of(results.begin(), results.end(),
+                      [](const auto& r) { return r.outcome == PieceOutcome::NoMemory; });
+    if (lacked_memory)
+        queue.memory().note_full(*call.upstream, monotonic_us() + kBackOffWhenNoMemory);
     else
-        queue.room().note_fit(set.spec.batch.value_or(BatchSpec {}), room_left);
+        queue.memory().note_fit(set.spec.batch.value_or(BatchSpec {}), memory_left);
     for (std::size_t i = 0; i < results.size(); ++i)
         settle(set_name, call.pieces[i], results[i]);
 }
@@ -339,13 +339,13 @@
 void
 PieceMaker::settle(const std::string& set_name, PieceId id, const PieceResult& result)
 {
-    ResultRoom& room = line_of(set_name).queue.room();
+    ResultMemory& memory = line_of(set_name).queue.memory();
     if (result.outcome == PieceOutcome::Made)
-        room.name(id, result.handle);
+        memory.name(id, result.handle);
     else
-        room.give_back(id);
-    const bool elsewhere
-        = result.outcome == PieceOutcome::NoRoom || result.outcome == PieceOutcome::Failed;
+        memory.give_back(id);
+    const bool elsewhere = result.outcome == PieceOutcome::NoMemory
+        || result.outcome == PieceOutcome::Failed;
     if (elsewhere)
         queue_again(set_name, id, true, result.outcome);
     else
@@ -353,12 +353,12 @@
 }
 
 void
-PieceMaker::note_releases(const Releases& spent)
+PieceMaker::note_releases(const Releases& releases)
 {
-    Line& line = line_of(spent.upstream_set);
-    for (const std::string& handle : spent.handles)
-        line.queue.room().give_back(handle);
-    pump(spent.upstream_set);
+    Line& line = line_of(releases.upstream_set);
+    for (const std::string& handle : releases.handles)
+        line.queue.memory().give_back(handle);
+    pump(releases.upstream_set);
 }
 
 void
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/piece_maker.h
@@ -50,8 +50,8 @@
     boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
                                              std::shared_ptr<Ticket> ticket);
 
-    /// Room at the upstreams that is free again.
-    void note_releases(const Releases& spent);
+    /// Memory at the upstreams that is free again.
+    void note_releases(const Releases& releases);
 
     bool is_idle() const { return m_pieces.empty(); }
 
@@ -80,13 +80,13 @@
                                           PieceCall call);
     boost::asio::awaitable<void> pump_later(std::string set_name, Micros pause);
     void settle_call(const UpstreamSet& set, const PieceCall& call,
-                     const std::vector<PieceResult>& results, std::int64_t room_left);
+                     const std::vector<PieceResult>& results, std::int64_t memory_left);
     void settle(const std::string& set_name, PieceId id, const PieceResult& result);
     /// `arrived`: the last call may have reached an upstream; `last`: what it said.
     void queue_again(const std::string& set_name, PieceId id, bool arrived,
                      PieceOutcome last);
     void finish(PieceId id, const PieceResult& result);
-    void give_up(const std::shared_ptr<Order>& order);
+    void cancel(const std::shared_ptr<Order>& order);
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/piece_service.cpp
@@ -93,8 +93,8 @@
           [this](HttpExchange& exchange) { return serve(exchange); },
           [](ErrorKind kind) { return problem_response(problem_of(kind)); })
     , m_outbox(io,
-               [this](Releases spent) {
-                   asio::co_spawn(m_io, tell_releases(std::move(spent)), asio::detached);
+               [this](Releases releases) {
+                   asio::co_spawn(m_io, tell_releases(std::move(releases)), asio::detached);
                })
     , m_keepers(io, kernel, [this](const Releases& freed) { m_maker.note_releases(freed); })
 {
@@ -129,9 +129,9 @@
         response.body = encode(query ? place_here(*query) : PlaceAnswer {});
         co_await exchange.respond(std::move(response));
     } else if (path == PeerLink::kReleasePath) {
-        const auto spent = decode_releases(exchange.request().body);
-        if (spent)
-            take_releases(*spent);
+        const auto releases = decode_releases(exchange.request().body);
+        if (releases)
+            take_releases(*releases);
         HttpResponse done;
         done.content_type = "text/plain";
         co_await exchange.respond(std::move(done));
@@ -201,9 +201,9 @@
 asio::awaitable<void>
 PieceService::run(JobPtr job)
 {
-    if (job->wanted.homed && job->wanted.near.empty() && !job->plan.is_done()) {
-        const PlaceAnswer home = co_await place(job, std::string(), 0, false);
-        job->near = home.hall;
+    if (job->wanted.follows_prompt && job->wanted.near.empty() && !job->plan.is_done()) {
+        const PlaceAnswer engine = co_await place(job, std::string(), 0, false);
+        job->near = engine.hall;
     }
     while (!job->failed && !job->cancelled && !job->plan.is_done()) {
         const bool holds = uses(Mechanism::LatestStart);
@@ -221,7 +221,7 @@
         else
             job->changed.expires_at(asio::steady_timer::time_point::max());
         co_await job->changed.async_wait(kToTuple);
-        free_now(with_sets(*job, job->plan.take_spent()));
+        free_now(with_sets(*job, job->plan.take_releasable()));
     }
     PiecesMade result;
     result.made = job->plan.is_done() && !job->cancelled;
@@ -249,7 +249,7 @@
             handle->cancel();
         for (const auto& ticket : job->tickets)
             ticket->cancel();
-        free_now(with_sets(*job, job->plan.unspent()));
+        free_now(with_sets(*job, job->plan.unreleased()));
     }
     if (!job->cancelled)
         job->done(std::move(result));
@@ -284,7 +284,7 @@
     std::vector<std::string> handles;
     bool made = answer.has_value();
     std::string_view why = "made";
-    if (!answer) // given up for the sake of another stage, or no leader was found
+    if (!answer) // cancelled because of another stage, or no leader was found
         why = job->failed ? "other_stage" : "leader";
     if (answer)
         for (const PieceResult& result : answer->pieces) {
@@ -292,7 +292,7 @@
                 handles.push_back(result.handle);
                 continue;
             }
-            // The pieces that were given up for the sake of one say less than that one.
+            // The pieces that were cancelled because of one say less than that one.
             if (made || result.outcome != PieceOutcome::Failed)
                 why = to_string(result.outcome);
             made = false;
@@ -359,7 +359,7 @@
             note_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
-        // An order that was given up here, or ran out of time, says nothing about
+        // An order that was cancelled here, or ran out of time, says nothing about
         // the leader.
         const bool is_over
             = job->cancelled || job->failed || monotonic_us() >= job->wanted.deadline;
@@ -401,7 +401,7 @@
     query.prompt.from = m_kernel.settings.hall;
     query.prompt.avoid = unreachable(*job);
     query.prompt.halls = job->wanted.halls;
-    if (job->wanted.homed)
+    if (job->wanted.follows_prompt)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
     const std::string leader = m_peers.leader_of(query.upstream_set);
@@ -501,7 +501,7 @@
     transfer.inputs = bytes_by_hall(job, job.plan.inputs_of(stage));
     transfer.pieces = job.plan.count(stage);
     // Where no prompt is kept, the upstream is chosen near the results.
-    if (job.plan.is_last(stage) && job.wanted.homed) {
+    if (job.plan.is_last(stage) && job.wanted.follows_prompt) {
         transfer.reader = job.near;
         transfer.result_bytes
             = transfer.pieces * job.resolved().spec.piece_stages[stage].result_bytes;
@@ -560,29 +560,30 @@
     });
 }
 
-/// The daemon that leads the set gives results up at their keepers, so that it
-/// knows what room there is; if it is silent, they are given up from here.
+/// The daemon that leads the set releases results at their keepers, so that it
+/// knows what memory there is; if it is silent, they are released from here.
 asio::awaitable<void>
-PieceService::tell_releases(Releases spent)
+PieceService::tell_releases(Releases releases)
 {
-    const std::string leader = m_peers.leader_of(spent.upstream_set);
-    const bool told = !leader.empty() && co_await m_link.tell_releases(leader, spent);
+    const std::string leader = m_peers.leader_of(releases.upstream_set);
+    const bool told = !leader.empty() && co_await m_link.tell_releases(leader, releases);
     if (!told)
-        take_releases(spent);
+        take_releases(releases);
 }
 
 void
-PieceService::take_releases(const Releases& spent)
+PieceService::take_releases(const Releases& releases)
 {
-    if (const auto placer = m_placers.find(spent.upstream_set); placer != m_placers.end()) {
-        for (const std::string& attempt : spent.unreached)
+    if (const auto placer = m_placers.find(releases.upstream_set);
+        placer != m_placers.end()) {
+        for (const std::string& attempt : releases.unreached)
             placer->second.note_unreached(attempt, monotonic_us());
-        for (const std::string& attempt : spent.begun)
+        for (const std::string& attempt : releases.begun)
             placer->second.note_begun(attempt);
-        for (const std::string& attempt : spent.ended)
+        for (const std::string& attempt : releases.ended)
             placer->second.note_ended(attempt);
     }
-    m_keepers.free(spent);
+    m_keepers.free(releases);
 }
 
 } // namespace cypressford
--- a/src/libserve/piece_service.h
+++ b/src/libserve/piece_service.h
@@ -36,7 +36,7 @@
     Micros deadline = 0;
     Micros prompt_by = 0; ///< when the pieces must be made for a prompt answer
     std::string near; ///< hall for the results; empty: where the prompt is kept
-    bool homed = false; ///< the upstream that keeps the prompt decides the hall
+    bool follows_prompt = false; ///< the upstream that keeps the prompt decides the hall
     std::string reader_set; ///< the set whose leader chooses an upstream; empty: none
     PromptQuery prompt;
     HallLimit halls; ///< where pieces are made and the prompt is read
@@ -106,8 +106,8 @@
                               const std::vector<std::string>& handles) const;
     std::string hall_for(const Job& job, std::size_t stage) const;
     void free_now(const std::vector<PieceHandle>& results);
-    void take_releases(const Releases& spent);
-    boost::asio::awaitable<void> tell_releases(Releases spent);
+    void take_releases(const Releases& releases);
+    boost::asio::awaitable<void> tell_releases(Releases releases);
     static std::vector<PieceHandle> with_sets(const Job& job,
                                               const std::vector<std::string>& handles);
     void note_wait(const Job& job, const std::string& set_name, Micros wait);
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay.cpp
@@ -23,11 +23,11 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// A call with less time left than this is not sent.
 constexpr Micros kLeastTime = 5 * kMillisecond;
-/// A connection that does not come up within this is given up: nothing was sent.
+/// A connection that does not come up within this is closed: nothing was sent.
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// Kept connections that rested longer are not used for what may run once only:
 /// the far side may be closing them just now.
-constexpr Micros kRestOfOnce = 1 * kSecond;
+constexpr Micros kIdleLimitOfOnce = 1 * kSecond;
 
 enum HttpStatus : int {
     kFirstSuccess = 200,
@@ -202,7 +202,7 @@
     return response;
 }
 
-/// The answer to a request that was given up.
+/// The answer to a request that failed.
 HttpResponse
 Worker::relayed_problem(const RequestContext& context) const
 {
@@ -297,7 +297,7 @@
     options.connect_deadline_us = monotonic_us() + kConnectTime;
     options.resend_if_stale = false;
     options.send_clock = false;
-    options.max_rest_us = send.may_repeat ? 0 : kRestOfOnce;
+    options.max_idle_us = send.may_repeat ? 0 : kIdleLimitOfOnce;
     options.belongs = [&](const HttpResponse& response) {
         feed(AttemptBegun {send.attempt});
         const std::string attempt = dialect.read_answer(response).attempt;
@@ -342,7 +342,7 @@
         co_return AttemptStatus::Leaving;
     if (answer.not_run && promises_not_run(response.status))
         co_return AttemptStatus::Overloaded;
-    // Of a call that was given up, nothing was taken.
+    // Of a call that was cancelled, nothing was taken.
     if (handle->cancelled())
         co_return AttemptStatus::Lost;
     if (is_success(response.status)) {
--- a/src/libserve/result_keepers.cpp
+++ b/src/libserve/result_keepers.cpp
@@ -18,8 +18,8 @@
 
 namespace {
 
-/// Results that are not given up lapse by themselves, so a lost call costs room only.
-constexpr Micros kPatience = 500 * kMillisecond;
+/// Results that are not released lapse by themselves, so a lost call costs memory only.
+constexpr Micros kWaitLimit = 500 * kMillisecond;
 
 } // namespace
 
@@ -32,12 +32,12 @@
 }
 
 void
-ResultKeepers::free(const Releases& spent)
+ResultKeepers::free(const Releases& releases)
 {
     std::map<std::string, Releases> by_keeper;
-    for (const std::string& handle : spent.handles) {
+    for (const std::string& handle : releases.handles) {
         Releases& at_keeper = by_keeper[m_kernel.calls->keeper_of(handle)];
-        at_keeper.upstream_set = spent.upstream_set;
+        at_keeper.upstream_set = releases.upstream_set;
         at_keeper.handles.push_back(handle);
     }
     for (auto& [keeper, releases] : by_keeper)
@@ -48,7 +48,7 @@
 ResultKeepers::free_at(std::string keeper, Releases releases)
 {
     CallOptions options;
-    options.deadline_us = monotonic_us() + kPatience;
+    options.deadline_us = monotonic_us() + kWaitLimit;
     options.send_clock = false;
     const CallResult result = co_await m_client.call(
         keeper, m_kernel.calls->free_results(releases.handles), std::move(options));
--- a/src/libserve/result_keepers.h
+++ b/src/libserve/result_keepers.h
@@ -25,11 +25,11 @@
     using OnFreed = std::function<void(const Releases&)>;
 
     /// `on_freed` is called once a keeper has answered: a call that is sent on the
-    /// strength of the room must not come there before.
+    /// strength of the memory must not come there before.
     ResultKeepers(boost::asio::io_context& io, Kernel& kernel, OnFreed on_freed);
 
     /// Gives the results up, one call for each keeper.
-    void free(const Releases& spent);
+    void free(const Releases& releases);
 
 private:
     boost::asio::awaitable<void> free_at(std::string keeper, Releases releases);
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -146,6 +146,11 @@
             switches.switch_off(*mechanism);
             continue;
         }
+        if (name == "stable_homes") {
+            reader.add(reader.child("without"),
+                       "without: 'stable_homes' is now called 'stable_engines'");
+            continue;
+        }
         std::string fault = "without: no '";
         fault.append(name).append("' among:");
         for (const std::string_view one : kMechanismNames)
@@ -182,7 +187,8 @@
     read_ms(reader, "append_gap_ms", options.min_append_gap);
     read_range(reader, "append_burst", 1, 100, options.append_burst);
     read_range<std::size_t>(reader, "max_keys", 100, 10'000'000, options.max_keys);
-    read_ms(reader, "outage_patience_ms", options.outage_patience);
+    reader.refuse_renamed("outage_patience_ms", "outage_wait_limit_ms");
+    read_ms(reader, "outage_wait_limit_ms", options.outage_wait_limit);
     read_range<WallMs>(reader, "clock_error_ms", 0, 60'000, options.clock_error);
 }
 
--- a/src/libserve/worker.cpp
+++ b/src/libserve/worker.cpp
@@ -192,7 +192,7 @@
     wanted.deadline = action.deadline;
     wanted.prompt_by = action.prompt_by;
     wanted.near = action.near;
-    wanted.homed = action.homed;
+    wanted.follows_prompt = action.follows_prompt;
     wanted.again = action.again;
     wanted.halls = context->spec.halls;
     if (context->spec.asks_leader) {
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -112,7 +112,7 @@
     {
         const std::int64_t now = monotonic_us();
         const bool in_time
-            = options.max_rest_us == 0 || now - m_rests_since <= options.max_rest_us;
+            = options.max_idle_us == 0 || now - m_rests_since <= options.max_idle_us;
         return in_time && (m_keep_until == 0 || now < m_keep_until);
     }
     bool got_bytes() const { return m_got_bytes; }
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -70,7 +70,7 @@
     bool resend_if_stale = true;
     bool send_clock = true; ///< add this process's hybrid clock
     /// Kept connections that have rested longer are not used; 0: any.
-    std::int64_t max_rest_us = 0;
+    std::int64_t max_idle_us = 0;
     std::int64_t connect_deadline_us = 0; ///< point in time; 0: deadline_us
     std::shared_ptr<CallHandle> handle;
     /// False for an answer that belongs to another call; it is then lost.
--- a/src/libutil/yaml_reader.h
+++ b/src/libutil/yaml_reader.h
@@ -61,6 +61,13 @@
         return m_node.IsMap() ? m_node[key] : YAML::Node(YAML::NodeType::Undefined);
     }
 
+    /// Says what a key of earlier versions is called now.
+    void refuse_renamed(const char* old_key, const char* key)
+    {
+        if (const YAML::Node value = child(old_key))
+            add(value, m_what + ": '" + old_key + "' is now called '" + key + "'");
+    }
+
     void refuse_unknown_keys()
     {
         if (!m_node.IsMap())
--- a/src/open.admission/open.cpp
+++ b/src/open.admission/open.cpp
@@ -13,7 +13,7 @@
 public:
     AdmissionVerdict admit(const AdmissionQuery&) const override { return {}; }
     bool queues_here() const override { return false; }
-    bool drops_hopeless() const override { return false; }
+    bool drops_late() const override { return false; }
 };
 
 static const Registration<Admission, OpenAdmission> s_registration("open");
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -332,7 +332,7 @@
             return;
         }
         plan.stage_made(stage, make_pieces(facts.counts[stage]));
-        release(plan.take_spent());
+        release(plan.take_releasable());
         if (plan.is_done())
             end_preparation(id, true);
     }
@@ -354,7 +354,7 @@
         if (made)
             facts.inputs = facts.preparation->plan.final_inputs();
         else
-            release(facts.preparation->plan.unspent());
+            release(facts.preparation->plan.unreleased());
         facts.preparation.reset();
         m_last = PreparationEnded {id, made, "a", ""};
         handle(*m_last);
@@ -482,7 +482,7 @@
         RequestFacts& facts = m_requests.at(action.request);
         m_preparing.erase(action.request);
         if (facts.preparation)
-            release(facts.preparation->plan.unspent());
+            release(facts.preparation->plan.unreleased());
         facts.preparation.reset();
     }
 
@@ -628,7 +628,7 @@
         {Mutation::RetryOnce, "RetryOnce"},
         {Mutation::FalseNotRun, "FalseNotRun"},
         {Mutation::ColdBoundForEach, "ColdBoundForEach"},
-        {Mutation::LeaveHomeOnRetry, "LeaveHomeOnRetry"},
+        {Mutation::LeaveRegionOnRetry, "LeaveRegionOnRetry"},
         {Mutation::SendToEvacuated, "SendToEvacuated"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
--- a/testsuite/settings.sh
+++ b/testsuite/settings.sh
@@ -33,4 +33,17 @@
   exit 1
 fi
 grep -q ":9: without: no 'hall_wait' among: hall_waits whole_groups" <<< "$faults"
+
+# A name of an earlier version is refused with the name that took its place.
+write_settings "stable_homes"
+cat >> "$file" <<YAML
+claims:
+  outage_patience_ms: 500
+YAML
+if faults=$("$command" settings check "$file" 2>&1); then
+  echo "old names were taken"
+  exit 1
+fi
+grep -q ":9: without: 'stable_homes' is now called 'stable_engines'" <<< "$faults"
+grep -q "'outage_patience_ms' is now called 'outage_wait_limit_ms'" <<< "$faults"
 echo "settings: ok"
