--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "daemon.h"
+#include "libserve/daemon.h"
 
 #include <csignal>
 
@@ -15,17 +15,17 @@
 
 #include <cypressford/registry.h>
 
-#include "bundle_service.h"
-#include "claim_service.h"
-#include "directory_watch.h"
-#include "hall_service.h"
+#include "libserve/directory/directory_watch.h"
+#include "libserve/entry/problem.h"
+#include "libserve/entry/worker.h"
+#include "libserve/hall/bundle_service.h"
+#include "libserve/hall/claim_service.h"
+#include "libserve/hall/hall_service.h"
+#include "libserve/hall/placement_service.h"
+#include "libserve/operator/operator_pages.h"
+#include "libserve/pieces/piece_service.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
-#include "operator_pages.h"
-#include "piece_service.h"
-#include "placement_service.h"
-#include "problem.h"
-#include "worker.h"
 
 namespace cypressford {
 
--- a/src/libserve/daemon.h
+++ b/src/libserve/daemon.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-#include "settings.h"
+#include "libserve/settings.h"
 
 namespace cypressford {
 
--- a/src/libserve/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -1,15 +1,15 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "directory_feed_server.h"
+#include "libserve/directory/directory_feed_server.h"
 
 #include <algorithm>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libserve/entry/problem.h"
 #include "libutil/hybrid_clock.h"
-#include "problem.h"
 
 namespace cypressford {
 
--- a/src/libserve/directory_store.h
+++ b/src/libserve/directory/directory_store.h
@@ -13,7 +13,7 @@
 
 #include <cypressford/directory.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "directory_watch.h"
+#include "libserve/directory/directory_watch.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/libserve/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -15,10 +15,10 @@
 
 #include <cypressford/directory_view.h>
 
-#include "directory_feed_server.h"
-#include "directory_store.h"
-#include "evacuations.h"
-#include "kernel.h"
+#include "libserve/directory/directory_feed_server.h"
+#include "libserve/directory/directory_store.h"
+#include "libserve/directory/evacuations.h"
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/evacuations.h
+++ b/src/libserve/directory/evacuations.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 
 namespace cypressford {
 
--- a/src/libserve/front_door.cpp
+++ b/src/libserve/entry/front_door.cpp
@@ -4,7 +4,7 @@
 /// \file
 /// From a caller's HTTP request to the scheduler, and back.
 
-#include "worker.h"
+#include "libserve/entry/worker.h"
 
 #include <charconv>
 
@@ -13,11 +13,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
-#include "claim_service.h"
+#include "libserve/hall/claim_service.h"
+#include "libserve/operator/operator_pages.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
-#include "operator_pages.h"
 
 namespace cypressford {
 
--- a/src/libserve/problem.cpp
+++ b/src/libserve/entry/problem.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "problem.h"
+#include "libserve/entry/problem.h"
 
 #include <boost/json.hpp>
 
--- a/src/libserve/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "worker.h"
+#include "libserve/entry/worker.h"
 
 #include <random>
 
@@ -12,7 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
-#include "claim_service.h"
+#include "libserve/hall/claim_service.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
--- a/src/libserve/worker.h
+++ b/src/libserve/entry/worker.h
@@ -21,13 +21,13 @@
 #include <cypressford/scheduler.h>
 #include <cypressford/session_token.h>
 
-#include "event_splitter.h"
-#include "kernel.h"
+#include "libserve/entry/problem.h"
+#include "libserve/kernel.h"
+#include "libserve/operator/metrics.h"
+#include "libserve/pieces/piece_service.h"
+#include "libserve/relay/event_splitter.h"
 #include "libutil/http_client.h"
 #include "libutil/http_server.h"
-#include "metrics.h"
-#include "piece_service.h"
-#include "problem.h"
 
 namespace cypressford {
 
--- a/src/libserve/bundle_service.cpp
+++ b/src/libserve/hall/bundle_service.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "bundle_service.h"
+#include "libserve/hall/bundle_service.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/src/libserve/bundle_service.h
+++ b/src/libserve/hall/bundle_service.h
@@ -11,8 +11,8 @@
 #include <cypressford/bundle_fold.h>
 #include <cypressford/platform.h>
 
-#include "evacuations.h"
-#include "kernel.h"
+#include "libserve/directory/evacuations.h"
+#include "libserve/kernel.h"
 
 namespace cypressford {
 
--- a/src/libserve/claim_service.h
+++ b/src/libserve/hall/claim_service.h
@@ -13,7 +13,7 @@
 #include <cypressford/claims.h>
 #include <cypressford/platform.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 
 namespace cypressford {
 
--- a/src/libserve/hall_service.cpp
+++ b/src/libserve/hall/hall_service.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "hall_service.h"
+#include "libserve/hall/hall_service.h"
 
 #include <algorithm>
 #include <set>
@@ -15,8 +15,8 @@
 
 #include <cypressford/session_token.h>
 
-#include "bundle_service.h"
 #include "cypressford.pb.h"
+#include "libserve/hall/bundle_service.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
--- a/src/libserve/hall_service.h
+++ b/src/libserve/hall/hall_service.h
@@ -13,9 +13,9 @@
 #include <cypressford/membership.h>
 #include <cypressford/platform.h>
 
-#include "kernel.h"
-#include "peer_transport.h"
-#include "upstream_watch.h"
+#include "libserve/hall/peer_transport.h"
+#include "libserve/hall/upstream_watch.h"
+#include "libserve/kernel.h"
 
 namespace cypressford {
 
--- a/src/libserve/peer_transport.cpp
+++ b/src/libserve/hall/peer_transport.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "peer_transport.h"
+#include "libserve/hall/peer_transport.h"
 
 #include <chrono>
 #include <fstream>
--- a/src/libserve/peer_transport.h
+++ b/src/libserve/hall/peer_transport.h
@@ -9,7 +9,7 @@
 
 #include <cypressford/error.h>
 
-#include "settings.h"
+#include "libserve/settings.h"
 
 namespace cypressford {
 
--- a/src/libserve/placement_service.cpp
+++ b/src/libserve/hall/placement_service.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "placement_service.h"
+#include "libserve/hall/placement_service.h"
 
 #include <algorithm>
 
--- a/src/libserve/placement_service.h
+++ b/src/libserve/hall/placement_service.h
@@ -13,7 +13,7 @@
 #include <cypressford/lease.h>
 #include <cypressford/platform.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/upstream_watch.cpp
+++ b/src/libserve/hall/upstream_watch.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "upstream_watch.h"
+#include "libserve/hall/upstream_watch.h"
 
 #include <algorithm>
 
--- a/src/libserve/json_call.cpp
+++ b/src/libserve/json_call.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "json_call.h"
+#include "libserve/json_call.h"
 
 #include "libutil/json_fields.h"
 
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 
 #include <cypressford/registry.h>
 
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -18,8 +18,8 @@
 #include <cypressford/upstream.h>
 #include <cypressford/upstream_kind.h>
 
+#include "libserve/settings.h"
 #include "libutil/rcu_cell.h"
-#include "settings.h"
 
 namespace cypressford {
 
--- a/src/libserve/operator_pages.cpp
+++ b/src/libserve/operator/operator_pages.cpp
@@ -1,13 +1,13 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "operator_pages.h"
+#include "libserve/operator/operator_pages.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "metrics.h"
-#include "worker.h"
+#include "libserve/entry/worker.h"
+#include "libserve/operator/metrics.h"
 
 namespace cypressford {
 
--- a/src/libserve/operator_pages.h
+++ b/src/libserve/operator/operator_pages.h
@@ -8,7 +8,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 #include "libutil/http_server.h"
 
 namespace cypressford {
--- a/src/libserve/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "peer_watch.h"
+#include "libserve/peers/peer_watch.h"
 
 #include <algorithm>
 #include <set>
--- a/src/libserve/peer_watch.h
+++ b/src/libserve/peers/peer_watch.h
@@ -12,8 +12,8 @@
 
 #include <cypressford/daemon_table.h>
 
-#include "kernel.h"
-#include "peer_link.h"
+#include "libserve/kernel.h"
+#include "libserve/peers/peer_link.h"
 
 namespace cypressford {
 
--- a/src/libserve/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "piece_maker.h"
+#include "libserve/pieces/piece_maker.h"
 
 #include <algorithm>
 #include <set>
--- a/src/libserve/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -16,7 +16,7 @@
 #include <cypressford/pieces.h>
 #include <cypressford/retry_budget.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "piece_service.h"
+#include "libserve/pieces/piece_service.h"
 
 #include <limits>
 #include <set>
@@ -12,9 +12,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libserve/entry/problem.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
-#include "problem.h"
 
 namespace cypressford {
 
--- a/src/libserve/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -15,13 +15,13 @@
 
 #include <cypressford/scheduler.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
+#include "libserve/peers/peer_link.h"
+#include "libserve/peers/peer_watch.h"
+#include "libserve/pieces/piece_maker.h"
+#include "libserve/pieces/release_outbox.h"
+#include "libserve/pieces/result_keepers.h"
 #include "libutil/http_server.h"
-#include "peer_link.h"
-#include "peer_watch.h"
-#include "piece_maker.h"
-#include "release_outbox.h"
-#include "result_keepers.h"
 
 namespace cypressford {
 
--- a/src/libserve/release_outbox.cpp
+++ b/src/libserve/pieces/release_outbox.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "release_outbox.h"
+#include "libserve/pieces/release_outbox.h"
 
 #include <chrono>
 #include <utility>
--- a/src/libserve/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "result_keepers.h"
+#include "libserve/pieces/result_keepers.h"
 
 #include <map>
 #include <utility>
--- a/src/libserve/result_keepers.h
+++ b/src/libserve/pieces/result_keepers.h
@@ -14,7 +14,7 @@
 
 #include <cypressford/piece_order.h>
 
-#include "kernel.h"
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/attempt.cpp
+++ b/src/libserve/relay/attempt.cpp
@@ -4,7 +4,7 @@
 /// \file
 /// Calls to upstreams, and what their ends mean.
 
-#include "worker.h"
+#include "libserve/entry/worker.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/libserve/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -5,7 +5,7 @@
 /// Relayed requests: the caller's bytes go to an upstream and the upstream's come
 /// back unchanged.  What is sent where, and how often, is the scheduler's.
 
-#include "worker.h"
+#include "libserve/entry/worker.h"
 
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "settings.h"
+#include "libserve/settings.h"
 
 #include <algorithm>
 #include <optional>
