--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -87,7 +87,7 @@
     reader.read("halls", set.halls, true);
     std::uint64_t cold_ms = 0;
     reader.read("cold_ms", cold_ms);
-    reader.read("cold_per_s", set.cold.per_s);
+    reader.read("cold_rate", set.cold.per_s);
     reader.refuse_unknown_keys();
     if (cold_ms > kMaxDeadlineMs)
         reader.add(node, "upstream set: cold_ms must be 0 to 600000");
@@ -291,7 +291,7 @@
     if (set.cold.time > 0)
         object["cold_ms"] = set.cold.time / kMillisecond;
     if (set.cold.per_s > 0)
-        object["cold_per_s"] = set.cold.per_s;
+        object["cold_rate"] = set.cold.per_s;
     return object;
 }
 
@@ -343,7 +343,7 @@
         if (set.slots < 1 || set.slots > kMaxSlots)
             faults.push_back({0, where + "slots must be 1 to 4096"});
         if (!std::isfinite(set.cold.per_s) || set.cold.per_s < 0 || set.cold.time < 0)
-            faults.push_back({0, where + "cold_ms and cold_per_s must not be negative"});
+            faults.push_back({0, where + "cold_ms and cold_rate must not be negative"});
     }
     for (const auto& account : bundle.accounts) {
         const bool positive = std::isfinite(account.rate) && std::isfinite(account.burst)
--- a/src/libcypressford/evacuation_test.cpp
+++ b/src/libcypressford/evacuation_test.cpp
@@ -114,7 +114,7 @@
     Views::list(views.reader, {configuration}, 1);
     Views::list(views.follower, {configuration}, 1);
     const auto before = views.reader.fold().revision();
-    CHECK(Views::read(views.reader, 1, {{"evacuate/b", "{}"}}));
+    CHECK(Views::read(views.reader, 1, {{"evacuation/b", "{}"}}));
     CHECK(Views::halls(views.reader) == Halls {"b"});
     CHECK(views.reader.fold().revision() == before + 1);
     // A newer configuration does not take its place.
@@ -122,7 +122,7 @@
     views.tell();
     CHECK(Views::halls(views.follower) == Halls {"b"});
     CHECK(views.follower.fold().configuration()->version == 8);
-    CHECK(Views::read(views.reader, 3, {{"evacuate/b", ""}}));
+    CHECK(Views::read(views.reader, 3, {{"evacuation/b", ""}}));
     views.tell();
     CHECK(Views::halls(views.follower).empty());
     CHECK(views.follower.fold().configuration()->version == 8);
@@ -131,7 +131,7 @@
 TEST_CASE("a daemon that starts learns of evacuations from its listing")
 {
     Views views;
-    Views::list(views.reader, {{"config", "7", 3}, {"evacuate/c", "{}", 5}}, 6);
+    Views::list(views.reader, {{"config", "7", 3}, {"evacuation/c", "{}", 5}}, 6);
     CHECK(Views::halls(views.reader) == Halls {"c"});
     // The log has forgotten its history, and the evacuation has ended meanwhile.
     Views::list(views.reader, {{"config", "7", 3}}, 9);
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -13,7 +13,7 @@
 namespace cypressford {
 
 /// Records as plain text: a version, or "sequence" with "!" for one that is leaving; under
-/// "evacuate/HALL" anything while the hall is evacuated.
+/// "evacuation/HALL" anything while the hall is evacuated.
 class TextDialect final : public DirectoryDialect {
 public:
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
@@ -47,7 +47,7 @@
     std::optional<EvacuationRecord>
     decode_evacuation(const DirectoryRecord& record) const override
     {
-        constexpr std::string_view prefix = "evacuate/";
+        constexpr std::string_view prefix = "evacuation/";
         if (!record.key.starts_with(prefix))
             return std::nullopt;
         return EvacuationRecord {record.key.substr(prefix.size()), !record.value.empty()};
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -90,6 +90,7 @@
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
     boost::asio::awaitable<void> run(JobPtr job);
+    boost::asio::awaitable<void> pause(Micros time);
     bool uses(Mechanism mechanism) const
     {
         return m_kernel.settings.scheduler.switches.uses(mechanism);
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -60,7 +60,7 @@
 DirectoryRecord
 evacuation(std::size_t hall, bool begun)
 {
-    return {"evacuate/" + std::to_string(hall % kHalls), begun ? "{}" : ""};
+    return {"evacuation/" + std::to_string(hall % kHalls), begun ? "{}" : ""};
 }
 
 struct Written {
