--- /dev/null
+++ b/src/libserve/pieces/set_leader.cpp
@@ -0,0 +1,141 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "libserve/pieces/set_leader.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include "libserve/entry/problem.h"
+#include "libserve/peers/peer_link.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+SetLeader::SetLeader(asio::io_context& io, Kernel& kernel,
+                     PieceMaker::FreeResult free_result)
+    : m_kernel(kernel)
+    , m_maker(io, kernel, std::move(free_result))
+    , m_keepers(io, kernel, [this](const Releases& freed) { m_maker.note_releases(freed); })
+    , m_server(
+          io, kernel.settings.limits,
+          [this](HttpExchange& exchange) { return serve(exchange); },
+          [](ErrorKind kind) { return problem_response(problem_of(kind)); })
+{
+}
+
+Result<void>
+SetLeader::listen(const std::string& address)
+{
+    if (auto port = m_server.listen(parse_address(address)); !port)
+        return tl::unexpected(port.error());
+    return {};
+}
+
+asio::awaitable<PieceAnswer>
+SetLeader::make(PieceOrder order, std::shared_ptr<PieceMaker::Ticket> ticket)
+{
+    return m_maker.make(std::move(order), std::move(ticket));
+}
+
+asio::awaitable<void>
+SetLeader::serve(HttpExchange& exchange)
+{
+    const std::string path(exchange.request().path());
+    if (path == PeerLink::kOrderPath) {
+        co_await serve_order(exchange);
+    } else if (path == PeerLink::kPlacePath) {
+        const auto query = decode_place_query(exchange.request().body);
+        HttpResponse response;
+        response.content_type = "application/x-protobuf";
+        response.body = encode(query ? place(*query) : PlaceAnswer {});
+        co_await exchange.respond(std::move(response));
+    } else if (path == PeerLink::kReleasePath) {
+        const auto releases = decode_releases(exchange.request().body);
+        if (releases)
+            take_releases(*releases);
+        HttpResponse done;
+        done.content_type = "text/plain";
+        co_await exchange.respond(std::move(done));
+    } else if (path == PeerLink::kAlivePath) {
+        HttpResponse alive;
+        alive.content_type = "text/plain";
+        // Without a configuration it can lead nothing.
+        const bool leads = !m_kernel.stopping.load() && m_kernel.snapshot.load();
+        alive.status = leads ? kOk : kUnavailable;
+        co_await exchange.respond(std::move(alive));
+    } else {
+        co_await exchange.respond(problem_response(problem_of(ErrorKind::NotFound)));
+    }
+}
+
+asio::awaitable<void>
+SetLeader::serve_order(HttpExchange& exchange)
+{
+    auto order = decode_piece_order(exchange.request().body);
+    const bool takes = order && !m_kernel.stopping.load() && m_kernel.snapshot.load();
+    if (!takes) {
+        const ErrorKind kind = order ? ErrorKind::Stopping : ErrorKind::BadRequest;
+        co_await exchange.respond(problem_response(problem_of(kind)));
+        co_return;
+    }
+    auto ticket = std::make_shared<PieceMaker::Ticket>();
+    exchange.watch([ticket] { ticket->cancel(); });
+    HttpResponse response;
+    response.content_type = "application/x-protobuf";
+    response.body = encode(co_await m_maker.make(*std::move(order), ticket));
+    co_await exchange.respond(std::move(response));
+}
+
+PlaceAnswer
+SetLeader::place(const PlaceQuery& query)
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot)
+        return {};
+    for (const UpstreamSet& set : snapshot->sets) {
+        if (set.spec.name != query.upstream_set)
+            continue;
+        PromptPlacer& placer
+            = m_placers
+                  .try_emplace(query.upstream_set, m_kernel.settings.scheduler.switches)
+                  .first->second;
+        const auto upstream = placer.place(set, query.prompt, monotonic_us());
+        if (upstream && query.prompt.reserve)
+            LogEvent("prompt_placed")
+                .kv("request", query.prompt.attempt)
+                .kv("set", query.upstream_set)
+                .kv("identity", upstream->identity)
+                .kv("tokens", query.prompt.tokens)
+                .kv("unread", placer.last_read().unread)
+                .kv("again", placer.last_read().again);
+        return upstream ? PlaceAnswer {upstream->identity, upstream->hall} : PlaceAnswer {};
+    }
+    return {};
+}
+
+void
+SetLeader::take_releases(const Releases& releases)
+{
+    if (const auto placer = m_placers.find(releases.upstream_set);
+        placer != m_placers.end()) {
+        for (const std::string& attempt : releases.unreached)
+            placer->second.note_unreached(attempt, monotonic_us());
+        for (const std::string& attempt : releases.begun)
+            placer->second.note_begun(attempt);
+        for (const std::string& attempt : releases.ended)
+            placer->second.note_ended(attempt);
+    }
+    m_keepers.free(releases);
+}
+
+} // namespace cypressford
--- /dev/null
+++ b/src/libserve/pieces/set_leader.h
@@ -0,0 +1,52 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <cypressford/piece_order.h>
+#include <cypressford/prompt_placer.h>
+
+#include "libserve/kernel.h"
+#include "libserve/pieces/piece_maker.h"
+#include "libserve/pieces/result_keepers.h"
+#include "libutil/http_server.h"
+
+namespace cypressford {
+
+/// What this daemon does for all daemons as the leader of upstream sets: makes pieces,
+/// places prompts, and keeps account of what is released.  Lives on one thread.
+class SetLeader {
+public:
+    SetLeader(boost::asio::io_context& io, Kernel& kernel,
+              PieceMaker::FreeResult free_result);
+
+    /// Binds the address for other daemons.
+    Result<void> listen(const std::string& address);
+
+    /// Ends when every piece of the order is made or has failed.
+    boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
+                                             std::shared_ptr<PieceMaker::Ticket> ticket);
+    PlaceAnswer place(const PlaceQuery& query);
+    void take_releases(const Releases& releases);
+
+    bool is_idle() const { return m_maker.is_idle(); }
+
+private:
+    boost::asio::awaitable<void> serve(HttpExchange& exchange);
+    boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
+
+    Kernel& m_kernel;
+    PieceMaker m_maker;
+    ResultKeepers m_keepers;
+    HttpServer m_server;
+    std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
+};
+
+} // namespace cypressford
