--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -57,12 +57,6 @@
     void note_answer(const std::string& peers_address, Micros now);
     void drop(const std::string& node) { m_daemons.erase(node); }
 
-    /// This daemon started then, perhaps together with all others.
-    void set_started(Micros now) { m_started_at = now; }
-    /// True if the daemon at that address may be up in a moment: this one has just started
-    /// and has not heard of it yet.
-    bool may_be_starting(const std::string& peers_address, Micros now) const;
-
     /// The daemon at that address does not answer; it leads nothing until it is
     /// trusted again.  False if it was suspected before, or is not known.
     bool suspect(const std::string& peers_address);
@@ -107,7 +101,6 @@
         DaemonRecord record;
         Micros seen_at = 0;
         bool suspected = false;
-        bool has_answered = false; ///< in this life of the daemon that keeps the table
     };
 
     bool is_alive(const Known& known) const;
@@ -121,7 +114,6 @@
     const std::string m_own_node;
     Micros m_silent_after;
     Micros m_read_at = 0;
-    std::optional<Micros> m_started_at;
     bool m_weak_nodes_lead = false;
     std::map<std::string, Known> m_daemons; ///< by node
 };
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -30,7 +30,6 @@
     EjectSilent, ///< upstreams that do not begin to answer are taken out
     SharedReach, ///< upstreams that one daemon can't reach are avoided by all
     StrongLeaders, ///< only nodes with half of the strongest one's capacity lead
-    AwaitLeaders, ///< a fresh daemon gives a leader time to start as well
     kCount
 };
 
@@ -41,7 +40,7 @@
     "hall_waits",       "whole_groups",   "full_calls_first", "late_tier",
     "drop_late_pieces", "early_release",  "latest_start",     "transfer_halls",
     "stable_engines",   "tolerated_cost", "near_results",     "eject_silent",
-    "shared_reach",     "strong_leaders", "await_leaders"};
+    "shared_reach",     "strong_leaders"};
 
 /// Nothing for an unknown name.
 constexpr std::optional<Mechanism>
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -21,10 +21,6 @@
 constexpr double kLeastRecordsPerSecond = 2;
 constexpr Micros kShortestPace = 3 * kSecond;
 constexpr int kRecordsMissed = 3;
-/// After all nodes have lost power, 105 daemons were up within 0.46 s of each other.  Those
-/// that came first and went on to the next leader at once made three leaders of one set:
-/// each sent calls of one piece to the same upstreams, and for 1.1 s no call was full.
-constexpr Micros kFleetStart = 600 * kMillisecond;
 
 /// Highest random weight (Thaler and Ravishankar, 1998): the same everywhere, and
 /// only what a daemon led moves when it goes.
@@ -75,21 +71,8 @@
 DaemonTable::note_answer(const std::string& peers_address, Micros now)
 {
     for (auto& [node, known] : m_daemons)
-        if (known.record.peers_address == peers_address) {
+        if (known.record.peers_address == peers_address)
             known.seen_at = std::max(known.seen_at, now);
-            known.has_answered = true;
-        }
-}
-
-bool
-DaemonTable::may_be_starting(const std::string& peers_address, Micros now) const
-{
-    if (!m_started_at || now - *m_started_at >= kFleetStart)
-        return false;
-    return std::none_of(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
-        return item.second.record.peers_address == peers_address
-            && item.second.has_answered;
-    });
 }
 
 bool
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -43,8 +43,6 @@
 {
     if (!kernel.settings.scheduler.switches.uses(Mechanism::StrongLeaders))
         m_daemons.let_weak_nodes_lead();
-    if (kernel.settings.scheduler.switches.uses(Mechanism::AwaitLeaders))
-        m_daemons.set_started(monotonic_us());
 }
 
 void
@@ -69,12 +67,6 @@
     m_daemons.note_answer(address, monotonic_us());
 }
 
-bool
-PeerWatch::may_be_starting(const std::string& address) const
-{
-    return m_daemons.may_be_starting(address, monotonic_us());
-}
-
 void
 PeerWatch::suspect(const std::string& address)
 {
--- a/src/libserve/peers/peer_watch.h
+++ b/src/libserve/peers/peer_watch.h
@@ -33,8 +33,6 @@
     }
 
     void note_answer(const std::string& address);
-    /// True if that daemon may be up in a moment.
-    bool may_be_starting(const std::string& address) const;
     void suspect(const std::string& address);
 
 private:
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -25,8 +25,6 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Daemons that one stage's order goes to, one after the other.
 constexpr int kMaxPlaces = 3;
-/// Between two tries at a leader that may be starting.
-constexpr Micros kStartPause = 20 * kMillisecond;
 /// A stage that could start less than this later starts now: about the time of the
 /// messages of one order.
 constexpr Micros kLeastHold = 20 * kMillisecond;
@@ -203,20 +201,12 @@
     job->changed.cancel();
 }
 
-asio::awaitable<void>
-PieceService::pause(Micros time)
-{
-    asio::steady_timer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(time));
-    co_await timer.async_wait(kToTuple);
-}
-
 /// Hands an order to the daemon that leads the set, or to the next if it is silent.
 asio::awaitable<Result<PieceAnswer>>
 PieceService::order(JobPtr job, PieceOrder order)
 {
     const std::string set_name = order.upstream_set;
-    for (int place = 0; place < kMaxPlaces;) {
+    for (int place = 0; place < kMaxPlaces; ++place) {
         PieceOrder copy = order;
         copy.time_left = job->wanted.deadline - monotonic_us();
         copy.due_left = order.due_left - monotonic_us();
@@ -246,11 +236,6 @@
             = job->cancelled || job->failed || monotonic_us() >= job->wanted.deadline;
         if (is_over)
             break;
-        if (m_peers.may_be_starting(leader)) {
-            co_await pause(kStartPause);
-            continue;
-        }
-        ++place;
         LogEvent("leader_lost", LogLevel::Warn)
             .kv("request", job->wanted.attempt)
             .kv("set", set_name)
@@ -275,21 +260,16 @@
     if (job->wanted.follows_prompt)
         query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
                                              job->wanted.counts, monotonic_us());
-    for (;;) {
-        const std::string leader = m_peers.leader_of(query.upstream_set);
-        if (leader.empty())
-            co_return m_leader.place(query);
-        const auto answer = co_await m_link.place(leader, query);
-        if (answer) {
-            m_peers.note_answer(leader);
-            co_return *answer;
-        }
-        if (!m_peers.may_be_starting(leader) || job->cancelled) {
-            m_peers.suspect(leader);
-            co_return PlaceAnswer {};
-        }
-        co_await pause(kStartPause);
+    const std::string leader = m_peers.leader_of(query.upstream_set);
+    if (leader.empty())
+        co_return m_leader.place(query);
+    const auto answer = co_await m_link.place(leader, query);
+    if (answer) {
+        m_peers.note_answer(leader);
+        co_return *answer;
     }
+    m_peers.suspect(leader);
+    co_return PlaceAnswer {};
 }
 
 void
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -55,7 +55,6 @@
     using JobPtr = std::shared_ptr<PieceJob>;
 
     boost::asio::awaitable<void> run(JobPtr job);
-    boost::asio::awaitable<void> pause(Micros time);
     bool uses(Mechanism mechanism) const
     {
         return m_kernel.settings.scheduler.switches.uses(mechanism);
