--- a/src/libserve/peers/peer_link.cpp
+++ b/src/libserve/peers/peer_link.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cypressford/silence.h>
+
 #include "libutil/hybrid_clock.h"
 
 namespace cypressford {
@@ -19,10 +21,7 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Micros kConnectTime = 250 * kMillisecond;
-constexpr std::chrono::milliseconds kSignPace {200};
 constexpr Micros kSignWaitLimit = 200 * kMillisecond;
-/// Signs of life that may be missed in a row.
-constexpr int kMissesAllowed = 1;
 constexpr int kOk = 200;
 
 } // namespace
@@ -106,20 +105,19 @@
 PeerLink::watch(std::string address)
 {
     asio::steady_timer timer(m_io);
-    int misses = 0;
-    for (;;) {
-        timer.expires_after(kSignPace);
+    SilenceDetector detector(m_kernel.daemons.load());
+    std::optional<Micros> pause = detector.first_pause();
+    while (pause) {
+        timer.expires_after(std::chrono::microseconds(*pause));
         co_await timer.async_wait(kToTuple);
         if (m_open[address].empty())
             break;
         // Any answer will do: a daemon that is stopping finishes what it has.
         const int status = co_await sign_of(address);
-        misses = status != 0 ? 0 : misses + 1;
-        if (misses <= kMissesAllowed)
-            continue;
-        cancel_orders(address);
-        break;
+        pause = detector.next_pause(status != 0);
     }
+    if (!pause)
+        cancel_orders(address);
     m_watched.erase(address);
 }
 
--- a/src/libserve/peers/peer_link.h
+++ b/src/libserve/peers/peer_link.h
@@ -13,6 +13,7 @@
 
 #include <cypressford/piece_order.h>
 
+#include "libserve/kernel.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
@@ -22,8 +23,9 @@
 /// may rightly take long.  Lives on one thread.
 class PeerLink {
 public:
-    explicit PeerLink(boost::asio::io_context& io)
+    PeerLink(boost::asio::io_context& io, const Kernel& kernel)
         : m_io(io)
+        , m_kernel(kernel)
         , m_client(io)
     {
     }
@@ -56,6 +58,7 @@
     boost::asio::awaitable<void> watch(std::string address);
     boost::asio::awaitable<int> sign_of(std::string address);
     boost::asio::io_context& m_io;
+    const Kernel& m_kernel;
     HttpClient m_client;
     std::map<std::string, std::set<std::shared_ptr<CallHandle>>> m_open; ///< by address
     std::set<std::string> m_watched;
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -40,7 +40,7 @@
                [this](const std::string& set_name, const std::string& handle) {
                    free_now({{set_name, handle}});
                })
-    , m_link(io)
+    , m_link(io, kernel)
     , m_peers(io, kernel, m_link)
     , m_outbox(io, [this](Releases releases) {
         asio::co_spawn(m_io, tell_releases(std::move(releases)), asio::detached);
