--- a/src/libcypressford/cold_test.cpp
+++ b/src/libcypressford/cold_test.cpp
@@ -14,8 +14,8 @@
 #include <cypressford/directory.h>
 #include <cypressford/pieces.h>
 #include <cypressford/prompt_placer.h>
-#include <cypressford/registry.h>
-#include <cypressford/scheduler.h>
+
+#include "test_fleet.h"
 
 namespace cypressford {
 namespace {
@@ -231,74 +231,9 @@
     CHECK(fold.members().front().cold_until == 23 * kSecond);
 }
 
-/// A scheduler over upstreams of two halls.
-class Fleet {
-public:
-    explicit Fleet(int daemons)
-        : m_router(Registry<Router>::instance().make("adaptive"))
-        , m_admission(Registry<Admission>::instance().make("budget"))
-        , table("a", 5)
-        , m_scheduler({}, *m_router, *m_admission, [] { return 0; })
-    {
-        m_scheduler.set_daemons(daemons);
-        Bundle bundle;
-        bundle.name = "b";
-        bundle.version = 1;
-        UpstreamSetSpec set;
-        set.name = "set";
-        set.slots = 4;
-        set.cold = kCold;
-        bundle.upstream_sets.push_back(set);
-        PipelineSpec pipeline;
-        pipeline.name = "p";
-        pipeline.relayed = true;
-        pipeline.host = "h";
-        pipeline.path_prefix = "/";
-        pipeline.stages.emplace_back();
-        pipeline.stages[0].upstream_set = "set";
-        bundle.pipelines.push_back(pipeline);
-        snapshot = table.build(bundle,
-                               {{"ia", "set", "10.0.0.1:1", "a", 0, false},
-                                {"ib", "set", "10.0.0.2:1", "b", 0, false}});
-        ia = snapshot->sets[0].own[0];
-        ib = snapshot->sets[0].remote[0];
-    }
-
-    /// The upstream that a request is sent to at once, or null.
-    const UpstreamState* arrive()
-    {
-        RequestSpec spec;
-        spec.id = ++m_id;
-        spec.snapshot = snapshot;
-        spec.account = snapshot->bundle->nobody;
-        spec.deadline = now + 10 * kSecond;
-        Actions actions;
-        m_scheduler.handle(RequestArrived {std::move(spec)}, now, actions);
-        for (const Action& action : actions)
-            if (const auto* send = std::get_if<SendAttempt>(&action))
-                return send->upstream.get();
-        return nullptr;
-    }
-
-private:
-    std::unique_ptr<Router> m_router;
-    std::unique_ptr<Admission> m_admission;
-
-public:
-    UpstreamTable table;
-    SnapshotPtr snapshot;
-    std::shared_ptr<UpstreamState> ia;
-    std::shared_ptr<UpstreamState> ib;
-    Micros now = 0;
-
-private:
-    Scheduler m_scheduler;
-    RequestId m_id = 0;
-};
-
 TEST_CASE("requests go to warm upstreams of other halls while the own hall is cold")
 {
-    Fleet fleet(2);
+    Fleet fleet({kCold, {}, {}, 2});
     fleet.ia->cold.note(kColdTime);
     for (int i = 0; i < 2; ++i)
         CHECK(fleet.arrive() == fleet.ib.get());
@@ -308,7 +243,7 @@
 
 TEST_CASE("with cold upstreams only, a daemon sends its part and no more")
 {
-    Fleet fleet(1);
+    Fleet fleet({kCold, {}, {}, 1});
     fleet.ia->cold.note(kColdTime);
     fleet.ib->evacuated = true;
     int sent = 0;
@@ -319,7 +254,7 @@
 
 TEST_CASE("a hall that comes back from an evacuation comes back cold")
 {
-    Fleet fleet(2);
+    Fleet fleet({kCold, {}, {}, 2});
     fleet.table.set_evacuated({"a"}, 0);
     CHECK_FALSE(fleet.ia->cold.is_cold(0));
     fleet.now = kSecond;
@@ -331,7 +266,7 @@
 
 TEST_CASE("a daemon whose own hall has no upstream in service runs more than one call")
 {
-    Fleet fleet(1);
+    Fleet fleet({kCold, {}, {}, 1});
     fleet.table.set_evacuated({"a"}, 0);
     for (int i = 0; i < 4; ++i)
         CHECK(fleet.arrive() == fleet.ib.get());
--- a/src/libcypressford/evacuation_test.cpp
+++ b/src/libcypressford/evacuation_test.cpp
@@ -6,14 +6,12 @@
 
 #include <doctest/doctest.h>
 
+#include "test_fleet.h"
+#include "text_dialect.h"
 #include <cypressford/directory_view.h>
 #include <cypressford/evacuation.h>
 #include <cypressford/pieces.h>
 #include <cypressford/prompt_placer.h>
-#include <cypressford/registry.h>
-#include <cypressford/scheduler.h>
-
-#include "text_dialect.h"
 
 namespace cypressford {
 namespace {
@@ -138,86 +136,12 @@
     CHECK(Views::halls(views.reader).empty());
 }
 
-/// Two halls with an upstream each, and a scheduler in hall "a".
-class Fleet {
-public:
-    Fleet()
-        : m_router(Registry<Router>::instance().make("adaptive"))
-        , m_admission(Registry<Admission>::instance().make("budget"))
-        , table("a")
-        , m_scheduler({}, *m_router, *m_admission, [] { return 0; })
-    {
-        Bundle bundle;
-        bundle.name = "b";
-        bundle.version = 1;
-        UpstreamSetSpec set;
-        set.name = "set";
-        set.slots = 4;
-        bundle.upstream_sets.push_back(set);
-        PipelineSpec pipeline;
-        pipeline.name = "p";
-        pipeline.relayed = true;
-        pipeline.host = "h";
-        pipeline.path_prefix = "/";
-        pipeline.max_attempts = 3;
-        pipeline.stages.emplace_back();
-        pipeline.stages[0].upstream_set = "set";
-        bundle.pipelines.push_back(pipeline);
-        snapshot = table.build(bundle, members());
-    }
-
-    static std::vector<UpstreamMember> members()
-    {
-        return {{"ia", "set", "10.0.0.1:1", "a", 0, false},
-                {"ib", "set", "10.0.0.2:1", "b", 0, false}};
-    }
-
-    void arrive(RequestId id)
-    {
-        RequestSpec spec;
-        spec.id = id;
-        spec.snapshot = snapshot;
-        spec.account = snapshot->bundle->nobody;
-        spec.deadline = now + kSecond;
-        handle(RequestArrived {std::move(spec)});
-    }
-
-    void handle(const Event& event)
-    {
-        actions.clear();
-        m_scheduler.handle(event, now, actions);
-    }
-
-    template <class A> const A* find() const
-    {
-        for (const Action& action : actions)
-            if (const A* found = std::get_if<A>(&action))
-                return found;
-        return nullptr;
-    }
-
-private:
-    std::unique_ptr<Router> m_router;
-    std::unique_ptr<Admission> m_admission;
-
-public:
-    UpstreamTable table;
-    SnapshotPtr snapshot;
-    Micros now = 0;
-    Actions actions;
-
-private:
-    Scheduler m_scheduler;
-};
-
 TEST_CASE("nothing new goes to an evacuated hall, also under an older snapshot")
 {
     Fleet fleet;
-    fleet.arrive(1);
-    REQUIRE(fleet.find<SendAttempt>());
-    CHECK(fleet.find<SendAttempt>()->upstream->identity == "ia");
+    CHECK(fleet.arrive() == fleet.ia.get());
     fleet.table.set_evacuated({"a"}, fleet.now);
-    fleet.arrive(2);
+    fleet.arrive();
     REQUIRE(fleet.find<SendAttempt>());
     const SendAttempt first = *fleet.find<SendAttempt>();
     CHECK(first.upstream->identity == "ib");
@@ -231,7 +155,7 @@
 {
     Fleet fleet;
     fleet.table.set_evacuated({"a", "b"}, fleet.now);
-    fleet.arrive(1);
+    fleet.arrive();
     CHECK_FALSE(fleet.find<SendAttempt>());
     const auto* reply = fleet.find<Reply>();
     REQUIRE(reply);
@@ -240,7 +164,7 @@
     CHECK(reply->retry_after > 0);
     fleet.now += 2 * kMillisecond;
     fleet.table.set_evacuated({}, fleet.now);
-    fleet.arrive(2);
+    fleet.arrive();
     CHECK(fleet.find<SendAttempt>());
 }
 
--- a/src/libcypressford/hall_limit_test.cpp
+++ b/src/libcypressford/hall_limit_test.cpp
@@ -10,8 +10,8 @@
 #include <cypressford/piece_order.h>
 #include <cypressford/pieces.h>
 #include <cypressford/prompt_placer.h>
-#include <cypressford/registry.h>
-#include <cypressford/scheduler.h>
+
+#include "test_fleet.h"
 
 namespace cypressford {
 namespace {
@@ -46,83 +46,9 @@
     CHECK_FALSE(again->prompt.halls.allows("a"));
 }
 
-/// Two regions with a hall each; the daemon is in hall "a" of region "north".
-class Fleet {
-public:
-    Fleet(std::vector<std::string> of_pipeline, std::vector<std::string> of_account)
-        : m_router(Registry<Router>::instance().make("adaptive"))
-        , m_admission(Registry<Admission>::instance().make("budget"))
-        , table("a", 0, {{"a", "north"}, {"b", "south"}})
-        , m_scheduler({}, *m_router, *m_admission, [] { return 0; })
-    {
-        Bundle bundle;
-        bundle.name = "b";
-        bundle.version = 1;
-        UpstreamSetSpec set;
-        set.name = "set";
-        set.slots = 4;
-        bundle.upstream_sets.push_back(set);
-        PipelineSpec pipeline;
-        pipeline.name = "p";
-        pipeline.relayed = true;
-        pipeline.host = "h";
-        pipeline.path_prefix = "/";
-        pipeline.max_attempts = 3;
-        pipeline.regions = std::move(of_pipeline);
-        pipeline.stages.emplace_back();
-        pipeline.stages[0].upstream_set = "set";
-        bundle.pipelines.push_back(pipeline);
-        AccountSpec account;
-        account.name = "account";
-        account.credential_sha256 = std::string(64, 'a');
-        account.regions = std::move(of_account);
-        bundle.accounts.push_back(account);
-        snapshot = table.build(bundle,
-                               {{"ia", "set", "10.0.0.1:1", "a", 0, false},
-                                {"ib", "set", "10.0.0.2:1", "b", 0, false}});
-    }
-
-    void arrive()
-    {
-        RequestSpec spec;
-        spec.id = 1;
-        spec.snapshot = snapshot;
-        spec.deadline = kSecond;
-        spec.halls
-            = snapshot->bundle->pipelines[0].halls & snapshot->bundle->accounts[0].halls;
-        handle(RequestArrived {std::move(spec)});
-    }
-
-    void handle(const Event& event)
-    {
-        actions.clear();
-        m_scheduler.handle(event, 0, actions);
-    }
-
-    template <class A> const A* find() const
-    {
-        for (const Action& action : actions)
-            if (const A* found = std::get_if<A>(&action))
-                return found;
-        return nullptr;
-    }
-
-private:
-    std::unique_ptr<Router> m_router;
-    std::unique_ptr<Admission> m_admission;
-
-public:
-    UpstreamTable table;
-    SnapshotPtr snapshot;
-    Actions actions;
-
-private:
-    Scheduler m_scheduler;
-};
-
 TEST_CASE("a request goes to its regions only, a second attempt too")
 {
-    Fleet fleet({"south"}, {});
+    Fleet fleet({{}, {"south"}, {}});
     fleet.arrive();
     const auto* send = fleet.find<SendAttempt>();
     REQUIRE(send);
@@ -135,19 +61,19 @@
 
 TEST_CASE("regions of the account hold besides; with none left it is refused at once")
 {
-    Fleet of_account({}, {"north"});
+    Fleet of_account({{}, {}, {"north"}});
     of_account.arrive();
     REQUIRE(of_account.find<SendAttempt>());
     CHECK(of_account.find<SendAttempt>()->upstream->identity == "ia");
 
-    Fleet apart({"south"}, {"north"});
+    Fleet apart({{}, {"south"}, {"north"}});
     apart.arrive();
     CHECK_FALSE(apart.find<SendAttempt>());
     REQUIRE(apart.find<Reply>());
     CHECK(apart.find<Reply>()->error == ErrorKind::NoAllowedHall);
     CHECK(apart.find<Reply>()->ran == Ran::NotRun);
 
-    Fleet unknown({"west"}, {});
+    Fleet unknown({{}, {"west"}, {}});
     unknown.arrive();
     REQUIRE(unknown.find<Reply>());
     CHECK(unknown.find<Reply>()->error == ErrorKind::NoAllowedHall);
@@ -155,7 +81,7 @@
 
 TEST_CASE("a region whose halls are evacuated is no way out")
 {
-    Fleet fleet({"south"}, {});
+    Fleet fleet({{}, {"south"}, {}});
     fleet.table.set_evacuated({"b"}, 0);
     fleet.arrive();
     CHECK_FALSE(fleet.find<SendAttempt>());
