Test: a hall is evacuated and taken back on the product's own platform

Nine daemons in three halls under load: the operator's command evacuates one hall, the gauge shows it at all daemons, the hall's lookups get no call for a second, and calls again after the end.

--- a/testsuite/halls/run.py
+++ b/testsuite/halls/run.py
@@ -4,7 +4,7 @@
 
 """Nine daemons in three halls under load, while daemons are killed, paused and
 replaced, halls are cut off from the platform, the log goes away, answers of the
-log are lost, an upstream leaves and two operators race.  Nothing may be lost,
+log are lost, an upstream leaves, a hall is evacuated and two operators race.  Nothing may be lost,
 doubled or misdelivered, and the same bundle must be in force everywhere within
 four seconds of the end of a cut."""
 
@@ -16,9 +16,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "common"))
 
 import deployments as d
-from cluster import Cluster, build_directory, control, wait_until
+from cluster import Cluster, build_directory, control, http, wait_until
 
-DURATION_S = 26
+DURATION_S = 32
 HALLS = {"h1": ["n1", "n2", "n3"], "h2": ["n4", "n5", "n6"], "h3": ["n7", "n8", "n9"]}
 IN_FORCE_S = 4
 LEAVING_BOUND_S = 3
@@ -103,6 +103,31 @@
     print(f"in force everywhere {time.monotonic() - began:.2f} s after the cut")
 
 
+def evacuated(cluster, halls):
+    line = f"\ncypressford_evacuated_halls {halls}\n"
+    return all(line in http(address, "/metrics")[2] for address in cluster.callers())
+
+
+def evacuate(cluster, sets):
+    """Nothing new goes to an evacuated hall, and it is used again later."""
+    hall = "h3"
+    words = (f"--platform={cluster.platform}", f"--key={cluster.dir}/operator.pem",
+             f"--trust={cluster.public_key}", hall)
+    lookups = sets["d-tracking"]["halls"][hall][0]
+    cluster.cli("hall", "evacuate", *words)
+    wait_until(lambda: evacuated(cluster, 1), "the evacuation in force", IN_FORCE_S)
+    assert cluster.cli("hall", "list", *words[:3]) == f"{hall} evacuated\n"
+    time.sleep(0.5)
+    before = control(lookups)["runs"]
+    time.sleep(1)
+    runs = control(lookups)["runs"]
+    assert runs == before, f"{runs - before} calls in an evacuated hall"
+    cluster.cli("hall", "end-evacuation", *words)
+    wait_until(lambda: evacuated(cluster, 0), "the end of the evacuation", IN_FORCE_S)
+    wait_until(lambda: control(lookups)["runs"] > runs, "calls in the hall again", 5)
+    print("a hall was evacuated and taken back")
+
+
 def log_faults(cluster):
     control(cluster.platform, lose_answers=True)
     time.sleep(1.5)
@@ -129,6 +154,7 @@
         replace_daemons(cluster)
         leave(cluster, sets)
         cut_and_roll(cluster, sets)
+        evacuate(cluster, sets)
         log_faults(cluster)
         cluster.processes["n9"].send_signal(signal.SIGTERM)
         print(load.communicate(timeout=90)[0], end="")
