Sight: logs tell whether two requests are the same and whether an upstream ended

Cause: `lost` stood for an upstream that ended and for a connection that did, and neither path nor body of a request was in the logs, so the hypotheses of the incident could be told apart by the count of tokens only.

Change: run_broken names the digest of method, host, path, account and body, and whether the far side closed the connection; the control thread then looks whether anybody listens there still: upstream_ended, upstream_not_ended. No decision hangs on it yet. Tests: closes told from limits, ports probed, digests told apart.

--- /dev/null
+++ b/src/libcypressford/request_digest_test.cpp
@@ -0,0 +1,38 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include <cypressford/request_digest.h>
+
+#include <set>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace cypressford {
+namespace {
+
+TEST_CASE("requests that differ in one part, or share text between parts, differ")
+{
+    const std::vector<RequestParts> all {
+        {"POST", "h", "/a/1", "desk", "x"},   {"PUT", "h", "/a/1", "desk", "x"},
+        {"POST", "i", "/a/1", "desk", "x"},   {"POST", "h", "/a/2", "desk", "x"},
+        {"POST", "h", "/a/1", "", "x"},       {"POST", "h", "/a/1", "desk", "y"},
+        {"POST", "h", "/a/1", "deskx", ""},   {"POST", "h", "/a/1de", "sk", "x"},
+        {"POST", "h", "/a/1?q=", "desk", "x"}};
+    std::set<RequestDigest> digests;
+    for (const RequestParts& parts : all)
+        digests.insert(digest_of(parts));
+    CHECK(digests.size() == all.size());
+    CHECK(digest_of(all[0]) == digest_of({"POST", "h", "/a/1", "desk", "x"}));
+}
+
+TEST_CASE("a digest survives its way through a message")
+{
+    const RequestDigest digest = digest_of({"POST", "h", "/a/1", "desk", "x"});
+    CHECK(digest_from(to_bytes(digest)) == digest);
+    CHECK(to_text(digest).size() == 2 * RequestDigest::kBytes);
+    CHECK(digest_from("short") == RequestDigest {});
+}
+
+} // namespace
+} // namespace cypressford
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -24,6 +24,7 @@
 #include "libserve/hall/placement_service.h"
 #include "libserve/operator/operator_pages.h"
 #include "libserve/pieces/piece_service.h"
+#include "libserve/suspects/end_watch.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -97,6 +98,8 @@
             return;
         pieces = std::make_unique<PieceService>(workers.front()->io(), kernel);
         kernel.pieces = pieces.get();
+        ends = std::make_unique<EndWatch>(control);
+        kernel.ends = ends.get();
         directory->on_daemons([this](std::vector<DaemonRecord> records) {
             pieces->take_daemons(std::move(records));
         });
@@ -227,6 +230,7 @@
     Kernel kernel;
     std::unique_ptr<LogServices> log; ///< one of these two
     std::unique_ptr<DirectoryWatch> directory;
+    std::unique_ptr<EndWatch> ends;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metrics;
     ReadSettings read_settings;
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -151,6 +151,9 @@
                                                        std::shared_ptr<CallHandle> handle);
     ForwardedCall forwarded_call(const SendAttempt& send,
                                  const RequestContext& context) const;
+    /// A call ended without its whole answer.
+    void note_lost(const SendAttempt& send, const RequestContext& context,
+                   bool closed_there) const;
 
     // worker.cpp: events and actions.
     void feed(const Event& event);
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -24,6 +24,7 @@
 namespace cypressford {
 
 class ClaimService;
+class EndWatch;
 class PieceService;
 class Worker;
 
@@ -54,6 +55,7 @@
 
     ClaimService* claims = nullptr;
     PieceService* pieces = nullptr; ///< null: no relayed pipelines
+    EndWatch* ends = nullptr; ///< null: no relayed pipelines
     std::vector<Worker*> workers;
 
     bool is_ready() const { return !stopping.load() && snapshot.load() != nullptr; }
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -7,6 +7,10 @@
 
 #include "libserve/entry/worker.h"
 
+#include <cypressford/request_digest.h>
+
+#include "libserve/suspects/end_watch.h"
+
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
@@ -80,6 +84,13 @@
     return tokens;
 }
 
+RequestDigest
+digest_of(const HttpRequest& request, const CallerCall& call, std::string_view account)
+{
+    return cypressford::digest_of(
+        {request.method, call.host, request.target, account, request.body});
+}
+
 Result<std::size_t>
 account_of(const CallerCall& call, const Snapshot& snapshot, const PipelineSpec& spec)
 {
@@ -279,6 +290,27 @@
     return call;
 }
 
+void
+Worker::note_lost(const SendAttempt& send, const RequestContext& context,
+                  bool closed_there) const
+{
+    const Relay& relay = *context.relay;
+    const RequestDigest digest = digest_of(relay.request, relay.call, context.account);
+    const bool leaving = send.upstream->leaving.load(std::memory_order_relaxed);
+    LogEvent("run_broken")
+        .kv("request", context.log_id())
+        .kv("identity", send.upstream->identity)
+        .kv("digest", to_text(digest))
+        .kv("closed_there", closed_there)
+        .kv("leaving", leaving);
+    // One that leaves ends as planned, whatever runs there.
+    if (closed_there && !leaving && m_kernel.ends)
+        m_kernel.ends->note({{send.upstream->identity, 0},
+                             send.upstream->address,
+                             context.log_id(),
+                             digest});
+}
+
 asio::awaitable<AttemptStatus>
 Worker::call_relayed(const SendAttempt& send, ContextPtr context,
                      std::shared_ptr<CallHandle> handle)
@@ -330,8 +362,11 @@
         send.upstream->address, dialect.forward(relay.request, call), options);
     if (result.status == CallStatus::NotSent)
         co_return AttemptStatus::NotSent;
-    if (result.status == CallStatus::Lost)
+    if (result.status == CallStatus::Lost) {
+        if (!handle->cancelled())
+            note_lost(send, *context, result.closed_there);
         co_return AttemptStatus::Lost;
+    }
     const HttpResponse& response = result.response;
     const UpstreamAnswer answer = dialect.read_answer(response);
     if (answer.cold_left > 0)
--- /dev/null
+++ b/src/libserve/suspects/end_watch.cpp
@@ -0,0 +1,71 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "libserve/suspects/end_watch.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cypressford/bundle.h>
+
+#include "libutil/event_log.h"
+#include "libutil/http_client.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// All connections of a process close when it ends: its runs at one daemon were seen to
+/// break off within 2 ms of each other.
+constexpr std::chrono::milliseconds kSettle {20};
+/// A node of another hall that is up answers in a few milliseconds.
+constexpr Micros kProbeLimit = 250 * kMillisecond;
+
+} // namespace
+
+void
+EndWatch::note(BrokenRun run)
+{
+    asio::post(m_io, [this, run = std::move(run)]() mutable { take(std::move(run)); });
+}
+
+void
+EndWatch::take(BrokenRun run)
+{
+    const auto [it, is_first] = m_broken.try_emplace(run.upstream);
+    if (is_first)
+        asio::co_spawn(m_io, look(run.upstream, run.address), asio::detached);
+    it->second.push_back(std::move(run));
+}
+
+asio::awaitable<void>
+EndWatch::look(UpstreamRun upstream, std::string address)
+{
+    asio::steady_timer timer(m_io);
+    timer.expires_after(kSettle);
+    co_await timer.async_wait(kToTuple);
+    const PortState state
+        = co_await probe_port(m_io, address, monotonic_us() + kProbeLimit);
+    const std::vector<BrokenRun> broken = std::exchange(m_broken[upstream], {});
+    m_broken.erase(upstream);
+    LogEvent(state == PortState::Refused ? "upstream_ended" : "upstream_not_ended",
+             LogLevel::Warn)
+        .kv("identity", upstream.identity)
+        .kv("born", upstream.born)
+        .kv("address", address)
+        .kv("port", to_string(state))
+        .kv("runs", broken.size());
+}
+
+} // namespace cypressford
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -74,8 +74,54 @@
     return response;
 }
 
+/// True for an error that only the far side's close or reset of the connection gives.
+bool
+is_close(const boost::system::error_code& ec)
+{
+    return ec == asio::error::eof || ec == asio::error::connection_reset
+        || ec == asio::error::broken_pipe || ec == asio::error::connection_aborted
+        || ec == http::error::end_of_stream || ec == http::error::partial_message;
+}
+
+CallResult
+lost(const boost::system::error_code& ec, HttpResponse response = {})
+{
+    return {CallStatus::Lost, std::move(response), is_close(ec)};
+}
+
 } // namespace
 
+std::string_view
+to_string(PortState state)
+{
+    switch (state) {
+    case PortState::Open:
+        return "open";
+    case PortState::Refused:
+        return "refused";
+    case PortState::Silent:
+        break;
+    }
+    return "silent";
+}
+
+asio::awaitable<PortState>
+probe_port(asio::io_context& io, std::string address, std::int64_t deadline_us)
+{
+    const Address parsed = parse_address(address);
+    if (parsed.ip.empty())
+        co_return PortState::Silent;
+    const tcp::endpoint endpoint(asio::ip::make_address(parsed.ip), parsed.port);
+    beast::tcp_stream stream(io);
+    stream.expires_at(time_point_of(deadline_us));
+    auto [ec] = co_await stream.async_connect(endpoint, kToTuple);
+    if (!ec)
+        co_return PortState::Open;
+    const bool refused
+        = ec == asio::error::connection_refused || ec == asio::error::connection_reset;
+    co_return refused ? PortState::Refused : PortState::Silent;
+}
+
 class HttpClient::Connection {
 public:
     Connection(asio::io_context& io, std::string address)
@@ -136,21 +182,22 @@
         auto [write_error, written]
             = co_await http::async_write(m_stream, message, kToTuple);
         if (write_error)
-            co_return CallResult {CallStatus::Lost, {}};
+            co_return lost(write_error);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(kMaxAnswer);
         auto [ec, read]
             = co_await http::async_read_header(m_stream, m_buffer, parser, kToTuple);
         m_got_bytes = m_buffer.size() > 0 || parser.got_some();
         if (ec)
-            co_return CallResult {CallStatus::Lost, {}};
-        CallResult result {CallStatus::Lost, head_of(parser.get())};
+            co_return lost(ec);
+        CallResult result = lost({}, head_of(parser.get()));
         if (options.belongs && !options.belongs(result.response))
             co_return result;
         if (options.on_head && result.response.status == 200)
             options.on_head(result.response);
-        const bool whole = co_await read_body(parser, options, result.response);
-        if (whole) {
+        const auto body_error = co_await read_body(parser, options, result.response);
+        result.closed_there = is_close(body_error);
+        if (!body_error) {
             result.status = CallStatus::Answered;
             // Bytes behind a whole answer belong to nothing that was asked.
             m_reusable = parser.keep_alive() && m_buffer.size() == 0;
@@ -173,8 +220,9 @@
         return monotonic_us() + seconds * kMicrosPerSecond * 4 / 5;
     }
 
-    asio::awaitable<bool> read_body(http::response_parser<http::buffer_body>& parser,
-                                    const CallOptions& options, HttpResponse& response)
+    asio::awaitable<boost::system::error_code>
+    read_body(http::response_parser<http::buffer_body>& parser, const CallOptions& options,
+              HttpResponse& response)
     {
         std::array<char, kChunk> chunk {};
         const std::int64_t until = monotonic_us() + options.body.limit_us;
@@ -192,9 +240,9 @@
             else
                 response.body += text;
             if (ec && ec != http::error::need_buffer)
-                co_return false;
+                co_return ec;
         }
-        co_return true;
+        co_return boost::system::error_code {};
     }
 
     beast::tcp_stream m_stream;
@@ -247,7 +295,7 @@
     const bool connected = !options.handle->cancelled() && co_await connection->connect();
     options.handle->m_abort = nullptr;
     if (!connected || options.handle->cancelled())
-        co_return CallResult {CallStatus::NotSent, {}};
+        co_return CallResult {};
     CallResult result = co_await attempt(*connection, request, options);
     keep(address, std::move(connection));
     co_return result;
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -30,8 +30,24 @@
 struct CallResult {
     CallStatus status = CallStatus::NotSent;
     HttpResponse response;
+    /// Lost because the far side closed or reset the connection, and not because of a
+    /// limit, a cancellation or bytes that are no answer.
+    bool closed_there = false;
 };
 
+/// What a new connection says of an address.
+enum class PortState : unsigned char {
+    Open, ///< somebody listens
+    Refused, ///< the node answers that nobody does
+    Silent ///< no answer in time: the node or the way to it may be down
+};
+
+std::string_view to_string(PortState state);
+
+/// Opens a connection to the address and closes it again.
+boost::asio::awaitable<PortState> probe_port(boost::asio::io_context& io,
+                                             std::string address, std::int64_t deadline_us);
+
 /// Lets another coroutine of the same thread end a call.
 class CallHandle {
 public:
--- a/src/libutil/http_client_test.cpp
+++ b/src/libutil/http_client_test.cpp
@@ -217,5 +217,83 @@
     CHECK(second.status == CallStatus::Answered);
 }
 
+/// Takes one connection, reads the request and closes, after `bytes` of an answer.
+CallResult
+call_closed_after(std::string_view bytes)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address
+        = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string read(4096, ' ');
+            co_await socket.async_read_some(asio::buffer(read), asio::use_awaitable);
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+        },
+        asio::detached);
+    HttpClient client(io);
+    CallResult result;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            HttpRequest request;
+            result = co_await client.call(address, std::move(request),
+                                          patient(kLong, {kLong, kLong}));
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    return result;
+}
+
+TEST_CASE("a call tells a close of the far side from its own limit")
+{
+    for (const std::string_view bytes :
+         {"", "HTTP/1.1 200 OK\r\nContent-",
+          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"}) {
+        const CallResult result = call_closed_after(bytes);
+        CHECK(result.status == CallStatus::Lost);
+        CHECK(result.closed_there);
+    }
+    const CallResult garbled = call_closed_after("this is no answer\r\n\r\n");
+    CHECK(garbled.status == CallStatus::Lost);
+    CHECK_FALSE(garbled.closed_there);
+    const CallResult slow
+        = call(std::chrono::milliseconds(100), 0, patient(300 * kMs, BodyPatience {}));
+    CHECK(slow.status == CallStatus::Lost);
+    CHECK_FALSE(slow.closed_there);
+}
+
+PortState
+probe(const std::string& address)
+{
+    asio::io_context io;
+    PortState state = PortState::Silent;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            state = co_await probe_port(io, address, monotonic_us() + kLong);
+        },
+        asio::detached);
+    io.run();
+    return state;
+}
+
+TEST_CASE("a probe tells a port where somebody listens from one where nobody does")
+{
+    asio::io_context io;
+    auto acceptor = std::make_unique<tcp::acceptor>(
+        io, tcp::endpoint {asio::ip::make_address("127.0.0.1"), 0});
+    const std::string address
+        = "127.0.0.1:" + std::to_string(acceptor->local_endpoint().port());
+    CHECK(probe(address) == PortState::Open);
+    acceptor.reset();
+    CHECK(probe(address) == PortState::Refused);
+    CHECK(probe("no address") == PortState::Silent);
+}
+
 } // namespace
 } // namespace cypressford
