An upstream is its identity and its start; entries that can't be read change nothing

Cause: a record's count was compared over all runs of an identity, so one that started again under it was taken for a late record: out of service until its count had caught up, for ever leaving if the run before had drained, refused if it began with the count at which that one expired; prompts, latency and ejection of the run before were believed of it. Entries were decoded with what was missing or of another type put to 0, any state but ready as leaving, unreadable base64 as a dropped key; one key that is no UTF-8 made a page of a listing unreadable, and a key with a & or % was asked behind as it was.

Change: DirectoryFold compares starts first, of one identity only; a later start takes back all that was known. Engines that are in no set for 120 s, and ways not tried for 60 s, are forgotten.

Known limit: a start that goes back (a clock set back between two starts) keeps an upstream out until it has been gone for 120 s.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -46,7 +46,7 @@
 /// An upstream's own record.
 struct UpstreamRecord {
     UpstreamMember member;
-    std::uint64_t sequence = 0; ///< counts the records of one identity
+    std::uint64_t sequence = 0; ///< counts the records of one run
     Micros cold_left = 0; ///< it was cold for so long yet when it wrote this
 };
 
@@ -85,7 +85,8 @@
 
 /// What a daemon believes of configuration and upstreams, from the records it
 /// has seen in the order of the log.  The version of the configuration only
-/// rises; an upstream that is leaving or gone comes back only as another run.
+/// rises; an upstream that is leaving or gone comes back only as another run, under another
+/// identity or with a later start.
 class DirectoryFold {
 public:
     /// `vanish_grace`: how long an upstream whose record went during an outage
@@ -114,6 +115,9 @@
     /// True if something besides the sequence is news.  Its time cold counts from `now`,
     /// which is late rather than early.
     bool apply(const UpstreamRecord& record, Micros now = 0);
+    /// A listing names that identity with a record that can't be read: what is known of it
+    /// holds on.
+    void note_listed(const std::string& identity);
     /// The record of that identity was dropped.
     void drop(const std::string& identity, Micros now, bool after_outage);
     /// Forgets upstreams whose grace is over.
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -32,10 +32,17 @@
     RecordPacker packer;
 };
 
+/// A record that can't be understood: it changes nothing.
+struct UnreadRecord {
+    DirectoryTopic topic = DirectoryTopic::Configuration;
+    std::string key;
+    std::string why;
+};
+
 /// What a batch of records did.
 struct DirectoryChange {
     bool news = false; ///< other daemons must hear of it at once
-    std::vector<std::string> unread; ///< keys of records that can't be understood, and why
+    std::vector<UnreadRecord> unread;
 };
 
 /// Takes records from the directory itself and from the reader of the hall, in any
@@ -121,8 +128,9 @@
                             DirectoryChange& change);
     bool take_evacuation(const EvacuationRecord& evacuation, Offset at);
     void keep_configuration(Offset offset, const DirectoryRecord& record);
-    bool take_upstream(const DirectoryRecord& record, bool after_outage, Micros now);
-    void take_daemon(const DirectoryRecord& record, Micros now);
+    bool take_upstream(const DirectoryRecord& record, bool after_outage, Micros now,
+                       DirectoryChange& change);
+    void take_daemon(const DirectoryRecord& record, Micros now, DirectoryChange& change);
     bool take_suspects(const DirectoryRecord& record, Offset at, DirectoryChange& change);
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
                     DirectoryChange& change);
--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -32,6 +32,7 @@
     SendFreedInputs, ///< an attempt goes out with results that were released
     FreeBeforeRead, ///< results are released before the upstream has read them
     ReturnOfGone, ///< an older record brings an upstream back that is gone
+    TakeOlderRun, ///< a late record of an upstream's run before takes the place of the next
     EvacuationGoesBack, ///< an older record of an evacuation undoes a newer one
     SendToEvacuated, ///< routes to upstreams of evacuated halls
     LeaveRegionOnRetry, ///< a second attempt may go to a region that is not allowed
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -79,6 +79,7 @@
     struct Engine {
         std::int64_t unread = 0; ///< tokens of prompts that were not begun
         int running = 0; ///< requests
+        Micros seen_at = 0; ///< among the upstreams of its set
         std::int64_t kept_tokens = 0;
         std::unordered_map<std::uint64_t, KeptPart> kept;
         std::list<std::uint64_t> by_use; ///< last used first
@@ -86,7 +87,7 @@
         void keep(const PrefixPart& part, std::int64_t capacity);
     };
     struct Placed {
-        std::string identity;
+        UpstreamRun run;
         std::int64_t unread = 0;
         Micros at = 0;
         std::string hall; ///< of the upstream
@@ -104,7 +105,7 @@
                                 Micros now);
     static void leave_out_avoided(std::vector<Choice>& choices);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
-    double cost(const UpstreamState& upstream, const PromptQuery& query);
+    double cost(const UpstreamState& upstream, const PromptQuery& query, Micros now);
     std::int64_t tokens_known_elsewhere(const PromptQuery& query,
                                         std::int64_t unread) const;
     void reserve(const UpstreamState& upstream, const UpstreamSet& set,
@@ -112,7 +113,7 @@
     void expire(Micros now);
 
     PolicySwitches m_switches;
-    std::unordered_map<std::string, Engine> m_engines; ///< by identity
+    std::unordered_map<UpstreamRun, Engine, UpstreamRunHash> m_engines;
     std::unordered_map<std::string, Placed> m_placed; ///< by attempt
     ReachTable m_reach;
     Micros m_expired_at = 0;
--- a/src/include/cypressford/reach_table.h
+++ b/src/include/cypressford/reach_table.h
@@ -13,6 +13,7 @@
 #include <unordered_map>
 
 #include <cypressford/bundle.h>
+#include <cypressford/upstream_run.h>
 
 namespace cypressford {
 
@@ -33,30 +34,30 @@
 
     /// A request from a daemon of hall `from` could not be given to the upstream, or it
     /// showed no sign of it.
-    void note_unreached(const std::string& from, const std::string& identity,
+    void note_unreached(const std::string& from, const UpstreamRun& run,
                         const std::string& hall, Micros now);
     /// The upstream began to answer a request from a daemon of hall `from`.
-    void note_answered(const std::string& from, const std::string& identity,
+    void note_answered(const std::string& from, const UpstreamRun& run,
                        const std::string& hall);
     /// A request from a daemon of hall `from` is sent to the upstream.
-    void note_sent(const std::string& from, const std::string& identity,
+    void note_sent(const std::string& from, const UpstreamRun& run,
                    const std::string& hall, Micros now);
 
     /// True if a request from a daemon of hall `from` had better go elsewhere.
-    bool avoids(const std::string& from, const std::string& identity,
+    bool avoids(const std::string& from, const UpstreamRun& run,
                 const std::string& hall, Micros now) const;
 
 private:
     /// From which hall to which.
     using Way = std::pair<std::string, std::string>;
     struct FailedWay {
-        std::set<std::string> failed; ///< identities, since the last answer
+        std::set<UpstreamRun> failed; ///< since the last answer
         Micros try_at = 0;
 
         bool is_open() const { return failed.size() >= kFailuresOfHall; }
     };
 
-    std::unordered_map<std::string, Micros> m_try_at; ///< by identity of those that failed
+    std::unordered_map<UpstreamRun, Micros, UpstreamRunHash> m_try_at; ///< of those that failed
     std::map<Way, FailedWay> m_ways;
 };
 
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -76,6 +76,9 @@
     std::atomic<Micros> answered_at {0}; ///< time of the last whole answer
     ColdState cold;
 
+    /// Which run of which upstream this is.
+    UpstreamRun run() const { return {identity, born}; }
+
     /// Takes over a load report that was made at `at`.  Older ones are ignored.
     void apply_report(const LoadReport& report, Micros at);
 
--- a/src/include/cypressford/upstream_run.h
+++ b/src/include/cypressford/upstream_run.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace cypressford {
@@ -21,4 +22,12 @@
     auto operator<=>(const UpstreamRun&) const = default;
 };
 
+struct UpstreamRunHash {
+    std::size_t operator()(const UpstreamRun& run) const
+    {
+        // An identity seldom has two runs at a time.
+        return std::hash<std::string> {}(run.identity) ^ std::hash<std::int64_t> {}(run.born);
+    }
+};
+
 } // namespace cypressford
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -16,6 +16,21 @@
 /// are up to one heartbeat old when they are read.  A later end is a new start.
 constexpr Micros kColdTolerance = 1500 * kMillisecond;
 
+/// A run of an upstream against the one that is known of its identity.
+enum class RunOrder : unsigned char { Older, Same, Newer };
+
+/// One that does not tell its start is older than any that does: an upstream that tells it
+/// always does, so the record is another writer's.
+RunOrder
+order_of(std::int64_t born, std::int64_t known)
+{
+    if (born == known)
+        return RunOrder::Same;
+    if (born < known)
+        return mutated(Mutation::TakeOlderRun) ? RunOrder::Newer : RunOrder::Older;
+    return RunOrder::Newer;
+}
+
 } // namespace
 
 std::string_view
@@ -65,6 +80,15 @@
     auto [it, is_new] = m_known.try_emplace(record.member.identity);
     Known& known = it->second;
     known.listed = true;
+    const RunOrder order = order_of(record.member.born, known.member.born);
+    if (!is_new && order == RunOrder::Older)
+        return false;
+    if (order == RunOrder::Newer) {
+        // Its records count anew, and nothing that the run before said holds for it.
+        known = {};
+        known.listed = true;
+        is_new = true;
+    }
     // A record that was written late is older than what is known.
     const bool is_older = record.sequence < known.sequence;
     if (!is_new && is_older && !mutated(Mutation::ReturnOfGone))
@@ -90,6 +114,13 @@
     return changed || returned;
 }
 
+void
+DirectoryFold::note_listed(const std::string& identity)
+{
+    if (const auto it = m_known.find(identity); it != m_known.end())
+        it->second.listed = true;
+}
+
 void
 DirectoryFold::drop(const std::string& identity, Micros now, bool after_outage)
 {
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -220,8 +220,8 @@
             continue;
         OffsetRecord whole = entry;
         if (!RecordPacker::unpack(whole, view.history)) {
-            change.unread.push_back(entry.record.key
-                                    + ": packed against what is not known");
+            change.unread.push_back(
+                {topic.topic, entry.record.key, "packed against what is not known"});
             view.overdue = true;
             return;
         }
@@ -426,13 +426,13 @@
     case DirectoryTopic::Configuration:
         return take_configuration(record, at, change);
     case DirectoryTopic::Upstreams:
-        return take_upstream(record, after_outage, now);
+        return take_upstream(record, after_outage, now, change);
     case DirectoryTopic::Suspects:
         return take_suspects(record, at, change);
     case DirectoryTopic::Daemons:
         break;
     }
-    take_daemon(record, now);
+    take_daemon(record, now, change);
     return true;
 }
 
@@ -444,12 +444,14 @@
         return take_evacuation(*evacuation, at);
     auto bundle = m_dialect.decode_configuration(record);
     if (!bundle) {
-        change.unread.push_back(record.key + ": " + bundle.error().detail);
+        change.unread.push_back(
+            {DirectoryTopic::Configuration, record.key, bundle.error().detail});
         return false;
     }
     const auto faults = check_bundle(*bundle);
     if (!faults.empty()) {
-        change.unread.push_back(record.key + ": " + faults.front().message);
+        change.unread.push_back(
+            {DirectoryTopic::Configuration, record.key, faults.front().message});
         return false;
     }
     const bool is_newer = m_fold.offer_configuration(*std::move(bundle));
@@ -468,14 +470,19 @@
 }
 
 bool
-DirectoryView::take_upstream(const DirectoryRecord& record, bool after_outage, Micros now)
+DirectoryView::take_upstream(const DirectoryRecord& record, bool after_outage, Micros now,
+                             DirectoryChange& change)
 {
     if (record.value.empty()) {
         m_fold.drop(record.key, now, after_outage);
         return true;
     }
     const auto upstream = m_dialect.decode_upstream(record);
-    return upstream && m_fold.apply(*upstream, now);
+    if (upstream)
+        return m_fold.apply(*upstream, now);
+    m_fold.note_listed(record.key);
+    change.unread.push_back({DirectoryTopic::Upstreams, record.key, upstream.error().detail});
+    return false;
 }
 
 bool
@@ -486,14 +493,16 @@
         return m_suspects.drop(record.key);
     const auto suspects = decode_suspects(record.value);
     if (!suspects) {
-        change.unread.push_back(record.key + ": " + suspects.error().detail);
+        change.unread.push_back(
+            {DirectoryTopic::Suspects, record.key, suspects.error().detail});
         return false;
     }
     return m_suspects.apply(record.key, *suspects, at);
 }
 
 void
-DirectoryView::take_daemon(const DirectoryRecord& record, Micros now)
+DirectoryView::take_daemon(const DirectoryRecord& record, Micros now,
+                           DirectoryChange& change)
 {
     if (record.value.empty()) {
         m_daemons.drop(record.key);
@@ -504,6 +513,9 @@
     } else if (auto daemon = decode_daemon(record.value)) {
         m_daemons.apply(*daemon, now);
         m_new_daemons.push_back(*std::move(daemon));
+    } else {
+        change.unread.push_back(
+            {DirectoryTopic::Daemons, record.key, daemon.error().detail});
     }
 }
 
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -35,6 +35,9 @@
 constexpr double kLeastPartLeft = 0.16;
 /// Without a word of it, a request is forgotten after this time.
 constexpr Micros kForgetAfter = 15 * kSecond;
+/// An engine that was not among the upstreams for so long has ended: what it kept is gone.
+/// Longer than evacuations and outages after which the same run is there again.
+constexpr Micros kForgetEngineAfter = 120 * kSecond;
 constexpr Micros kExpirePace = 1 * kSecond;
 
 std::uint64_t
@@ -119,9 +122,10 @@
 }
 
 double
-PromptPlacer::cost(const UpstreamState& upstream, const PromptQuery& query)
+PromptPlacer::cost(const UpstreamState& upstream, const PromptQuery& query, Micros now)
 {
-    const Engine& engine = m_engines[upstream.identity];
+    Engine& engine = m_engines[upstream.run()];
+    engine.seen_at = now;
     double tokens = static_cast<double>(engine.unread + tokens_to_read(engine, query));
     tokens += kTokensOfRunning * engine.running;
     return tokens;
@@ -149,8 +153,8 @@
                 continue;
             const bool is_near = keeps_near && upstream->hall == query.near;
             const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
-                && m_reach.avoids(query.from, upstream->identity, upstream->hall, now);
-            result.push_back({upstream, cost(*upstream, query),
+                && m_reach.avoids(query.from, upstream->run(), upstream->hall, now);
+            result.push_back({upstream, cost(*upstream, query, now),
                               weight_of(*upstream, query, key), is_near, is_avoided});
         }
     leave_out_avoided(result);
@@ -199,7 +203,7 @@
 PromptPlacer::tokens_known_elsewhere(const PromptQuery& query, std::int64_t unread) const
 {
     std::int64_t least = unread;
-    for (const auto& [identity, engine] : m_engines)
+    for (const auto& [run, engine] : m_engines)
         least = std::min(least, tokens_to_read(engine, query));
     return unread - least;
 }
@@ -209,13 +213,13 @@
                       const PromptQuery& query, Micros now)
 {
     note_ended(query.attempt);
-    Engine& engine = m_engines[upstream.identity];
+    Engine& engine = m_engines[upstream.run()];
     const std::int64_t unread = tokens_to_read(engine, query);
     m_last_read = {unread, tokens_known_elsewhere(query, unread)};
     engine.unread += unread;
     ++engine.running;
-    m_placed[query.attempt] = {upstream.identity, unread, now, upstream.hall, query.from};
-    m_reach.note_sent(query.from, upstream.identity, upstream.hall, now);
+    m_placed[query.attempt] = {upstream.run(), unread, now, upstream.hall, query.from};
+    m_reach.note_sent(query.from, upstream.run(), upstream.hall, now);
     const auto capacity = static_cast<std::int64_t>(
         kKeptPart * static_cast<double>(set.spec.memory_tokens));
     for (const PrefixPart& part : query.parts)
@@ -229,9 +233,9 @@
     if (it == m_placed.end())
         return;
     Placed& placed = it->second;
-    m_engines[placed.identity].unread -= placed.unread;
+    m_engines[placed.run].unread -= placed.unread;
     placed.unread = 0;
-    m_reach.note_answered(placed.from, placed.identity, placed.hall);
+    m_reach.note_answered(placed.from, placed.run, placed.hall);
 }
 
 void
@@ -241,7 +245,7 @@
     if (it == m_placed.end())
         return;
     const Placed& placed = it->second;
-    m_reach.note_unreached(placed.from, placed.identity, placed.hall, now);
+    m_reach.note_unreached(placed.from, placed.run, placed.hall, now);
     // It goes elsewhere now: its answer says nothing of this upstream.
     note_ended(attempt);
 }
@@ -252,7 +256,7 @@
     const auto it = m_placed.find(attempt);
     if (it == m_placed.end())
         return;
-    Engine& engine = m_engines[it->second.identity];
+    Engine& engine = m_engines[it->second.run];
     engine.unread -= it->second.unread;
     --engine.running;
     m_placed.erase(it);
@@ -270,6 +274,9 @@
             over.push_back(attempt);
     for (const std::string& attempt : over)
         note_ended(attempt);
+    std::erase_if(m_engines, [now](const auto& item) {
+        return item.second.running <= 0 && now - item.second.seen_at > kForgetEngineAfter;
+    });
 }
 
 } // namespace cypressford
--- a/src/libcypressford/reach_table.cpp
+++ b/src/libcypressford/reach_table.cpp
@@ -5,41 +5,50 @@
 
 namespace cypressford {
 
+namespace {
+
+/// An upstream that nobody has tried for so long has ended: others are tried each kTryPace.
+constexpr Micros kForgetAfter = 60 * kSecond;
+
+} // namespace
+
 void
-ReachTable::note_unreached(const std::string& from, const std::string& identity,
+ReachTable::note_unreached(const std::string& from, const UpstreamRun& run,
                            const std::string& hall, Micros now)
 {
-    m_try_at[identity] = now + kTryPace;
+    std::erase_if(m_try_at,
+                  [now](const auto& item) { return now - item.second > kForgetAfter; });
+    m_try_at[run] = now + kTryPace;
     FailedWay& way = m_ways[{from, hall}];
-    way.failed.insert(identity);
+    way.failed.insert(run);
     way.try_at = now + kTryPace;
 }
 
 void
-ReachTable::note_answered(const std::string& from, const std::string& identity,
+ReachTable::note_answered(const std::string& from, const UpstreamRun& run,
                           const std::string& hall)
 {
-    m_try_at.erase(identity);
+    m_try_at.erase(run);
     m_ways.erase({from, hall});
 }
 
 void
-ReachTable::note_sent(const std::string& from, const std::string& identity,
+ReachTable::note_sent(const std::string& from, const UpstreamRun& run,
                       const std::string& hall, Micros now)
 {
-    if (const auto upstream = m_try_at.find(identity); upstream != m_try_at.end())
+    if (const auto upstream = m_try_at.find(run); upstream != m_try_at.end())
         upstream->second = now + kTryPace;
     if (const auto way = m_ways.find({from, hall}); way != m_ways.end())
         way->second.try_at = now + kTryPace;
 }
 
 bool
-ReachTable::avoids(const std::string& from, const std::string& identity,
+ReachTable::avoids(const std::string& from, const UpstreamRun& run,
                    const std::string& hall, Micros now) const
 {
     if (m_ways.empty() && m_try_at.empty())
         return false;
-    if (const auto upstream = m_try_at.find(identity);
+    if (const auto upstream = m_try_at.find(run);
         upstream != m_try_at.end() && now < upstream->second)
         return true;
     const auto way = m_ways.find({from, hall});
--- a/src/libcypressford/reach_test.cpp
+++ b/src/libcypressford/reach_test.cpp
@@ -22,43 +22,43 @@
 TEST_CASE("an upstream that failed for one daemon is avoided by all, and tried again")
 {
     ReachTable table;
-    CHECK_FALSE(table.avoids("a", "i1", "b", 0));
-    table.note_unreached("a", "i1", "b", 0);
-    CHECK(table.avoids("a", "i1", "b", kSoon));
-    CHECK(table.avoids("c", "i1", "b", kSoon));
-    CHECK_FALSE(table.avoids("a", "i2", "b", kSoon));
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i1", 1}, "b", 0));
+    table.note_unreached("a", UpstreamRun {"i1", 1}, "b", 0);
+    CHECK(table.avoids("a", UpstreamRun {"i1", 1}, "b", kSoon));
+    CHECK(table.avoids("c", UpstreamRun {"i1", 1}, "b", kSoon));
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i2", 1}, "b", kSoon));
     // One request tries it; the others wait for what becomes of that.
-    CHECK_FALSE(table.avoids("a", "i1", "b", ReachTable::kTryPace));
-    table.note_sent("a", "i1", "b", ReachTable::kTryPace);
-    CHECK(table.avoids("c", "i1", "b", ReachTable::kTryPace + kSoon));
-    table.note_answered("a", "i1", "b");
-    CHECK_FALSE(table.avoids("c", "i1", "b", ReachTable::kTryPace + kSoon));
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace));
+    table.note_sent("a", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace);
+    CHECK(table.avoids("c", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace + kSoon));
+    table.note_answered("a", UpstreamRun {"i1", 1}, "b");
+    CHECK_FALSE(table.avoids("c", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace + kSoon));
 }
 
 TEST_CASE("a hall whose upstreams fail one after the other is taken for cut off")
 {
     ReachTable table;
-    table.note_unreached("a", "i1", "b", 0);
-    table.note_unreached("a", "i1", "b", 1);
-    table.note_unreached("a", "i2", "b", 2);
-    CHECK_FALSE(table.avoids("a", "i9", "b", 3));
-    table.note_unreached("a", "i3", "b", 3);
-    CHECK(table.avoids("a", "i9", "b", 4));
+    table.note_unreached("a", UpstreamRun {"i1", 1}, "b", 0);
+    table.note_unreached("a", UpstreamRun {"i1", 1}, "b", 1);
+    table.note_unreached("a", UpstreamRun {"i2", 1}, "b", 2);
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i9", 1}, "b", 3));
+    table.note_unreached("a", UpstreamRun {"i3", 1}, "b", 3);
+    CHECK(table.avoids("a", UpstreamRun {"i9", 1}, "b", 4));
     // Daemons of other halls may reach it.
-    CHECK_FALSE(table.avoids("c", "i9", "b", 4));
-    CHECK_FALSE(table.avoids("a", "i8", "c", 4));
-    table.note_answered("a", "i4", "b");
-    CHECK_FALSE(table.avoids("a", "i9", "b", 5));
+    CHECK_FALSE(table.avoids("c", UpstreamRun {"i9", 1}, "b", 4));
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i8", 1}, "c", 4));
+    table.note_answered("a", UpstreamRun {"i4", 1}, "b");
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"i9", 1}, "b", 5));
 }
 
 TEST_CASE("answers in between keep single failures from closing a hall")
 {
     ReachTable table;
     for (int i = 0; i < 20; ++i) {
-        table.note_unreached("a", "dead-" + std::to_string(i), "b", i);
-        table.note_answered("a", "sound", "b");
+        table.note_unreached("a", UpstreamRun {"dead-" + std::to_string(i), 1}, "b", i);
+        table.note_answered("a", UpstreamRun {"sound", 1}, "b");
     }
-    CHECK_FALSE(table.avoids("a", "other", "b", 20));
+    CHECK_FALSE(table.avoids("a", UpstreamRun {"other", 1}, "b", 20));
 }
 
 /// Prompts of daemons in five halls for 160 engines while one hall is cut off: what the
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -12,8 +12,9 @@
 
 namespace cypressford {
 
-/// Records as plain text: a version, or "sequence" with "!" for one that is leaving; under
-/// "evacuation/HALL" anything while the hall is evacuated.
+/// Records as plain text: a version, or "sequence" with "!" for one that is leaving and
+/// "@BORN" for its start; under "evacuation/HALL" anything while the hall is evacuated.  What
+/// begins with "?" can't be read.
 class TextDialect final : public DirectoryDialect {
 public:
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
@@ -54,7 +55,11 @@
     }
     Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const override
     {
+        if (record.value.starts_with('?'))
+            return fail(ErrorKind::BadRequest, "not an upstream");
         UpstreamRecord result;
+        if (const auto at = record.value.find('@'); at != std::string::npos)
+            result.member.born = std::stoll(record.value.substr(at + 1));
         result.sequence = std::stoull(record.value);
         result.member.identity = record.key;
         result.member.upstream_set = "set";
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -31,6 +31,8 @@
 constexpr Micros kDistrust = 3 * kSecond;
 /// Between log lines on the calls to the directory.
 constexpr Micros kReportPace = 10 * kSecond;
+/// Records that could not be read and are not logged again; 300 bytes each.
+constexpr std::size_t kMaxUnreadLogged = 256;
 constexpr int kOk = 200;
 
 std::ptrdiff_t
@@ -194,6 +196,9 @@
         end = end.value_or(page->end);
         if (!page->more || page->records.empty())
             break;
+        // A key that the store can't be asked behind must not be asked behind for ever.
+        if (page->records.back().key == after)
+            co_return fail(ErrorKind::Internal, "a listing does not go on");
         after = page->records.back().key;
     }
     m_view.end_listing(topic, *end, asked_at, monotonic_us());
@@ -239,12 +244,28 @@
     note(change);
 }
 
+/// A record that can't be read is written again each heartbeat, maybe: it is logged once
+/// for each reason, and counted each time.
+void
+DirectoryWatch::note_unread(const UnreadRecord& record)
+{
+    m_kernel.unread_records.fetch_add(1, std::memory_order_relaxed);
+    if (m_unread_logged.size() >= kMaxUnreadLogged)
+        m_unread_logged.clear();
+    if (!m_unread_logged.emplace(record.topic, record.key, record.why).second)
+        return;
+    LogEvent("record_unread", LogLevel::Warn)
+        .kv("topic", to_string(record.topic))
+        .kv("key", record.key)
+        .kv("why", record.why);
+}
+
 /// What records said, wherever they came from.
 void
 DirectoryWatch::note(const DirectoryChange& change)
 {
-    for (const std::string& what : change.unread)
-        LogEvent("configuration_unread", LogLevel::Warn).kv("why", what);
+    for (const UnreadRecord& record : change.unread)
+        note_unread(record);
     if (change.news)
         m_feed.note_news();
     // That daemons were looked at is news too: who wrote nothing is silent.
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -5,8 +5,10 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -74,6 +76,7 @@
                    Micros asked_at, Micros waited);
     void note_answer(const FeedAnswer& answer, Micros asked_at);
     void note(const DirectoryChange& change);
+    void note_unread(const UnreadRecord& record);
     void note_contact(bool reached);
     void bring_into_force();
     void bring_suspects_into_force();
@@ -93,6 +96,7 @@
     Micros m_last_contact = 0;
     Micros m_daemons_told = -1; ///< state of the daemons' records that was passed on
     bool m_reached = true;
+    std::set<std::tuple<DirectoryTopic, std::string, std::string>> m_unread_logged;
     std::uint64_t m_own_sequence = 0;
     std::optional<DirectoryRole> m_role;
     std::string m_asked; ///< node; empty: the directory itself
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -52,6 +52,7 @@
     std::atomic<int> daemons {1}; ///< live ones of all halls, as far as known
     std::atomic<std::uint64_t> directory_calls {0}; ///< to the platform, since the start
     std::atomic<int> evacuated_halls {0};
+    std::atomic<std::uint64_t> unread_records {0}; ///< of the directory, since the start
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
--- a/src/libutil/event_log.cpp
+++ b/src/libutil/event_log.cpp
@@ -3,6 +3,7 @@
 
 #include "event_log.h"
 
+#include <algorithm>
 #include <memory>
 
 #include <fcntl.h>
@@ -122,10 +123,21 @@
     return "info";
 }
 
+/// Bytes that others wrote, like keys of records, may hold any.
+bool
+is_control(char c)
+{
+    constexpr unsigned char space = 0x20;
+    constexpr unsigned char del = 0x7f;
+    const auto byte = static_cast<unsigned char>(c);
+    return byte < space || byte == del;
+}
+
 bool
 needs_quotes(std::string_view value)
 {
-    return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string_view::npos;
+    return value.empty() || value.find_first_of(" \"=\\") != std::string_view::npos
+        || std::any_of(value.begin(), value.end(), is_control);
 }
 
 void
@@ -139,7 +151,7 @@
     for (const char c : value) {
         if (c == '"' || c == '\\')
             line += '\\';
-        line += c == '\n' || c == '\r' || c == '\t' ? ' ' : c;
+        line += is_control(c) ? ' ' : c;
     }
     line += '"';
 }
--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -68,6 +68,27 @@
     return {};
 }
 
+std::string
+percent_encoded(std::string_view text)
+{
+    constexpr std::string_view unreserved
+        = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned low_bits = 4;
+    std::string encoded;
+    for (const char c : text) {
+        if (unreserved.find(c) != std::string_view::npos) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += digits[byte >> low_bits];
+        encoded += digits[byte & 0xfU];
+    }
+    return encoded;
+}
+
 HttpRequest
 protobuf_post(std::string target, std::string body)
 {
--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -45,6 +45,9 @@
     std::string_view query(std::string_view name) const;
 };
 
+/// The text as it stands in a query (RFC 3986, 2.1).
+std::string percent_encoded(std::string_view text);
+
 /// A message to another daemon, in protocol buffers.
 HttpRequest protobuf_post(std::string target, std::string body);
 
--- a/src/libutil/json_fields.h
+++ b/src/libutil/json_fields.h
@@ -15,11 +15,17 @@
 
 namespace cypressford {
 
+/// Which texts may stand in JSON: one that is no UTF-8 makes all of a message unreadable,
+/// also where others wrote parts of it.
+enum class JsonText : unsigned char { Utf8, Any };
+
 inline std::optional<boost::json::object>
-parse_json_object(std::string_view text)
+parse_json_object(std::string_view text, JsonText texts = JsonText::Utf8)
 {
+    boost::json::parse_options options;
+    options.allow_invalid_utf8 = texts == JsonText::Any;
     boost::json::error_code error;
-    boost::json::value value = boost::json::parse(text, error);
+    boost::json::value value = boost::json::parse(text, error, {}, options);
     if (error || !value.is_object())
         return std::nullopt;
     return std::move(value.as_object());
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -3,8 +3,8 @@
 
 /// \file
 /// Stateful fuzzing of DirectoryView: three daemons of a hall read a log themselves
-/// and ask each other, in any order and with any delay, while upstreams come, drain
-/// and go, older records are written late, configurations change, halls are evacuated
+/// and ask each other, in any order and with any delay, while upstreams come, drain,
+/// go and start again, older records are written late, configurations change, halls are evacuated
 /// and the log forgets.  A simple oracle knows the whole log.
 ///
 ///   cypressford_directory_fuzz               fixed cases
@@ -78,14 +78,24 @@
 
 /// What the oracle makes of the first records of the upstreams' topic.
 struct Truth {
-    std::uint64_t sequence = 0;
+    std::uint64_t rank = 0; ///< of the newest record
     bool present = false;
 };
 
+/// A record's place among those of its upstream: by start, then by sequence.
+std::uint64_t
+rank_of(const std::string& value)
+{
+    constexpr std::uint64_t records_of_run = 1'000'000;
+    const std::size_t at = value.find('@');
+    return std::stoull(value.substr(at + 1)) * records_of_run + std::stoull(value);
+}
+
 enum class StepKind : unsigned char {
     Beat,
     Drain,
     Go,
+    StartAgain,
     WriteLate,
     Configure,
     WriteOlder,
@@ -100,10 +110,11 @@
 };
 
 /// How often each kind is drawn.
-constexpr std::array<std::pair<StepKind, std::size_t>, 14> kWeights {{
+constexpr std::array<std::pair<StepKind, std::size_t>, 15> kWeights {{
     {StepKind::Beat, 16},
     {StepKind::Drain, 1},
     {StepKind::Go, 3},
+    {StepKind::StartAgain, 2},
     {StepKind::WriteLate, 10},
     {StepKind::Configure, 2},
     {StepKind::WriteOlder, 2},
@@ -166,8 +177,11 @@
         case StepKind::Go:
             go(upstream);
             break;
+        case StepKind::StartAgain:
+            start_again(upstream);
+            break;
         case StepKind::WriteLate:
-            write_late(upstream);
+            write_late(upstream, step.b % 3 == 0);
             break;
         case StepKind::Configure:
             append(DirectoryTopic::Configuration, configuration_of(++m_version));
@@ -209,8 +223,9 @@
     struct Daemon {
         std::unique_ptr<DirectoryView> view;
         std::uint64_t version = 0; ///< highest that was in force
+        std::map<std::string, std::uint64_t> starts; ///< highest that were in force
         std::set<std::string> ended; ///< told by another daemon, not listed again since
-        std::map<std::string, std::uint64_t> told; ///< sequences that it heard of
+        std::map<std::string, std::uint64_t> told; ///< ranks of records that it heard of
     };
     struct Question {
         std::size_t from = 0;
@@ -245,7 +260,27 @@
             m_leaving.insert(upstream);
         const std::string mark = m_leaving.contains(upstream) ? "!" : "";
         append(DirectoryTopic::Upstreams,
-               {name_of(upstream), large_value(++m_sequences[upstream], mark)});
+               {name_of(upstream),
+                record_of(++m_sequences[upstream], m_starts[upstream], mark)});
+    }
+
+    static std::string record_of(std::uint64_t sequence, std::uint64_t start,
+                                 const std::string& mark)
+    {
+        return large_value(sequence, "@" + std::to_string(start) + mark);
+    }
+
+    /// Under the identity that it had, with a count that begins anew.
+    void start_again(std::size_t upstream)
+    {
+        if (m_sequences[upstream] == 0)
+            return;
+        m_last_sequences[upstream] = m_sequences[upstream];
+        m_sequences[upstream] = 0;
+        ++m_starts[upstream];
+        m_gone.erase(upstream);
+        m_leaving.erase(upstream);
+        beat(upstream, false);
     }
 
     void go(std::size_t upstream)
@@ -262,12 +297,16 @@
     }
 
     /// A record that was under way arrives after newer ones.
-    void write_late(std::size_t upstream)
+    void write_late(std::size_t upstream, bool of_run_before)
     {
-        if (m_sequences[upstream] < 2)
-            return;
-        append(DirectoryTopic::Upstreams,
-               {name_of(upstream), large_value(m_sequences[upstream] - 1, "")});
+        if (of_run_before && m_starts[upstream] > 1)
+            append(DirectoryTopic::Upstreams,
+                   {name_of(upstream),
+                    record_of(m_last_sequences[upstream] + 1, m_starts[upstream] - 1, "!")});
+        else if (m_sequences[upstream] >= 2)
+            append(DirectoryTopic::Upstreams,
+                   {name_of(upstream),
+                    record_of(m_sequences[upstream] - 1, m_starts[upstream], "")});
     }
 
     void restart(std::size_t daemon)
@@ -300,7 +339,7 @@
     {
         if (!record.value.empty()) {
             std::uint64_t& told = daemon.told[record.key];
-            told = std::max<std::uint64_t>(told, std::stoull(record.value));
+            told = std::max(told, rank_of(record.value));
         }
     }
 
@@ -313,7 +352,7 @@
         for (const DirectoryRecord& record : records) {
             const auto truth = truths.find(record.key);
             const bool is_blind = record.value.empty() && truth != truths.end()
-                && daemon.told[record.key] < truth->second.sequence;
+                && daemon.told[record.key] < truth->second.rank;
             if (is_blind)
                 m_doubtful.insert(record.key);
             note_told(daemon, record);
@@ -410,10 +449,10 @@
                 truth.present = false;
                 continue;
             }
-            const std::uint64_t sequence = std::stoull(record.value);
-            if (sequence <= truth.sequence)
+            const std::uint64_t rank = rank_of(record.value);
+            if (rank <= truth.rank)
                 continue;
-            truth = {sequence, true};
+            truth = {rank, true};
         }
         return truths;
     }
@@ -505,6 +544,16 @@
         RC_ASSERT(last < newest || version >= newest);
     }
 
+    /// No upstream goes back to a run before, within one life of a daemon, while it is known.
+    static void check_starts(Daemon& daemon,
+                             const std::map<std::string, std::uint64_t>& starts)
+    {
+        for (const auto& [name, start] : starts) {
+            RC_ASSERT(start >= daemon.starts[name]);
+            daemon.starts[name] = start;
+        }
+    }
+
     /// Nothing that exists is missing, and what another daemon told to be gone stays so.
     void check_members(Daemon& daemon)
     {
@@ -512,8 +561,12 @@
         if (!known.next)
             return;
         std::set<std::string> members;
-        for (const UpstreamMember& member : daemon.view->fold().members())
+        std::map<std::string, std::uint64_t> starts;
+        for (const UpstreamMember& member : daemon.view->fold().members()) {
             members.insert(member.identity);
+            starts[member.identity] = static_cast<std::uint64_t>(member.born);
+        }
+        check_starts(daemon, starts);
         for (const auto& [name, truth] : truth_before(*known.next)) {
             if (truth.present)
                 RC_ASSERT(members.contains(name));
@@ -528,6 +581,8 @@
     std::array<Daemon, kDaemons> m_daemons;
     std::array<std::uint64_t, kDaemons> m_lives {};
     std::array<std::uint64_t, kUpstreams> m_sequences {};
+    std::array<std::uint64_t, kUpstreams> m_starts {1, 1, 1, 1, 1};
+    std::array<std::uint64_t, kUpstreams> m_last_sequences {}; ///< of the run before
     std::set<std::size_t> m_gone;
     std::set<std::string> m_doubtful;
     std::set<std::size_t> m_leaving;
@@ -638,6 +693,7 @@
         {Mutation::GapInHistory, "GapInHistory"},
         {Mutation::ConfigurationGoesBack, "ConfigurationGoesBack"},
         {Mutation::EvacuationGoesBack, "EvacuationGoesBack"},
+        {Mutation::TakeOlderRun, "TakeOlderRun"},
         {Mutation::IgnoreWholeAnswers, "IgnoreWholeAnswers"},
         {Mutation::ReturnOfGone, "ReturnOfGone"}};
     bool all = true;
