Time goes on while a node is suspended, and a daemon that stood still reads first

Cause: leases, deadlines, ages and budgets went by the steady clock, which stands still in a suspension, so all were as fresh after it as before; and a daemon that had stood still, suspended or stopped, served what had come meanwhile by what it had known before.

A worker that did nothing for 0.5 s says so (stood_still): what is too old is read again at once, and requests wait for that, 0.3 s at most, as without the directory a daemon goes on.

The kernel's own timer behind an io_context stands still, too: waits end when the shortest one does, at most 50 ms on threads that take requests; on the control thread up to 0.5 s, but a worker wakes it.

--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -10,7 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/registry.h>
@@ -26,6 +25,7 @@
 #include "libserve/pieces/piece_service.h"
 #include "libserve/suspects/end_watch.h"
 #include "libserve/suspects/suspect_writer.h"
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -99,6 +99,9 @@
             return;
         pieces = std::make_unique<PieceService>(workers.front()->io(), kernel);
         kernel.pieces = pieces.get();
+        kernel.on_standstill = [this] {
+            asio::post(control, [this] { directory->note_standstill(); });
+        };
         ends = std::make_unique<EndWatch>(control);
         kernel.ends = ends.get();
         suspects = std::make_unique<SuspectWriter>(control, kernel, *directory);
@@ -216,7 +219,7 @@
             log->hall.announce_stop();
         else
             directory->announce_stop();
-        asio::steady_timer timer(control);
+        BootTimer timer(control);
         timer.expires_after(std::chrono::microseconds(settings->stop_grace));
         co_await timer.async_wait(kToTuple);
         on_workers([](Worker& worker) { worker.stop_accepting(); });
--- a/src/libserve/directory/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/entry/problem.h"
+#include "libutil/boot_clock.h"
 #include "libutil/hybrid_clock.h"
 
 namespace cypressford {
@@ -44,7 +45,7 @@
 void
 DirectoryFeedServer::note_news()
 {
-    for (asio::steady_timer* timer : m_waiting)
+    for (BootTimer* timer : m_waiting)
         timer->cancel();
 }
 
@@ -59,7 +60,7 @@
     }
     const Micros asked_at = monotonic_us();
     const Micros until = asked_at + std::min(query->wait, kMaxHold);
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     bool gone = false;
     exchange.watch([&gone, &timer] {
         gone = true;
--- a/src/libserve/directory/directory_feed_server.h
+++ b/src/libserve/directory/directory_feed_server.h
@@ -8,10 +8,10 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/directory_view.h>
 
+#include "libutil/boot_clock.h"
 #include "libutil/http_server.h"
 
 namespace cypressford {
@@ -35,7 +35,7 @@
 
     boost::asio::io_context& m_io;
     DirectoryView& m_view;
-    std::set<boost::asio::steady_timer*> m_waiting;
+    std::set<BootTimer*> m_waiting;
     HttpServer m_server;
 };
 
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -81,7 +81,7 @@
 asio::awaitable<void>
 DirectoryWatch::pause(Micros time)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     timer.expires_after(std::chrono::microseconds(time));
     co_await timer.async_wait(kToTuple);
 }
@@ -155,7 +155,7 @@
     for (;;) {
         const Micros rest = m_view.time_until_read(topic, monotonic_us());
         if (rest > 0) {
-            asio::steady_timer& timer = m_pauses.at(topic);
+            BootTimer& timer = m_pauses.at(topic);
             timer.expires_after(std::chrono::microseconds(rest));
             co_await timer.async_wait(kToTuple);
             continue;
@@ -273,6 +273,10 @@
     if (m_on_daemons && looked_at > m_daemons_told)
         m_on_daemons(m_view.take_new_daemons());
     m_daemons_told = looked_at;
+    m_kernel.directory_known_at.store(
+        std::min(m_view.of(DirectoryTopic::Configuration).as_of,
+                 m_view.of(DirectoryTopic::Upstreams).as_of),
+        std::memory_order_relaxed);
     bring_into_force();
     bring_suspects_into_force();
 }
@@ -311,6 +315,13 @@
     }
 }
 
+void
+DirectoryWatch::note_standstill()
+{
+    for (const DirectoryTopic topic : DirectoryView::kTopics)
+        m_pauses.at(topic).cancel();
+}
+
 /// Whom this daemon hears from changed: who came to read the directory itself does so at
 /// once, not when it would have missed its reader.
 void
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -13,7 +13,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/directory_view.h>
 
@@ -21,6 +20,7 @@
 #include "libserve/directory/directory_store.h"
 #include "libserve/directory/evacuations.h"
 #include "libserve/kernel.h"
+#include "libutil/boot_clock.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
@@ -46,6 +46,9 @@
     /// Tells the other daemons at once that this one is stopping.
     void announce_stop();
 
+    /// This daemon stood still: what is too old by now is read again at once.
+    void note_standstill();
+
     boost::asio::awaitable<Result<void>> write(DirectoryTopic topic,
                                                DirectoryRecord record);
 
@@ -85,7 +88,7 @@
     Kernel& m_kernel;
     DirectoryStore m_store;
     HttpClient m_peers;
-    std::map<DirectoryTopic, boost::asio::steady_timer> m_pauses; ///< of the loops
+    std::map<DirectoryTopic, BootTimer> m_pauses; ///< of the loops
     DirectoryView m_view;
     DirectoryFeedServer m_feed;
     ResolvedBundlePtr m_applied; ///< the configuration in force
--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -27,6 +27,8 @@
 /// Between looks at timers and queues, with and without requests in hand.
 constexpr std::chrono::milliseconds kBusyTick {2};
 constexpr std::chrono::milliseconds kIdleTick {50};
+/// Ten ticks of an idle thread.
+constexpr Micros kStandstill = 500 * kMillisecond;
 /// Request ids of one worker start at its index, this far up.
 constexpr int kIndexShift = 48;
 
@@ -51,6 +53,7 @@
     , m_next_request((static_cast<RequestId>(index) << kIndexShift) + 1)
     , m_hash_seed(random_u64())
     , m_tick(m_io)
+    , m_progress_at(monotonic_us())
 {
 }
 
@@ -89,12 +92,28 @@
     for (;;) {
         m_tick.expires_after(m_scheduler.live() > 0 ? kBusyTick : kIdleTick);
         co_await m_tick.async_wait(kToTuple);
+        note_progress();
         m_scheduler.set_daemons_in_hall(m_kernel.daemons_in_hall.load());
         m_scheduler.set_daemons(m_kernel.daemons.load());
         feed(Tick {});
     }
 }
 
+/// A thread that did nothing for so long was suspended or stopped with its node: what is
+/// known is as old as that, and more.
+void
+Worker::note_progress()
+{
+    const Micros now = monotonic_us();
+    const Micros gap = now - std::exchange(m_progress_at, now);
+    if (gap < kStandstill)
+        return;
+    LogEvent("stood_still", LogLevel::Warn).kv("us", gap);
+    m_kernel.stood_still_at.store(now, std::memory_order_relaxed);
+    if (m_kernel.on_standstill)
+        m_kernel.on_standstill();
+}
+
 void
 Worker::feed(const Event& event)
 {
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -15,7 +15,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/claims.h>
 #include <cypressford/scheduler.h>
@@ -26,6 +25,7 @@
 #include "libserve/operator/metrics.h"
 #include "libserve/pieces/piece_service.h"
 #include "libserve/relay/event_splitter.h"
+#include "libutil/boot_clock.h"
 #include "libutil/http_client.h"
 #include "libutil/http_server.h"
 
@@ -48,7 +48,7 @@
 /// A request while a worker has it: its data, which the scheduler never sees.
 struct RequestContext {
     explicit RequestContext(boost::asio::io_context& io)
-        : changed(io, boost::asio::steady_timer::time_point::max())
+        : changed(io, BootTimer::time_point::max())
     {
     }
 
@@ -74,7 +74,7 @@
     std::optional<Reply> reply;
     std::optional<RecordedAnswer> recorded;
     std::unordered_map<AttemptId, std::shared_ptr<CallHandle>> calls;
-    boost::asio::steady_timer changed; ///< cancelled when there is news
+    BootTimer changed; ///< cancelled when there is news
 
     const ResolvedPipeline& resolved() const
     {
@@ -179,6 +179,7 @@
     void act(const Forget& action);
     void claim_decided(DecideClaim decision);
     boost::asio::awaitable<void> tick_loop();
+    void note_progress();
 
     // attempt.cpp: calls to upstreams.
     boost::asio::awaitable<void> run_attempt(SendAttempt send, ContextPtr context,
@@ -209,7 +210,8 @@
     MetricsSnapshot m_metrics;
     AnsweredRequests m_answered;
     const std::uint64_t m_hash_seed;
-    boost::asio::steady_timer m_tick;
+    BootTimer m_tick;
+    Micros m_progress_at; ///< when this thread last did anything
 };
 
 } // namespace cypressford
--- a/src/libserve/hall/bundle_service.cpp
+++ b/src/libserve/hall/bundle_service.cpp
@@ -6,9 +6,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -57,7 +57,7 @@
 asio::awaitable<void>
 BundleService::read_loop()
 {
-    asio::steady_timer pause(m_io);
+    BootTimer pause(m_io);
     for (;;) {
         if (!m_reader) {
             pause.expires_after(kReaderCheck);
@@ -88,7 +88,7 @@
 asio::awaitable<void>
 BundleService::snapshot_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     Offset last_rest = m_fold.rests_on();
     for (;;) {
         // Daemons that start together must not all append at once.
--- a/src/libserve/hall/claim_service.cpp
+++ b/src/libserve/hall/claim_service.cpp
@@ -11,6 +11,7 @@
 
 #include <cypressford/codec.h>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -123,7 +124,7 @@
 asio::awaitable<void>
 ClaimService::read_loop()
 {
-    asio::steady_timer pause(m_io);
+    BootTimer pause(m_io);
     for (;;) {
         const auto page
             = co_await m_platform.read(kStream, m_claimer.ledger().next(), kReadWait);
--- a/src/libserve/hall/claim_service.h
+++ b/src/libserve/hall/claim_service.h
@@ -8,13 +8,14 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/claims.h>
 #include <cypressford/platform.h>
 
 #include "libserve/kernel.h"
 
+#include "libutil/boot_clock.h"
+
 namespace cypressford {
 
 /// Runs the Claimer of this daemon: appends and reads for it, and brings its
@@ -51,7 +52,7 @@
     Kernel& m_kernel;
     PlatformClient& m_platform;
     Claimer m_claimer;
-    boost::asio::steady_timer m_tick;
+    BootTimer m_tick;
     std::unordered_map<RequestId, Decided> m_waiting;
 };
 
--- a/src/libserve/hall/hall_service.cpp
+++ b/src/libserve/hall/hall_service.cpp
@@ -10,13 +10,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/session_token.h>
 
 #include "cypressford.pb.h"
 #include "libserve/hall/bundle_service.h"
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -135,7 +135,7 @@
 asio::awaitable<void>
 HallService::gossip_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         gossip_once();
         // Spread, so that daemons that start together do not stay in step.
--- a/src/libserve/hall/placement_service.cpp
+++ b/src/libserve/hall/placement_service.cpp
@@ -8,9 +8,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -61,7 +61,7 @@
 asio::awaitable<void>
 PlacementService::lease_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         timer.expires_after(kLeaseStep);
         co_await timer.async_wait(kToTuple);
@@ -83,7 +83,7 @@
 asio::awaitable<void>
 PlacementService::read_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         if (!m_candidate() && !m_kernel.holds_placement.load()) {
             m_next = -1;
@@ -119,7 +119,7 @@
 asio::awaitable<void>
 PlacementService::work_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         timer.expires_after(kWorkStep);
         co_await timer.async_wait(kToTuple);
@@ -157,7 +157,7 @@
     if (!snapshot)
         co_return;
     std::map<std::string, std::vector<std::string>> present;
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (const Wanted& wanted : wanted_models(*snapshot)) {
         const std::string& address = wanted.engine->address;
         if (present.count(address) == 0)
--- a/src/libserve/hall/upstream_watch.cpp
+++ b/src/libserve/hall/upstream_watch.cpp
@@ -8,11 +8,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/session_token.h>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -67,7 +67,7 @@
 asio::awaitable<void>
 UpstreamWatch::list_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         if (m_chosen("node list", kListReaders)) {
             const auto nodes = co_await m_platform.nodes();
@@ -87,7 +87,7 @@
 asio::awaitable<void>
 UpstreamWatch::watch_loop()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     for (;;) {
         const SnapshotPtr snapshot = m_kernel.snapshot.load();
         std::vector<std::pair<std::shared_ptr<UpstreamState>, const UpstreamKind*>> ours;
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+/// A daemon that was suspended or stopped has read again what changed meanwhile in 10 to 50 ms.
+constexpr Micros kCatchUpLimit = 300 * kMillisecond;
+/// What is younger than this part of the bound for changes is as fresh as without a
+/// standstill.
+constexpr Micros kFreshPart = 2;
+
 std::map<std::string, std::unique_ptr<UpstreamKind>>
 make_kinds()
 {
@@ -23,6 +29,16 @@
 
 } // namespace
 
+bool
+Kernel::is_catching_up(Micros now) const
+{
+    const Micros woke_at = stood_still_at.load(std::memory_order_relaxed);
+    if (now - woke_at > kCatchUpLimit || !settings.uses_directory)
+        return false;
+    const Micros known_at = directory_known_at.load(std::memory_order_relaxed);
+    return known_at < woke_at - settings.directory_bound / kFreshPart;
+}
+
 Kernel::Kernel(Settings settings_)
     : settings(std::move(settings_))
     , router(Registry<Router>::instance().make(settings.router))
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,6 +54,11 @@
     std::atomic<std::uint64_t> directory_calls {0}; ///< to the platform, since the start
     std::atomic<int> evacuated_halls {0};
     std::atomic<std::uint64_t> unread_records {0}; ///< of the directory, since the start
+    /// When a thread that takes requests last found that it had stood still.
+    std::atomic<Micros> stood_still_at {-3600 * kSecond}; ///< long ago
+    /// Configuration and upstreams of the directory are known as of then, at least.
+    std::atomic<Micros> directory_known_at {0};
+    std::function<void()> on_standstill; ///< may be called from any thread; may be empty
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
@@ -61,6 +67,10 @@
     EndWatch* ends = nullptr; ///< null: no relayed pipelines
     std::vector<Worker*> workers;
 
+    /// True right after a standstill, until what was read before it was read again, if that
+    /// takes no longer than kCatchUpLimit: without the directory a daemon goes on.
+    bool is_catching_up(Micros now) const;
+
     bool is_ready() const { return !stopping.load() && snapshot.load() != nullptr; }
 };
 
--- a/src/libserve/peers/peer_link.cpp
+++ b/src/libserve/peers/peer_link.cpp
@@ -6,11 +6,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/silence.h>
 
+#include "libutil/boot_clock.h"
 #include "libutil/hybrid_clock.h"
 
 namespace cypressford {
@@ -104,7 +104,7 @@
 asio::awaitable<void>
 PeerLink::watch(std::string address)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     SilenceDetector detector(m_kernel.daemons.load());
     std::optional<Micros> pause = detector.first_pause();
     while (pause) {
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -9,9 +9,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -108,7 +108,7 @@
 asio::awaitable<void>
 PeerWatch::watch_suspect(std::string address)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     std::chrono::milliseconds time = kFirstSuspectTime;
     bool is_alive = false;
     // Of one that is gone the directory tells; it is not asked for ever.
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -10,13 +10,13 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/call_dialect.h>
 #include <cypressford/piece_order.h>
 #include <cypressford/pieces.h>
 
 #include "libserve/pieces/piece_maker.h"
+#include "libutil/boot_clock.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
@@ -63,7 +63,7 @@
         , done(std::move(done_))
         , near(wanted.near)
         , started_at(resolved().piece_sets.size(), 0)
-        , changed(io, boost::asio::steady_timer::time_point::max())
+        , changed(io, BootTimer::time_point::max())
     {
     }
 
@@ -105,7 +105,7 @@
     int running = 0; ///< stages under way
     std::set<std::shared_ptr<CallHandle>> calls; ///< at other daemons
     std::set<std::shared_ptr<PieceMaker::Ticket>> tickets; ///< at this one
-    boost::asio::steady_timer changed;
+    BootTimer changed;
 };
 
 } // namespace cypressford
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -61,7 +62,7 @@
         , due(monotonic_us() + order.due_left)
         , results(order.pieces.size())
         , left(order.pieces.size())
-        , changed(io, asio::steady_timer::time_point::max())
+        , changed(io, BootTimer::time_point::max())
     {
     }
 
@@ -72,7 +73,7 @@
     std::vector<PieceId> ids;
     std::size_t left; ///< pieces without a result
     bool over = false; ///< nobody waits for it any more
-    asio::steady_timer changed;
+    BootTimer changed;
 };
 
 WaitingPiece
@@ -224,7 +225,7 @@
 asio::awaitable<void>
 PieceMaker::pump_later(std::string set_name, Micros pause)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     timer.expires_after(std::chrono::microseconds(pause));
     co_await timer.async_wait(kToTuple);
     line_of(set_name).woken_later = false;
--- a/src/libserve/pieces/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -10,7 +10,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/piece_order.h>
 #include <cypressford/pieces.h>
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/entry/problem.h"
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -106,7 +107,7 @@
         if (ready.next_in)
             job->changed.expires_after(std::chrono::microseconds(*ready.next_in));
         else
-            job->changed.expires_at(asio::steady_timer::time_point::max());
+            job->changed.expires_at(BootTimer::time_point::max());
         co_await job->changed.async_wait(kToTuple);
         free_now(job->with_sets(job->plan.take_releasable()));
     }
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -11,7 +11,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cypressford/scheduler.h>
 
--- a/src/libserve/pieces/release_outbox.cpp
+++ b/src/libserve/pieces/release_outbox.cpp
@@ -9,9 +9,10 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
+
 namespace cypressford {
 
 namespace asio = boost::asio;
@@ -70,7 +71,7 @@
 asio::awaitable<void>
 ReleaseOutbox::flush()
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     timer.expires_after(kLinger);
     co_await timer.async_wait(kToTuple);
     m_flushing = false;
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// Between looks whether a daemon that stood still has read again what changed.
+constexpr std::chrono::milliseconds kCatchUpStep {5};
 /// A call with less time left than this is not sent.
 constexpr Micros kLeastTime = 5 * kMillisecond;
 /// A connection that does not come up within this is closed: nothing was sent.
@@ -130,6 +132,12 @@
 asio::awaitable<void>
 Worker::serve_relayed(HttpExchange& exchange)
 {
+    note_progress();
+    while (m_kernel.is_catching_up(monotonic_us())) {
+        BootTimer timer(m_io);
+        timer.expires_after(kCatchUpStep);
+        co_await timer.async_wait(kToTuple);
+    }
     auto made = make_relay(exchange.request());
     if (!made) {
         ++m_metrics.requests[{"-", std::string(error_row(made.error().kind).name)}];
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -10,11 +10,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/bundle.h>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/http_client.h"
 #include "libutil/hybrid_clock.h"
@@ -61,7 +61,7 @@
 asio::awaitable<void>
 EndWatch::look(UpstreamRun upstream, std::string address)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     timer.expires_after(kSettle);
     co_await timer.async_wait(kToTuple);
     const PortState state
--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -10,9 +10,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -55,7 +55,7 @@
 asio::awaitable<void>
 SuspectWriter::pause(Micros time)
 {
-    asio::steady_timer timer(m_io);
+    BootTimer timer(m_io);
     timer.expires_after(std::chrono::microseconds(time));
     co_await timer.async_wait(kToTuple);
 }
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -16,7 +16,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "boot_clock.h"
 #include "hybrid_clock.h"
+#include "socket_watchdog.h"
 
 namespace cypressford {
 
@@ -39,10 +41,10 @@
 
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-std::chrono::steady_clock::time_point
+BootClock::time_point
 time_point_of(std::int64_t monotonic)
 {
-    return std::chrono::steady_clock::time_point(std::chrono::microseconds(monotonic));
+    return BootClock::time_point(BootClock::duration(monotonic));
 }
 
 http::request<http::string_body>
@@ -112,9 +114,10 @@
     if (parsed.ip.empty())
         co_return PortState::Silent;
     const tcp::endpoint endpoint(asio::ip::make_address(parsed.ip), parsed.port);
-    beast::tcp_stream stream(io);
-    stream.expires_at(time_point_of(deadline_us));
-    auto [ec] = co_await stream.async_connect(endpoint, kToTuple);
+    tcp::socket socket(io);
+    SocketWatchdog watchdog(socket, SocketWatchdog::Action::Close);
+    watchdog.arm(time_point_of(deadline_us));
+    auto [ec] = co_await socket.async_connect(endpoint, kToTuple);
     if (!ec)
         co_return PortState::Open;
     const bool refused
@@ -125,7 +128,8 @@
 class HttpClient::Connection {
 public:
     Connection(asio::io_context& io, std::string address)
-        : m_stream(io)
+        : m_socket(io)
+        , m_watchdog(m_socket, SocketWatchdog::Action::Close)
         , m_address(std::move(address))
     {
     }
@@ -136,21 +140,25 @@
         if (address.ip.empty())
             co_return false;
         const tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-        auto [ec] = co_await m_stream.async_connect(endpoint, kToTuple);
+        auto [ec] = co_await m_socket.async_connect(endpoint, kToTuple);
         if (ec)
             co_return false;
         boost::system::error_code ignored;
-        m_stream.socket().set_option(tcp::no_delay(true), ignored);
-        m_stream.socket().set_option(UserTimeout(kUserTimeoutMs), ignored);
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        m_socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
         co_return true;
     }
 
     void set_deadline(std::int64_t deadline)
     {
-        m_stream.expires_at(time_point_of(deadline));
+        m_watchdog.arm(time_point_of(deadline));
+    }
+    void clear_deadline() { m_watchdog.disarm(); }
+    void abort()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
     }
-    void clear_deadline() { m_stream.expires_never(); }
-    void abort() { m_stream.close(); }
     bool reusable() const { return m_reusable; }
     void note_rest() { m_rests_since = monotonic_us(); }
     /// True if it may still be used, going by how long it has rested.
@@ -167,9 +175,9 @@
     bool is_stale()
     {
         boost::system::error_code ec;
-        m_stream.socket().non_blocking(true, ec);
+        m_socket.non_blocking(true, ec);
         char byte = 0;
-        m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
         return ec != asio::error::would_block;
     }
 
@@ -180,13 +188,13 @@
         m_got_bytes = false;
         const auto message = to_beast(m_address, request);
         auto [write_error, written]
-            = co_await http::async_write(m_stream, message, kToTuple);
+            = co_await http::async_write(m_socket, message, kToTuple);
         if (write_error)
             co_return lost(write_error);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(kMaxAnswer);
         auto [ec, read]
-            = co_await http::async_read_header(m_stream, m_buffer, parser, kToTuple);
+            = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
         m_got_bytes = m_buffer.size() > 0 || parser.got_some();
         if (ec)
             co_return lost(ec);
@@ -232,7 +240,7 @@
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
             auto [ec, size]
-                = co_await http::async_read_some(m_stream, m_buffer, parser, kToTuple);
+                = co_await http::async_read_some(m_socket, m_buffer, parser, kToTuple);
             const std::size_t got = chunk.size() - parser.get().body().size;
             const std::string_view text(chunk.data(), got);
             if (options.on_chunk && response.status == 200)
@@ -245,7 +253,8 @@
         co_return boost::system::error_code {};
     }
 
-    beast::tcp_stream m_stream;
+    tcp::socket m_socket;
+    SocketWatchdog m_watchdog;
     beast::flat_buffer m_buffer;
     std::string m_address;
     bool m_reusable = false;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -9,11 +9,13 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "boot_clock.h"
+#include "socket_watchdog.h"
+
 namespace cypressford {
 
 namespace asio = boost::asio;
@@ -30,51 +32,6 @@
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
-/// Cancels what a socket waits for when time is up; the socket stays open, so
-/// that a slow caller can still be told.
-class Watchdog {
-public:
-    explicit Watchdog(tcp::socket& socket)
-        : m_socket(socket)
-        , m_timer(socket.get_executor())
-    {
-    }
-    ~Watchdog() { disarm(); }
-    Watchdog(const Watchdog&) = delete;
-    Watchdog& operator=(const Watchdog&) = delete;
-
-    void arm(std::chrono::milliseconds time)
-    {
-        disarm();
-        m_state = std::make_shared<State>();
-        m_timer.expires_after(time);
-        // The handler may be due already when the watchdog is disarmed or gone,
-        // so it holds a state of its own.
-        m_timer.async_wait([state = m_state, &socket = m_socket](auto ec) {
-            if (ec || !state->armed)
-                return;
-            state->fired = true;
-            socket.cancel(ec);
-        });
-    }
-    void disarm()
-    {
-        if (m_state)
-            m_state->armed = false;
-        m_timer.cancel();
-    }
-    bool fired() const { return m_state && m_state->fired; }
-
-private:
-    struct State {
-        bool armed = true;
-        bool fired = false;
-    };
-    tcp::socket& m_socket;
-    asio::steady_timer m_timer;
-    std::shared_ptr<State> m_state;
-};
-
 HttpRequest
 to_plain(http::request<http::string_body>&& message)
 {
@@ -106,7 +63,7 @@
         message.keep_alive(m_keep_alive);
         message.prepare_payload();
         http::response_serializer<http::string_body> serializer(message);
-        Watchdog watchdog(m_socket);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         boost::system::error_code ec;
         // The limit is for progress: a large answer may take longer on a thin link.
         while (!ec && !serializer.is_done()) {
@@ -142,7 +99,7 @@
     asio::awaitable<bool> write(std::string_view text) override
     {
         const auto chunk = http::make_chunk(asio::const_buffer(text.data(), text.size()));
-        Watchdog watchdog(m_socket);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         watchdog.arm(m_limits.write_time);
         auto [ec, size] = co_await asio::async_write(m_socket, chunk, kToTuple);
         watchdog.disarm();
@@ -193,7 +150,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
         parser.body_limit(m_limits.body_bytes);
-        Watchdog watchdog(m_socket);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         if (m_buffer.size() == 0) {
             m_idle = true;
             watchdog.arm(m_limits.idle_time);
@@ -295,7 +252,7 @@
             }
             if (ec == asio::error::operation_aborted)
                 break;
-            asio::steady_timer pause(io, kAcceptPause);
+            BootTimer pause(io, kAcceptPause);
             co_await pause.async_wait(kToTuple);
         }
     }
--- a/src/libutil/hybrid_clock.cpp
+++ b/src/libutil/hybrid_clock.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <chrono>
 
+#include "boot_clock.h"
+
 namespace cypressford {
 
 namespace {
@@ -63,8 +65,7 @@
 std::int64_t
 monotonic_us()
 {
-    using namespace std::chrono;
-    return duration_cast<microseconds>(steady_clock::now().time_since_epoch()).count();
+    return BootClock::now().time_since_epoch().count();
 }
 
 std::string
--- a/src/libutil/hybrid_clock.h
+++ b/src/libutil/hybrid_clock.h
@@ -32,7 +32,7 @@
 
 /// Milliseconds since 1970.
 std::int64_t wall_ms();
-/// Microseconds of the monotonic clock.
+/// Microseconds of BootClock, which counts on while the node is suspended.
 std::int64_t monotonic_us();
 
 /// Header that carries a stamp with a call.
