--- a/src/include/cypressford/reach_table.h
+++ b/src/include/cypressford/reach_table.h
@@ -40,12 +40,12 @@
     void note_answered(const std::string& from, const UpstreamRun& run,
                        const std::string& hall);
     /// A request from a daemon of hall `from` is sent to the upstream.
-    void note_sent(const std::string& from, const UpstreamRun& run,
-                   const std::string& hall, Micros now);
+    void note_sent(const std::string& from, const UpstreamRun& run, const std::string& hall,
+                   Micros now);
 
     /// True if a request from a daemon of hall `from` had better go elsewhere.
-    bool avoids(const std::string& from, const UpstreamRun& run,
-                const std::string& hall, Micros now) const;
+    bool avoids(const std::string& from, const UpstreamRun& run, const std::string& hall,
+                Micros now) const;
 
 private:
     /// From which hall to which.
@@ -57,7 +57,8 @@
         bool is_open() const { return failed.size() >= kFailuresOfHall; }
     };
 
-    std::unordered_map<UpstreamRun, Micros, UpstreamRunHash> m_try_at; ///< of those that failed
+    std::unordered_map<UpstreamRun, Micros, UpstreamRunHash>
+        m_try_at; ///< of those that failed
     std::map<Way, FailedWay> m_ways;
 };
 
--- a/src/include/cypressford/upstream_run.h
+++ b/src/include/cypressford/upstream_run.h
@@ -26,7 +26,8 @@
     std::size_t operator()(const UpstreamRun& run) const
     {
         // An identity seldom has two runs at a time.
-        return std::hash<std::string> {}(run.identity) ^ std::hash<std::int64_t> {}(run.born);
+        return std::hash<std::string> {}(run.identity)
+            ^ std::hash<std::int64_t> {}(run.born);
     }
 };
 
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -481,7 +481,8 @@
     if (upstream)
         return m_fold.apply(*upstream, now);
     m_fold.note_listed(record.key);
-    change.unread.push_back({DirectoryTopic::Upstreams, record.key, upstream.error().detail});
+    change.unread.push_back(
+        {DirectoryTopic::Upstreams, record.key, upstream.error().detail});
     return false;
 }
 
--- a/src/libcypressford/reach_table.cpp
+++ b/src/libcypressford/reach_table.cpp
@@ -43,8 +43,8 @@
 }
 
 bool
-ReachTable::avoids(const std::string& from, const UpstreamRun& run,
-                   const std::string& hall, Micros now) const
+ReachTable::avoids(const std::string& from, const UpstreamRun& run, const std::string& hall,
+                   Micros now) const
 {
     if (m_ways.empty() && m_try_at.empty())
         return false;
--- a/src/libcypressford/reach_test.cpp
+++ b/src/libcypressford/reach_test.cpp
@@ -32,7 +32,8 @@
     table.note_sent("a", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace);
     CHECK(table.avoids("c", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace + kSoon));
     table.note_answered("a", UpstreamRun {"i1", 1}, "b");
-    CHECK_FALSE(table.avoids("c", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace + kSoon));
+    CHECK_FALSE(
+        table.avoids("c", UpstreamRun {"i1", 1}, "b", ReachTable::kTryPace + kSoon));
 }
 
 TEST_CASE("a hall whose upstreams fail one after the other is taken for cut off")
--- a/src/libcypressford/restart_test.cpp
+++ b/src/libcypressford/restart_test.cpp
@@ -4,11 +4,11 @@
 /// \file
 /// Upstreams that start again under the identity that they had.
 ///
-/// What would be seen: an upstream that crashed, or drained and left, is back within seconds
-/// and gets no work for minutes.  Its records count from one again, so each was taken for a
-/// late record of the run before; what that run had said (leaving, cold) and what was
-/// believed of it (taken out, prompts kept) held for the next one.  Evidence: these tests
-/// failed on the code that knew identities only.
+/// What would be seen: an upstream that crashed, or drained and left, is back within
+/// seconds and gets no work for minutes.  Its records count from one again, so each was
+/// taken for a late record of the run before; what that run had said (leaving, cold) and
+/// what was believed of it (taken out, prompts kept) held for the next one.  Evidence:
+/// these tests failed on the code that knew identities only.
 
 #include <cypressford/directory_view.h>
 #include <cypressford/prompt_placer.h>
@@ -38,7 +38,8 @@
     return record;
 }
 
-TEST_CASE("an upstream that started again is in service at once, though its count began anew")
+TEST_CASE(
+    "an upstream that started again is in service at once, though its count began anew")
 {
     DirectoryFold fold(0);
     fold.apply(record_of(900, 100));
@@ -133,8 +134,8 @@
     CHECK(placer.last_read().unread == 5000);
 }
 
-/// Signs of life are not told, so who hears of a new run from a reader must take it whatever
-/// it knows of the run before.
+/// Signs of life are not told, so who hears of a new run from a reader must take it
+/// whatever it knows of the run before.
 TEST_CASE("daemons that follow a reader hear of a new run")
 {
     TextDialect dialect;
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -256,6 +256,7 @@
     if (m_records.size() <= kMaxRecords && m_suspects.size() <= kMaxDigests)
         return;
     std::vector<std::tuple<bool, Offset, std::string>> order;
+    order.reserve(m_records.size());
     for (const auto& [key, known] : m_records)
         order.emplace_back(has_quarantined(known.record), known.at, key);
     std::sort(order.begin(), order.end());
--- a/src/libcypressford/suspects_test.cpp
+++ b/src/libcypressford/suspects_test.cpp
@@ -176,6 +176,7 @@
     DirectoryView reader = fresh();
     DirectoryView follower = fresh();
     std::vector<DirectoryRecord> records;
+    records.reserve(4);
     for (int i = 0; i < 3; ++i)
         records.push_back({"a." + std::to_string(i),
                            encode(end_of("e" + std::to_string(i), {digest(1)})), i});
@@ -277,6 +278,7 @@
         Engine& engine = m_engines.at(static_cast<std::size_t>(number));
         std::vector<RequestDigest> running;
         const std::vector<Run> cut = std::exchange(engine.runs, {});
+        running.reserve(cut.size());
         for (const Run& run : cut)
             running.push_back(run.digest);
         m_spreading.push_back(
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -13,8 +13,8 @@
 namespace cypressford {
 
 /// Records as plain text: a version, or "sequence" with "!" for one that is leaving and
-/// "@BORN" for its start; under "evacuation/HALL" anything while the hall is evacuated.  What
-/// begins with "?" can't be read.
+/// "@BORN" for its start; under "evacuation/HALL" anything while the hall is evacuated.
+/// What begins with "?" can't be read.
 class TextDialect final : public DirectoryDialect {
 public:
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -99,9 +99,8 @@
             return;
         pieces = std::make_unique<PieceService>(workers.front()->io(), kernel);
         kernel.pieces = pieces.get();
-        kernel.on_standstill = [this] {
-            asio::post(control, [this] { directory->note_standstill(); });
-        };
+        kernel.on_standstill
+            = [this] { asio::post(control, [this] { directory->note_standstill(); }); };
         ends = std::make_unique<EndWatch>(control);
         kernel.ends = ends.get();
         suspects = std::make_unique<SuspectWriter>(control, kernel, *directory);
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-/// A daemon that was suspended or stopped has read again what changed meanwhile in 10 to 50 ms.
+/// A daemon that was suspended or stopped has read again what changed meanwhile in 10 to 50
+/// ms.
 constexpr Micros kCatchUpLimit = 300 * kMillisecond;
 /// What is younger than this part of the bound for changes is as fresh as without a
 /// standstill.
--- a/src/libutil/boot_clock.h
+++ b/src/libutil/boot_clock.h
@@ -4,8 +4,8 @@
 /// \file
 /// Time that goes on while the node is suspended.
 ///
-/// The steady clock of the standard library stands still then: a lease, a deadline or the age
-/// of what was read would be as fresh after a minute of suspension as before it.
+/// The steady clock of the standard library stands still then: a lease, a deadline or the
+/// age of what was read would be as fresh after a minute of suspension as before it.
 
 #pragma once
 
@@ -34,9 +34,9 @@
     static std::atomic<rep> s_suspended_in_test;
 };
 
-/// A timer over it.  The kernel's timer behind all timers of an io_context stands still in a
-/// suspension: a wait that ends meanwhile ends when the shortest wait of that io_context at
-/// the time would have ended without it: within 50 ms on threads that take requests.
+/// A timer over it.  The kernel's timer behind all timers of an io_context stands still in
+/// a suspension: a wait that ends meanwhile ends when the shortest wait of that io_context
+/// at the time would have ended without it: within 50 ms on threads that take requests.
 using BootTimer = boost::asio::basic_waitable_timer<BootClock>;
 
 } // namespace cypressford
--- a/src/libutil/boot_clock_test.cpp
+++ b/src/libutil/boot_clock_test.cpp
@@ -2,8 +2,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// A node that is suspended for seconds.  By a clock that stands still meanwhile, a deadline
-/// that is over holds on for as long, and what waited is sent though nobody wants it.
+/// A node that is suspended for seconds.  By a clock that stands still meanwhile, a
+/// deadline that is over holds on for as long, and what waited is sent though nobody wants
+/// it.
 
 #include "boot_clock.h"
 
@@ -77,8 +78,7 @@
         io,
         [&]() -> asio::awaitable<void> {
             CallOptions options;
-            options.deadline_us
-                = monotonic_us() + BootClock::duration(kSuspension).count();
+            options.deadline_us = monotonic_us() + BootClock::duration(kSuspension).count();
             HttpRequest request;
             result = co_await client.call(
                 "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -149,10 +149,7 @@
         co_return true;
     }
 
-    void set_deadline(std::int64_t deadline)
-    {
-        m_watchdog.arm(time_point_of(deadline));
-    }
+    void set_deadline(std::int64_t deadline) { m_watchdog.arm(time_point_of(deadline)); }
     void clear_deadline() { m_watchdog.disarm(); }
     void abort()
     {
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -4,8 +4,8 @@
 /// \file
 /// Stateful fuzzing of DirectoryView: three daemons of a hall read a log themselves
 /// and ask each other, in any order and with any delay, while upstreams come, drain,
-/// go and start again, older records are written late, configurations change, halls are evacuated
-/// and the log forgets.  A simple oracle knows the whole log.
+/// go and start again, older records are written late, configurations change, halls are
+/// evacuated and the log forgets.  A simple oracle knows the whole log.
 ///
 ///   cypressford_directory_fuzz               fixed cases
 ///   cypressford_directory_fuzz --mutations   each deliberate fault must be caught
@@ -300,9 +300,10 @@
     void write_late(std::size_t upstream, bool of_run_before)
     {
         if (of_run_before && m_starts[upstream] > 1)
-            append(DirectoryTopic::Upstreams,
-                   {name_of(upstream),
-                    record_of(m_last_sequences[upstream] + 1, m_starts[upstream] - 1, "!")});
+            append(
+                DirectoryTopic::Upstreams,
+                {name_of(upstream),
+                 record_of(m_last_sequences[upstream] + 1, m_starts[upstream] - 1, "!")});
         else if (m_sequences[upstream] >= 2)
             append(DirectoryTopic::Upstreams,
                    {name_of(upstream),
@@ -544,7 +545,8 @@
         RC_ASSERT(last < newest || version >= newest);
     }
 
-    /// No upstream goes back to a run before, within one life of a daemon, while it is known.
+    /// No upstream goes back to a run before, within one life of a daemon, while it is
+    /// known.
     static void check_starts(Daemon& daemon,
                              const std::map<std::string, std::uint64_t>& starts)
     {
