Tests of the directory in files by job

directory_test.cpp (715 lines) held tests of the fold, the table of daemons, the view and the feed; each has a file now, and records of daemons are made in test_daemons.h.

--- /dev/null
+++ b/src/libcypressford/directory_view_test.cpp
@@ -0,0 +1,86 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+#include <map>
+
+#include <doctest/doctest.h>
+
+#include <cypressford/directory_view.h>
+
+#include "test_daemons.h"
+#include "text_dialect.h"
+
+namespace cypressford {
+namespace {
+
+TEST_CASE(
+    "a fresh daemon takes no requests before it knows who leads and which requests are "
+    "refused, if it can know")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(4 * kSecond, 1200 * kMillisecond);
+    const auto list = [](DirectoryView& view, DirectoryTopic topic) {
+        view.begin_listing(topic, 0);
+        if (topic == DirectoryTopic::Configuration)
+            view.take_listed(topic, {{"config", "1"}}, 0);
+        view.end_listing(topic, 1, 0, 0);
+    };
+    DirectoryView view(dialect, pace, 0, "own", "hall", 400, 0);
+    list(view, DirectoryTopic::Configuration);
+    CHECK_FALSE(view.can_serve(kSecond));
+    list(view, DirectoryTopic::Upstreams);
+    CHECK_FALSE(view.can_serve(10 * kMillisecond));
+    CHECK(view.can_serve(kSecond));
+    list(view, DirectoryTopic::Daemons);
+    CHECK_FALSE(view.can_serve(10 * kMillisecond));
+    list(view, DirectoryTopic::Suspects);
+    CHECK(view.can_serve(10 * kMillisecond));
+}
+
+TEST_CASE("a reader asks a directory that is away at the same pace all along")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    std::map<DirectoryRole, Micros> longest;
+    const std::vector<DaemonRecord> records = fleet(40);
+    for (const DaemonRecord& own : records) {
+        DirectoryView view(dialect, pace, 0, own.node, own.hall, 400, 0);
+        CHECK(view.retry_pause(9) < 500 * kMillisecond);
+        for (const DirectoryTopic topic : DirectoryView::kTopics) {
+            view.begin_listing(topic, 0);
+            if (topic == DirectoryTopic::Configuration)
+                view.take_listed(topic, {{"config", "1"}}, 0);
+            view.end_listing(topic, 1, 0, 0);
+        }
+        for (const DaemonRecord& record : records)
+            view.daemons().apply(record, 0);
+        longest[view.source().role] = view.retry_pause(9);
+    }
+    REQUIRE(longest.size() == 3);
+    CHECK(longest[DirectoryRole::Root] == 500 * kMillisecond);
+    CHECK(longest[DirectoryRole::HallReader] == 500 * kMillisecond);
+    CHECK(longest[DirectoryRole::Follower] == 2 * kSecond);
+}
+
+TEST_CASE("a configuration that is written again reaches who listed an older one")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    const auto list = [](DirectoryView& view, const char* version, Offset end) {
+        view.begin_listing(DirectoryTopic::Configuration, 0);
+        view.take_listed(DirectoryTopic::Configuration, {{"config", version}}, 0);
+        view.end_listing(DirectoryTopic::Configuration, end, 0, 0);
+    };
+    // 7, then 3 written late, then 7 again.
+    DirectoryView reader(dialect, pace, 0, "reader", "hall", 400, 0);
+    list(reader, "7", 1);
+    reader.take_page(DirectoryTopic::Configuration, 1, {{"config", "3"}}, 0, 0, 0);
+    DirectoryView fresh(dialect, pace, 0, "fresh", "hall", 400, 0);
+    list(fresh, "3", 2);
+    CHECK(fresh.fold().configuration()->version == 3);
+    reader.take_page(DirectoryTopic::Configuration, 2, {{"config", "7"}}, 0, 0, 0);
+    fresh.take_answer(reader.answer_to(fresh.query(), 0), 0, 0);
+    CHECK(fresh.fold().configuration()->version == 7);
+}
+
+} // namespace
+} // namespace cypressford
