After a standstill, only what is older than the bound for changes is read first

Half of the bound would have held requests on nodes that are merely slow: what a follower knows is 0.4 to 1.3 s old at a bound of 2 s. woken_daemon passes as before.

--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -14,9 +14,6 @@
 /// A daemon that was suspended or stopped has read again what changed meanwhile in 10 to 50
 /// ms.
 constexpr Micros kCatchUpLimit = 300 * kMillisecond;
-/// What is younger than this part of the bound for changes is as fresh as without a
-/// standstill.
-constexpr Micros kFreshPart = 2;
 
 std::map<std::string, std::unique_ptr<UpstreamKind>>
 make_kinds()
@@ -37,7 +34,8 @@
     if (now - woke_at > kCatchUpLimit || !settings.uses_directory)
         return false;
     const Micros known_at = directory_known_at.load(std::memory_order_relaxed);
-    return known_at < woke_at - settings.directory_bound / kFreshPart;
+    // What is younger than the bound for changes is as fresh as without a standstill.
+    return known_at < woke_at - settings.directory_bound;
 }
 
 Kernel::Kernel(Settings settings_)
