Ends beside a request that has more of them count for no other; operators' command

Cause: all requests on an engine that ends have an end.

Change: SuspectTable counts an end for a request only if none that ran there has more ends; requests with as many that always ran together are told apart by the next end, and refused at five. cypressford quarantine list, release, add read and write the same records. What daemons do with them at the entry is suspicion.cpp.

Ruled out: running suspects apart, which has no place on 12 engines.

--- a/src/cypressford/commands.h
+++ b/src/cypressford/commands.h
@@ -34,6 +34,9 @@
 int bundle_command(const std::vector<std::string>& words, const CommandOptions& options);
 /// Evacuations of halls on the product's own platform.
 int hall_command(const std::vector<std::string>& words, const CommandOptions& options);
+/// Requests under which upstreams ended, on the users' platform.
+int quarantine_command(const std::vector<std::string>& words,
+                       const CommandOptions& options);
 int timeline_command(const std::vector<std::string>& files, const CommandOptions& options);
 
 /// What bound and which requests were lost, from the logs of all daemons.
--- a/src/cypressford/cypressford.cpp
+++ b/src/cypressford/cypressford.cpp
@@ -46,6 +46,9 @@
   cypressford hall evacuate --platform=IP:PORT --key=operator.pem HALL
   cypressford hall end-evacuation --platform=IP:PORT --key=operator.pem HALL
   cypressford hall list --platform=IP:PORT --trust=PUBLIC_KEY
+  cypressford quarantine list --platform=IP:PORT
+  cypressford quarantine release --platform=IP:PORT DIGEST
+  cypressford quarantine add --platform=IP:PORT DIGEST
   cypressford timeline [--output=text|json] [--request=ID] a.log b.log ...
   cypressford losses [--output=text|json] a.log b.log ...
   cypressford settings check settings.yaml
@@ -99,6 +102,8 @@
         return bundle_command(words, options);
     if (command == "hall")
         return hall_command(words, options);
+    if (command == "quarantine")
+        return quarantine_command(words, options);
     if (command == "timeline")
         return timeline_command(words, options);
     if (command == "losses" && !words.empty())
--- /dev/null
+++ b/src/cypressford/quarantine_commands.cpp
@@ -0,0 +1,172 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Requests that no upstream gets any more, on the users' platform: what all daemons read
+/// there is listed, and operators' own records are added.
+
+#include "commands.h"
+
+#include <iostream>
+
+#include <boost/json.hpp>
+
+#include <cypressford/directory.h>
+#include <cypressford/registry.h>
+#include <cypressford/suspects.h>
+
+#include "libutil/crypto.h"
+#include "libutil/http_client.h"
+#include "libutil/hybrid_clock.h"
+#include "operator_log.h"
+
+namespace cypressford {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Micros kAnswerLimit = 3 * kSecond;
+constexpr int kOk = 200;
+
+/// The topic of suspects in the platform's directory.
+class SuspectLog {
+public:
+    explicit SuspectLog(std::string address)
+        : m_address(std::move(address))
+        , m_dialect(Registry<DirectoryDialect>::instance().make("keyedlog"))
+        , m_client(m_io)
+    {
+    }
+
+    /// All records there are; those that can't be read count for nothing, as for daemons.
+    Result<SuspectTable> read_all()
+    {
+        SuspectTable table;
+        std::string after;
+        for (;;) {
+            const auto page = m_dialect->decode_newest(
+                call(m_dialect->newest(DirectoryTopic::Suspects, after)));
+            if (!page)
+                return tl::unexpected(page.error());
+            for (const DirectoryRecord& record : page->records)
+                if (const auto suspects = decode_suspects(record.value))
+                    table.apply(record.key, *suspects, record.offset);
+            if (!page->more || page->records.empty() || page->records.back().key == after)
+                return table;
+            after = page->records.back().key;
+        }
+    }
+
+    Result<void> append(SuspectRecord record)
+    {
+        record.at = wall_ms();
+        const std::string key = "operator." + format_stamp(random_u64());
+        const HttpResponse response
+            = call(m_dialect->append(DirectoryTopic::Suspects, {key, encode(record)}));
+        if (response.status == kOk)
+            return {};
+        return fail(ErrorKind::UpstreamFailed,
+                    "the platform's store answers " + std::to_string(response.status));
+    }
+
+private:
+    HttpResponse call(HttpRequest request)
+    {
+        CallOptions options;
+        options.deadline_us = monotonic_us() + kAnswerLimit;
+        options.send_clock = false;
+        CallResult result
+            = run(m_io, m_client.call(m_address, std::move(request), options));
+        if (result.status != CallStatus::Answered)
+            result.response.status = 0;
+        return result.response;
+    }
+
+    boost::asio::io_context m_io;
+    const std::string m_address;
+    const std::unique_ptr<DirectoryDialect> m_dialect;
+    HttpClient m_client;
+};
+
+std::string_view
+state_of(const SuspectView::Suspicion& suspicion)
+{
+    return suspicion.quarantined ? "quarantined" : "watched";
+}
+
+int
+list(const CommandOptions& options)
+{
+    const auto table = SuspectLog(options.platform).read_all();
+    if (!table)
+        return unavailable(table.error());
+    const SuspectViewPtr suspects = table->view();
+    json::array lines;
+    for (const auto& [digest, suspicion] : suspects->suspicions())
+        lines.push_back({{"digest", to_text(digest)},
+                         {"ends", suspicion.ends},
+                         {"state", state_of(suspicion)}});
+    if (options.json) {
+        std::cout << json::serialize(lines) << '\n';
+        return kExitOk;
+    }
+    for (const auto& [digest, suspicion] : suspects->suspicions())
+        std::cout << to_text(digest) << " ended " << suspicion.ends << " upstreams, "
+                  << state_of(suspicion) << '\n';
+    return kExitOk;
+}
+
+/// As if it had been answered whole: it is sent again, and three more ends quarantine it.
+SuspectRecord
+release_of(const RequestDigest& digest)
+{
+    SuspectRecord record;
+    record.answered.push_back(digest);
+    return record;
+}
+
+/// As if upstreams had ended under it and nothing else, under names that none has.
+SuspectRecord
+quarantine_of(const RequestDigest& digest)
+{
+    SuspectRecord record;
+    for (int end = 1; end <= SuspectTable::kEndsToQuarantine; ++end)
+        record.ends.push_back({{"operator/" + to_text(digest), end}, {digest}});
+    return record;
+}
+
+int
+append(const std::string& text, SuspectRecord (*record_of)(const RequestDigest&),
+       const CommandOptions& options)
+{
+    const std::string bytes = from_hex(text);
+    if (bytes.size() != RequestDigest::kBytes) {
+        std::cerr << "'" << text << "' is no digest: logs name it in run_broken\n";
+        return kExitUsage;
+    }
+    const auto done = SuspectLog(options.platform).append(record_of(digest_from(bytes)));
+    if (!done)
+        return unavailable(done.error());
+    std::cout << text << ": told\n";
+    return kExitOk;
+}
+
+} // namespace
+
+int
+quarantine_command(const std::vector<std::string>& words, const CommandOptions& options)
+{
+    const std::string verb = words.empty() ? "" : words[0];
+    const std::size_t count = words.size();
+    if (verb == "list" && count == 1)
+        return list(options);
+    if (verb == "release" && count == 2)
+        return append(words[1], release_of, options);
+    if (verb == "add" && count == 2)
+        return append(words[1], quarantine_of, options);
+    std::cerr << "usage: cypressford quarantine list|release|add ...\n";
+    return kExitUsage;
+}
+
+} // namespace cypressford
--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -47,23 +47,31 @@
 /// The requests that daemons have to look out for.  Never changes once made.
 class SuspectView {
 public:
-    using Ends = std::unordered_map<RequestDigest, int, RequestDigestHash>;
+    struct Suspicion {
+        int ends = 0; ///< upstreams that ended under it since it was last answered
+        bool quarantined = false;
+    };
+    using Suspicions = std::unordered_map<RequestDigest, Suspicion, RequestDigestHash>;
 
-    explicit SuspectView(Ends ends)
-        : m_ends(std::move(ends))
+    explicit SuspectView(Suspicions suspicions)
+        : m_suspicions(std::move(suspicions))
     {
     }
 
-    bool empty() const { return m_ends.empty(); }
-    std::size_t size() const { return m_ends.size(); }
+    bool empty() const { return m_suspicions.empty(); }
+    std::size_t size() const { return m_suspicions.size(); }
     /// True if a whole answer to it is news.
-    bool is_suspect(const RequestDigest& digest) const { return m_ends.contains(digest); }
+    bool is_suspect(const RequestDigest& digest) const
+    {
+        return m_suspicions.contains(digest);
+    }
     /// True if no upstream gets it any more.
     bool is_quarantined(const RequestDigest& digest) const;
     std::size_t count_quarantined() const;
+    const Suspicions& suspicions() const { return m_suspicions; }
 
 private:
-    Ends m_ends; ///< upstreams that ended under each since it was last answered
+    Suspicions m_suspicions;
 };
 
 using SuspectViewPtr = std::shared_ptr<const SuspectView>;
@@ -74,9 +82,14 @@
     /// Upstreams may end by themselves under an innocent request once, or twice when its
     /// caller retries it.
     static constexpr int kEndsToQuarantine = 3;
+    /// Ends under which another request ran that has more of them don't count: a stream
+    /// that is resumed twice may meet, on all its engines, the one that ends them (seen in
+    /// one of four plays with a restart each 0.12 s).  Of requests that have as many and
+    /// always ran together, either may be it; both are refused at so many.
+    static constexpr int kEndsOfAny = 5;
     /// Fewer ends are no reason to look at each request: with 12 engines of which 30 in 100
     /// crash, all requests on them have one.
-    static constexpr int kEndsToWatch = 2;
+    static constexpr std::size_t kEndsToWatch = 2;
     /// How long a record counts.  A caller that goes on for longer may end three more.
     static constexpr WallMs kHoldMs = 3'600'000;
     /// Records and digests beyond that are forgotten, those of no quarantined request and
@@ -124,13 +137,14 @@
     void remove(const std::string& key, const SuspectRecord& record);
     void recount(const RequestDigest& digest);
     void recount(const SuspectRecord& record);
-    int count_ends(const Suspect& suspect) const;
+    std::set<UpstreamRun> ends_of(const Suspect& suspect) const;
     bool has_quarantined(const SuspectRecord& record) const;
     void keep_within_bounds();
 
     std::map<std::string, Known> m_records;
     std::unordered_map<RequestDigest, Suspect, RequestDigestHash> m_suspects;
-    SuspectView::Ends m_watched; ///< those with kEndsToWatch or more
+    /// Ends of those with kEndsToWatch or more.
+    std::unordered_map<RequestDigest, std::set<UpstreamRun>, RequestDigestHash> m_watched;
     std::set<std::string> m_forgotten; ///< keys that may be in the log yet
     Offset m_unwritten = 0; ///< records that were given before they were written
     std::uint64_t m_revision = 0;
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -70,29 +70,69 @@
 bool
 SuspectView::is_quarantined(const RequestDigest& digest) const
 {
-    const auto it = m_ends.find(digest);
-    return it != m_ends.end() && it->second >= SuspectTable::kEndsToQuarantine;
+    const auto it = m_suspicions.find(digest);
+    return it != m_suspicions.end() && it->second.quarantined;
 }
 
 std::size_t
 SuspectView::count_quarantined() const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_ends.begin(), m_ends.end(), [](const auto& item) {
-            return item.second >= SuspectTable::kEndsToQuarantine;
-        }));
+        std::count_if(m_suspicions.begin(), m_suspicions.end(),
+                      [](const auto& item) { return item.second.quarantined; }));
 }
 
+namespace {
+
+/// The most ends that any request has which ran on one upstream when it ended.
+struct MostEnds {
+    std::size_t ends = 0;
+    int requests = 0; ///< that have so many
+};
+
+using MostByUpstream = std::unordered_map<UpstreamRun, MostEnds, UpstreamRunHash>;
+
+bool
+is_quarantined(const std::set<UpstreamRun>& ends, const MostByUpstream& most)
+{
+    int own = 0; // with no request beside it that has more
+    bool alone = false; // at one of these, with none that has as many either
+    for (const UpstreamRun& upstream : ends) {
+        const MostEnds& there = most.at(upstream);
+        if (there.ends > ends.size())
+            continue;
+        ++own;
+        alone = alone || there.requests == 1;
+    }
+    return own >= SuspectTable::kEndsOfAny
+        || (own >= SuspectTable::kEndsToQuarantine && alone);
+}
+
+} // namespace
+
 SuspectViewPtr
 SuspectTable::view() const
 {
-    return std::make_shared<const SuspectView>(m_watched);
+    MostByUpstream most;
+    for (const auto& [digest, ends] : m_watched)
+        for (const UpstreamRun& upstream : ends) {
+            MostEnds& there = most[upstream];
+            if (ends.size() > there.ends)
+                there = {ends.size(), 1};
+            else if (ends.size() == there.ends)
+                ++there.requests;
+        }
+    SuspectView::Suspicions suspicions;
+    for (const auto& [digest, ends] : m_watched)
+        suspicions[digest]
+            = {static_cast<int>(ends.size()), cypressford::is_quarantined(ends, most)};
+    return std::make_shared<const SuspectView>(std::move(suspicions));
 }
 
 /// Upstreams that ended since the request was last answered whole.  Several daemons may
 /// tell of one end.
-int
-SuspectTable::count_ends(const Suspect& suspect) const
+std::set<UpstreamRun>
+SuspectTable::ends_of(const Suspect& suspect) const
 {
     Offset answered_at = kBeforeAll;
     if (!mutated(Mutation::IgnoreWholeAnswers))
@@ -102,7 +142,7 @@
     for (const auto& [key, ends] : suspect.ends)
         if (m_records.at(key).at > answered_at)
             upstreams.insert(ends.begin(), ends.end());
-    return static_cast<int>(upstreams.size());
+    return upstreams;
 }
 
 // ------------------------------------------------------------------ records
@@ -190,19 +230,18 @@
     const auto it = m_suspects.find(digest);
     if (it == m_suspects.end())
         return;
-    const int ends = count_ends(it->second);
+    std::set<UpstreamRun> ends = ends_of(it->second);
     if (it->second.ends.empty() && it->second.answered.empty())
         m_suspects.erase(it);
-    const auto watched = m_watched.find(digest);
-    const int before = watched == m_watched.end() ? 0 : watched->second;
-    const int after = ends >= kEndsToWatch ? ends : 0;
-    if (after == before)
+    if (ends.size() < kEndsToWatch) {
+        m_revision += m_watched.erase(digest);
+        return;
+    }
+    std::set<UpstreamRun>& known = m_watched[digest];
+    if (ends == known)
         return;
+    known = std::move(ends);
     ++m_revision;
-    if (after > 0)
-        m_watched[digest] = after;
-    else
-        m_watched.erase(watched);
 }
 
 void
@@ -243,7 +282,7 @@
 {
     const auto is_quarantined = [this](const RequestDigest& digest) {
         const auto it = m_watched.find(digest);
-        return it != m_watched.end() && it->second >= kEndsToQuarantine;
+        return it != m_watched.end() && it->second.size() >= kEndsToQuarantine;
     };
     return std::any_of(record.ends.begin(), record.ends.end(), [&](const UpstreamEnd& end) {
         return std::any_of(end.running.begin(), end.running.end(), is_quarantined);
--- a/src/libcypressford/suspects_test.cpp
+++ b/src/libcypressford/suspects_test.cpp
@@ -83,6 +83,43 @@
     }
 }
 
+/// What was seen: a stream that was resumed at two engines met the request that ended its
+/// first engine there as well, and was refused with it.  Both had three ends, all of them
+/// together.
+TEST_CASE("a request that ran beside the one that ends upstreams is not refused for it")
+{
+    SuspectTable table;
+    int written = 0;
+    const auto end = [&](std::vector<RequestDigest> running) {
+        ++written;
+        const std::string name = std::to_string(written);
+        table.apply(name, end_of(name, std::move(running)), written);
+    };
+    for (int i = 0; i < 3; ++i)
+        end({digest(1), digest(2)});
+    // Nothing tells them apart yet.
+    CHECK(table.view()->is_suspect(digest(1)));
+    CHECK(table.view()->count_quarantined() == 0);
+    end({digest(1), digest(3)});
+    CHECK(table.view()->is_quarantined(digest(1)));
+    CHECK(table.view()->count_quarantined() == 1);
+    // One that ends others by itself is found out beside it.
+    for (int i = 0; i < 3; ++i)
+        end({digest(2)});
+    CHECK(table.view()->is_quarantined(digest(2)));
+}
+
+TEST_CASE("requests that always end upstreams together are refused in the end")
+{
+    SuspectTable table;
+    for (int i = 0; i < SuspectTable::kEndsOfAny; ++i) {
+        CHECK(table.view()->count_quarantined() == 0);
+        const std::string name = std::to_string(i);
+        table.apply(name, end_of(name, {digest(1), digest(2)}), i);
+    }
+    CHECK(table.view()->count_quarantined() == 2);
+}
+
 TEST_CASE("what this daemon saw counts before it is written, and once when it is")
 {
     SuspectTable table;
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -140,14 +140,6 @@
     // relay.cpp: relayed requests.
     boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
     Result<ContextPtr> make_relay(const HttpRequest& request);
-    /// An error for a request that no upstream gets any more.
-    Result<void> check_suspicion(const HttpRequest& request, const CallerCall& call,
-                                 const std::string& account);
-    /// A relayed request was answered whole.
-    void note_answered(const RequestContext& context);
-    /// Seeded by this worker.
-    std::uint64_t hash_of(const HttpRequest& request, const CallerCall& call,
-                          const std::string& account) const;
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
     /// `arrived`: of the request.
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
@@ -159,6 +151,16 @@
                                                        std::shared_ptr<CallHandle> handle);
     ForwardedCall forwarded_call(const SendAttempt& send,
                                  const RequestContext& context) const;
+
+    // suspicion.cpp: relayed requests under which upstreams end.
+    /// An error for a request that no upstream gets any more.
+    Result<void> check_suspicion(const HttpRequest& request, const CallerCall& call,
+                                 const std::string& account);
+    /// A relayed request was answered whole.
+    void note_answered(const RequestContext& context);
+    /// Seeded by this worker.
+    std::uint64_t hash_of(const HttpRequest& request, const CallerCall& call,
+                          const std::string& account) const;
     /// A call ended without its whole answer.
     void note_lost(const SendAttempt& send, const RequestContext& context,
                    bool closed_there) const;
