What is told after a record of suspects was sent goes into another record

Cause, found by reading: a record that was sent, and whose answer was lost, took what this daemon saw next and was sent again under its key. Others had the first one already and take one record a key, so what was added never reached them.

Change: SuspectOutbox, without I/O, seals a record at its first sending.

--- a/src/libcypressford/suspects_test.cpp
+++ b/src/libcypressford/suspects_test.cpp
@@ -1,7 +1,7 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
-#include <cypressford/suspects.h>
+#include <cypressford/suspect_outbox.h>
 
 #include <algorithm>
 #include <random>
@@ -137,6 +137,34 @@
     CHECK_FALSE(table.view()->is_quarantined(digest(1)));
 }
 
+/// The answer to a write is lost: the record is there, others have read it, and what this
+/// daemon sees next must not go into it.
+TEST_CASE("what is told after a record was sent goes into another one")
+{
+    SuspectOutbox outbox("n.");
+    SuspectTable others;
+    outbox.open(1).record = end_of("e1", {digest(1)});
+    outbox.open(1).record.ends.push_back({{"e2", 1}, {digest(1)}});
+    others.apply(outbox.seal_first().key, outbox.seal_first().record, 0);
+    outbox.open(2).record.ends.push_back({{"e3", 1}, {digest(1)}});
+    // Sent again, as its answer was lost, and then the next one.
+    for (Offset at = 1; !outbox.empty(); ++at) {
+        const SuspectOutbox::Entry& entry = outbox.seal_first();
+        others.apply(entry.key, entry.record, at);
+        outbox.drop_first();
+    }
+    CHECK(others.view()->is_quarantined(digest(1)));
+}
+
+TEST_CASE("records that wait for a directory that is away are bounded")
+{
+    SuspectOutbox outbox("n.");
+    for (std::size_t i = 0; i < SuspectOutbox::kMaxEntries + 5; ++i)
+        outbox.open(1).sealed = true;
+    CHECK(outbox.trim() == 5);
+    CHECK(outbox.trim() == 0);
+}
+
 TEST_CASE("a listing takes away what is not in it, but for what came after it began")
 {
     SuspectTable table;
--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -29,9 +29,6 @@
 /// Between attempts to write, doubled up to the longest.
 constexpr Micros kFirstPause = 200 * kMillisecond;
 constexpr Micros kLongestPause = 2 * kSecond;
-/// Records that wait for a directory that is away; the oldest go first, and what they say
-/// stays in force here.
-constexpr std::size_t kMaxUnwritten = 64;
 /// Between looks for records that count no longer, and how many go in one.
 constexpr Micros kTidyPace = 10 * kSecond;
 constexpr std::size_t kTidyAtOnce = 20;
@@ -43,6 +40,8 @@
     : m_io(io)
     , m_kernel(kernel)
     , m_directory(directory)
+    // No two records of a fleet have one key: the incarnation is drawn at random.
+    , m_outbox(kernel.settings.node + "." + format_stamp(kernel.incarnation) + ".")
 {
 }
 
@@ -60,39 +59,30 @@
     co_await timer.async_wait(kToTuple);
 }
 
-SuspectWriter::Unwritten&
-SuspectWriter::open_record()
-{
-    const bool is_open = m_unwritten.size() > (m_first_is_sent ? 1U : 0U);
-    if (!is_open) {
-        // No two records of a fleet have one key: the incarnation is drawn at random.
-        const std::string key = m_kernel.settings.node + "."
-            + format_stamp(m_kernel.incarnation) + "." + std::to_string(++m_written);
-        m_unwritten.push_back({key, {}});
-    }
-    Unwritten& open = m_unwritten.back();
-    open.record.at = wall_ms();
-    if (!m_writing) {
-        m_writing = true;
-        asio::co_spawn(m_io, write_all(), asio::detached);
-    }
-    return open;
-}
-
 void
 SuspectWriter::tell_end(UpstreamEnd end)
 {
-    Unwritten& open = open_record();
+    SuspectOutbox::Entry& open = m_outbox.open(wall_ms());
     open.record.ends.push_back(std::move(end));
     m_directory.take_own_suspects(open.key, open.record);
+    begin_writing();
 }
 
 void
 SuspectWriter::tell_answered(const RequestDigest& digest)
 {
-    Unwritten& open = open_record();
+    SuspectOutbox::Entry& open = m_outbox.open(wall_ms());
     open.record.answered.push_back(digest);
     m_directory.take_own_suspects(open.key, open.record);
+    begin_writing();
+}
+
+void
+SuspectWriter::begin_writing()
+{
+    if (std::exchange(m_writing, true))
+        return;
+    asio::co_spawn(m_io, write_all(), asio::detached);
 }
 
 asio::awaitable<void>
@@ -100,26 +90,20 @@
 {
     Micros rest = kFirstPause;
     co_await pause(kGather);
-    while (!m_unwritten.empty()) {
-        m_first_is_sent = true;
-        const Unwritten& first = m_unwritten.front();
+    while (!m_outbox.empty()) {
+        const SuspectOutbox::Entry& first = m_outbox.seal_first();
         DirectoryRecord entry {first.key, encode(first.record)};
         const auto written
             = co_await m_directory.write(DirectoryTopic::Suspects, std::move(entry));
-        m_first_is_sent = false;
         if (written) {
-            m_unwritten.pop_front();
+            m_outbox.drop_first();
             rest = kFirstPause;
             continue;
         }
         co_await pause(rest);
         rest = std::min(2 * rest, kLongestPause);
-        while (m_unwritten.size() > kMaxUnwritten) {
-            LogEvent("suspects_unwritten", LogLevel::Warn)
-                .kv("key", m_unwritten.front().key)
-                .kv("ends", m_unwritten.front().record.ends.size());
-            m_unwritten.pop_front();
-        }
+        if (const std::size_t forgotten = m_outbox.trim(); forgotten > 0)
+            LogEvent("suspects_unwritten", LogLevel::Warn).kv("records", forgotten);
     }
     m_writing = false;
 }
--- a/src/libserve/suspects/suspect_writer.h
+++ b/src/libserve/suspects/suspect_writer.h
@@ -3,14 +3,10 @@
 
 #pragma once
 
-#include <cstdint>
-#include <deque>
-#include <string>
-
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <cypressford/suspects.h>
+#include <cypressford/suspect_outbox.h>
 
 #include "libserve/directory/directory_watch.h"
 #include "libserve/kernel.h"
@@ -31,12 +27,7 @@
     void tell_answered(const RequestDigest& digest);
 
 private:
-    struct Unwritten {
-        std::string key;
-        SuspectRecord record;
-    };
-
-    Unwritten& open_record();
+    void begin_writing();
     boost::asio::awaitable<void> write_all();
     boost::asio::awaitable<void> tidy();
     boost::asio::awaitable<void> pause(Micros time);
@@ -44,10 +35,8 @@
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
     DirectoryWatch& m_directory;
-    std::deque<Unwritten> m_unwritten; ///< the last one takes what comes meanwhile
+    SuspectOutbox m_outbox;
     bool m_writing = false; ///< write_all() runs
-    bool m_first_is_sent = false; ///< the first one is on its way and takes nothing more
-    std::uint64_t m_written = 0; ///< records of this process
 };
 
 } // namespace cypressford
