--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -35,10 +35,9 @@
 
 } // namespace
 
-SuspectWriter::SuspectWriter(asio::io_context& io, Kernel& kernel,
+SuspectWriter::SuspectWriter(asio::io_context& io, const Kernel& kernel,
                              DirectoryWatch& directory)
     : m_io(io)
-    , m_kernel(kernel)
     , m_directory(directory)
     // No two records of a fleet have one key: the incarnation is drawn at random.
     , m_outbox(kernel.settings.node + "." + format_stamp(kernel.incarnation) + ".")
--- a/src/libserve/suspects/suspect_writer.h
+++ b/src/libserve/suspects/suspect_writer.h
@@ -17,7 +17,8 @@
 /// which of these were answered.  Lives on the control thread.
 class SuspectWriter {
 public:
-    SuspectWriter(boost::asio::io_context& io, Kernel& kernel, DirectoryWatch& directory);
+    SuspectWriter(boost::asio::io_context& io, const Kernel& kernel,
+                  DirectoryWatch& directory);
 
     void start();
 
@@ -33,7 +34,6 @@
     boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
-    Kernel& m_kernel;
     DirectoryWatch& m_directory;
     SuspectOutbox m_outbox;
     bool m_writing = false; ///< write_all() runs
