--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -59,6 +59,9 @@
     bool input_gone = false; ///< not run, since a result it was to read is gone
     bool is_encoded = false; ///< the body is not as the upstream made it
     Micros cold_left = 0; ///< the upstream is cold for so long yet
+    bool leaves = false; ///< the upstream that was meant says that it is leaving
+    Micros rest = 0; ///< it turned the call away and wants nothing from us for so long
+    bool rest_unread = false; ///< it names such a time, in a way that can't be read
 };
 
 /// One piece of one request, as it goes to an upstream.
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libserve/upstream_says.h"
 #include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
@@ -264,8 +265,8 @@
     Line& line = line_of(set_name);
     const UpstreamAnswer said = m_kernel.calls->read_answer(result.response);
     const bool answered = result.status == CallStatus::Answered;
-    if (said.cold_left > 0)
-        call.upstream->cold.note(now + said.cold_left);
+    if (answered)
+        hear(*call.upstream, said, "pieces");
     std::vector<PieceResult> results;
     if (answered && result.response.status == kOk)
         if (auto decoded = m_kernel.calls->decode_piece_call(result.response))
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -7,6 +7,7 @@
 
 #include "libserve/entry/worker.h"
 
+#include "libserve/upstream_says.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
@@ -347,8 +348,7 @@
     }
     const HttpResponse& response = result.response;
     const UpstreamAnswer answer = dialect.read_answer(response);
-    if (answer.cold_left > 0)
-        send.upstream->cold.note(monotonic_us() + answer.cold_left);
+    hear(*send.upstream, answer, relay.call.attempt);
     if (answer.input_gone)
         co_return AttemptStatus::InputGone;
     if (answer.other_identity)
--- /dev/null
+++ b/src/libserve/upstream_says.cpp
@@ -0,0 +1,28 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "libserve/upstream_says.h"
+
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+void
+hear(UpstreamState& upstream, const UpstreamAnswer& answer, std::string_view call)
+{
+    if (answer.cold_left > 0)
+        upstream.cold.note(monotonic_us() + answer.cold_left);
+    if (!answer.leaves && answer.rest == 0 && !answer.rest_unread)
+        return;
+    LogEvent("upstream_says")
+        .kv("upstream", upstream.address)
+        .kv("identity", upstream.identity)
+        .kv("born", upstream.born)
+        .kv("leaves", answer.leaves)
+        .kv("rest_us", answer.rest)
+        .kv("rest_unread", answer.rest_unread)
+        .kv("call", call);
+}
+
+} // namespace cypressford
