--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all deps build demo test fuzz soak fuzz-inputs tsan asan capacity measure bench lint format clean
+.PHONY: all deps build production upgrade demo test fuzz soak fuzz-inputs tsan asan capacity measure bench lint format clean
 
 all: build
 
@@ -27,10 +27,21 @@
 # Tests that KNOWN-RED.txt lists (one line each: test, cause, issue) are passed over and
 # printed.
 KNOWN_RED := $(shell [ -s KNOWN-RED.txt ] && cut -d, -f1 KNOWN-RED.txt | paste -sd'|')
-test: build
+test: build production
 	@[ -z "$(KNOWN_RED)" ] || { echo "passed over, known to be red:"; cat KNOWN-RED.txt; }
 	@cd $(BUILD) && ctest --output-on-failure -j 4 $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
+# The daemon of the landing before this one: nodes of both serve side by side while they are
+# replaced.  LANDING: another commit of landings.txt.
+LANDING ?= $(shell grep -v '^\#' platform/testing/landings.txt | head -1)
+production: deps
+	@src/build-scripts/build-landing.sh $(LANDING) build-production/$(LANDING) $(JOBS)
+
+# Rolls from that landing to this build and half back, with the soak's faults, fresh seeds.
+upgrade: build production
+	@python3 platform/testing/upgrade.py $(BUILD) build-production/$(LANDING) \
+	  --seeds=$(shell expr $(MINUTES) \* 2)
+
 # Fuzzes for SECONDS with seeds that differ each time.
 SECONDS ?= 60
 fuzz: build
--- /dev/null
+++ b/src/build-scripts/build-landing.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Copyright (c) 2026 The cypressford authors.
+# SPDX-License-Identifier: Apache-2.0
+#
+# Builds the daemon of an earlier commit into a folder, for tests of two builds side by side:
+#
+#   build-landing.sh COMMIT FOLDER [JOBS]
+
+set -euo pipefail
+commit=$1
+folder=$2
+jobs=${3:-$(nproc)}
+cd "$(dirname "$0")/../.."
+
+if ! git cat-file -e "$commit^{commit}" 2> /dev/null; then
+  echo "commit $commit is not in this clone's history: fetch it whole to build it" >&2
+  exit 1
+fi
+
+mkdir -p "$folder"
+folder=$(cd "$folder" && pwd)
+# The sources of that commit, without a work tree that git would have to know of.
+if [ ! -e "$folder/source/CMakeLists.txt" ]; then
+  mkdir -p "$folder/source"
+  git archive "$commit" | tar -x -C "$folder/source"
+fi
+cmake -G Ninja -S "$folder/source" -B "$folder" -DCYPRESSFORD_DAEMON_ONLY=ON > /dev/null
+cmake --build "$folder" -j "$jobs" --target cypressfordd
