--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -194,8 +194,8 @@
     PolicySwitches switches;
     /// Callers that are refused while all upstreams rest come back over so much of the
     /// rest's length behind its end, not all within a millisecond.  Of 16,800 callers of
-    /// rest_load_test 13,397 are answered in time and 632 late, with 0 13,565 and 369, with 1
-    /// 12,732 and 1,311: who comes back later is late anyway and delays others.
+    /// rest_load_test 13,397 are answered in time and 632 late, with 0 13,565 and 369, with
+    /// 1 12,732 and 1,311: who comes back later is late anyway and delays others.
     double rest_spread = 0.1;
     /// Non-repeatable attempts that outlive their caller are followed this long.
     Micros detached_limit = 60 * kSecond;
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -4,9 +4,9 @@
 #include <cypressford/prompt_placer.h>
 
 #include <algorithm>
+#include <cmath>
 #include <string_view>
 #include <unordered_set>
-#include <cmath>
 
 #include "candidates.h"
 
--- a/src/libcypressford/rest_load_test.cpp
+++ b/src/libcypressford/rest_load_test.cpp
@@ -131,7 +131,8 @@
             ++(took <= kAim ? m_outcome.prompt : m_outcome.late);
         } else if (caller.may_come_back) {
             const Micros left = kDeadline - took;
-            m_back.emplace(m_fleet.now + std::min(reply.retry_after, left / 3), caller.first);
+            m_back.emplace(m_fleet.now + std::min(reply.retry_after, left / 3),
+                           caller.first);
         } else {
             ++m_outcome.lost;
         }
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -123,10 +123,10 @@
         void abort(ErrorKind kind) override
         {
             const ErrorKind settled = settle_kind(kind, request);
-            const Micros after = request.come_back_after > 0 ? request.come_back_after
-                                                             : kRetryAfterAbort;
-            owner.answer(request, Reply {0, settled, settle_ran(settled, request), after,
-                                         false});
+            const Micros after
+                = request.come_back_after > 0 ? request.come_back_after : kRetryAfterAbort;
+            owner.answer(request,
+                         Reply {0, settled, settle_ran(settled, request), after, false});
             const bool in_doubt
                 = request.once_may_have_run && !mutated(Mutation::ReleaseAfterLost);
             owner.end_claim(request,
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -91,9 +91,8 @@
     --request.open_attempts;
     const bool unreached
         = status == AttemptStatus::NotSent || status == AttemptStatus::Withheld;
-    const bool proven_unrun = unreached
-        || status == AttemptStatus::Overloaded || status == AttemptStatus::Leaving
-        || status == AttemptStatus::InputGone;
+    const bool proven_unrun = unreached || status == AttemptStatus::Overloaded
+        || status == AttemptStatus::Leaving || status == AttemptStatus::InputGone;
     request.last_unreached = unreached;
     if (request.last_unreached) {
         ++request.unreached;
--- a/src/libcypressford/self_report.cpp
+++ b/src/libcypressford/self_report.cpp
@@ -25,8 +25,8 @@
 {
     Micros known = rests_until();
     while (known < until
-           && !m_rests_until.compare_exchange_weak(known, until, std::memory_order_relaxed)) {
-    }
+           && !m_rests_until.compare_exchange_weak(known, until,
+                                                   std::memory_order_relaxed)) { }
 }
 
 std::shared_ptr<SelfReport>
--- a/src/libcypressford/self_report_test.cpp
+++ b/src/libcypressford/self_report_test.cpp
@@ -6,10 +6,10 @@
 /// by it.
 ///
 /// What users saw: calls came to a replica 3 to 6 s after it had said in an answer that it
-/// leaves, and to replicas that had asked for rest.  Order: an answer said so; the platform's
-/// list could not tell it yet, as the store was away; the next call went there.  Cause: only
-/// the list was asked.  Evidence: calls of one daemon to the replica before and after its
-/// first such answer were as many.
+/// leaves, and to replicas that had asked for rest.  Order: an answer said so; the
+/// platform's list could not tell it yet, as the store was away; the next call went there.
+/// Cause: only the list was asked.  Evidence: calls of one daemon to the replica before and
+/// after its first such answer were as many.
 
 #include <doctest/doctest.h>
 
--- a/src/libcypressford/test_fleet.h
+++ b/src/libcypressford/test_fleet.h
@@ -29,8 +29,8 @@
 /// region "south" has "ib".  One relayed pipeline and one client account.
 class Fleet {
 public:
-    explicit Fleet(FleetSpec spec = {},
-                   const Scheduler::RandomBits& random = [] { return 0; })
+    explicit Fleet(
+        FleetSpec spec = {}, const Scheduler::RandomBits& random = [] { return 0; })
         : m_router(Registry<Router>::instance().make("adaptive"))
         , m_admission(Registry<Admission>::instance().make("budget"))
         , table("a", 5, {{"a", "north"}, {"b", "south"}})
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -63,7 +63,8 @@
             continue;
         for (const auto* side : {&set.own, &set.remote})
             for (const auto& upstream : *side)
-                if (upstream->address == address && (!found || found->born < upstream->born))
+                if (upstream->address == address
+                    && (!found || found->born < upstream->born))
                     found = upstream;
     }
     return found;
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -3,10 +3,11 @@
 
 /// \file
 /// Stateful fuzzing of relayed requests and their pieces: two schedulers over fake
-/// upstreams that refuse, break off, stay silent, lose results, say that they leave, ask for
-/// rest, start again or lapse from the platform's list, in any order, while operators evacuate halls and some requests are bound to a region.  An oracle knows
-/// which results exist, who released them, what ran, where nothing may go and what upstreams
-/// have said of themselves.
+/// upstreams that refuse, break off, stay silent, lose results, say that they leave, ask
+/// for rest, start again or lapse from the platform's list, in any order, while operators
+/// evacuate halls and some requests are bound to a region.  An oracle knows which results
+/// exist, who released them, what ran, where nothing may go and what upstreams have said of
+/// themselves.
 ///
 ///   cypressford_relay_fuzz               fixed cases
 ///   cypressford_relay_fuzz --mutations   each deliberate fault must be caught
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -93,8 +93,8 @@
     , m_table("a", 0, {{"a", "north"}, {"b", "south"}})
 {
     for (std::size_t i = 0; i < kSchedulers; ++i)
-        m_schedulers.push_back(std::make_unique<Scheduler>(
-            options(), *m_router, *m_admission, [] { return 0; }));
+        m_schedulers.push_back(std::make_unique<Scheduler>(options(), *m_router,
+                                                           *m_admission, [] { return 0; }));
     publish();
 }
 
@@ -172,8 +172,9 @@
     m_now += kDeadline + kSecond;
     tick();
     while (!m_attempts.empty())
-        end_attempt(0, m_attempts.begin()->second.connected ? AttemptStatus::Lost
-                                                            : AttemptStatus::NotSent);
+        end_attempt(0,
+                    m_attempts.begin()->second.connected ? AttemptStatus::Lost
+                                                         : AttemptStatus::NotSent);
     tick();
     for (const auto& [id, facts] : m_requests) {
         RC_ASSERT(facts.replies == 1 || facts.forgotten);
@@ -275,7 +276,8 @@
     const UpstreamPtr state = state_of(facts);
     if (!state)
         return;
-    const Micros until = m_now + static_cast<Micros>(1 + number / 7 % 30) * 100 * kMillisecond;
+    const Micros until
+        = m_now + static_cast<Micros>(1 + number / 7 % 30) * 100 * kMillisecond;
     facts.rests_until = std::max(facts.rests_until, until);
     state->said->note_rest(until);
 }
