--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -48,14 +48,6 @@
 /// Calls that this daemon may have in flight to one upstream.
 int slot_limit(const UpstreamState& upstream, int slots, int daemons_in_hall);
 
-/// True unless the upstream is leaving, in an evacuated hall or taken out after failures.
-/// The leader of a set asks this for other daemons: a rest is asked of one daemon, and each
-/// tells the leader which upstreams it can't use.
-bool is_in_service(const UpstreamState& upstream, Micros now);
-
-/// The same, and it has not asked this daemon for rest.
-bool is_usable(const UpstreamState& upstream, Micros now);
-
 /// Sets up to this size are always looked at whole.
 inline constexpr std::size_t kWholeScan = 32;
 /// Usable upstreams that are enough to choose from in a larger set.
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -101,8 +101,8 @@
     return finish <= last;
 }
 
-/// Callers that are refused during a rest come back one after the other behind it: all at
-/// once, they would be turned away again.
+/// When a caller that is refused during a rest is to come back; SchedulerOptions says why
+/// it is spread.
 Micros
 Scheduler::Impl::come_back_after(Micros rest)
 {
--- a/src/libserve/pieces/piece_job.cpp
+++ b/src/libserve/pieces/piece_job.cpp
@@ -49,12 +49,9 @@
     std::vector<std::string> identities;
     const UpstreamSet& set = wanted.snapshot->sets[resolved().sets.front()];
     for (const auto* side : {&set.own, &set.remote})
-        for (const auto& upstream : *side) {
-            const bool usable
-                = takes_calls(*upstream, now) && upstream->ejected_until.load() <= now;
-            if (!usable && identities.size() < most)
+        for (const auto& upstream : *side)
+            if (!is_usable(*upstream, now) && identities.size() < most)
                 identities.push_back(upstream->identity);
-        }
     return identities;
 }
 
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -80,7 +80,7 @@
     /// waited of late.
     std::vector<Micros> time_left(Micros now) const;
 
-    /// Engines that this daemon has taken out: the leader may not know of it.
+    /// Engines that this daemon can not use now; the leader may not know of it.
     std::vector<std::string> unusable(Micros now) const;
 
     /// The order of a stage; its `due_left` is a point in time.
