--- a/Makefile
+++ b/Makefile
@@ -35,11 +35,11 @@
 # replaced.  LANDING: another commit of landings.txt.
 LANDING ?= $(shell grep -v '^\#' platform/testing/landings.txt | head -1)
 production: deps
-	@src/build-scripts/build-landing.sh $(LANDING) build-production/$(LANDING) $(JOBS)
+	@src/build-scripts/build-landing.sh $(LANDING) $(BUILD)/production/$(LANDING) $(JOBS)
 
 # Rolls from that landing to this build and half back, with the soak's faults, fresh seeds.
 upgrade: build production
-	@python3 platform/testing/upgrade.py $(BUILD) build-production/$(LANDING) \
+	@python3 platform/testing/upgrade.py $(BUILD) $(BUILD)/production/$(LANDING) \
 	  --seeds=$(shell expr $(MINUTES) \* 2)
 
 # Fuzzes for SECONDS with seeds that differ each time.
--- a/src/build-scripts/build-landing.sh
+++ b/src/build-scripts/build-landing.sh
@@ -20,9 +20,11 @@
 mkdir -p "$folder"
 folder=$(cd "$folder" && pwd)
 # The sources of that commit, without a work tree that git would have to know of.
-if [ ! -e "$folder/source/CMakeLists.txt" ]; then
-  mkdir -p "$folder/source"
-  git archive "$commit" | tar -x -C "$folder/source"
+if [ ! -d "$folder/source" ]; then
+  rm -rf "$folder/source.part"
+  mkdir "$folder/source.part"
+  git archive "$commit" | tar -x -C "$folder/source.part"
+  mv "$folder/source.part" "$folder/source"
 fi
 cmake -G Ninja -S "$folder/source" -B "$folder" -DCYPRESSFORD_DAEMON_ONLY=ON > /dev/null
 cmake --build "$folder" -j "$jobs" --target cypressfordd
