--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,11 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
+# What another clone has compiled is found in the cache, too (a second clean clone builds in a
+# few seconds).
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
 .PHONY: all deps build production upgrade demo test fuzz soak fuzz-inputs tsan asan capacity measure bench lint format clean
 
 all: build
--- a/src/build-scripts/build-landing.sh
+++ b/src/build-scripts/build-landing.sh
@@ -26,5 +26,7 @@
   git archive "$commit" | tar -x -C "$folder/source.part"
   mv "$folder/source.part" "$folder/source"
 fi
+# What another clone has compiled is found in the cache, too.
+export CCACHE_BASEDIR=$folder CCACHE_NOHASHDIR=1
 cmake -G Ninja -S "$folder/source" -B "$folder" -DCYPRESSFORD_DAEMON_ONLY=ON > /dev/null
 cmake --build "$folder" -j "$jobs" --target cypressfordd
