--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,8 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-# What another clone has compiled is found in the cache, too (a second clean clone builds in a
-# few seconds).
+# What another clone has compiled is found in the cache, too: the daemon of a landing is there in
+# 3 s in a second clean clone.
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
