Logs name the limit that an upstream's answer carries

Cause of the gap: answers of a limited upstream name the requests a second that it takes from all daemons together; no line told it, so that nobody could say whether an answer had named one, which daemon had heard it, and when.

Nothing is decided by it yet.

--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -62,6 +62,9 @@
     bool leaves = false; ///< the upstream that was meant says that it is leaving
     Micros rest = 0; ///< it turned the call away and wants nothing from us for so long
     bool rest_unread = false; ///< it names such a time, in a way that can't be read
+    /// Requests a second that it takes from all daemons together; nothing: it names none.
+    std::optional<double> limit_per_s;
+    bool limit_unread = false; ///< it names a limit, in a way that can't be read
 };
 
 /// One piece of one request, as it goes to an upstream.
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -17,7 +17,8 @@
         upstream.said->note_leaving();
     if (answer.rest > 0)
         upstream.said->note_rest(monotonic_us() + answer.rest, wall_ms());
-    if (!answer.leaves && answer.rest == 0 && !answer.rest_unread)
+    const bool names_limit = answer.limit_per_s || answer.limit_unread;
+    if (!answer.leaves && answer.rest == 0 && !answer.rest_unread && !names_limit)
         return;
     LogEvent("upstream_says")
         .kv("upstream", upstream.address)
@@ -26,6 +27,9 @@
         .kv("leaves", answer.leaves)
         .kv("rest_us", answer.rest)
         .kv("rest_unread", answer.rest_unread)
+        .kv("names_limit", answer.limit_per_s.has_value())
+        .kv("limit_per_s", answer.limit_per_s.value_or(0))
+        .kv("limit_unread", answer.limit_unread)
         .kv("call", call);
 }
 
--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -21,6 +21,16 @@
     return {};
 }
 
+std::vector<std::string_view>
+HttpHeaders::all(std::string_view name) const
+{
+    std::vector<std::string_view> values;
+    for (const auto& [key, value] : m_fields)
+        if (boost::algorithm::iequals(key, name))
+            values.emplace_back(value);
+    return values;
+}
+
 void
 HttpHeaders::remove(std::string_view name)
 {
--- a/src/libutil/http.h
+++ b/src/libutil/http.h
@@ -22,6 +22,8 @@
     }
     /// Value of the first field of that name, any case; empty if there is none.
     std::string_view get(std::string_view name) const;
+    /// Values of all fields of that name, any case, in order.
+    std::vector<std::string_view> all(std::string_view name) const;
     /// Takes away all fields of that name, any case.
     void remove(std::string_view name);
     const std::vector<std::pair<std::string, std::string>>& fields() const
