--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -106,6 +106,9 @@
     std::optional<BatchSpec> batch; ///< for sets that make pieces
     ColdSpec cold;
     std::map<std::string, std::vector<std::string>> halls; ///< hall to "ip:port"
+
+    /// True if one daemon makes its pieces or places its prompts for all.
+    bool has_leader() const { return batch || memory_tokens > 0; }
 };
 
 /// A client account and its share.
--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -41,6 +41,10 @@
     SendToResting, ///< routes to upstreams that asked for rest
     AskBeforeQueueOnly, ///< what an upstream says later does not stop a call to it
     ReportOutlivesRun, ///< what an upstream said holds for its next run, too
+    LimitForEach, ///< each daemon takes all of what an upstream lets all of them send
+    UncountedRetry, ///< retries and hedges are not counted against an upstream's limit
+    LimitStays, ///< a limit that an upstream names no more is kept
+    ForgetSharers, ///< the part of a daemon that was heard of a moment ago is given away
     ForgetUnlisted, ///< what an upstream said is forgotten when its entry lapses
 };
 
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -51,6 +51,9 @@
 struct PlaceAnswer {
     std::string identity; ///< empty: none is usable
     std::string hall;
+    /// The leader has counted the call against the limit that the upstream names.
+    bool is_counted = false;
+    LimitWords limits; ///< what the leader has heard otherwise, or later, than was told
 };
 
 std::string encode(const PlaceQuery& query);
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include <cypressford/call_dialect.h>
+#include <cypressford/limit_word.h>
 #include <cypressford/policy.h>
 #include <cypressford/reach_table.h>
 #include <cypressford/upstream.h>
@@ -33,6 +34,7 @@
     /// are needed.  A prompt's engine is found in a hall with that probability.
     std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities
+    LimitWords limits; ///< what the asking daemon has heard of limits of the set
     HallLimit halls; ///< it may be read there only
     std::string from; ///< hall of the daemon that will send it
     bool reserve = false; ///< false: only a question
@@ -52,7 +54,8 @@
     {
     }
 
-    /// Index of the chosen upstream within own + remote of the set, or nothing.
+    /// The chosen upstream, or null.  A reservation counts against the limit that the
+    /// upstream names, if it names one.
     std::shared_ptr<UpstreamState> place(const UpstreamSet& set, const PromptQuery& query,
                                          Micros now);
 
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -22,6 +22,7 @@
 #include <cypressford/retry_budget.h>
 #include <cypressford/router.h>
 #include <cypressford/upstream.h>
+#include <cypressford/upstream_use.h>
 
 namespace cypressford {
 
@@ -106,6 +107,7 @@
     bool made = false;
     std::string hall; ///< where most of the results are; empty if unknown
     std::string identity; ///< of the upstream that is to have it; empty: any
+    bool is_counted = false; ///< the leader has counted it against that upstream's limit
 };
 /// The upstream's answer shows that it has read the results that the request was
 /// prepared with.
@@ -125,6 +127,7 @@
     std::shared_ptr<UpstreamState> upstream;
     Micros deadline = 0;
     bool may_repeat = true; ///< false: at most one send for this key, ever
+    CallCount count = CallCount::Own; ///< what begin_call() takes it from
 };
 /// Give up on an attempt; its end is still to be reported.
 struct CancelAttempt {
--- a/src/include/cypressford/self_report.h
+++ b/src/include/cypressford/self_report.h
@@ -12,8 +12,11 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include <cypressford/bundle.h>
+#include <cypressford/limit_word.h>
+#include <cypressford/shared_rate.h>
 #include <cypressford/upstream_run.h>
 
 namespace cypressford {
@@ -23,24 +26,70 @@
 /// them by each sender that doesn't know.  Lock-free.
 class SelfReport {
 public:
+    explicit SelfReport(std::uint64_t seed = 0,
+                        std::shared_ptr<const SharerCount> sharers = nullptr)
+        : m_limit(seed, std::move(sharers))
+    {
+    }
+
     /// The run is leaving; it can't take that back.
     void note_leaving() { m_leaves.store(true, std::memory_order_relaxed); }
     bool leaves() const { return m_leaves.load(std::memory_order_relaxed); }
 
     /// The run wants nothing from this daemon until then.  Of several, the latest counts.
-    /// `heard_ms`: this daemon's time of day; 0: not known.
-    void note_rest(Micros until, std::int64_t heard_ms = 0);
-    /// Takes over a rest that `before`, a run of the same upstream, may not have asked for
-    /// itself: answers name no run, and the next one, which started at `born`, answers
-    /// before the platform's list tells of it.
-    void inherit_rest(const SelfReport& before, std::int64_t born);
+    /// `connected_ms`: when the connection came up on which it said so, by this daemon's time
+    /// of day; 0: not known.
+    void note_rest(Micros until, std::int64_t connected_ms = 0);
+    /// Takes over a rest and a limit that `before`, a run of the same upstream, may not have
+    /// asked for itself: answers name no run, and the next one, which started at `born`,
+    /// answers before the platform's list tells of it.  All connections to a run end with
+    /// it, so what was heard on one that came up before `born` was said by the run before.
+    /// At a limit that is taken over, few daemons have a connection that young, so the call
+    /// that each sends at once to learn of it adds little.
+    void inherit(const SelfReport& before, std::int64_t born);
     Micros rests_until() const { return m_rests_until.load(std::memory_order_relaxed); }
     bool rests(Micros now) const { return rests_until() > now; }
 
+    /// The answer to a call that was sent at `sent` names how many requests a second the run
+    /// takes from all daemons together, or nothing.  A limit holds until the answer to a
+    /// call that was sent after it was heard names none: answers overtake each other.
+    /// `connected_ms`: as for a rest.  True if that changes the limit.
+    bool note_limit(std::optional<double> per_s, Micros sent, Micros now,
+                    std::int64_t connected_ms = 0);
+    /// An answer names a limit in a way that can't be read.  True the first time.
+    bool note_unread_limit()
+    {
+        return !m_limit_unread.exchange(true, std::memory_order_relaxed);
+    }
+    /// What another daemon has heard, told with as little delay as kWordDelay.  True if that
+    /// changes the limit.
+    bool note_word(const LimitWord& word, Micros now);
+    /// What there is to tell: the limit, or that it has ended, for kTellEnd.
+    std::optional<LimitWord> word(const UpstreamRun& run, Micros now) const;
+    /// What this daemon may send of the run's limit.
+    SharedRate& limit() { return m_limit; }
+    const SharedRate& limit() const { return m_limit; }
+
+    /// Requests a second that a limit stands for at least.  One of 0 would leave no call
+    /// that could tell of its end; so few stay within the excess that any limit allows.
+    static constexpr double kLeastLimit = 0.05;
+    static constexpr Micros kTellEnd = 10 * kSecond;
+    static constexpr Micros kWordDelay = 100 * kMillisecond;
+    /// More than this is no limit: no upstream bears it.
+    static constexpr double kNoLimit = 1e6;
+
 private:
+    void lower_limit(double per_s, Micros now);
+    void end_limit(Micros sent);
+
     std::atomic<bool> m_leaves {false};
     std::atomic<Micros> m_rests_until {0};
-    std::atomic<std::int64_t> m_rest_heard_ms {0};
+    std::atomic<std::int64_t> m_rest_connected_ms {0};
+    SharedRate m_limit;
+    std::atomic<Micros> m_limit_heard {0}; ///< last answer that named one
+    std::atomic<std::int64_t> m_limit_connected_ms {0};
+    std::atomic<bool> m_limit_unread {false};
+    std::atomic<Micros> m_limit_ended {0}; ///< when the call was sent that found none
 };
 
 /// The reports of all runs, also of those that the platform lists no more: an entry lapses
@@ -48,14 +97,24 @@
 /// Not thread-safe.
 class SelfReports {
 public:
+    /// `seed`: drawn by this daemon.
+    explicit SelfReports(std::uint64_t seed = 0,
+                         std::shared_ptr<const SharerCount> sharers = nullptr)
+        : m_seed(seed)
+        , m_sharers(std::move(sharers))
+    {
+    }
+
     /// The report of a run, a new one if there is none.
     std::shared_ptr<SelfReport> of(const UpstreamRun& run);
+    /// A report that is kept by its upstream alone.
+    std::shared_ptr<SelfReport> unnamed(std::uint64_t seed) const;
     /// The run is listed no more.  Its report is kept until so many others were unlisted
     /// after it.
     void unlist(const UpstreamRun& run);
 
     /// Runs that are listed no more and still known.  10,000 upstreams may be unlisted at a
-    /// time when their entries lapse; each takes some 200 bytes.
+    /// time when their entries lapse; each takes some 300 bytes.
     static constexpr std::size_t kUnlisted = 16'384;
 
 private:
@@ -66,6 +125,8 @@
     };
     void forget_oldest();
 
+    const std::uint64_t m_seed;
+    const std::shared_ptr<const SharerCount> m_sharers;
     std::map<UpstreamRun, Known> m_known;
     std::deque<UpstreamRun> m_unlisted; ///< oldest first
 };
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -268,9 +268,14 @@
         : m_hall(std::move(hall))
         , m_seed(seed)
         , m_regions(std::move(regions))
+        , m_reports(seed, m_sharers)
     {
     }
 
+    /// So many daemons are alive in all halls; they share what upstreams bear.  Called by
+    /// one thread.
+    void set_daemons(int count, Micros now) { m_sharers->set(count, now); }
+
     /// Resolves a bundle.  Not on the path of a request, as all of these.
     ResolvedBundlePtr resolve(const Bundle& bundle);
 
@@ -314,6 +319,7 @@
     const std::string m_hall;
     const std::uint64_t m_seed;
     const Regions m_regions;
+    const std::shared_ptr<SharerCount> m_sharers = std::make_shared<SharerCount>();
     std::vector<std::string> m_evacuated; ///< halls
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -80,12 +80,23 @@
     return query.allow_cold && upstream.cold.may_send(query.daemons, query.now);
 }
 
+/// A call that the leader of the set has granted is counted already.
+bool
+is_usable_for(const UpstreamState& upstream, const CandidateQuery& query)
+{
+    const bool is_counted = query.is_counted && !query.granted.empty()
+        && upstream.identity == query.granted;
+    if (is_counted)
+        return is_in_service(upstream, query.now) && !upstream.said->rests(query.now);
+    return is_usable(upstream, query.now);
+}
+
 /// Adds the upstream to `out` if it can take the call.
 void
 consider(const std::shared_ptr<UpstreamState>& upstream, const UpstreamSet& set,
          const CandidateQuery& query, bool remote, Candidates& out)
 {
-    if (!is_usable(*upstream, query.now) || was_tried(*upstream, query)
+    if (!is_usable_for(*upstream, query) || was_tried(*upstream, query)
         || !is_warm_enough(*upstream, query))
         return;
     if (query.halls && !query.halls->allows(upstream->hall))
@@ -161,11 +172,22 @@
 } // namespace
 
 bool
-takes_calls(const UpstreamState& upstream, Micros now)
+begin_call(UpstreamState& upstream, CallCount count, Micros now)
 {
     if (mutated(Mutation::AskBeforeQueueOnly))
         return true;
-    return !is_closed(upstream) && !rests(upstream, now);
+    if (is_closed(upstream) || rests(upstream, now))
+        return false;
+    if (count == CallCount::Counted)
+        return true;
+    const RatePart part = count == CallCount::Own ? RatePart::Own : RatePart::Granted;
+    return upstream.said->limit().take(part, now);
+}
+
+Micros
+closed_until(const UpstreamState& upstream, RatePart part)
+{
+    return std::max(upstream.said->rests_until(), upstream.said->limit().opens_at(part));
 }
 
 bool
@@ -176,9 +198,10 @@
 }
 
 bool
-is_usable(const UpstreamState& upstream, Micros now)
+is_usable(const UpstreamState& upstream, Micros now, RatePart part)
 {
-    return is_in_service(upstream, now) && !rests(upstream, now);
+    return is_in_service(upstream, now) && !rests(upstream, now)
+        && upstream.said->limit().opens_at(part) <= now;
 }
 
 void
@@ -200,14 +223,21 @@
 
 namespace {
 
-/// This daemon's part of the slots of warm upstreams.
+/// True if the upstream gets calls at a rate, whatever slots it has.
+bool
+is_paced(const UpstreamState& upstream, Micros now)
+{
+    return upstream.cold.is_cold(now) || upstream.said->limit().is_set();
+}
+
+/// This daemon's part of the slots of upstreams that get calls as they have slots.
 double
-warm_share(const std::vector<std::shared_ptr<UpstreamState>>& upstreams,
+slot_share(const std::vector<std::shared_ptr<UpstreamState>>& upstreams,
            const UpstreamSet& set, int daemons, Micros now)
 {
     double share = 0;
     for (const auto& upstream : upstreams) {
-        if (!is_usable(*upstream, now) || upstream->cold.is_cold(now))
+        if (!is_usable(*upstream, now) || is_paced(*upstream, now))
             continue;
         const int slots = slots_of(*upstream, set);
         const double even = static_cast<double>(slots) / std::max(1, daemons);
@@ -217,29 +247,56 @@
     return share;
 }
 
-/// Calls under way at cold upstreams if this daemon sends them what it may (Little's law).
+/// Calls a second that this daemon may send an upstream that gets calls at a rate.
+double
+paced_rate(const UpstreamState& upstream, int daemons, Micros now)
+{
+    const SharedRate& limit = upstream.said->limit();
+    const double cold = upstream.cold.own_rate(daemons);
+    if (!limit.is_set())
+        return cold;
+    const double limited = limit.expected_rate();
+    return upstream.cold.is_cold(now) ? std::min(limited, cold) : limited;
+}
+
+/// Calls a second that this daemon may send to all upstreams that get calls at a rate.
 double
-cold_share(const UpstreamSet& set, int daemons, Micros typical, Micros now)
+paced_calls_per_s(const UpstreamSet& set, int daemons, Micros now)
 {
     double calls_per_s = 0;
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side)
-            if (is_usable(*upstream, now) && upstream->cold.is_cold(now))
-                calls_per_s += upstream->cold.own_rate(daemons);
-    return calls_per_s * static_cast<double>(typical) / kSecond;
+            if (is_in_service(*upstream, now) && !rests(*upstream, now)
+                && is_paced(*upstream, now))
+                calls_per_s += paced_rate(*upstream, daemons, now);
+    return calls_per_s;
 }
 
 } // namespace
 
+double
+calls_per_s_if_paced(const UpstreamSet& set, int daemons, Micros now)
+{
+    const auto has_slots = [now](const auto& upstream) {
+        return is_usable(*upstream, now) && !is_paced(*upstream, now);
+    };
+    const bool has_others = std::any_of(set.own.begin(), set.own.end(), has_slots)
+        || std::any_of(set.remote.begin(), set.remote.end(), has_slots);
+    return has_others ? 0 : paced_calls_per_s(set, daemons, now);
+}
+
 double
 share_of_slots(const UpstreamSet& set, Sharers sharers, Micros typical, Micros now)
 {
-    double share = warm_share(set.own, set, sharers.daemons_in_hall, now);
+    double share = slot_share(set.own, set, sharers.daemons_in_hall, now);
     // A daemon whose hall is evacuated, cut down or cold works with the other halls: held
     // to the slots of its own it would run one call at a time.
     if (share <= 0)
-        share = warm_share(set.remote, set, sharers.daemons, now);
-    return share + cold_share(set, sharers.daemons, typical, now);
+        share = slot_share(set.remote, set, sharers.daemons, now);
+    // Calls that are under way at a time at a rate, by Little's law.
+    return share
+        + paced_calls_per_s(set, sharers.daemons, now) * static_cast<double>(typical)
+        / kSecond;
 }
 
 namespace {
@@ -264,26 +321,27 @@
 }
 
 Micros
-time_to_end_of_rest(const UpstreamSet& set, Micros now, const HallLimit& halls)
+time_to_first_usable(const UpstreamSet& set, Micros now, const HallLimit& halls,
+                     RatePart part)
 {
     Micros shortest = 0;
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side) {
             if (!is_in_service(*upstream, now) || !halls.allows(upstream->hall))
                 continue;
-            if (!rests(*upstream, now))
+            const Micros left = closed_until(*upstream, part) - now;
+            if (left <= 0)
                 return 0;
-            const Micros left = upstream->said->rests_until() - now;
             shortest = shortest == 0 ? left : std::min(shortest, left);
         }
     return shortest;
 }
 
 int
-count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls)
+count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls, RatePart part)
 {
-    return count_upstreams(set, [now, &halls](const auto& upstream) {
-        return is_usable(*upstream, now) && halls.allows(upstream->hall);
+    return count_upstreams(set, [now, &halls, part](const auto& upstream) {
+        return is_usable(*upstream, now, part) && halls.allows(upstream->hall);
     });
 }
 
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -30,6 +30,7 @@
     /// Cold upstreams are left out but for the one with this identity, to which the leader
     /// of the set has granted the call ...
     std::string_view granted;
+    bool is_counted = false; ///< the leader has counted it against that upstream's limit
     /// ... and those that this daemon, one of `daemons`, may send a call by itself.
     bool allow_cold = false;
     const HallLimit* halls = nullptr; ///< no others; null: all
@@ -66,17 +67,24 @@
 
 /// Calls that this daemon can run at a time, as a fraction: its part of the own hall's
 /// upstreams, or of those of all halls where the own hall has none that are warm and
-/// usable.  `typical`: time of a call, by which a cold upstream's rate becomes slots.
+/// usable.  `typical`: time of a call, by which a rate becomes slots.
 double share_of_slots(const UpstreamSet& set, Sharers sharers, Micros typical, Micros now);
 
+/// Calls a second that this daemon, one of so many, may send to upstreams that get calls at
+/// a rate, if no other is usable; else 0.
+double calls_per_s_if_paced(const UpstreamSet& set, int daemons, Micros now);
+
 /// Upstreams anywhere that are not in an evacuated hall.
 int count_in_service(const UpstreamSet& set);
 
-/// How long until an upstream that asked for rest can be used again, if there is none
-/// that can be used now; else 0, also where none rests.
-Micros time_to_end_of_rest(const UpstreamSet& set, Micros now, const HallLimit& halls = {});
+/// How long until an upstream that asked for rest, or has had what its limit lets that part
+/// send, can be used again, if there is none that can be used now; else 0, also where there
+/// is none in service.
+Micros time_to_first_usable(const UpstreamSet& set, Micros now, const HallLimit& halls = {},
+                            RatePart part = RatePart::Own);
 
 /// Usable upstreams in these halls.
-int count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls = {});
+int count_usable(const UpstreamSet& set, Micros now, const HallLimit& halls = {},
+                 RatePart part = RatePart::Own);
 
 } // namespace cypressford
--- a/src/libcypressford/cold.cpp
+++ b/src/libcypressford/cold.cpp
@@ -7,6 +7,8 @@
 
 #include <cypressford/mutation.h>
 
+#include "mix.h"
+
 namespace cypressford {
 
 namespace {
@@ -26,20 +28,6 @@
                                / std::max(calls_per_s, kSmallestRate));
 }
 
-/// A number in [0, 1) that is spread evenly over seeds.
-double
-spread(std::uint64_t seed)
-{
-    // SplitMix64.
-    std::uint64_t x = seed + 0x9e3779b97f4a7c15ULL;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    x ^= x >> 31;
-    constexpr int kept_bits = 53;
-    return static_cast<double>(x >> (64 - kept_bits))
-        / static_cast<double>(1ULL << kept_bits);
-}
-
 } // namespace
 
 bool
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/piece_order.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "cypressford.pb.h"
 
@@ -133,6 +134,39 @@
                      {in.unreached().begin(), in.unreached().end()}};
 }
 
+namespace {
+
+template <class Message>
+void
+write_limits(const LimitWords& limits, Message& out)
+{
+    for (const LimitWord& word : limits) {
+        proto::LimitWord* item = out.add_limits();
+        item->set_identity(word.run.identity);
+        item->set_born(word.run.born);
+        item->set_per_s(word.per_s);
+        item->set_ago_us(word.ago);
+    }
+}
+
+/// Words that make no sense are left out.
+template <class Message>
+LimitWords
+read_limits(const Message& in)
+{
+    LimitWords limits;
+    for (const proto::LimitWord& item : in.limits()) {
+        const bool makes_sense
+            = std::isfinite(item.per_s()) && item.per_s() >= 0 && item.ago_us() >= 0;
+        if (makes_sense && limits.size() < kMaxLimitWords)
+            limits.push_back(
+                {{item.identity(), item.born()}, item.per_s(), item.ago_us()});
+    }
+    return limits;
+}
+
+} // namespace
+
 std::string
 encode(const PlaceQuery& query)
 {
@@ -155,6 +189,7 @@
     }
     for (const std::string& identity : prompt.avoid)
         out.add_avoid(identity);
+    write_limits(prompt.limits, out);
     return out.SerializeAsString();
 }
 
@@ -178,6 +213,7 @@
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
     for (const proto::PromptPart& part : in.parts())
         query.prompt.parts.push_back({part.id(), part.tokens()});
+    query.prompt.limits = read_limits(in);
     return query;
 }
 
@@ -187,6 +223,8 @@
     proto::PlaceAnswer out;
     out.set_identity(answer.identity);
     out.set_hall(answer.hall);
+    out.set_counted(answer.is_counted);
+    write_limits(answer.limits, out);
     return out.SerializeAsString();
 }
 
@@ -196,7 +234,7 @@
     proto::PlaceAnswer in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(ErrorKind::BadRequest, "not an answer about a prompt");
-    return PlaceAnswer {in.identity(), in.hall()};
+    return PlaceAnswer {in.identity(), in.hall(), in.counted(), read_limits(in)};
 }
 
 std::string
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -19,6 +19,8 @@
 constexpr int kMaxBackOffDoublings = 4;
 /// Pieces that a search for a match looks at.
 constexpr int kMaxLookedAt = 64;
+/// Longer waits (us) are told as this: no request has so much time.
+constexpr double kLongestWait = 3600.0 * kSecond;
 
 } // namespace
 
@@ -78,7 +80,7 @@
     if (backed_off != m_backed_off.end() && backed_off->second > now)
         return false;
     const int slots = std::max(1, set.spec.slots);
-    return is_usable(upstream, now)
+    return is_usable(upstream, now, RatePart::Granted)
         && (!upstream.cold.is_cold(now) || upstream.cold.may_grant(now))
         && upstream.in_flight.load(std::memory_order_relaxed) < slots;
 }
@@ -126,7 +128,8 @@
     if (now - piece.queued_at >= hall_wait_limit(set, piece))
         return false;
     const auto is_there = [&](const auto& upstream) {
-        return upstream->hall == piece.near && is_usable(*upstream, now);
+        return upstream->hall == piece.near
+            && is_usable(*upstream, now, RatePart::Granted);
     };
     return std::any_of(set.own.begin(), set.own.end(), is_there)
         || std::any_of(set.remote.begin(), set.remote.end(), is_there);
@@ -195,7 +198,7 @@
         return false;
     const int items = set.spec.batch ? set.spec.batch->items : 1;
     const auto half_round = static_cast<std::size_t>(items)
-        * static_cast<std::size_t>(count_usable(set, now));
+        * static_cast<std::size_t>(count_usable(set, now, {}, RatePart::Granted));
     return 2 * m_by_id.size() > half_round;
 }
 
@@ -304,22 +307,47 @@
     return call;
 }
 
+namespace {
+
+/// Upstreams that are usable, where one that names a limit counts as the part of one that
+/// its calls a second make.
+double
+usable_as_free(const UpstreamSet& set, Micros now)
+{
+    const double call_s = static_cast<double>(full_call_time(set.spec)) / kSecond;
+    double sum = 0;
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side) {
+            const SharedRate& limit = upstream->said->limit();
+            if (!is_in_service(*upstream, now) || upstream->said->rests(now))
+                continue;
+            sum += limit.is_set()
+                ? std::min(1.0, limit.rate_of(RatePart::Granted) * call_s)
+                : 1.0;
+        }
+    return sum;
+}
+
+} // namespace
+
 Micros
 PieceQueue::expected_wait(const UpstreamSet& set, int priority, Micros now) const
 {
     const BatchSpec batch = set.spec.batch.value_or(BatchSpec {});
-    const Micros rest = time_to_end_of_rest(set, now);
-    const int usable = count_usable(set, now + rest);
-    if (usable == 0)
+    const Micros rest = time_to_first_usable(set, now, {}, RatePart::Granted);
+    const double usable = usable_as_free(set, now + rest);
+    if (usable <= 0)
         return kSecond;
     // Less urgent pieces, and late ones of its priority, wait behind it.
     const auto ahead_end = m_waiting.lower_bound({priority, true, 0, 0});
     const auto ahead = static_cast<Micros>(std::distance(m_waiting.begin(), ahead_end));
     if (ahead == 0 && has_free_upstream(set, now))
         return 0;
-    const Micros full_call = full_call_time(set.spec);
-    const Micros rate_unit = std::max<Micros>(1, batch.items * usable);
-    return rest + full_call / (2 * usable) + ahead * full_call / rate_unit;
+    const auto full_call = static_cast<double>(full_call_time(set.spec));
+    const double calls_ahead
+        = 0.5 + static_cast<double>(ahead) / std::max(1, batch.items);
+    const double wait = std::min(calls_ahead * full_call / usable, kLongestWait);
+    return rest + static_cast<Micros>(wait);
 }
 
 std::vector<PieceId>
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "candidates.h"
+#include "mix.h"
 
 namespace cypressford {
 
@@ -42,15 +43,6 @@
 constexpr Micros kForgetEngineAfter = 120 * kSecond;
 constexpr Micros kExpirePace = 1 * kSecond;
 
-std::uint64_t
-mix(std::uint64_t x)
-{
-    // Finalizer of SplitMix64.
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
 /// Weight of an upstream in weighted rendezvous hashing (Schindelhauer and
 /// Schomaker, 2005); the highest is preferred.
 double
@@ -149,9 +141,12 @@
             if (!is_in_service(*upstream, now) || avoided.contains(upstream->identity)
                 || !query.halls.allows(upstream->hall))
                 continue;
-            // A cold engine takes what it bears; the others go on to warm ones.
+            // An engine that is cold or names a limit takes what it bears; the others go on
+            // to the rest.
             if (upstream->cold.is_cold(now) && !upstream->cold.may_grant(now))
                 continue;
+            if (upstream->said->limit().opens_at(RatePart::Granted) > now)
+                continue;
             const bool is_near = keeps_near && upstream->hall == query.near;
             const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
                 && m_reach.avoids(query.from, upstream->run(), upstream->hall, now);
@@ -194,6 +189,7 @@
     if (query.reserve) {
         if (best->upstream->cold.is_cold(now))
             best->upstream->cold.take_grant(now);
+        best->upstream->said->limit().take(RatePart::Granted, now);
         reserve(*best->upstream, set, query, now);
     }
     return best->upstream;
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -45,6 +45,7 @@
     Micros preparing_since = 0; ///< when they were asked for
     std::string prepared_hall; ///< where most of the results are
     std::string prepared_identity; ///< of the upstream that is to have it
+    bool prepared_is_counted = false; ///< its leader has counted it against a limit
     std::string placed_at; ///< the same, also once it was sent
     bool queued = false; ///< stands in the queue of its stage
     bool replied = false;
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -124,6 +124,7 @@
         request.prepared_before = true;
         request.prepared_hall = event.hall;
         request.prepared_identity = event.identity;
+        request.prepared_is_counted = event.is_counted;
         request.placed_at = event.identity;
         entry.machine.preparation_made();
     } else {
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -43,10 +43,11 @@
     query.stages = std::span(outlooks).first(count);
     const Micros rest = rest_ahead(request);
     if (rest > 0 && !bears_wait(request, rest))
-        return {false, ErrorKind::Resting, come_back_after(rest), 0};
+        return with_next_place(request,
+                               {false, ErrorKind::Resting, come_back_after(rest), 0});
     const AdmissionVerdict verdict = admission.admit(query);
     if (!verdict.admitted)
-        return verdict;
+        return with_next_place(request, verdict);
     if (const Micros wait = account.state->take(account.spec, now); wait > 0)
         return {false, ErrorKind::AccountLimit, wait, verdict.expected};
     return verdict;
@@ -66,7 +67,7 @@
     const auto is_usable_there = [&](std::size_t at) {
         const UpstreamSet& set = snapshot.sets[at];
         return count_usable(set, now, halls) > 0
-            || time_to_end_of_rest(set, now, halls) > 0;
+            || time_to_first_usable(set, now, halls) > 0;
     };
     for (std::size_t at = 0; at < pipeline.piece_sets.size(); ++at)
         if (request.spec.pieces[at] > 0 && !is_usable_there(pipeline.piece_sets[at]))
@@ -110,6 +111,40 @@
     return rest + static_cast<Micros>(random() % (static_cast<std::uint64_t>(spread) + 1));
 }
 
+/// The next place that upstreams of a stage, which get calls at a rate, have for a caller
+/// that is refused; each caller is told of another one, so that they don't come back to one
+/// place.  0: there are others, or none at all.
+Micros
+Scheduler::Impl::next_place(const Request& request, std::size_t at)
+{
+    const StageQueue::Capacity& capacity = capacity_of(request, at);
+    if (capacity.paced_per_s <= 0)
+        return 0;
+    StageQueue& queue = queue_of(request.set_of(at).id);
+    const auto interval = static_cast<Micros>(kSecond / capacity.paced_per_s);
+    const Micros farthest = request.pipeline().spec.deadline;
+    const Micros last = std::max(queue.promised_until, now + capacity.rest);
+    queue.promised_until = std::min(last + interval, now + farthest);
+    if (queue.promised_until < now + farthest)
+        return queue.promised_until - now;
+    // More callers than places: nobody waits for longer, so they are spread up to there.
+    const auto half = static_cast<std::uint64_t>(std::max<Micros>(1, farthest / 2));
+    return farthest / 2 + static_cast<Micros>(random() % half);
+}
+
+/// What a caller that is refused for want of a place is told, where places come at a rate.
+AdmissionVerdict
+Scheduler::Impl::with_next_place(const Request& request, AdmissionVerdict verdict)
+{
+    const bool lacks_place = verdict.kind == ErrorKind::Resting
+        || verdict.kind == ErrorKind::DeadlineUnreachable;
+    if (!lacks_place)
+        return verdict;
+    for (std::size_t at = 0; at < request.pipeline().spec.stages.size(); ++at)
+        verdict.retry_after = std::max(verdict.retry_after, next_place(request, at));
+    return verdict;
+}
+
 /// How long a stage takes as its caller feels it: a relayed stream counts up to
 /// its first byte.
 Micros
@@ -139,11 +174,31 @@
     const double ahead = static_cast<double>(queue.ahead_of(request.priority()))
         - share * static_cast<double>(result.typical);
     const double left = share - queue.busy_with_more_urgent(request.priority());
-    const double drain = std::max({left, kLeastDrain * share, kSmallestShare});
+    const double drain = share > 0 ? std::max(left, kLeastDrain * share) : kSmallestShare;
     result.backlog = capacity.rest + static_cast<Micros>(std::max(0.0, ahead) / drain);
+    result.backlog = std::max(result.backlog, wait_for_place(request, at));
     return result;
 }
 
+/// How long the request would wait for upstreams of a stage that get calls at a rate: their
+/// places are counted, since slots and the time of a call say nothing of them.  0: there are
+/// others.
+Micros
+Scheduler::Impl::wait_for_place(const Request& request, std::size_t at)
+{
+    const StageQueue::Capacity& capacity = capacity_of(request, at);
+    if (capacity.paced_per_s <= 0)
+        return 0;
+    const StageQueue& queue = queue_of(request.set_of(at).id);
+    const auto ahead = std::count_if(
+        queue.waiting.begin(), queue.waiting.end(), [&request](const auto& waiting) {
+            return waiting.priority <= request.priority();
+        });
+    const double rate = capacity.paced_per_s / std::max(1, options.schedulers);
+    const double wait = kPlaceMargin * static_cast<double>(ahead) * kSecond / rate;
+    return capacity.rest + static_cast<Micros>(std::min(wait, kLongestWait));
+}
+
 /// The pieces of a request as one stage, by what the sets say of their calls and
 /// what the daemons that lead them say of their queues.
 StageOutlook
@@ -159,8 +214,9 @@
         if (request.spec.pieces[at] == 0)
             continue;
         const UpstreamSet& set = snapshot.sets[pipeline.piece_sets[at]];
-        const Micros then = now + time_to_end_of_rest(set, now);
-        result.usable = std::min(result.usable, count_usable(set, then));
+        const Micros then = now + time_to_first_usable(set, now, {}, RatePart::Granted);
+        result.usable
+            = std::min(result.usable, count_usable(set, then, {}, RatePart::Granted));
         result.backlog += set.load->wait_at(request.priority(), now);
     }
     return result;
@@ -175,14 +231,19 @@
     const bool fresh = capacity.generation == generation && capacity.at >= 0
         && now - capacity.at < kCapacityAge;
     if (!fresh) {
-        // Where all that could be used rest, it is what there will be when the first of
-        // them is back.
-        const Micros rest = time_to_end_of_rest(set, now);
+        // Where all that could be used rest or have had what their limits allow, it is what
+        // there will be when the first of them is back.
+        // What the leader of the set grants is not known here: it is asked for each call.
+        const RatePart part
+            = set.spec.has_leader() ? RatePart::Granted : RatePart::Own;
+        const Micros rest = time_to_first_usable(set, now, {}, part);
         const Micros then = now + rest;
-        capacity = {now, generation, count_usable(set, then),
+        capacity = {now, generation, count_usable(set, then, {}, part),
                     share_of_slots(set, {options.daemons_in_hall, daemons},
-                                   typical_time(request, at), then),
-                    rest};
+                                   model.mean(request.pipeline().stage_ids[at])
+                                       .value_or(typical_time(request, at)),
+                                   then),
+                    rest, calls_per_s_if_paced(set, daemons, then)};
     }
     return capacity;
 }
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -51,6 +51,11 @@
 inline constexpr Micros kTimeToConnect = 250 * kMillisecond;
 /// Upstreams that one stage may fail to reach before it fails.
 inline constexpr int kMaxUnreached = 6;
+/// Places that come at a rate come at uneven intervals: the wait for one is counted on to
+/// be this much longer than the mean.
+inline constexpr double kPlaceMargin = 1.5;
+/// Longer waits (us) are told as this: no request has so much time.
+inline constexpr double kLongestWait = 3600.0 * kSecond;
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kSmallestShare = 0.1;
 
@@ -204,6 +209,9 @@
     Micros rest_ahead(const Request& request);
     bool bears_wait(const Request& request, Micros wait) const;
     Micros come_back_after(Micros rest);
+    Micros wait_for_place(const Request& request, std::size_t at);
+    Micros next_place(const Request& request, std::size_t at);
+    AdmissionVerdict with_next_place(const Request& request, AdmissionVerdict verdict);
     Micros typical_time(const Request& request, std::size_t at) const;
     StageOutlook outlook(const Request& request, std::size_t at);
     StageOutlook pieces_outlook(const Request& request);
@@ -305,6 +313,7 @@
     std::vector<SetId> dirty;
     Candidates candidates; ///< scratch space
     std::shared_ptr<UpstreamState> chosen; ///< last choice of choose_upstream()
+    bool chosen_is_counted = false; ///< the leader of its set has counted the call
     AttemptId next_attempt = 1;
     std::size_t unanswered = 0;
     std::size_t waiting_count = 0;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -95,11 +95,12 @@
     if (!has_share_left(request) || !choose_upstream(request)) {
         if (count_usable(request.set(), now, request.spec.halls) > 0)
             return false;
-        const Micros rest = time_to_end_of_rest(request.set(), now, request.spec.halls);
+        const Micros rest = time_to_first_usable(request.set(), now, request.spec.halls);
         if (rest > 0 && bears_wait(request, rest))
             return false;
         if (rest > 0)
-            request.come_back_after = come_back_after(rest);
+            request.come_back_after
+                = std::max(come_back_after(rest), next_place(request, request.stage));
         entry.machine.abort(rest > 0 ? ErrorKind::Resting : ErrorKind::NoUpstream);
         forget_if_over(entry);
         return true;
@@ -122,11 +123,12 @@
     return running < kLeastCalls || running < kShareSlack * share;
 }
 
-/// Leaves the choice in `chosen`.
+/// Leaves the choice in `chosen`, and whether the leader of the set has counted the call.
 bool
 Scheduler::Impl::choose_upstream(const Request& request)
 {
     const UpstreamSet& set = request.set();
+    chosen_is_counted = false;
     CandidateQuery query;
     query.now = now;
     query.daemons_in_hall = options.daemons_in_hall;
@@ -142,6 +144,7 @@
     if (!query.any_hall)
         query.near = request.prepared_hall;
     query.granted = request.prepared_identity;
+    query.is_counted = request.prepared_is_counted;
     query.daemons = daemons;
     const bool leaves_region
         = mutated(Mutation::LeaveRegionOnRetry) && !request.tried.empty();
@@ -163,6 +166,7 @@
         if (!request.prepared_identity.empty()
             && (*state)->identity == request.prepared_identity) {
             chosen = *state;
+            chosen_is_counted = request.prepared_is_counted;
             return true;
         }
     RouteContext context;
@@ -201,6 +205,9 @@
     attempt.upstream = chosen;
     attempt.sent_at = now;
     attempt.once = !request.stage_spec().repeatable && !request.set().spec.deduplicates;
+    const bool is_retry = request.attempts_of_stage > 0;
+    const bool is_counted
+        = chosen_is_counted || (is_retry && mutated(Mutation::UncountedRetry));
     attempt.probe = chosen->ejections.load(std::memory_order_relaxed) > 0;
     if (attempt.probe)
         chosen->probing.store(true, std::memory_order_relaxed);
@@ -216,9 +223,11 @@
     request.tried.push_back(chosen.get());
     // A second attempt is not bound to the choice made for the first.
     request.prepared_identity.clear();
+    request.prepared_is_counted = false;
     const Micros deadline = attempt_deadline(request);
     out->push_back(SendAttempt {request.spec.id, attempt.id, request.stage, chosen,
-                                deadline, !attempt.once});
+                                deadline, !attempt.once,
+                                is_counted ? CallCount::Counted : CallCount::Own});
     if (mutated(Mutation::FreeBeforeRead) && request.spec.needs_pieces())
         out->push_back(ReleaseInputs {request.spec.id});
     arm_hedge(request, attempt.id);
--- a/src/libcypressford/self_report.cpp
+++ b/src/libcypressford/self_report.cpp
@@ -3,6 +3,7 @@
 
 #include <cypressford/self_report.h>
 
+#include <algorithm>
 #include <iterator>
 
 #include <cypressford/mutation.h>
@@ -24,12 +25,19 @@
     return run;
 }
 
+/// True if a connection that came up then may be to the run that started at `born`.
+bool
+may_be_to(std::int64_t connected_ms, std::int64_t born)
+{
+    return connected_ms != 0 && connected_ms + kClockErrorMs >= born;
+}
+
 } // namespace
 
 void
-SelfReport::note_rest(Micros until, std::int64_t heard_ms)
+SelfReport::note_rest(Micros until, std::int64_t connected_ms)
 {
-    m_rest_heard_ms.store(heard_ms, std::memory_order_relaxed);
+    m_rest_connected_ms.store(connected_ms, std::memory_order_relaxed);
     Micros known = rests_until();
     while (known < until
            && !m_rests_until.compare_exchange_weak(known, until,
@@ -37,11 +45,88 @@
 }
 
 void
-SelfReport::inherit_rest(const SelfReport& before, std::int64_t born)
+SelfReport::inherit(const SelfReport& before, std::int64_t born)
+{
+    const std::int64_t rest_on = before.m_rest_connected_ms.load(std::memory_order_relaxed);
+    if (may_be_to(rest_on, born))
+        note_rest(before.rests_until(), rest_on);
+    const std::int64_t limit_on
+        = before.m_limit_connected_ms.load(std::memory_order_relaxed);
+    if (!may_be_to(limit_on, born))
+        return;
+    m_limit.adopt(before.m_limit);
+    m_limit_connected_ms.store(limit_on, std::memory_order_relaxed);
+}
+
+bool
+SelfReport::note_limit(std::optional<double> per_s, Micros sent, Micros now,
+                       std::int64_t connected_ms)
+{
+    const bool is_newer = sent > m_limit_heard.load(std::memory_order_relaxed);
+    const double before = m_limit.per_s();
+    if (!per_s || *per_s > kNoLimit) {
+        if (before > 0 && is_newer)
+            end_limit(sent);
+        return m_limit.per_s() != before;
+    }
+    const double named = std::max(*per_s, kLeastLimit);
+    if (is_newer)
+        m_limit.set(named, now);
+    else
+        lower_limit(named, now);
+    m_limit_connected_ms.store(connected_ms, std::memory_order_relaxed);
+    m_limit_heard.store(now, std::memory_order_relaxed);
+    return m_limit.per_s() != before;
+}
+
+/// Of two answers that were under way at one time either may be the later word.
+void
+SelfReport::lower_limit(double per_s, Micros now)
+{
+    if (!m_limit.is_set() || per_s < m_limit.per_s())
+        m_limit.set(per_s, now);
+}
+
+void
+SelfReport::end_limit(Micros sent)
+{
+    if (mutated(Mutation::LimitStays))
+        return;
+    m_limit_ended.store(sent, std::memory_order_relaxed);
+    m_limit.clear();
+}
+
+bool
+SelfReport::note_word(const LimitWord& word, Micros now)
+{
+    const double before = m_limit.per_s();
+    const Micros at = now - word.ago;
+    const Micros heard = m_limit_heard.load(std::memory_order_relaxed);
+    if (word.per_s <= 0) {
+        if (before > 0 && at - kWordDelay > heard)
+            end_limit(at - kWordDelay);
+    } else if (at > std::max(heard, m_limit_ended.load(std::memory_order_relaxed))) {
+        m_limit.set(std::max(word.per_s, kLeastLimit), now);
+        m_limit_heard.store(at, std::memory_order_relaxed);
+    }
+    return m_limit.per_s() != before;
+}
+
+std::optional<LimitWord>
+SelfReport::word(const UpstreamRun& run, Micros now) const
+{
+    if (const double per_s = m_limit.per_s(); per_s > 0)
+        return LimitWord {run, per_s, now - m_limit_heard.load(std::memory_order_relaxed)};
+    const Micros ended = m_limit_ended.load(std::memory_order_relaxed);
+    if (ended != 0 && now - ended < kTellEnd)
+        return LimitWord {run, 0, now - ended};
+    return std::nullopt;
+}
+
+std::shared_ptr<SelfReport>
+SelfReports::unnamed(std::uint64_t seed) const
 {
-    const std::int64_t heard = before.m_rest_heard_ms.load(std::memory_order_relaxed);
-    if (heard != 0 && heard + kClockErrorMs >= born)
-        note_rest(before.rests_until(), heard);
+    return std::make_shared<SelfReport>(m_seed ^ seed, m_sharers);
 }
 
 std::shared_ptr<SelfReport>
@@ -50,11 +135,11 @@
     const auto it = m_known.try_emplace(key_of(run)).first;
     Known& known = it->second;
     if (!known.report) {
-        known.report = std::make_shared<SelfReport>();
+        known.report = unnamed(UpstreamRunHash {}(run));
         const bool has_before
             = it != m_known.begin() && std::prev(it)->first.identity == it->first.identity;
         if (has_before)
-            known.report->inherit_rest(*std::prev(it)->second.report, run.born);
+            known.report->inherit(*std::prev(it)->second.report, run.born);
     }
     known.is_listed = true;
     return known.report;
--- a/src/libcypressford/self_report_test.cpp
+++ b/src/libcypressford/self_report_test.cpp
@@ -118,7 +118,7 @@
     REQUIRE(fleet.arrive() == fleet.ia.get());
     const AttemptId attempt = fleet.find<SendAttempt>()->attempt;
     fleet.ia->said->note_leaving();
-    CHECK_FALSE(takes_calls(*fleet.ia, fleet.now));
+    CHECK_FALSE(begin_call(*fleet.ia, CallCount::Own, fleet.now));
     fleet.now = kRest;
     fleet.handle(AttemptEnded {attempt, AttemptStatus::Withheld});
     REQUIRE(fleet.find<SendAttempt>());
--- a/src/libcypressford/stage_queue.h
+++ b/src/libcypressford/stage_queue.h
@@ -37,8 +37,10 @@
         int usable = 0;
         double share = 0; ///< calls that this daemon can run at a time
         Micros rest = 0; ///< all rest: until the first is back, what the others tell of
+        double paced_per_s = 0; ///< calls a second, if all upstreams get them at a rate
     };
     Capacity capacity;
+    Micros promised_until = 0; ///< last place that a refused caller was told of
 
     /// Service time that comes in per second, by priority, over about a second.
     std::array<double, kLowestPriority + 1> inflow {};
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -261,6 +261,17 @@
     }
 }
 
+namespace {
+
+void
+take_spec(UpstreamState& upstream, const UpstreamSetSpec& spec)
+{
+    upstream.cold.set_spec(spec.cold);
+    upstream.said->limit().set_led(spec.has_leader());
+}
+
+} // namespace
+
 UpstreamSet
 UpstreamTable::resolve_set(const UpstreamSetSpec& spec)
 {
@@ -273,7 +284,7 @@
             (hall == m_hall ? set.own : set.remote).push_back(upstream(address, hall));
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& state : *side)
-            state->cold.set_spec(spec.cold);
+            take_spec(*state, spec);
     return set;
 }
 
@@ -290,7 +301,7 @@
         if (member.leaving)
             state->mark_leaving();
         UpstreamSet& target = snapshot.sets[set->second];
-        state->cold.set_spec(target.spec.cold);
+        take_spec(*state, target.spec);
         state->cold.note(member.cold_until);
         (member.hall == m_hall ? target.own : target.remote).push_back(std::move(state));
     }
@@ -319,8 +330,9 @@
 {
     auto& state = m_upstreams[upstream_key(address, run)];
     if (!state) {
-        auto said
-            = run.identity.empty() ? std::make_shared<SelfReport>() : m_reports.of(run);
+        auto said = run.identity.empty()
+            ? m_reports.unnamed(std::hash<std::string> {}(address))
+            : m_reports.of(run);
         state = std::make_shared<UpstreamState>(address, hall, run.identity, m_seed,
                                                 run.born, std::move(said));
         state->evacuated.store(is_evacuated(hall), std::memory_order_relaxed);
--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -241,7 +241,7 @@
     }
     it->second->relay->inputs = std::move(made.inputs);
     feed(PreparationEnded {request, made.made, std::move(made.hall),
-                           std::move(made.identity)});
+                           std::move(made.identity), made.is_counted});
 }
 
 void
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -59,6 +59,7 @@
         silent_after(m_daemons.alive(), m_kernel.settings.directory_writes));
     m_kernel.daemons_in_hall.store(std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
     m_kernel.daemons.store(std::max(1, m_daemons.alive()));
+    m_kernel.upstreams.set_daemons(m_daemons.alive(), now);
 }
 
 void
--- a/src/libserve/pieces/piece_job.cpp
+++ b/src/libserve/pieces/piece_job.cpp
@@ -7,6 +7,8 @@
 
 #include <cypressford/upstream_use.h>
 
+#include "libserve/upstream_says.h"
+
 namespace cypressford {
 
 namespace {
@@ -40,6 +42,12 @@
     return left;
 }
 
+const UpstreamSet&
+PieceJob::reader_set() const
+{
+    return wanted.snapshot->sets[resolved().sets.front()];
+}
+
 std::vector<std::string>
 PieceJob::unusable(Micros now) const
 {
@@ -47,14 +55,30 @@
     // this daemon's own choice.
     constexpr std::size_t most = 64;
     std::vector<std::string> identities;
-    const UpstreamSet& set = wanted.snapshot->sets[resolved().sets.front()];
+    const UpstreamSet& set = reader_set();
     for (const auto* side : {&set.own, &set.remote})
-        for (const auto& upstream : *side)
-            if (!is_usable(*upstream, now) && identities.size() < most)
+        for (const auto& upstream : *side) {
+            // Limits are told apart: the leader sees to the sum over all daemons.
+            const bool can_use
+                = is_in_service(*upstream, now) && !upstream->said->rests(now);
+            if (!can_use && identities.size() < most)
                 identities.push_back(upstream->identity);
+        }
     return identities;
 }
 
+LimitWords
+PieceJob::limit_words(Micros now) const
+{
+    return cypressford::limit_words(reader_set(), now);
+}
+
+void
+PieceJob::take_words(const LimitWords& words, Micros now) const
+{
+    cypressford::take_words(reader_set(), words, now);
+}
+
 PieceOrder
 PieceJob::order_for(std::size_t stage, std::string hall) const
 {
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -51,6 +51,7 @@
     std::vector<PieceHandle> inputs; ///< results that the request is to read
     std::string hall; ///< where most of their bytes are
     std::string identity; ///< of the upstream that is to read them; empty: any
+    bool is_counted = false; ///< the leader has counted that against the upstream's limit
 };
 
 /// One request's pieces on their way.
@@ -71,6 +72,8 @@
     {
         return wanted.snapshot->bundle->pipelines[wanted.pipeline];
     }
+    /// The engines of which one is to read the prompt.
+    const UpstreamSet& reader_set() const;
     const UpstreamSet& set_of(std::size_t stage) const
     {
         return wanted.snapshot->sets[resolved().piece_sets[stage]];
@@ -83,6 +86,11 @@
     /// Engines that this daemon can not use now; the leader may not know of it.
     std::vector<std::string> unusable(Micros now) const;
 
+    /// What this daemon has heard of limits that engines name.
+    LimitWords limit_words(Micros now) const;
+    /// Takes over what the leader has heard of them.
+    void take_words(const LimitWords& words, Micros now) const;
+
     /// The order of a stage; its `due_left` is a point in time.
     PieceOrder order_for(std::size_t stage, std::string near) const;
 
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -261,8 +261,9 @@
     options.connect_deadline_us = now + kConnectTime;
     options.resend_if_stale = false;
     options.send_clock = false;
-    options.may_send
-        = [upstream = call.upstream] { return takes_calls(*upstream, monotonic_us()); };
+    options.may_send = [upstream = call.upstream] {
+        return begin_call(*upstream, CallCount::Granted, monotonic_us());
+    };
     return options;
 }
 
@@ -286,9 +287,9 @@
     sent.memory_left = free_bytes(set, call);
     CallOptions options = options_of(set, call, sent.at);
     UpstreamAnswer said;
-    options.on_answer = [&](const HttpResponse& head) {
+    options.on_answer = [&](const HttpResponse& head, Micros connected) {
         said = m_kernel.calls->read_answer(head);
-        hear(*call.upstream, said, "pieces");
+        hear(*call.upstream, said, {sent.at, connected, "pieces"});
     };
     const CallResult result = co_await m_client.call(
         call.upstream->address,
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -125,6 +125,7 @@
             const std::int64_t near_bytes = there == bytes.end() ? 0 : there->second;
             const PlaceAnswer reader = co_await place(job, near, near_bytes, true);
             result.identity = reader.identity;
+            result.is_counted = reader.is_counted;
             LogEvent("placed")
                 .kv("request", job->wanted.attempt)
                 .kv("set", job->wanted.reader_set)
@@ -246,31 +247,42 @@
     co_return fail(ErrorKind::UpstreamFailed);
 }
 
+/// What this daemon tells the leader of the set about the prompt, and about engines.
+PlaceQuery
+PieceService::place_query(const PieceJob& job) const
+{
+    const Micros now = monotonic_us();
+    PlaceQuery query {job.wanted.reader_set, job.wanted.prompt};
+    query.prompt.from = m_kernel.settings.hall;
+    query.prompt.avoid = job.unusable(now);
+    query.prompt.limits = job.limit_words(now);
+    query.prompt.halls = job.wanted.halls;
+    if (job.wanted.follows_prompt)
+        query.prompt.hall_parts
+            = hall_parts(*job.wanted.snapshot, job.resolved(), job.wanted.counts, now);
+    return query;
+}
+
 /// Asks whoever leads the set which upstream is to read the request's prompt.  No
 /// answer leaves the choice to the router.
 asio::awaitable<PlaceAnswer>
 PieceService::place(JobPtr job, std::string near, std::int64_t near_bytes, bool reserve)
 {
-    PlaceQuery query {job->wanted.reader_set, job->wanted.prompt};
+    PlaceQuery query = place_query(*job);
     query.prompt.near = std::move(near);
     query.prompt.near_bytes = near_bytes;
     query.prompt.reserve = reserve;
-    query.prompt.from = m_kernel.settings.hall;
-    query.prompt.avoid = job->unusable(monotonic_us());
-    query.prompt.halls = job->wanted.halls;
-    if (job->wanted.follows_prompt)
-        query.prompt.hall_parts = hall_parts(*job->wanted.snapshot, job->resolved(),
-                                             job->wanted.counts, monotonic_us());
     const std::string leader = m_peers.leader_of(query.upstream_set);
     if (leader.empty())
         co_return m_leader.place(query);
-    const auto answer = co_await m_link.place(leader, query);
-    if (answer) {
-        m_peers.note_answer(leader);
-        co_return *answer;
+    auto answer = co_await m_link.place(leader, std::move(query));
+    if (!answer) {
+        m_peers.suspect(leader);
+        co_return PlaceAnswer {};
     }
-    m_peers.suspect(leader);
-    co_return PlaceAnswer {};
+    m_peers.note_answer(leader);
+    job->take_words(answer->limits, monotonic_us());
+    co_return *std::move(answer);
 }
 
 void
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -60,6 +60,7 @@
     }
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, PieceOrder order);
+    PlaceQuery place_query(const PieceJob& job) const;
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near,
                                               std::int64_t near_bytes, bool reserve);
     void free_now(const std::vector<PieceHandle>& results);
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -3,6 +3,7 @@
 
 #include "libserve/pieces/result_keepers.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <utility>
@@ -26,6 +27,8 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Results that are not released lapse by themselves, so a lost call costs memory only.
 constexpr Micros kWaitLimit = 500 * kMillisecond;
+/// Between two looks at whether a keeper is open again, at least.
+constexpr Micros kLeastWait = kMillisecond;
 
 } // namespace
 
@@ -46,8 +49,15 @@
         at_keeper.upstream_set = releases.upstream_set;
         at_keeper.handles.push_back(handle);
     }
-    for (auto& [keeper, releases] : by_keeper)
-        asio::co_spawn(m_io, free_at(keeper, std::move(releases)), asio::detached);
+    for (auto& [keeper, releases] : by_keeper) {
+        // One call takes all that gathers until its keeper is open.
+        const auto [held, is_first] = m_held.try_emplace(keeper, std::move(releases));
+        if (is_first)
+            asio::co_spawn(m_io, free_at(keeper), asio::detached);
+        else
+            held->second.handles.insert(held->second.handles.end(),
+                                        releases.handles.begin(), releases.handles.end());
+    }
 }
 
 /// The newest run at that address, or null if the set has none there.
@@ -70,31 +80,37 @@
     return found;
 }
 
-/// A keeper that rests wants no releases either.  Nothing is sent there meanwhile, so its
-/// memory is not needed before its rest ends.
+/// A keeper that rests wants no releases either, and one that names a limit counts them like
+/// calls.  Nothing is sent there meanwhile, so its memory is not needed before.
 asio::awaitable<void>
-ResultKeepers::wait_for_rest(UpstreamPtr keeper)
+ResultKeepers::wait_until_open(UpstreamPtr keeper)
 {
-    while (keeper->said->rests(monotonic_us())) {
+    for (;;) {
+        const Micros now = monotonic_us();
+        const Micros opens = closed_until(*keeper, RatePart::Granted);
+        if (opens <= now && keeper->said->limit().take(RatePart::Granted, now))
+            co_return;
         BootTimer timer(m_io);
-        const Micros left = keeper->said->rests_until() - monotonic_us();
-        timer.expires_after(std::chrono::microseconds(left));
+        timer.expires_after(std::chrono::microseconds(std::max(opens - now, kLeastWait)));
         co_await timer.async_wait(kToTuple);
     }
 }
 
 asio::awaitable<void>
-ResultKeepers::free_at(std::string keeper, Releases releases)
+ResultKeepers::free_at(std::string keeper)
 {
-    const UpstreamPtr upstream = find_keeper(releases.upstream_set, keeper);
+    const UpstreamPtr upstream = find_keeper(m_held.at(keeper).upstream_set, keeper);
     if (upstream)
-        co_await wait_for_rest(upstream);
+        co_await wait_until_open(upstream);
+    const Releases releases = std::move(m_held.extract(keeper).mapped());
+    const Micros sent = monotonic_us();
     CallOptions options;
-    options.deadline_us = monotonic_us() + kWaitLimit;
+    options.deadline_us = sent + kWaitLimit;
     options.send_clock = false;
-    options.on_answer = [&](const HttpResponse& head) {
+    options.on_answer = [&](const HttpResponse& head, Micros connected) {
         if (upstream)
-            hear(*upstream, m_kernel.calls->read_answer(head), "release");
+            hear(*upstream, m_kernel.calls->read_answer(head),
+                 {sent, connected, "release"});
     };
     const CallResult result = co_await m_client.call(
         keeper, m_kernel.calls->free_results(releases.handles), std::move(options));
--- a/src/libserve/pieces/result_keepers.h
+++ b/src/libserve/pieces/result_keepers.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include <boost/asio/awaitable.hpp>
@@ -33,13 +34,14 @@
 
 private:
     UpstreamPtr find_keeper(const std::string& set_name, const std::string& address) const;
-    boost::asio::awaitable<void> wait_for_rest(UpstreamPtr keeper);
-    boost::asio::awaitable<void> free_at(std::string keeper, Releases releases);
+    boost::asio::awaitable<void> wait_until_open(UpstreamPtr keeper);
+    boost::asio::awaitable<void> free_at(std::string keeper);
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
     OnFreed m_on_freed;
     HttpClient m_client;
+    std::map<std::string, Releases> m_held; ///< by keeper, not sent yet
 };
 
 } // namespace cypressford
--- a/src/libserve/pieces/set_leader.cpp
+++ b/src/libserve/pieces/set_leader.cpp
@@ -7,6 +7,7 @@
 
 #include "libserve/entry/problem.h"
 #include "libserve/peers/peer_link.h"
+#include "libserve/upstream_says.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -109,16 +110,26 @@
             = m_placers
                   .try_emplace(query.upstream_set, m_kernel.settings.scheduler.switches)
                   .first->second;
-        const auto upstream = placer.place(set, query.prompt, monotonic_us());
-        if (upstream && query.prompt.reserve)
+        const Micros now = monotonic_us();
+        take_words(set, query.prompt.limits, now);
+        PlaceAnswer answer;
+        answer.limits = later_words(set, query.prompt.limits, now);
+        const auto upstream = placer.place(set, query.prompt, now);
+        if (!upstream)
+            return answer;
+        answer.identity = upstream->identity;
+        answer.hall = upstream->hall;
+        answer.is_counted = query.prompt.reserve && upstream->said->limit().is_set();
+        if (query.prompt.reserve)
             LogEvent("prompt_placed")
                 .kv("request", query.prompt.attempt)
                 .kv("set", query.upstream_set)
                 .kv("identity", upstream->identity)
+                .kv("limit_per_s", upstream->said->limit().per_s())
                 .kv("tokens", query.prompt.tokens)
                 .kv("unread", placer.last_read().unread)
                 .kv("again", placer.last_read().again);
-        return upstream ? PlaceAnswer {upstream->identity, upstream->hall} : PlaceAnswer {};
+        return answer;
     }
     return {};
 }
--- a/src/libserve/relay/attempt.cpp
+++ b/src/libserve/relay/attempt.cpp
@@ -108,6 +108,8 @@
         .kv("identity", send.upstream->identity)
         .kv("may_repeat", send.may_repeat)
         .kv("cold", send.upstream->cold.is_cold(started))
+        .kv("limit_per_s", send.upstream->said->limit().per_s())
+        .kv("counted_by_leader", send.count == CallCount::Counted)
         .kv("left_us", send.deadline - started)
         .kv("status", to_string(status))
         .kv("first_byte_us", context->relay ? context->relay->first_byte : 0)
@@ -145,7 +147,8 @@
     const Micros extra = send.may_repeat ? 0 : m_kernel.settings.scheduler.detached_limit;
     options.deadline_us = send.deadline + extra;
     options.fresh_connection = !send.may_repeat;
-    options.may_send = [&] { return takes_calls(*send.upstream, monotonic_us()); };
+    options.may_send
+        = [&] { return begin_call(*send.upstream, send.count, monotonic_us()); };
     HttpRequest request = kind.encode(stage_call(send, *context));
     const CallResult result
         = co_await m_client.call(send.upstream->address, std::move(request), options);
@@ -184,7 +187,8 @@
     CallOptions options;
     options.handle = handle;
     options.deadline_us = send.deadline;
-    options.may_send = [&] { return takes_calls(*send.upstream, monotonic_us()); };
+    options.may_send
+        = [&] { return begin_call(*send.upstream, send.count, monotonic_us()); };
     options.on_chunk = [&](std::string_view piece) {
         if (!handle->cancelled())
             sound = sound && take_tokens(*context, decoder->feed(piece));
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -353,13 +353,15 @@
     options.send_clock = false;
     options.max_idle_us = send.may_repeat ? 0 : kIdleLimitOfOnce;
     options.may_send = [this, &call] {
-        return takes_calls(*call.send.upstream, monotonic_us()) && !is_quarantined(call);
+        return !is_quarantined(call)
+            && begin_call(*call.send.upstream, call.send.count, monotonic_us());
     };
     // What the upstream says of itself counts whatever becomes of the call: it may be
     // cancelled, or break off after its head.
-    options.on_answer = [this, &call](const HttpResponse& head) {
+    options.on_answer = [this, &call](const HttpResponse& head, Micros connected) {
         call.answer = m_kernel.calls->read_answer(head);
-        hear(*call.send.upstream, call.answer, call.relay().call.attempt);
+        hear(*call.send.upstream, call.answer,
+             {call.sent_at, connected, call.relay().call.attempt});
     };
     options.belongs = [this, &call](const HttpResponse& response) {
         feed(AttemptBegun {call.send.attempt});
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -9,16 +9,26 @@
 namespace cypressford {
 
 void
-hear(UpstreamState& upstream, const UpstreamAnswer& answer, std::string_view call)
+hear(UpstreamState& upstream, const UpstreamAnswer& answer, const AnswerOrigin& origin)
 {
+    const Micros now = monotonic_us();
+    const std::int64_t connected_ms
+        = wall_ms() - (now - origin.connected) / kMillisecond;
+    SelfReport& said = *upstream.said;
+    const double limit_before = said.limit().per_s();
     if (answer.cold_left > 0)
-        upstream.cold.note(monotonic_us() + answer.cold_left);
+        upstream.cold.note(now + answer.cold_left);
     if (answer.leaves)
-        upstream.said->note_leaving();
+        said.note_leaving();
     if (answer.rest > 0)
-        upstream.said->note_rest(monotonic_us() + answer.rest, wall_ms());
-    const bool names_limit = answer.limit_per_s || answer.limit_unread;
-    if (!answer.leaves && answer.rest == 0 && !answer.rest_unread && !names_limit)
+        said.note_rest(now + answer.rest, connected_ms);
+    // One that can't be read says neither that there is a limit nor that there is none.
+    const bool is_clear = answer.limit_per_s || !answer.limit_unread;
+    const bool limit_changed = is_clear
+        && said.note_limit(answer.limit_per_s, origin.sent, now, connected_ms);
+    const bool is_new_fault = answer.limit_unread && said.note_unread_limit();
+    if (!answer.leaves && answer.rest == 0 && !answer.rest_unread && !limit_changed
+        && !is_new_fault)
         return;
     LogEvent("upstream_says")
         .kv("upstream", upstream.address)
@@ -27,10 +37,65 @@
         .kv("leaves", answer.leaves)
         .kv("rest_us", answer.rest)
         .kv("rest_unread", answer.rest_unread)
-        .kv("names_limit", answer.limit_per_s.has_value())
-        .kv("limit_per_s", answer.limit_per_s.value_or(0))
+        .kv("limit_per_s", said.limit().per_s())
+        .kv("limit_before", limit_before)
         .kv("limit_unread", answer.limit_unread)
-        .kv("call", call);
+        .kv("call", origin.call);
+}
+
+namespace {
+
+template <class Visit>
+void
+for_each_upstream(const UpstreamSet& set, Visit&& visit)
+{
+    for (const auto* side : {&set.own, &set.remote})
+        for (const auto& upstream : *side)
+            visit(*upstream);
+}
+
+} // namespace
+
+LimitWords
+limit_words(const UpstreamSet& set, Micros now)
+{
+    LimitWords words;
+    for_each_upstream(set, [&](const UpstreamState& upstream) {
+        const auto word = upstream.said->word(upstream.run(), now);
+        if (word && words.size() < kMaxLimitWords)
+            words.push_back(*word);
+    });
+    return words;
+}
+
+void
+take_words(const UpstreamSet& set, const LimitWords& words, Micros now)
+{
+    if (words.empty())
+        return;
+    for_each_upstream(set, [&](const UpstreamState& upstream) {
+        for (const LimitWord& word : words) {
+            if (word.run != upstream.run() || !upstream.said->note_word(word, now))
+                continue;
+            LogEvent("limit_told")
+                .kv("upstream", upstream.address)
+                .kv("identity", upstream.identity)
+                .kv("born", upstream.born)
+                .kv("limit_per_s", word.per_s)
+                .kv("ago_us", word.ago);
+        }
+    });
+}
+
+LimitWords
+later_words(const UpstreamSet& set, const LimitWords& words, Micros now)
+{
+    LimitWords later;
+    for (const LimitWord& own : limit_words(set, now))
+        for (const LimitWord& word : words)
+            if (own.run == word.run && own.per_s != word.per_s)
+                later.push_back(own);
+    return later;
 }
 
 } // namespace cypressford
--- a/src/libserve/upstream_says.h
+++ b/src/libserve/upstream_says.h
@@ -13,8 +13,24 @@
 
 namespace cypressford {
 
-/// Takes over what an answer of that upstream says of it.  `call`: what it answers, for the
-/// log.
-void hear(UpstreamState& upstream, const UpstreamAnswer& answer, std::string_view call);
+/// Which answer says something.
+struct AnswerOrigin {
+    Micros sent = 0; ///< when the call was sent that it answers
+    Micros connected = 0; ///< when its connection came up
+    std::string_view call; ///< for the log
+};
+
+/// Takes over what an answer of that upstream says of it.
+void hear(UpstreamState& upstream, const UpstreamAnswer& answer,
+          const AnswerOrigin& origin);
+
+/// What there is to tell other daemons of limits that upstreams of the set name.
+LimitWords limit_words(const UpstreamSet& set, Micros now);
+
+/// Takes over what another daemon tells of them.
+void take_words(const UpstreamSet& set, const LimitWords& words, Micros now);
+
+/// What this daemon has heard otherwise, or later, of the limits that `words` tell of.
+LimitWords later_words(const UpstreamSet& set, const LimitWords& words, Micros now);
 
 } // namespace cypressford
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -146,6 +146,7 @@
         boost::system::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
         m_socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+        m_connected_us = monotonic_us();
         co_return true;
     }
 
@@ -199,7 +200,7 @@
             co_return lost(ec);
         CallResult result = lost({}, head_of(parser.get()));
         if (options.on_answer)
-            options.on_answer(result.response);
+            options.on_answer(result.response, m_connected_us);
         if (options.belongs && !options.belongs(result.response))
             co_return result;
         if (options.on_head && result.response.status == 200)
@@ -260,6 +261,7 @@
     std::string m_address;
     bool m_reusable = false;
     bool m_got_bytes = false;
+    std::int64_t m_connected_us = 0;
     std::int64_t m_rests_since = 0;
     std::int64_t m_keep_until = 0; ///< 0: not told
 };
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -94,8 +94,8 @@
     /// the call.
     std::function<bool()> may_send;
     /// Gets status and header fields of every answer, also of one that belongs to another
-    /// call or breaks off later.
-    std::function<void(const HttpResponse&)> on_answer;
+    /// call or breaks off later, and when its connection came up (monotonic microseconds).
+    std::function<void(const HttpResponse&, std::int64_t connected_us)> on_answer;
     /// False for an answer that belongs to another call; it is then lost.
     std::function<bool(const HttpResponse&)> belongs;
     /// Gets status and header fields of a 200 before the first piece of its body.
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -421,7 +421,7 @@
     const auto it = pick(m_attempts, number);
     if (it == m_attempts.end() || it->second.connected)
         return;
-    if (!takes_calls(*it->second.upstream, m_now)) {
+    if (!begin_call(*it->second.upstream, it->second.count, m_now)) {
         end_attempt(number, AttemptStatus::Withheld);
         return;
     }
@@ -549,6 +549,7 @@
     attempt.request = action.request;
     attempt.upstream = action.upstream;
     attempt.may_repeat = action.may_repeat;
+    attempt.count = action.count;
     // It is not chosen against what is known at this moment, either.
     check_arrival(attempt);
     m_attempts[{m_acting, action.attempt}] = std::move(attempt);
--- a/testsuite/fuzz/relay_world.h
+++ b/testsuite/fuzz/relay_world.h
@@ -55,6 +55,7 @@
     RequestId request = 0;
     UpstreamPtr upstream;
     bool may_repeat = true;
+    CallCount count = CallCount::Own;
     bool connected = false; ///< it has left this daemon
     bool cancelled = false;
     bool has_read = false;
