Fuzzers: limits that upstreams name, over all daemons

relay_fuzz names limits, raises, lowers and ends them beside rests, restarts and lapsed entries, and holds each arrival against what the one daemon may send. A world of its own has up to 300 daemons, leaders that change, daemons that are cut from the list and send on, and ones that start again: the sum over daemons that were told stays within 1.5 times the limit and 5 in every span of 4 s.

--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -43,6 +43,7 @@
     ReportOutlivesRun, ///< what an upstream said holds for its next run, too
     LimitForEach, ///< each daemon takes all of what an upstream lets all of them send
     UncountedRetry, ///< retries and hedges are not counted against an upstream's limit
+    LimitNeverRaised, ///< a limit that goes up again binds as it did
     LimitStays, ///< a limit that an upstream names no more is kept
     ForgetSharers, ///< the part of a daemon that was heard of a moment ago is given away
     ForgetUnlisted, ///< what an upstream said is forgotten when its entry lapses
--- a/src/libcypressford/shared_rate.cpp
+++ b/src/libcypressford/shared_rate.cpp
@@ -85,6 +85,8 @@
 void
 SharedRate::set(double per_s, Micros now)
 {
+    if (mutated(Mutation::LimitNeverRaised) && is_set())
+        per_s = std::min(per_s, this->per_s());
     const double before = m_per_s.exchange(per_s, std::memory_order_relaxed);
     if (before > 0)
         return;
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -101,6 +101,83 @@
     });
 }
 
+/// A daemon with calls for one upstream that names a limit.
+struct LimitedSender {
+    explicit LimitedSender(int number, std::shared_ptr<const SharerCount> sharers)
+        : report(seed_of(number), std::move(sharers))
+    {
+        report.limit().set_led(true);
+    }
+
+    /// Sends a call if it may, whose answer comes at once; true if it is one that counts.
+    bool send(RatePart part, double limit, Micros now)
+    {
+        if (!report.limit().take(part, now))
+            return false;
+        const bool counts = told_at > 0 && now - told_at >= kTellingTime;
+        report.note_limit(limit, now, now);
+        if (told_at == 0)
+            told_at = now;
+        return counts;
+    }
+
+    /// A daemon that heard of a limit less long ago is not held to it.
+    static constexpr Micros kTellingTime = 500 * kMillisecond;
+    SelfReport report;
+    Micros told_at = 0; ///< 0: not yet
+};
+
+/// Requests come to any daemons at any time; leaders change, daemons are cut off from the
+/// list of daemons and send on, and others start again.  The limit holds for all together.
+bool
+run_limit_cases(int cases, std::uint64_t seed)
+{
+    const std::string parameters = "max_success=" + std::to_string(cases)
+        + " max_size=200 verbose_progress=0 noshrink=1 seed=" + std::to_string(seed);
+    setenv("RC_PARAMS", parameters.c_str(), 1);
+    return rc::check("a limit holds over all daemons", [] {
+        const double limit = *rc::gen::inRange(1, 40) / 4.0;
+        const auto daemons = *rc::gen::inRange(1, 300);
+        const auto gap = *rc::gen::inRange<Micros>(kMillisecond, 20 * kMillisecond);
+        const auto leads_for = *rc::gen::inRange<Micros>(2 * kSecond, 20 * kSecond);
+        const auto cut_at = *rc::gen::inRange<Micros>(4 * kSecond, 12 * kSecond);
+        constexpr Micros time = 24 * kSecond;
+        constexpr Micros contact = 3 * kSecond;
+        constexpr Micros cut_for = SharerCount::kKeep - kSecond;
+        const auto sharers = std::make_shared<SharerCount>();
+        std::vector<std::unique_ptr<LimitedSender>> senders;
+        for (int i = 0; i < daemons; ++i)
+            senders.push_back(std::make_unique<LimitedSender>(i, sharers));
+        std::vector<Micros> sent;
+        Micros named_at = 0;
+        for (Micros now = kSecond; now < time; now += gap) {
+            const bool is_cut = now >= cut_at && now < cut_at + cut_for;
+            sharers->set(is_cut ? 1 : daemons, now);
+            const auto turn = static_cast<std::size_t>(now / gap);
+            const auto leader = static_cast<std::size_t>(now / leads_for * 5 % daemons);
+            const auto starts = turn * 31 % (daemons * 64);
+            if (starts < senders.size() && turn % 97 == 0)
+                senders[starts]
+                    = std::make_unique<LimitedSender>(static_cast<int>(turn), sharers);
+            if (named_at == 0)
+                named_at = now;
+            for (const bool granted : {true, false}) {
+                LimitedSender& sender = *senders[granted ? leader : turn * 7 % daemons];
+                const RatePart part = granted ? RatePart::Granted : RatePart::Own;
+                if (sender.send(part, limit, now) && now - named_at >= contact)
+                    sent.push_back(now);
+            }
+        }
+        const double bound = 1.5 * limit * 4 + 5;
+        for (const Micros from : sent) {
+            const auto in_span = std::count_if(sent.begin(), sent.end(), [&](Micros at) {
+                return at >= from && at < from + 4 * kSecond;
+            });
+            RC_ASSERT(static_cast<double>(in_span) <= bound);
+        }
+    });
+}
+
 /// True if each deliberate fault was caught.
 bool
 check_mutations(int cases, std::uint64_t seed)
@@ -117,11 +194,17 @@
         {Mutation::SendToResting, "SendToResting"},
         {Mutation::AskBeforeQueueOnly, "AskBeforeQueueOnly"},
         {Mutation::ReportOutlivesRun, "ReportOutlivesRun"},
+        {Mutation::LimitForEach, "LimitForEach"},
+        {Mutation::UncountedRetry, "UncountedRetry"},
+        {Mutation::LimitNeverRaised, "LimitNeverRaised"},
+        {Mutation::LimitStays, "LimitStays"},
+        {Mutation::ForgetSharers, "ForgetSharers"},
         {Mutation::ForgetUnlisted, "ForgetUnlisted"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
         g_mutation = fault;
-        const bool caught = !run_cases(cases, seed) || !run_cold_cases(cases, seed);
+        const bool caught = !run_cases(cases, seed) || !run_cold_cases(cases, seed)
+            || !run_limit_cases(cases, seed);
         std::cout << name << (caught ? ": caught, cases " : ": NOT CAUGHT, cases ")
                   << g_cases << '\n';
         all = all && caught;
@@ -143,6 +226,7 @@
     const bool good = absl::GetFlag(FLAGS_mutations)
         ? cypressford::fuzz::check_mutations(cases, seed)
         : cypressford::fuzz::run_cases(cases, seed)
-            && cypressford::fuzz::run_cold_cases(cases, seed);
+            && cypressford::fuzz::run_cold_cases(cases, seed)
+            && cypressford::fuzz::run_limit_cases(cases, seed);
     return good ? 0 : 1;
 }
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kDeadline = 4 * kSecond;
 constexpr int kMaxAttempts = 3;
 
-constexpr std::array<std::pair<Step, std::size_t>, 19> kWeights {{{Step::Arrive, 4},
+constexpr std::array<std::pair<Step, std::size_t>, 20> kWeights {{{Step::Arrive, 4},
                                                                   {Step::StartStages, 8},
                                                                   {Step::MakeStage, 10},
                                                                   {Step::FailStage, 1},
@@ -33,6 +33,7 @@
                                                                   {Step::Evacuate, 1},
                                                                   {Step::SayLeaving, 1},
                                                                   {Step::AskForRest, 1},
+                                                                  {Step::NameLimit, 1},
                                                                   {Step::StartAgain, 1},
                                                                   {Step::LapseOrReturn, 1},
                                                                   {Step::Wait, 3},
@@ -150,6 +151,9 @@
     case Step::AskForRest:
         ask_for_rest(number);
         break;
+    case Step::NameLimit:
+        name_limit(number);
+        break;
     case Step::StartAgain:
         start_again(number);
         break;
@@ -283,6 +287,33 @@
     state->said->note_rest(until);
 }
 
+/// An answer to a call that was sent just now names a limit, or none.
+void
+RelayWorld::name_limit(std::size_t number)
+{
+    UpstreamFacts& facts = m_upstreams[number % m_upstreams.size()];
+    const UpstreamPtr state = state_of(facts);
+    if (!state)
+        return;
+    constexpr std::array<double, 4> limits {0, 0.05, 0.2, 1};
+    const double named = limits.at(number / 7 % limits.size());
+    const double before = facts.limit_per_s;
+    const bool is_newer = m_now > facts.limit_heard;
+    state->said->note_limit(named > 0 ? std::optional(named) : std::nullopt, m_now, m_now);
+    if (named == 0) {
+        facts.limit_per_s = is_newer ? 0 : before;
+    } else {
+        // Of two answers at one time either may be the later word.
+        const bool holds_lower = !is_newer && before > 0;
+        facts.limit_per_s = holds_lower ? std::min(named, before) : named;
+        facts.limit_heard = m_now;
+    }
+    if (facts.limit_per_s == before)
+        return;
+    facts.limited_since = m_now;
+    facts.calls_since = 0;
+}
+
 /// It keeps its identity, as it may.
 void
 RelayWorld::start_again(std::size_t number)
@@ -292,6 +323,8 @@
     facts.listed = true;
     facts.leaves = false;
     facts.rests_until = 0;
+    facts.limit_per_s = 0;
+    facts.limit_heard = 0;
     list_upstreams();
 }
 
@@ -313,6 +346,7 @@
         RC_ASSERT(state->born == facts.member.born);
         RC_ASSERT(state->said->leaves() == facts.leaves);
         RC_ASSERT(state->said->rests_until() == facts.rests_until);
+        RC_ASSERT(state->said->limit().per_s() == facts.limit_per_s);
     }
 }
 
@@ -427,6 +461,22 @@
     }
     it->second.connected = true;
     check_arrival(it->second);
+    count_arrival(it->second);
+}
+
+void
+RelayWorld::count_arrival(const AttemptFacts& attempt)
+{
+    for (UpstreamFacts& facts : m_upstreams) {
+        if (facts.member.identity != attempt.upstream->identity || facts.limit_per_s == 0)
+            continue;
+        ++facts.calls_since;
+        // The only daemon there is has all of the limit, and one call in hand.
+        const Micros lasted = m_now - facts.limited_since + SharedRate::kSavedTime;
+        const double may
+            = 1 + 1.5 * facts.limit_per_s * static_cast<double>(lasted) / kSecond;
+        RC_ASSERT(facts.calls_since <= may);
+    }
 }
 
 /// What the run has said of itself, to whichever thread, and what operators and the
--- a/testsuite/fuzz/relay_world.h
+++ b/testsuite/fuzz/relay_world.h
@@ -67,6 +67,10 @@
     bool listed = true;
     bool leaves = false;
     Micros rests_until = 0;
+    double limit_per_s = 0; ///< that it names; 0: none
+    Micros limit_heard = 0;
+    Micros limited_since = 0; ///< by that limit
+    int calls_since = 0; ///< that came to it since
 };
 
 enum class Step : unsigned char {
@@ -85,6 +89,7 @@
     Evacuate,
     SayLeaving,
     AskForRest,
+    NameLimit,
     StartAgain,
     LapseOrReturn,
     Wait,
@@ -116,6 +121,7 @@
     // What upstreams do.
     void say_leaving(std::size_t number);
     void ask_for_rest(std::size_t number);
+    void name_limit(std::size_t number);
     void start_again(std::size_t number);
     void lapse_or_return(std::size_t number);
     UpstreamPtr state_of(const UpstreamFacts& facts) const;
@@ -136,6 +142,8 @@
     void read_inputs(std::size_t number);
     void end_attempt(std::size_t number, AttemptStatus status);
     void check_arrival(const AttemptFacts& attempt) const;
+    /// No more calls than this daemon's part of the limit that the upstream names.
+    void count_arrival(const AttemptFacts& attempt);
 
     // Events and actions.
     Scheduler& scheduler_of(RequestId request);
