A run that says that it leaves before its entry tells of its start gets no call

What callers saw: one call came to a replica 1.7 s after it had told the daemon that it leaves.

Cause: answers name no run. A replica that had just started again said so before its entry told of the start; the word was noted for the run before and ended with it when the entry came.

Change: a word is dated by when its connection came up. All connections to a run end with it, so a word on one that came up before the next run's start (less the error of clocks) is of the run before; any other is taken over, for 30 s, by which a run that leaves has ended. Of several such words the first counts: a replica that is drained says so for seconds before it ends, so one that is drained and started again in place is not kept out.

Ruled out: clocks alone, going by when the word was heard (a replica that is drained and restarted in place within 2 s of its last such word would stay out for good); that the connection on which it was said still stands (a replica that leaves closes its connections); a health call before the first call of a run (health answers may be false, and each of 710 daemons would ask); reading the entry at once (the store may be away, and then only answers tell).

--- a/src/include/cypressford/self_report.h
+++ b/src/include/cypressford/self_report.h
@@ -32,18 +32,24 @@
     {
     }
 
-    /// The run is leaving; it can't take that back.
-    void note_leaving() { m_leaves.store(true, std::memory_order_relaxed); }
+    /// The run is leaving; it can't take that back.  `connected_ms`: when the connection came
+    /// up on which it said so, by this daemon's time of day; 0: not known.
+    void note_leaving(Micros now = 0, std::int64_t connected_ms = 0);
     bool leaves() const { return m_leaves.load(std::memory_order_relaxed); }
+    /// True as well while the run before may have said it in this one's place.
+    bool may_leave(Micros now) const
+    {
+        return leaves() || m_may_leave_until.load(std::memory_order_relaxed) > now;
+    }
 
     /// The run wants nothing from this daemon until then.  Of several, the latest counts.
-    /// `connected_ms`: when the connection came up on which it said so, by this daemon's time
-    /// of day; 0: not known.
+    /// `connected_ms`: as for leaving.
     void note_rest(Micros until, std::int64_t connected_ms = 0);
-    /// Takes over a rest and a limit that `before`, a run of the same upstream, may not have
-    /// asked for itself: answers name no run, and the next one, which started at `born`,
-    /// answers before the platform's list tells of it.  All connections to a run end with
-    /// it, so what was heard on one that came up before `born` was said by the run before.
+    /// Takes over what `before`, a run of the same upstream, may not have said itself:
+    /// answers name no run, and the next one, which started at `born`, answers before the
+    /// platform's list tells of it.  All connections to a run end with it, so what was heard
+    /// on one that came up before `born` was said by the run before.  Clocks leave a doubt:
+    /// for one that was drained and started again in place, it ends after kMayLeaveTime.
     /// At a limit that is taken over, few daemons have a connection that young, so the call
     /// that each sends at once to learn of it adds little.
     void inherit(const SelfReport& before, std::int64_t born);
@@ -70,6 +76,8 @@
     SharedRate& limit() { return m_limit; }
     const SharedRate& limit() const { return m_limit; }
 
+    /// A run that leaves has ended by then; one that does not gets calls again.
+    static constexpr Micros kMayLeaveTime = 30 * kSecond;
     /// Requests a second that a limit stands for at least.  One of 0 would leave no call
     /// that could tell of its end; so few stay within the excess that any limit allows.
     static constexpr double kLeastLimit = 0.05;
@@ -83,6 +91,9 @@
     void end_limit(Micros sent);
 
     std::atomic<bool> m_leaves {false};
+    std::atomic<Micros> m_leaving_heard {0}; ///< the first time
+    std::atomic<std::int64_t> m_leaving_connected_ms {0};
+    std::atomic<Micros> m_may_leave_until {0};
     std::atomic<Micros> m_rests_until {0};
     std::atomic<std::int64_t> m_rest_connected_ms {0};
     SharedRate m_limit;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -81,9 +81,9 @@
     ColdState cold;
 
     /// True if the platform, a peer or the upstream itself says so.
-    bool is_leaving() const
+    bool is_leaving(Micros now) const
     {
-        return leaving.load(std::memory_order_relaxed) || said->leaves();
+        return leaving.load(std::memory_order_relaxed) || said->may_leave(now);
     }
 
     /// Which run of which upstream this is.
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -155,9 +155,9 @@
 namespace {
 
 bool
-is_closed(const UpstreamState& upstream)
+is_closed(const UpstreamState& upstream, Micros now)
 {
-    const bool leaving = upstream.is_leaving() && !mutated(Mutation::SendToLeaving);
+    const bool leaving = upstream.is_leaving(now) && !mutated(Mutation::SendToLeaving);
     const bool evacuated = upstream.evacuated.load(std::memory_order_relaxed)
         && !mutated(Mutation::SendToEvacuated);
     return leaving || evacuated;
@@ -176,7 +176,7 @@
 {
     if (mutated(Mutation::AskBeforeQueueOnly))
         return true;
-    if (is_closed(upstream) || rests(upstream, now))
+    if (is_closed(upstream, now) || rests(upstream, now))
         return false;
     if (count == CallCount::Counted)
         return true;
@@ -193,7 +193,7 @@
 bool
 is_in_service(const UpstreamState& upstream, Micros now)
 {
-    return !is_closed(upstream)
+    return !is_closed(upstream, now)
         && upstream.ejected_until.load(std::memory_order_relaxed) <= now;
 }
 
--- a/src/libcypressford/self_report.cpp
+++ b/src/libcypressford/self_report.cpp
@@ -34,6 +34,17 @@
 
 } // namespace
 
+void
+SelfReport::note_leaving(Micros now, std::int64_t connected_ms)
+{
+    // The first time counts: who is drained says so for seconds before it ends, so that word
+    // is told from that of a run that has just started.
+    if (m_leaves.exchange(true, std::memory_order_relaxed))
+        return;
+    m_leaving_heard.store(now, std::memory_order_relaxed);
+    m_leaving_connected_ms.store(connected_ms, std::memory_order_relaxed);
+}
+
 void
 SelfReport::note_rest(Micros until, std::int64_t connected_ms)
 {
@@ -47,6 +58,10 @@
 void
 SelfReport::inherit(const SelfReport& before, std::int64_t born)
 {
+    if (may_be_to(before.m_leaving_connected_ms.load(std::memory_order_relaxed), born))
+        m_may_leave_until.store(before.m_leaving_heard.load(std::memory_order_relaxed)
+                                    + kMayLeaveTime,
+                                std::memory_order_relaxed);
     const std::int64_t rest_on = before.m_rest_connected_ms.load(std::memory_order_relaxed);
     if (may_be_to(rest_on, born))
         note_rest(before.rests_until(), rest_on);
--- a/src/libcypressford/self_report_test.cpp
+++ b/src/libcypressford/self_report_test.cpp
@@ -51,17 +51,43 @@
     first->said->note_leaving();
     table.build(bundle, {});
     const auto back = table.build(bundle, {member(1)})->sets[0].own[0];
-    CHECK(back->is_leaving());
+    CHECK(back->is_leaving(0));
     CHECK_FALSE(is_usable(*back, 0));
     // An answer of a call that outlasted the entry counts as well.
     table.build(bundle, {});
     first->said->note_rest(kRest);
     CHECK(table.build(bundle, {member(1)})->sets[0].own[0]->said->rests(0));
     const auto next = table.build(bundle, {member(2)})->sets[0].own[0];
-    CHECK_FALSE(next->is_leaving());
+    CHECK_FALSE(next->is_leaving(0));
     CHECK_FALSE(next->said->rests(0));
 }
 
+/// What was seen: one call came to a replica 1.7 s after it had told the daemon that it
+/// leaves.  Order: it was started again, and told the daemon in an answer that it leaves
+/// before its entry told of the start; the word was noted for the run before; the entry came,
+/// and the next call went there.  Cause: answers name no run, and what the run before had said
+/// ended with it.  Evidence: the word stands in the log with the earlier start, its
+/// connection came up after the later one.
+TEST_CASE("a run that may have said that it leaves before its entry came gets no call")
+{
+    constexpr std::int64_t born = 1'000'000;
+    constexpr Micros heard = 7 * kSecond;
+    for (const std::int64_t connected : {born + 50, born - 60'000}) {
+        SelfReports reports;
+        const auto before = reports.of({"i1", born - 90'000});
+        before->note_leaving(heard, connected);
+        // Later words of a run that is drained say no more.
+        before->note_leaving(heard + 1, born + 50);
+        const auto next = reports.of({"i1", born});
+        CHECK(next->may_leave(heard + 1) == (connected > born));
+        // One that was drained and started again in place is not out for good.
+        CHECK_FALSE(next->may_leave(heard + SelfReport::kMayLeaveTime));
+        CHECK_FALSE(next->leaves());
+        next->note_leaving(heard, born + 100);
+        CHECK(next->may_leave(heard + SelfReport::kMayLeaveTime));
+    }
+}
+
 /// What was seen: a soak's replica got calls 0.7 s after it had asked for 1 s of rest.  It
 /// had started again under its identity and turned a call away before its entry told of
 /// that, so the rest was noted for the run before.  Evidence: the rest stands in the log
--- a/src/libserve/hall/placement_service.cpp
+++ b/src/libserve/hall/placement_service.cpp
@@ -141,7 +141,7 @@
                 || !kind->second->takes_orders())
                 continue;
             for (const auto& engine : set.own)
-                if (!engine->is_leaving())
+                if (!engine->is_leaving(monotonic_us()))
                     result.push_back(
                         {engine, kind->second.get(), stage.model, stage.adapter});
         }
--- a/src/libserve/relay/suspicion.cpp
+++ b/src/libserve/relay/suspicion.cpp
@@ -12,6 +12,7 @@
 #include "libserve/suspects/end_watch.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
 
 namespace cypressford {
 
@@ -74,7 +75,7 @@
 {
     const Relay& relay = *context.relay;
     const RequestDigest digest = digest_of(relay.request, relay.call, context.account);
-    const bool leaving = send.upstream->is_leaving();
+    const bool leaving = send.upstream->is_leaving(monotonic_us());
     LogEvent("run_broken")
         .kv("request", context.log_id())
         .kv("identity", send.upstream->identity)
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -19,7 +19,7 @@
     if (answer.cold_left > 0)
         upstream.cold.note(now + answer.cold_left);
     if (answer.leaves)
-        said.note_leaving();
+        said.note_leaving(now, connected_ms);
     if (answer.rest > 0)
         said.note_rest(now + answer.rest, connected_ms);
     // One that can't be read says neither that there is a limit nor that there is none.
