Linters: one way out of the count of sharers, a reserve; the drain of a queue is as it was

The smallest drain of a queue, which the mend of limits had lowered for every set, stands again: where upstreams get calls at a rate, waits are told by places, so it is not needed there, and at hundreds of daemons a share below a tenth of a slot would have refused what used to be served. Core tests and upstream_limits pass.

--- a/src/include/cypressford/self_report.h
+++ b/src/include/cypressford/self_report.h
@@ -32,8 +32,8 @@
     {
     }
 
-    /// The run is leaving; it can't take that back.  `connected_ms`: when the connection came
-    /// up on which it said so, by this daemon's time of day; 0: not known.
+    /// The run is leaving; it can't take that back.  `connected_ms`: when the connection
+    /// came up on which it said so, by this daemon's time of day; 0: not known.
     void note_leaving(Micros now = 0, std::int64_t connected_ms = 0);
     bool leaves() const { return m_leaves.load(std::memory_order_relaxed); }
     /// True as well while the run before may have said it in this one's place.
@@ -47,18 +47,18 @@
     void note_rest(Micros until, std::int64_t connected_ms = 0);
     /// Takes over what `before`, a run of the same upstream, may not have said itself:
     /// answers name no run, and the next one, which started at `born`, answers before the
-    /// platform's list tells of it.  All connections to a run end with it, so what was heard
-    /// on one that came up before `born` was said by the run before.  Clocks leave a doubt:
-    /// for one that was drained and started again in place, it ends after kMayLeaveTime.
-    /// At a limit that is taken over, few daemons have a connection that young, so the call
-    /// that each sends at once to learn of it adds little.
+    /// platform's list tells of it.  All connections to a run end with it, so what was
+    /// heard on one that came up before `born` was said by the run before.  Clocks leave a
+    /// doubt: for one that was drained and started again in place, it ends after
+    /// kMayLeaveTime. At a limit that is taken over, few daemons have a connection that
+    /// young, so the call that each sends at once to learn of it adds little.
     void inherit(const SelfReport& before, std::int64_t born);
     Micros rests_until() const { return m_rests_until.load(std::memory_order_relaxed); }
     bool rests(Micros now) const { return rests_until() > now; }
 
-    /// The answer to a call that was sent at `sent` names how many requests a second the run
-    /// takes from all daemons together, or nothing.  A limit holds until the answer to a
-    /// call that was sent after it was heard names none: answers overtake each other.
+    /// The answer to a call that was sent at `sent` names how many requests a second the
+    /// run takes from all daemons together, or nothing.  A limit holds until the answer to
+    /// a call that was sent after it was heard names none: answers overtake each other.
     /// `connected_ms`: as for a rest.  True if that changes the limit.
     bool note_limit(std::optional<double> per_s, Micros sent, Micros now,
                     std::int64_t connected_ms = 0);
@@ -67,8 +67,8 @@
     {
         return !m_limit_unread.exchange(true, std::memory_order_relaxed);
     }
-    /// What another daemon has heard, told with as little delay as kWordDelay.  True if that
-    /// changes the limit.
+    /// What another daemon has heard, told with as little delay as kWordDelay.  True if
+    /// that changes the limit.
     bool note_word(const LimitWord& word, Micros now);
     /// What there is to tell: the limit, or that it has ended, for kTellEnd.
     std::optional<LimitWord> word(const UpstreamRun& run, Micros now) const;
--- a/src/include/cypressford/shared_rate.h
+++ b/src/include/cypressford/shared_rate.h
@@ -68,10 +68,10 @@
 ///
 /// Two ways share the rate.  The daemon that leads the set of an upstream sends, or grants
 /// to any daemon, up to half of it: while daemons disagree there are two such leaders, and
-/// they stay within it.  A daemon that asks nobody has an equal part of a quarter, or, where
-/// the set has no leader, of three quarters.  Each begins at a point of its interval that is
-/// its own, and intervals vary by a half, so that hundreds of daemons don't send at one
-/// time.
+/// they stay within it.  A daemon that asks nobody has an equal part of a quarter, or,
+/// where the set has no leader, of three quarters.  Each begins at a point of its interval
+/// that is its own, and intervals vary by a half, so that hundreds of daemons don't send at
+/// one time.
 ///
 /// In any span of time all parts together stay within the rate times the span plus
 /// kSavedTime, in the mean; where parts are less than a call in the span, they add up as
@@ -83,8 +83,8 @@
 
     /// Requests a second of all daemons together, over 0.
     void set(double per_s, Micros now);
-    /// The rate of another, of which it isn't known whether it holds here: the first call of
-    /// each part goes at once, and its answer tells.
+    /// The rate of another, of which it isn't known whether it holds here: the first call
+    /// of each part goes at once, and its answer tells.
     void adopt(const SharedRate& other) { m_per_s.store(other.per_s()); }
     /// There is no bound any more.
     void clear() { m_per_s.store(0, std::memory_order_relaxed); }
@@ -96,8 +96,8 @@
 
     /// Calls a second of that part, of this daemon.  Only while it is set.
     double rate_of(RatePart part) const;
-    /// Calls a second that this daemon may expect to send, with those that the leader of the
-    /// set grants it.
+    /// Calls a second that this daemon may expect to send, with those that the leader of
+    /// the set grants it.
     double expected_rate() const;
     /// When the next call of that part may go; 0 if it isn't set.
     Micros opens_at(RatePart part) const;
--- a/src/include/cypressford/upstream_use.h
+++ b/src/include/cypressford/upstream_use.h
@@ -19,9 +19,9 @@
 
 /// Asked right before the first byte of a call: between the choice of an upstream and that
 /// lie a connection (250 ms) and the calls of other threads, whose answers tell more.
-/// False while the upstream is leaving, in an evacuated hall or resting, or if it may get no
-/// call now by the limit that it names; else the call counts as sent.  Each sender of the
-/// daemon asks here, so that no retry, hedge or resumed stream goes uncounted.
+/// False while the upstream is leaving, in an evacuated hall or resting, or if it may get
+/// no call now by the limit that it names; else the call counts as sent.  Each sender of
+/// the daemon asks here, so that no retry, hedge or resumed stream goes uncounted.
 bool begin_call(UpstreamState& upstream, CallCount count, Micros now);
 
 /// True unless the upstream is leaving, in an evacuated hall or taken out after failures.
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -84,8 +84,8 @@
 bool
 is_usable_for(const UpstreamState& upstream, const CandidateQuery& query)
 {
-    const bool is_counted = query.is_counted && !query.granted.empty()
-        && upstream.identity == query.granted;
+    const bool is_counted
+        = query.is_counted && !query.granted.empty() && upstream.identity == query.granted;
     if (is_counted)
         return is_in_service(upstream, query.now) && !upstream.said->rests(query.now);
     return is_usable(upstream, query.now);
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -159,8 +159,7 @@
         const bool makes_sense
             = std::isfinite(item.per_s()) && item.per_s() >= 0 && item.ago_us() >= 0;
         if (makes_sense && limits.size() < kMaxLimitWords)
-            limits.push_back(
-                {{item.identity(), item.born()}, item.per_s(), item.ago_us()});
+            limits.push_back({{item.identity(), item.born()}, item.per_s(), item.ago_us()});
     }
     return limits;
 }
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -128,8 +128,7 @@
     if (now - piece.queued_at >= hall_wait_limit(set, piece))
         return false;
     const auto is_there = [&](const auto& upstream) {
-        return upstream->hall == piece.near
-            && is_usable(*upstream, now, RatePart::Granted);
+        return upstream->hall == piece.near && is_usable(*upstream, now, RatePart::Granted);
     };
     return std::any_of(set.own.begin(), set.own.end(), is_there)
         || std::any_of(set.remote.begin(), set.remote.end(), is_there);
@@ -321,9 +320,8 @@
             const SharedRate& limit = upstream->said->limit();
             if (!is_in_service(*upstream, now) || upstream->said->rests(now))
                 continue;
-            sum += limit.is_set()
-                ? std::min(1.0, limit.rate_of(RatePart::Granted) * call_s)
-                : 1.0;
+            sum += limit.is_set() ? std::min(1.0, limit.rate_of(RatePart::Granted) * call_s)
+                                  : 1.0;
         }
     return sum;
 }
@@ -344,8 +342,7 @@
     if (ahead == 0 && has_free_upstream(set, now))
         return 0;
     const auto full_call = static_cast<double>(full_call_time(set.spec));
-    const double calls_ahead
-        = 0.5 + static_cast<double>(ahead) / std::max(1, batch.items);
+    const double calls_ahead = 0.5 + static_cast<double>(ahead) / std::max(1, batch.items);
     const double wait = std::min(calls_ahead * full_call / usable, kLongestWait);
     return rest + static_cast<Micros>(wait);
 }
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -174,15 +174,15 @@
     const double ahead = static_cast<double>(queue.ahead_of(request.priority()))
         - share * static_cast<double>(result.typical);
     const double left = share - queue.busy_with_more_urgent(request.priority());
-    const double drain = share > 0 ? std::max(left, kLeastDrain * share) : kSmallestShare;
+    const double drain = std::max({left, kLeastDrain * share, kSmallestShare});
     result.backlog = capacity.rest + static_cast<Micros>(std::max(0.0, ahead) / drain);
     result.backlog = std::max(result.backlog, wait_for_place(request, at));
     return result;
 }
 
 /// How long the request would wait for upstreams of a stage that get calls at a rate: their
-/// places are counted, since slots and the time of a call say nothing of them.  0: there are
-/// others.
+/// places are counted, since slots and the time of a call say nothing of them.  0: there
+/// are others.
 Micros
 Scheduler::Impl::wait_for_place(const Request& request, std::size_t at)
 {
@@ -191,9 +191,8 @@
         return 0;
     const StageQueue& queue = queue_of(request.set_of(at).id);
     const auto ahead = std::count_if(
-        queue.waiting.begin(), queue.waiting.end(), [&request](const auto& waiting) {
-            return waiting.priority <= request.priority();
-        });
+        queue.waiting.begin(), queue.waiting.end(),
+        [&request](const auto& waiting) { return waiting.priority <= request.priority(); });
     const double rate = capacity.paced_per_s / std::max(1, options.schedulers);
     const double wait = kPlaceMargin * static_cast<double>(ahead) * kSecond / rate;
     return capacity.rest + static_cast<Micros>(std::min(wait, kLongestWait));
@@ -234,16 +233,18 @@
         // Where all that could be used rest or have had what their limits allow, it is what
         // there will be when the first of them is back.
         // What the leader of the set grants is not known here: it is asked for each call.
-        const RatePart part
-            = set.spec.has_leader() ? RatePart::Granted : RatePart::Own;
+        const RatePart part = set.spec.has_leader() ? RatePart::Granted : RatePart::Own;
         const Micros rest = time_to_first_usable(set, now, {}, part);
         const Micros then = now + rest;
-        capacity = {now, generation, count_usable(set, then, {}, part),
+        capacity = {now,
+                    generation,
+                    count_usable(set, then, {}, part),
                     share_of_slots(set, {options.daemons_in_hall, daemons},
                                    model.mean(request.pipeline().stage_ids[at])
                                        .value_or(typical_time(request, at)),
                                    then),
-                    rest, calls_per_s_if_paced(set, daemons, then)};
+                    rest,
+                    calls_per_s_if_paced(set, daemons, then)};
     }
     return capacity;
 }
--- a/src/libcypressford/self_report.cpp
+++ b/src/libcypressford/self_report.cpp
@@ -37,8 +37,8 @@
 void
 SelfReport::note_leaving(Micros now, std::int64_t connected_ms)
 {
-    // The first time counts: who is drained says so for seconds before it ends, so that word
-    // is told from that of a run that has just started.
+    // The first time counts: who is drained says so for seconds before it ends, so that
+    // word is told from that of a run that has just started.
     if (m_leaves.exchange(true, std::memory_order_relaxed))
         return;
     m_leaving_heard.store(now, std::memory_order_relaxed);
--- a/src/libcypressford/self_report_test.cpp
+++ b/src/libcypressford/self_report_test.cpp
@@ -64,10 +64,10 @@
 
 /// What was seen: one call came to a replica 1.7 s after it had told the daemon that it
 /// leaves.  Order: it was started again, and told the daemon in an answer that it leaves
-/// before its entry told of the start; the word was noted for the run before; the entry came,
-/// and the next call went there.  Cause: answers name no run, and what the run before had said
-/// ended with it.  Evidence: the word stands in the log with the earlier start, its
-/// connection came up after the later one.
+/// before its entry told of the start; the word was noted for the run before; the entry
+/// came, and the next call went there.  Cause: answers name no run, and what the run before
+/// had said ended with it.  Evidence: the word stands in the log with the earlier start,
+/// its connection came up after the later one.
 TEST_CASE("a run that may have said that it leaves before its entry came gets no call")
 {
     constexpr std::int64_t born = 1'000'000;
--- a/src/libcypressford/shared_rate.cpp
+++ b/src/libcypressford/shared_rate.cpp
@@ -29,15 +29,13 @@
 SharerCount::set(int alive, Micros now)
 {
     alive = std::max(1, alive);
-    if (alive >= get() || mutated(Mutation::ForgetSharers)) {
-        m_fewer_since = 0;
-        m_count.store(alive, std::memory_order_relaxed);
-    } else if (m_fewer_since == 0) {
+    const bool is_fewer = alive < get() && !mutated(Mutation::ForgetSharers);
+    if (is_fewer && m_fewer_since == 0)
         m_fewer_since = now;
-    } else if (now - m_fewer_since >= kKeep) {
-        m_fewer_since = 0;
-        m_count.store(alive, std::memory_order_relaxed);
-    }
+    if (is_fewer && now - m_fewer_since < kKeep)
+        return;
+    m_fewer_since = 0;
+    m_count.store(alive, std::memory_order_relaxed);
 }
 
 void
--- a/src/libcypressford/shared_rate_test.cpp
+++ b/src/libcypressford/shared_rate_test.cpp
@@ -5,8 +5,8 @@
 /// A rate that all daemons share, and the limits that upstreams name.
 ///
 /// What users saw: a replica that had named a limit of one request a second got 14 in 4 s
-/// from daemons that had passed on its answers; 11 are allowed.  Order: its answers began to
-/// name the limit; the leader of the set went on placing prompts there, and daemons sent
+/// from daemons that had passed on its answers; 11 are allowed.  Order: its answers began
+/// to name the limit; the leader of the set went on placing prompts there, and daemons sent
 /// them.  Cause: no sender read the limit, and nothing that a daemon kept of an upstream
 /// counted calls over all daemons.  Evidence: answers name it in the log, and the same
 /// daemons' next calls went there, as many a second as before.
@@ -249,8 +249,7 @@
         REQUIRE(to);
         if (to == fleet.ia.get())
             at_limited += begin_call(*fleet.ia, CallCount::Own, fleet.now) ? 1 : 0;
-        fleet.handle(
-            AttemptEnded {fleet.find<SendAttempt>()->attempt, AttemptStatus::Ok});
+        fleet.handle(AttemptEnded {fleet.find<SendAttempt>()->attempt, AttemptStatus::Ok});
     }
     CHECK(at_limited >= 1);
     CHECK(at_limited <= 5);
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -80,8 +80,8 @@
     return found;
 }
 
-/// A keeper that rests wants no releases either, and one that names a limit counts them like
-/// calls.  Nothing is sent there meanwhile, so its memory is not needed before.
+/// A keeper that rests wants no releases either, and one that names a limit counts them
+/// like calls.  Nothing is sent there meanwhile, so its memory is not needed before.
 asio::awaitable<void>
 ResultKeepers::wait_until_open(UpstreamPtr keeper)
 {
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -12,8 +12,7 @@
 hear(UpstreamState& upstream, const UpstreamAnswer& answer, const AnswerOrigin& origin)
 {
     const Micros now = monotonic_us();
-    const std::int64_t connected_ms
-        = wall_ms() - (now - origin.connected) / kMillisecond;
+    const std::int64_t connected_ms = wall_ms() - (now - origin.connected) / kMillisecond;
     SelfReport& said = *upstream.said;
     const double limit_before = said.limit().per_s();
     if (answer.cold_left > 0)
@@ -24,8 +23,8 @@
         said.note_rest(now + answer.rest, connected_ms);
     // One that can't be read says neither that there is a limit nor that there is none.
     const bool is_clear = answer.limit_per_s || !answer.limit_unread;
-    const bool limit_changed = is_clear
-        && said.note_limit(answer.limit_per_s, origin.sent, now, connected_ms);
+    const bool limit_changed
+        = is_clear && said.note_limit(answer.limit_per_s, origin.sent, now, connected_ms);
     const bool is_new_fault = answer.limit_unread && said.note_unread_limit();
     if (!answer.leaves && answer.rest == 0 && !answer.rest_unread && !limit_changed
         && !is_new_fault)
--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -146,6 +146,7 @@
         constexpr Micros cut_for = SharerCount::kKeep - kSecond;
         const auto sharers = std::make_shared<SharerCount>();
         std::vector<std::unique_ptr<LimitedSender>> senders;
+        senders.reserve(static_cast<std::size_t>(daemons));
         for (int i = 0; i < daemons; ++i)
             senders.push_back(std::make_unique<LimitedSender>(i, sharers));
         std::vector<Micros> sent;
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -18,26 +18,14 @@
 constexpr Micros kDeadline = 4 * kSecond;
 constexpr int kMaxAttempts = 3;
 
-constexpr std::array<std::pair<Step, std::size_t>, 20> kWeights {{{Step::Arrive, 4},
-                                                                  {Step::StartStages, 8},
-                                                                  {Step::MakeStage, 10},
-                                                                  {Step::FailStage, 1},
-                                                                  {Step::LosePiece, 1},
-                                                                  {Step::Connect, 6},
-                                                                  {Step::Refuse, 1},
-                                                                  {Step::Read, 6},
-                                                                  {Step::Finish, 3},
-                                                                  {Step::Lose, 3},
-                                                                  {Step::Fail, 1},
-                                                                  {Step::CallerLeaves, 1},
-                                                                  {Step::Evacuate, 1},
-                                                                  {Step::SayLeaving, 1},
-                                                                  {Step::AskForRest, 1},
-                                                                  {Step::NameLimit, 1},
-                                                                  {Step::StartAgain, 1},
-                                                                  {Step::LapseOrReturn, 1},
-                                                                  {Step::Wait, 3},
-                                                                  {Step::RepeatLast, 1}}};
+constexpr std::array<std::pair<Step, std::size_t>, 20> kWeights {
+    {{Step::Arrive, 4},    {Step::StartStages, 8}, {Step::MakeStage, 10},
+     {Step::FailStage, 1}, {Step::LosePiece, 1},   {Step::Connect, 6},
+     {Step::Refuse, 1},    {Step::Read, 6},        {Step::Finish, 3},
+     {Step::Lose, 3},      {Step::Fail, 1},        {Step::CallerLeaves, 1},
+     {Step::Evacuate, 1},  {Step::SayLeaving, 1},  {Step::AskForRest, 1},
+     {Step::NameLimit, 1}, {Step::StartAgain, 1},  {Step::LapseOrReturn, 1},
+     {Step::Wait, 3},      {Step::RepeatLast, 1}}};
 
 /// The one with that number among the keys, counted round and round.
 template <class Map>
