--- a/src/libcypressford/cold_test.cpp
+++ b/src/libcypressford/cold_test.cpp
@@ -6,7 +6,6 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -16,6 +15,7 @@
 #include <cypressford/prompt_placer.h>
 
 #include "test_fleet.h"
+#include "test_times.h"
 
 namespace cypressford {
 namespace {
@@ -26,21 +26,6 @@
 /// What a cold upstream stands in any one second before it breaks down.
 constexpr std::size_t kBound = 18;
 
-/// Most of these times that lie within one second.
-std::size_t
-most_in_a_second(std::vector<Micros> times)
-{
-    std::sort(times.begin(), times.end());
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] >= kSecond)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 /// Daemons that each have a request for the upstream every 50 ms, in turn.
 std::vector<Micros>
 play(int daemons, Micros end, const std::function<bool(int, Micros)>& may)
@@ -76,7 +61,7 @@
             return states[static_cast<std::size_t>(daemon % leaders)]->take_grant(now);
         });
         CHECK(sent.size() >= 12 * static_cast<std::size_t>(leaders));
-        CHECK(most_in_a_second(sent) <= kBound);
+        CHECK(most_within(sent, kSecond) <= kBound);
     }
 }
 
@@ -102,15 +87,15 @@
         return daemon < 7 && few[static_cast<std::size_t>(daemon)].take(0, interval, now);
     });
     MESSAGE("calls to a cold upstream of 9 requests/s in 3 s, most in a second: own parts ",
-            parts.size(), ", ", most_in_a_second(parts), "; all begin at once ",
-            bursts.size(), ", ", most_in_a_second(bursts),
+            parts.size(), ", ", most_within(parts, kSecond), "; all begin at once ",
+            bursts.size(), ", ", most_within(bursts, kSecond),
             "; two chosen daemons and five "
             "cut off ",
-            chosen.size(), ", ", most_in_a_second(chosen));
+            chosen.size(), ", ", most_within(chosen, kSecond));
     CHECK(parts.size() >= 3);
-    CHECK(most_in_a_second(parts) <= kBound / 2);
-    CHECK(most_in_a_second(bursts) > kBound);
-    CHECK(most_in_a_second(chosen) > kBound);
+    CHECK(most_within(parts, kSecond) <= kBound / 2);
+    CHECK(most_within(bursts, kSecond) > kBound);
+    CHECK(most_within(chosen, kSecond) > kBound);
 }
 
 TEST_CASE("without a rate, or when its time is over, an upstream is not cold")
@@ -170,7 +155,7 @@
     }
     CHECK(at_warm > 0);
     CHECK(at_cold.size() >= 10);
-    CHECK(most_in_a_second(at_cold) <= kBound / 2);
+    CHECK(most_within(at_cold, kSecond) <= kBound / 2);
 }
 
 TEST_CASE("pieces go to warm upstreams first, and to cold ones at their rate")
@@ -205,7 +190,7 @@
             at_cold.push_back(now);
     }
     CHECK(at_cold.size() >= 10);
-    CHECK(most_in_a_second(at_cold) <= kBound / 2);
+    CHECK(most_within(at_cold, kSecond) <= kBound / 2);
 }
 
 UpstreamRecord
--- a/src/libcypressford/shared_rate_test.cpp
+++ b/src/libcypressford/shared_rate_test.cpp
@@ -13,7 +13,6 @@
 
 #include <doctest/doctest.h>
 
-#include <algorithm>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -25,6 +24,7 @@
 
 #include "candidates.h"
 #include "test_fleet.h"
+#include "test_times.h"
 
 namespace cypressford {
 namespace {
@@ -39,21 +39,6 @@
     return 1.5 * per_s * (static_cast<double>(kSpan) / kSecond) + 5;
 }
 
-/// Most of these times that lie within one span.
-std::size_t
-most_in_a_span(std::vector<Micros> times)
-{
-    std::sort(times.begin(), times.end());
-    std::size_t most = 0;
-    std::size_t first = 0;
-    for (std::size_t last = 0; last < times.size(); ++last) {
-        while (times[last] - times[first] >= kSpan)
-            ++first;
-        most = std::max(most, last - first + 1);
-    }
-    return most;
-}
-
 /// Daemons that share one rate, each with its own view of it.
 class Sharers {
 public:
@@ -103,7 +88,7 @@
                 const double all = static_cast<double>(sent.size());
                 const double used = all / (per_s * lasts_s);
                 INFO("daemons ", daemons, ", limit ", per_s, ", leaders ", leaders);
-                CHECK(static_cast<double>(most_in_a_span(sent)) <= allowed(per_s));
+                CHECK(static_cast<double>(most_within(sent, kSpan)) <= allowed(per_s));
                 CHECK(all <= 1.5 * per_s * lasts_s + 5);
                 if (per_s >= 10)
                     CHECK(used >= 0.7);
@@ -179,7 +164,7 @@
             sent.push_back(now);
     }
     CHECK(sent.size() > 10);
-    CHECK(static_cast<double>(most_in_a_span(sent)) <= allowed(1));
+    CHECK(static_cast<double>(most_within(sent, kSpan)) <= allowed(1));
 }
 
 TEST_CASE("words of limits travel, and an older one undoes no later one")
@@ -299,7 +284,7 @@
             calls.push_back(now);
         }
     CHECK(calls.size() == 10);
-    CHECK(static_cast<double>(most_in_a_span(calls)) <= allowed(1));
+    CHECK(static_cast<double>(most_within(calls, kSpan)) <= allowed(1));
 }
 
 } // namespace
