Daemons that start are told all of the directory by their reader

Cause: a daemon that has not listed configuration, upstreams and daemons takes itself for the root reader, lists all of them itself, gives a call up after 0.8 s while the store still works on it, and begins again from the first page at once. 986 daemons that start within 0.3 s ask for 986 listings of 10,003 upstreams: calls and bytes grow with the square of the fleet.

Change: a reader keeps the newest record of each key (TopicListing) and hands all of them, compressed and made once, to whoever knows nothing of a topic, also to one whose place in the log the reader's history no longer covers; a question waits while the reader itself does not know yet (`pending`). A daemon that knows nobody is `fresh` and reads only who there are; one that is not told in time lists by itself, in a turn by its draw. Fields are only added: an older reader answers as before, and the asker then lists by itself. What a daemon table says of leaders, sources and live daemons is kept until a record changes (each question about it walked all daemons).

The directory's fuzzer plays listings told by daemons, histories lost before them, and a planted fault (TakeOlderListing).

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -21,6 +21,7 @@
 /// each part of a hall asks that one, and the others ask the reader of their part: a fleet
 /// of 295 makes 2.6 calls a second so, and 26 if each of its ten readers reads by itself.
 enum class DirectoryRole : unsigned char {
+    Fresh, ///< knows no daemon yet, not even its own record: reads only who there are
     Root, ///< reads the directory itself
     HallReader, ///< asks the root reader, and is asked by its part of the hall
     Follower
@@ -51,11 +52,11 @@
 
     /// The directory was read: who has no new record by now has written none.  While
     /// it can't be read, nobody becomes silent by that.
-    void note_read(Micros now) { m_read_at = now; }
+    void note_read(Micros now);
 
     /// The daemon at that address answered, whatever the directory says.
     void note_answer(const std::string& peers_address, Micros now);
-    void drop(const std::string& node) { m_daemons.erase(node); }
+    void drop(const std::string& node);
 
     /// The daemon at that address does not answer; it leads nothing until it is
     /// trusted again.  False if it was suspected before, or is not known.
@@ -91,10 +92,10 @@
     DirectorySource source_for(std::string_view hall) const;
 
     /// A daemon without a new record for so long is silent.
-    void set_silent_after(Micros time) { m_silent_after = time; }
+    void set_silent_after(Micros time);
 
     /// Any node may lead, however weak.
-    void let_weak_nodes_lead() { m_weak_nodes_lead = true; }
+    void let_weak_nodes_lead();
 
 private:
     struct Known {
@@ -103,8 +104,23 @@
         bool suspected = false;
     };
 
+    /// What follows from all records, until one of them changes: each request asks for
+    /// leaders, and each look at the directory for its source.
+    struct Derived {
+        std::optional<int> alive;
+        std::map<std::string, std::string, std::less<>> leaders; ///< by set
+        std::map<std::string, DirectorySource, std::less<>> sources; ///< by hall
+    };
+
     bool is_alive(const Known& known) const;
     std::vector<const Known*> candidates() const;
+    std::string find_leader(std::string_view set_name) const;
+    DirectorySource find_source(std::string_view hall) const;
+    void forget(const std::string& node);
+    template <class F> void for_each_at(const std::string& peers_address, F&& action);
+    /// The first time at which a daemon that writes nothing more becomes silent.
+    Micros next_silence() const;
+    void forget_derived();
     std::optional<DaemonRecord> other_than_this(const Known* known) const;
     void keep_strong(std::vector<const Known*>& candidates) const;
     /// The candidate with the highest random weight for that key; null for none.
@@ -116,6 +132,9 @@
     Micros m_read_at = 0;
     bool m_weak_nodes_lead = false;
     std::map<std::string, Known> m_daemons; ///< by node
+    std::multimap<std::string, std::string> m_nodes_at; ///< by address for other daemons
+    std::optional<Micros> m_next_silence; ///< nothing: to be found out
+    mutable Derived m_derived;
 };
 
 /// Between two records of one daemon, so that all of them together take a small part of
--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -90,10 +90,15 @@
 
 /// What a daemon asks the reader of its hall.
 struct FeedQuery {
+    /// Of a cursor: nothing of the topic is known.
+    static constexpr Offset kNothing = -1;
+
     struct Cursor {
         DirectoryTopic topic = DirectoryTopic::Configuration;
-        Offset from = 0;
+        Offset from = kNothing; ///< what came before it is known
         std::uint64_t base = 0; ///< hash of the newest value that is known; 0: none
+        /// Where the reader does not know what came since, all of the topic will do.
+        bool takes_listing = false;
     };
     std::vector<Cursor> cursors;
     Micros wait = 0; ///< for news
@@ -130,9 +135,13 @@
     struct Topic {
         DirectoryTopic topic = DirectoryTopic::Configuration;
         bool covered = false; ///< false: the reader doesn't know all from there on
+        bool pending = false; ///< the reader does not know the topic yet; ask again
         Offset next = 0;
         Micros age = 0; ///< since the directory confirmed it, at the time of answering
         std::vector<OffsetRecord> records;
+        /// Not empty: the newest record of each key, compressed; the records come after it.
+        std::vector<std::string> listing;
+        Offset listing_end = 0; ///< the listing holds what came before it
     };
     std::vector<Topic> topics;
     Micros held = 0; ///< how long the question waited
@@ -143,4 +152,9 @@
 std::string encode(const FeedAnswer& answer);
 Result<FeedAnswer> decode_feed_answer(std::string_view bytes);
 
+/// One part of a listing, compressed.
+std::string pack_listing(const std::vector<OffsetRecord>& records);
+/// An error: the bytes are damaged, or too large a part.
+Result<std::vector<OffsetRecord>> unpack_listing(std::string_view packed);
+
 } // namespace cypressford
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -16,13 +16,19 @@
 #include <cypressford/daemon_table.h>
 #include <cypressford/directory_feed.h>
 #include <cypressford/suspects.h>
+#include <cypressford/topic_listing.h>
 
 namespace cypressford {
 
 /// What is known of one topic.
 struct TopicView {
     std::optional<Offset> next; ///< nothing: the topic must be listed first
-    Micros as_of = 0; ///< the directory was as known here at that time or later
+    Offset known_to = 0; ///< an older listing would take back what is known
+    Micros unlisted_since = 0; ///< while it must be listed
+    bool was_listed = false;
+    /// The directory was as known here at that time or later; until the topic was listed:
+    /// when this daemon started.
+    Micros as_of = 0;
     Micros asked_at = 0; ///< when the directory itself was last asked
     bool overdue = false; ///< the reader of the hall can't tell what is missing
     bool just_changed = false; ///< by the last answer of the directory
@@ -30,6 +36,7 @@
     int failures = 0; ///< of the directory itself, in a row
     RecordHistory history;
     RecordPacker packer;
+    TopicListing listing;
 };
 
 /// A record that can't be understood: it changes nothing.
@@ -78,6 +85,8 @@
     DirectoryChange take_page(DirectoryTopic topic, Offset from,
                               const std::vector<DirectoryRecord>& records, Micros asked_at,
                               Micros waited, Micros now);
+    /// The directory has forgotten what follows; the topic must be listed again.
+    void note_history_lost(DirectoryTopic topic, Micros now);
 
     // From the reader of the hall.
 
@@ -94,6 +103,9 @@
     bool must_answer(const FeedQuery& query) const;
     FeedAnswer answer_to(const FeedQuery& query, Micros now);
 
+    /// True while a topic must be listed before others can tell what follows.
+    bool must_list() const;
+
     /// True once enough is known to take requests.  Without the records of daemons a daemon
     /// takes itself for the leader of all sets: when 295 start at once and each makes calls
     /// of its own, 1,205 of 2,610 calls for pieces find their upstream full.  Without those
@@ -107,6 +119,9 @@
     /// Until a directory that did not answer so many times in a row is asked again. Readers
     /// ask at the same pace all along: on them hangs how soon others know.
     Micros retry_pause(int failures) const;
+    /// From half of `time` to one and a half, by this daemon's draw: what many begin at once
+    /// they do not all repeat at once.
+    Micros in_turn(Micros time) const;
     /// How long a question may wait at the directory.
     Micros wait_of(DirectoryTopic topic, Micros now) const;
 
@@ -118,7 +133,8 @@
     {
         return static_cast<std::size_t>(topic);
     }
-    bool are_listed() const;
+    void open_listing(DirectoryTopic topic);
+    Micros time_until_listed(DirectoryTopic topic, Micros now) const;
     /// True while all daemons may be starting and don't know each other yet.
     bool is_new(Micros now) const;
     bool is_after_outage(DirectoryTopic topic, Micros now) const;
@@ -134,9 +150,14 @@
     bool take_suspects(const DirectoryRecord& record, Offset at, DirectoryChange& change);
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
                     DirectoryChange& change);
+    /// False: the topic is not known by it.
+    bool take_listing(const FeedAnswer::Topic& topic, Micros now, DirectoryChange& change);
+    void note_newest(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
+                     bool in_force);
     void keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record);
     bool is_in_force(DirectoryTopic topic, const DirectoryRecord& record) const;
     void keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed);
+    FeedAnswer::Topic answer_to(const FeedQuery::Cursor& cursor, Micros now);
     void add_signs(std::vector<OffsetRecord>& records, Offset from) const;
     void confirm(DirectoryTopic topic, Micros as_of, Micros now);
 
@@ -145,19 +166,14 @@
     const std::string m_hall;
     const double m_writes_per_s;
     const Micros m_started_at;
+    const double m_draw; ///< in [0, 1), of this node
     std::array<TopicView, std::size(kTopics)> m_views;
     DirectoryFold m_fold;
     DaemonTable m_daemons;
     SuspectTable m_suspects;
     std::vector<DaemonRecord> m_new_daemons;
     std::uint64_t m_configuration_hash = 0; ///< of the value in force; 0: none
-    struct LastRecord {
-        std::string value;
-        Offset offset = 0; ///< 0: listed
-    };
-    /// Newest record of each upstream, so that one that goes can be told with the
-    /// sequence it had.
-    std::map<std::string, LastRecord> m_last_records;
+    std::string m_configuration_key; ///< of the record in force
 };
 
 } // namespace cypressford
--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -46,6 +46,7 @@
     LimitNeverRaised, ///< a limit that goes up again binds as it did
     LimitStays, ///< a limit that an upstream names no more is kept
     ForgetSharers, ///< the part of a daemon that was heard of a moment ago is given away
+    TakeOlderListing, ///< all of a topic is taken from a daemon that knows less
     ForgetUnlisted, ///< what an upstream said is forgotten when its entry lapses
 };
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/daemon_table.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "cypressford.pb.h"
@@ -41,6 +42,8 @@
 to_string(DirectoryRole role)
 {
     switch (role) {
+    case DirectoryRole::Fresh:
+        return "fresh";
     case DirectoryRole::Root:
         return "root";
     case DirectoryRole::HallReader:
@@ -62,43 +65,121 @@
         return false;
     if (is_new || record.incarnation != known.record.incarnation)
         known.suspected = false;
+    const bool moved = is_new || known.record.peers_address != record.peers_address;
+    if (moved && !is_new)
+        forget(record.node);
+    if (moved)
+        m_nodes_at.emplace(record.peers_address, record.node);
     known.record = record;
     known.seen_at = now;
+    forget_derived();
     return true;
 }
 
+/// Its address stands for it no more.
+void
+DaemonTable::forget(const std::string& node)
+{
+    std::erase_if(m_nodes_at, [&](const auto& item) { return item.second == node; });
+}
+
+void
+DaemonTable::drop(const std::string& node)
+{
+    forget(node);
+    m_daemons.erase(node);
+    forget_derived();
+}
+
+template <class F>
+void
+DaemonTable::for_each_at(const std::string& peers_address, F&& action)
+{
+    const auto [begin, end] = m_nodes_at.equal_range(peers_address);
+    for (auto at = begin; at != end; ++at)
+        action(m_daemons.at(at->second));
+}
+
+void
+DaemonTable::forget_derived()
+{
+    m_derived = {};
+    m_next_silence.reset();
+}
+
+Micros
+DaemonTable::next_silence() const
+{
+    Micros next = std::numeric_limits<Micros>::max();
+    for (const auto& [node, known] : m_daemons)
+        if (node != m_own_node && is_alive(known))
+            next = std::min(next, known.seen_at + m_silent_after);
+    return next;
+}
+
+void
+DaemonTable::note_read(Micros now)
+{
+    m_read_at = now;
+    if (m_next_silence && now < *m_next_silence)
+        return;
+    m_derived = {};
+    m_next_silence = next_silence();
+}
+
+void
+DaemonTable::set_silent_after(Micros time)
+{
+    if (time == m_silent_after)
+        return;
+    m_silent_after = time;
+    forget_derived();
+}
+
+void
+DaemonTable::let_weak_nodes_lead()
+{
+    m_weak_nodes_lead = true;
+    forget_derived();
+}
+
 void
 DaemonTable::note_answer(const std::string& peers_address, Micros now)
 {
-    for (auto& [node, known] : m_daemons)
-        if (known.record.peers_address == peers_address)
-            known.seen_at = std::max(known.seen_at, now);
+    for_each_at(peers_address, [&](Known& known) {
+        const bool was_alive = is_alive(known);
+        known.seen_at = std::max(known.seen_at, now);
+        if (was_alive != is_alive(known))
+            forget_derived();
+    });
 }
 
 bool
 DaemonTable::suspect(const std::string& peers_address)
 {
-    for (auto& [node, known] : m_daemons)
-        if (known.record.peers_address == peers_address)
-            return !std::exchange(known.suspected, true);
-    return false;
+    bool is_news = false;
+    for_each_at(peers_address, [&](Known& known) {
+        is_news |= !std::exchange(known.suspected, true);
+    });
+    if (is_news)
+        forget_derived();
+    return is_news;
 }
 
 void
 DaemonTable::trust(const std::string& peers_address)
 {
-    for (auto& [node, known] : m_daemons)
-        if (known.record.peers_address == peers_address)
-            known.suspected = false;
+    for_each_at(peers_address, [&](Known& known) { known.suspected = false; });
+    forget_derived();
 }
 
 bool
 DaemonTable::is_suspected(const std::string& peers_address) const
 {
-    return std::any_of(m_daemons.begin(), m_daemons.end(), [&](const auto& item) {
-        const Known& known = item.second;
-        return known.record.peers_address == peers_address && known.suspected
-            && is_alive(known);
+    const auto [begin, end] = m_nodes_at.equal_range(peers_address);
+    return std::any_of(begin, end, [&](const auto& item) {
+        const Known& known = m_daemons.at(item.second);
+        return known.suspected && is_alive(known);
     });
 }
 
@@ -113,9 +194,11 @@
 int
 DaemonTable::alive() const
 {
-    return static_cast<int>(
-        std::count_if(m_daemons.begin(), m_daemons.end(),
-                      [&](const auto& item) { return is_alive(item.second); }));
+    if (!m_derived.alive)
+        m_derived.alive = static_cast<int>(
+            std::count_if(m_daemons.begin(), m_daemons.end(),
+                          [&](const auto& item) { return is_alive(item.second); }));
+    return *m_derived.alive;
 }
 
 int
@@ -168,6 +251,15 @@
 
 std::string
 DaemonTable::leader_of(std::string_view set_name) const
+{
+    auto known = m_derived.leaders.find(set_name);
+    if (known == m_derived.leaders.end())
+        known = m_derived.leaders.emplace(set_name, find_leader(set_name)).first;
+    return known->second;
+}
+
+std::string
+DaemonTable::find_leader(std::string_view set_name) const
 {
     std::vector<const Known*> able = candidates();
     keep_strong(able);
@@ -226,10 +318,21 @@
 
 DirectorySource
 DaemonTable::source_for(std::string_view hall) const
+{
+    auto known = m_derived.sources.find(hall);
+    if (known == m_derived.sources.end())
+        known = m_derived.sources.emplace(hall, find_source(hall)).first;
+    return known->second;
+}
+
+DirectorySource
+DaemonTable::find_source(std::string_view hall) const
 {
     // In this order, so that the root reader asks nobody: not the reader of its own hall,
     // which asks it.
     std::optional<DaemonRecord> root = root_reader();
+    if (!root && !m_daemons.contains(m_own_node))
+        return {DirectoryRole::Fresh, std::nullopt};
     if (!root)
         return {DirectoryRole::Root, std::nullopt};
     std::optional<DaemonRecord> of_hall = reader_of(hall);
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -65,6 +65,27 @@
     return static_cast<std::uint32_t>(std::max<Micros>(0, time) / kMillisecond);
 }
 
+void
+fill(proto::FeedRecord& record, const OffsetRecord& entry)
+{
+    record.set_offset(entry.offset);
+    record.set_key(entry.record.key);
+    record.set_value(entry.record.value);
+    record.set_packed(entry.packed);
+    record.set_base(entry.base);
+    record.set_sign(entry.is_sign);
+}
+
+OffsetRecord
+read(const proto::FeedRecord& record)
+{
+    return {record.offset(),
+            {record.key(), record.value()},
+            record.packed(),
+            record.base(),
+            record.sign()};
+}
+
 } // namespace
 
 void
@@ -222,6 +243,7 @@
         item->set_topic(static_cast<std::uint32_t>(cursor.topic));
         item->set_offset(cursor.from);
         item->set_base(cursor.base);
+        item->set_takes_listing(cursor.takes_listing);
     }
     out.set_wait_ms(to_ms(query.wait));
     out.set_takes_packed(query.takes_packed);
@@ -241,7 +263,8 @@
     query.wants_signs = in.wants_signs();
     for (const proto::FeedCursor& cursor : in.cursors())
         if (const auto topic = topic_of(cursor.topic()))
-            query.cursors.push_back({*topic, cursor.offset(), cursor.base()});
+            query.cursors.push_back(
+                {*topic, cursor.offset(), cursor.base(), cursor.takes_listing()});
     return query;
 }
 
@@ -256,15 +279,12 @@
         item->set_covered(topic.covered);
         item->set_next(topic.next);
         item->set_age_ms(to_ms(topic.age));
-        for (const OffsetRecord& entry : topic.records) {
-            proto::FeedRecord* record = item->add_records();
-            record->set_offset(entry.offset);
-            record->set_key(entry.record.key);
-            record->set_value(entry.record.value);
-            record->set_packed(entry.packed);
-            record->set_base(entry.base);
-            record->set_sign(entry.is_sign);
-        }
+        item->set_pending(topic.pending);
+        for (const std::string& part : topic.listing)
+            item->add_listing(part);
+        item->set_listing_end(topic.listing_end);
+        for (const OffsetRecord& entry : topic.records)
+            fill(*item->add_records(), entry);
     }
     return out.SerializeAsString();
 }
@@ -286,15 +306,36 @@
         known.covered = item.covered();
         known.next = item.next();
         known.age = item.age_ms() * kMillisecond;
+        known.pending = item.pending();
+        known.listing.assign(item.listing().begin(), item.listing().end());
+        known.listing_end = item.listing_end();
         for (const proto::FeedRecord& record : item.records())
-            known.records.push_back({record.offset(),
-                                     {record.key(), record.value()},
-                                     record.packed(),
-                                     record.base(),
-                                     record.sign()});
+            known.records.push_back(read(record));
         answer.topics.push_back(std::move(known));
     }
     return answer;
 }
 
+std::string
+pack_listing(const std::vector<OffsetRecord>& records)
+{
+    proto::FeedListing out;
+    for (const OffsetRecord& entry : records)
+        fill(*out.add_records(), entry);
+    return pack(out.SerializeAsString(), {});
+}
+
+Result<std::vector<OffsetRecord>>
+unpack_listing(std::string_view packed)
+{
+    const auto bytes = unpack(packed, {});
+    proto::FeedListing in;
+    if (!bytes || !in.ParseFromString(*bytes))
+        return fail(ErrorKind::BadRequest, "not a part of a listing");
+    std::vector<OffsetRecord> records;
+    for (const proto::FeedRecord& record : in.records())
+        records.push_back(read(record));
+    return records;
+}
+
 } // namespace cypressford
--- a/src/libcypressford/directory_feed_test.cpp
+++ b/src/libcypressford/directory_feed_test.cpp
@@ -199,7 +199,8 @@
 TEST_CASE("questions and answers about the directory survive their encoding")
 {
     FeedQuery query;
-    query.cursors = {{DirectoryTopic::Upstreams, 77, 12345}, {DirectoryTopic::Daemons, 3}};
+    query.cursors = {{DirectoryTopic::Upstreams, 77, 12345},
+                     {DirectoryTopic::Daemons, FeedQuery::kNothing, 0, true}};
     query.wait = 250 * kMillisecond;
     query.takes_packed = true;
     const auto asked = decode_feed_query(encode(query));
@@ -208,15 +209,22 @@
     CHECK(asked->cursors[0].topic == DirectoryTopic::Upstreams);
     CHECK(asked->cursors[0].from == 77);
     CHECK(asked->cursors[0].base == 12345);
+    CHECK_FALSE(asked->cursors[0].takes_listing);
+    CHECK(asked->cursors[1].from == FeedQuery::kNothing);
+    CHECK(asked->cursors[1].takes_listing);
     CHECK(asked->takes_packed);
     CHECK(asked->wait == 250 * kMillisecond);
     FeedAnswer answer;
     answer.held = 20 * kMillisecond;
-    answer.topics.push_back({DirectoryTopic::Configuration,
-                             true,
-                             90,
-                             400 * kMillisecond,
-                             {{88, {"key", std::string("\0\xff", 2)}, true, 1ULL << 63}}});
+    const OffsetRecord record {88, {"key", std::string("\0\xff", 2)}, true, 1ULL << 63};
+    answer.topics.push_back({.topic = DirectoryTopic::Configuration,
+                             .covered = true,
+                             .pending = true,
+                             .next = 90,
+                             .age = 400 * kMillisecond,
+                             .records = {record},
+                             .listing = {pack_listing({record}), pack_listing({})},
+                             .listing_end = 80});
     const auto told = decode_feed_answer(encode(answer));
     REQUIRE(told);
     REQUIRE(told->topics.size() == 1);
@@ -227,6 +235,15 @@
     CHECK(told->topics[0].records.at(0).record.value == std::string("\0\xff", 2));
     CHECK(told->topics[0].records.at(0).packed);
     CHECK(told->topics[0].records.at(0).base == 1ULL << 63);
+    CHECK(told->topics[0].pending);
+    CHECK(told->topics[0].listing_end == 80);
+    REQUIRE(told->topics[0].listing.size() == 2);
+    const auto listed = unpack_listing(told->topics[0].listing[0]);
+    REQUIRE(listed);
+    CHECK(listed->at(0).offset == 88);
+    CHECK(listed->at(0).record.value == std::string("\0\xff", 2));
+    CHECK(unpack_listing(told->topics[0].listing[1])->empty());
+    CHECK_FALSE(unpack_listing("not a part of a listing"));
     CHECK_FALSE(decode_feed_answer("not an answer"));
 }
 
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -6,10 +6,12 @@
 #include <algorithm>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include <cypressford/mutation.h>
 
 #include "libutil/crypto.h"
+#include "mix.h"
 
 namespace cypressford {
 
@@ -30,6 +32,15 @@
 /// A daemon that has listed configuration and upstreams waits no longer for the rest: the
 /// store lists 295 records of daemons in 40 ms.
 constexpr Micros kWaitForRest = 500 * kMillisecond;
+/// A daemon that is told nothing lists by itself after so long, a reader first, ...
+constexpr Micros kUntoldLimit = 3 * kSecond;
+constexpr Micros kReaderUntoldLimit = 1500 * kMillisecond;
+/// ... one after the other: a listing of 10,003 upstreams is some 30 calls and 4 MB.
+constexpr Micros kListingSpacing = 20 * kMillisecond;
+/// Until it knows how many others there are, a daemon takes them for so many.
+constexpr int kLeastSpreadOver = 9;
+/// Of a listing: as old as can be.
+constexpr Micros kUnknownAge = 0;
 /// So many times in a row a reader may know less than the directory.
 constexpr int kMissesAllowed = 2;
 
@@ -43,21 +54,14 @@
     , m_hall(std::move(hall))
     , m_writes_per_s(writes_per_s)
     , m_started_at(now)
+    , m_draw(spread(fast_hash(node)))
     , m_fold(vanish_grace)
     , m_daemons(std::move(node), silent_after(1, writes_per_s))
 {
-    for (TopicView& view : m_views)
+    for (TopicView& view : m_views) {
         view.as_of = now;
-}
-
-/// What a daemon must have listed before it asks another one for what follows.  A listing
-/// of suspects that fails keeps no daemon at the directory.
-bool
-DirectoryView::are_listed() const
-{
-    return std::all_of(std::begin(kTopics), std::end(kTopics), [this](auto topic) {
-        return topic == DirectoryTopic::Suspects || of(topic).next.has_value();
-    });
+        view.unlisted_since = now;
+    }
 }
 
 // --------------------------------------------------------- from the directory
@@ -66,6 +70,20 @@
 DirectoryView::begin_listing(DirectoryTopic topic, Micros now)
 {
     of(topic).asked_at = now;
+    open_listing(topic);
+}
+
+void
+DirectoryView::open_listing(DirectoryTopic topic)
+{
+    TopicListing& listing = of(topic).listing;
+    // The newest record of a configuration may be an older one, written late.
+    const TopicListing::Entry* known = listing.find(m_configuration_key);
+    const bool keeps = topic == DirectoryTopic::Configuration && known;
+    const TopicListing::Entry in_force = keeps ? *known : TopicListing::Entry {};
+    listing.clear();
+    if (keeps)
+        listing.put({m_configuration_key, in_force.value}, in_force.offset);
     if (topic == DirectoryTopic::Upstreams)
         m_fold.begin_listing();
     if (topic == DirectoryTopic::Configuration)
@@ -81,9 +99,9 @@
     DirectoryChange change;
     const bool after_outage = is_after_outage(topic, now);
     for (const DirectoryRecord& record : records) {
-        take_record(topic, record, record.offset, after_outage, now, change);
-        if (topic == DirectoryTopic::Upstreams)
-            m_last_records[record.key] = {record.value, 0};
+        const bool changed
+            = take_record(topic, record, record.offset, after_outage, now, change);
+        note_newest(topic, record, record.offset, changed || is_in_force(topic, record));
     }
     return change;
 }
@@ -98,7 +116,11 @@
         m_fold.note_evacuations_changed();
     if (topic == DirectoryTopic::Suspects)
         m_suspects.end_listing(end);
+    // Another daemon may tell of a time before this one started.
+    if (!std::exchange(view.was_listed, true))
+        view.as_of = asked_at;
     view.next = end;
+    view.known_to = std::max(view.known_to, end);
     view.history.restart(end);
     confirm(topic, asked_at, now);
 }
@@ -120,11 +142,11 @@
         if (changed || (!is_seen && is_in_force(topic, record)))
             keep(topic, offset, record);
         change.news |= changed && topic != DirectoryTopic::Daemons;
-        if (topic == DirectoryTopic::Upstreams && !record.value.empty())
-            m_last_records[record.key] = {record.value, offset};
+        note_newest(topic, record, offset, changed || is_in_force(topic, record));
         ++offset;
     }
     view.next = std::max(view.next.value_or(offset), offset);
+    view.known_to = std::max(view.known_to, *view.next);
     view.history.advance(offset);
     view.just_changed = !records.empty();
     // An empty answer says that nothing came all the time that the question waited.
@@ -132,6 +154,27 @@
     return change;
 }
 
+void
+DirectoryView::note_history_lost(DirectoryTopic topic, Micros now)
+{
+    of(topic).next.reset();
+    of(topic).unlisted_since = now;
+}
+
+/// Keeps it for daemons that know nothing yet.  A configuration that is not in force is
+/// none that they should begin with.
+void
+DirectoryView::note_newest(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
+                           bool in_force)
+{
+    const bool stands_alone = topic != DirectoryTopic::Configuration
+        || m_dialect.decode_evacuation(record).has_value();
+    if (record.value.empty())
+        of(topic).listing.erase(record.key);
+    else if (stands_alone || in_force)
+        of(topic).listing.put(record, at);
+}
+
 /// True for the configuration in force, written once more: it changes nothing here, but
 /// whoever listed an older one, written late in between, has missed it.
 bool
@@ -163,13 +206,10 @@
     }
     // Others were not told of signs of life.  With the last of them they take no
     // older record, written late, for a return.
-    const auto last = m_last_records.find(record.key);
+    const TopicListing::Entry* last = of(topic).listing.find(record.key);
     const bool is_end = topic == DirectoryTopic::Upstreams && record.value.empty();
-    if (is_end && last != m_last_records.end()) {
-        if (!mutated(Mutation::ForgetLastRecord))
-            history.append(offset, {last->first, last->second.value});
-        m_last_records.erase(last);
-    }
+    if (is_end && last && !mutated(Mutation::ForgetLastRecord))
+        history.append(offset, {record.key, last->value});
     history.append(offset, record);
 }
 
@@ -185,7 +225,8 @@
     query.wants_signs = is_reader;
     for (const DirectoryTopic topic : kTopics) {
         const TopicView& view = of(topic);
-        query.cursors.push_back({topic, view.next.value_or(0), view.history.state_hash()});
+        query.cursors.push_back({topic, view.next.value_or(FeedQuery::kNothing),
+                                 view.history.state_hash(), true});
     }
     return query;
 }
@@ -200,7 +241,7 @@
     for (const FeedAnswer::Topic& topic : answer.topics) {
         if (topic.covered)
             take_topic(topic, now - topic.age - on_the_way, now, change);
-        else
+        else if (!topic.pending)
             of(topic.topic).overdue = true;
     }
     return change;
@@ -211,9 +252,12 @@
                           DirectoryChange& change)
 {
     TopicView& view = of(topic.topic);
-    if (!view.next)
-        return;
     const bool after_outage = is_after_outage(topic.topic, now);
+    const bool is_behind = !view.next || *view.next < topic.listing_end;
+    if (is_behind && !take_listing(topic, now, change)) {
+        view.overdue = true;
+        return;
+    }
     const Offset seen = *view.next;
     for (const OffsetRecord& entry : topic.records) {
         if (entry.offset < seen)
@@ -231,25 +275,51 @@
         keep_told(topic.topic, whole, changed);
     }
     view.next = std::max(seen, topic.next);
+    view.known_to = std::max(view.known_to, *view.next);
     view.history.advance(*view.next);
     if (as_of > view.as_of)
         view.misses = 0;
     confirm(topic.topic, as_of, now);
 }
 
+/// A listing that is older than what was known before the topic had to be listed would take
+/// some of it back.
+bool
+DirectoryView::take_listing(const FeedAnswer::Topic& topic, Micros now,
+                            DirectoryChange& change)
+{
+    const bool is_older = topic.listing_end < of(topic.topic).known_to
+        && !mutated(Mutation::TakeOlderListing);
+    if (topic.listing.empty() || is_older)
+        return false;
+    std::vector<DirectoryRecord> records;
+    for (const std::string& part : topic.listing) {
+        auto unpacked = unpack_listing(part);
+        if (!unpacked) {
+            change.unread.push_back({topic.topic, "listing", unpacked.error().detail});
+            return false;
+        }
+        for (OffsetRecord& entry : *unpacked)
+            records.push_back(
+                {std::move(entry.record.key), std::move(entry.record.value), entry.offset});
+    }
+    open_listing(topic.topic);
+    const DirectoryChange listed = take_listed(topic.topic, records, now);
+    change.unread.insert(change.unread.end(), listed.unread.begin(), listed.unread.end());
+    // How old it is holds of it and the records that follow.
+    end_listing(topic.topic, topic.listing_end, kUnknownAge, now);
+    change.news = true;
+    return true;
+}
+
 /// Keeps what another daemon told for those that ask this one.
 void
 DirectoryView::keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed)
 {
     RecordHistory& history = of(topic).history;
-    if (topic == DirectoryTopic::Upstreams) {
-        if (told.record.value.empty())
-            m_last_records.erase(told.record.key);
-        else
-            m_last_records[told.record.key] = {told.record.value, told.offset};
-    }
-    if (topic == DirectoryTopic::Configuration
-        && (changed || is_in_force(topic, told.record)))
+    const bool in_force = changed || is_in_force(topic, told.record);
+    note_newest(topic, told.record, told.offset, in_force);
+    if (topic == DirectoryTopic::Configuration && in_force)
         keep_configuration(told.offset, told.record);
     else if (changed || !told.is_sign)
         // Kept also if it changed nothing here: it may do so elsewhere.
@@ -277,10 +347,12 @@
 DirectoryView::must_answer(const FeedQuery& query) const
 {
     return std::any_of(query.cursors.begin(), query.cursors.end(), [this](const auto& c) {
-        const RecordHistory& history = of(c.topic).history;
-        if (!history.covers(c.from))
+        const TopicView& view = of(c.topic);
+        if (!view.next)
+            return false;
+        if (!view.history.covers(c.from))
             return true;
-        return c.topic != DirectoryTopic::Daemons && history.has_news(c.from);
+        return c.topic != DirectoryTopic::Daemons && view.history.has_news(c.from);
     });
 }
 
@@ -289,25 +361,47 @@
 {
     FeedAnswer answer;
     for (const FeedQuery::Cursor& cursor : query.cursors) {
+        FeedAnswer::Topic topic = answer_to(cursor, now);
+        const bool wants_signs
+            = query.wants_signs && cursor.topic == DirectoryTopic::Upstreams;
+        if (topic.covered && wants_signs)
+            add_signs(topic.records,
+                      topic.listing.empty() ? cursor.from : topic.listing_end);
         TopicView& view = of(cursor.topic);
-        FeedAnswer::Topic topic;
-        topic.topic = cursor.topic;
-        if (auto records = view.history.since(cursor.from)) {
-            topic.covered = true;
-            topic.next = view.history.next();
-            topic.age = now - view.as_of;
-            topic.records = *std::move(records);
-            if (query.wants_signs && cursor.topic == DirectoryTopic::Upstreams)
-                add_signs(topic.records, cursor.from);
-            if (query.takes_packed)
-                for (OffsetRecord& entry : topic.records)
-                    entry = view.packer.pack(entry, view.history, cursor.base);
-        }
+        // An asker that takes a listing forgets the value that it named.
+        const std::uint64_t base = topic.listing.empty() ? cursor.base : 0;
+        if (query.takes_packed)
+            for (OffsetRecord& entry : topic.records)
+                entry = view.packer.pack(entry, view.history, base);
         answer.topics.push_back(std::move(topic));
     }
     return answer;
 }
 
+/// What changed since, or all there is for an asker that takes that.
+FeedAnswer::Topic
+DirectoryView::answer_to(const FeedQuery::Cursor& cursor, Micros now)
+{
+    TopicView& view = of(cursor.topic);
+    FeedAnswer::Topic topic;
+    topic.topic = cursor.topic;
+    topic.pending = !view.next;
+    auto records = view.history.since(cursor.from);
+    if (!records && cursor.takes_listing && view.next) {
+        const PackedListing& listing = view.listing.packed(view.history);
+        topic.listing = listing.parts;
+        topic.listing_end = listing.end;
+        records = view.history.since(listing.end);
+    }
+    if (!records)
+        return topic;
+    topic.covered = true;
+    topic.next = view.history.next();
+    topic.age = now - view.as_of;
+    topic.records = *std::move(records);
+    return topic;
+}
+
 /// Newest records of upstreams at `from` or later that changed nothing.
 void
 DirectoryView::add_signs(std::vector<OffsetRecord>& records, Offset from) const
@@ -315,9 +409,11 @@
     std::set<Offset> told;
     for (const OffsetRecord& entry : records)
         told.insert(entry.offset);
-    for (const auto& [key, last] : m_last_records)
-        if (last.offset >= from && !told.contains(last.offset))
-            records.push_back({last.offset, {key, last.value}, false, 0, true});
+    for (OffsetRecord& sign : of(DirectoryTopic::Upstreams).listing.since(from)) {
+        sign.is_sign = true;
+        if (!told.contains(sign.offset))
+            records.push_back(std::move(sign));
+    }
     std::stable_sort(records.begin(), records.end(),
                      [](const auto& a, const auto& b) { return a.offset < b.offset; });
 }
@@ -340,10 +436,37 @@
     return now - m_started_at < kFirstLooks;
 }
 
+bool
+DirectoryView::must_list() const
+{
+    return std::any_of(std::begin(kTopics), std::end(kTopics),
+                       [this](auto topic) { return !of(topic).next; });
+}
+
 DirectorySource
 DirectoryView::source() const
 {
-    return are_listed() ? m_daemons.source_for(m_hall) : DirectorySource {};
+    if (!of(DirectoryTopic::Daemons).next)
+        return {DirectoryRole::Fresh, std::nullopt};
+    return m_daemons.source_for(m_hall);
+}
+
+/// Daemons that know who reads wait to be told, and those that know nobody until they do:
+/// 986 that start at once and list 10,003 upstreams each ask more than the directory can
+/// answer.  Whoever is not told in time lists by itself, at a rate that does not grow with
+/// the fleet.
+Micros
+DirectoryView::time_until_listed(DirectoryTopic topic, Micros now) const
+{
+    const TopicView& view = of(topic);
+    const DirectoryRole role = source().role;
+    if (topic == DirectoryTopic::Daemons || role == DirectoryRole::Root || view.overdue)
+        return 0;
+    const Micros limit
+        = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
+    const double others = std::max(kLeastSpreadOver, m_daemons.alive());
+    const auto turn = static_cast<Micros>(m_draw * others * kListingSpacing);
+    return view.unlisted_since + limit + turn - now;
 }
 
 Micros
@@ -351,10 +474,11 @@
 {
     const TopicView& view = of(topic);
     if (!view.next)
-        return 0;
+        return time_until_listed(topic, now);
     const bool is_daemons = topic == DirectoryTopic::Daemons;
-    const DirectoryRole role = source().role;
-    if (role != DirectoryRole::Root) {
+    const DirectorySource from = source();
+    const DirectoryRole role = from.role;
+    if (from.daemon) {
         if (view.overdue)
             return 0;
         const Micros bearable = role == DirectoryRole::HallReader
@@ -381,6 +505,12 @@
     return kRetryPause << std::min(failures, kMaxRetryDoublings);
 }
 
+Micros
+DirectoryView::in_turn(Micros time) const
+{
+    return time / 2 + static_cast<Micros>(m_draw * static_cast<double>(time));
+}
+
 /// A record that came while a question waited leaves open when; asked again without
 /// waiting, the directory confirms it at once.
 Micros
@@ -455,8 +585,10 @@
         return false;
     }
     const bool is_newer = m_fold.offer_configuration(*std::move(bundle));
-    if (is_newer)
+    if (is_newer) {
         m_configuration_hash = fast_hash(record.value);
+        m_configuration_key = record.key;
+    }
     return is_newer;
 }
 
--- a/src/libserve/directory/directory_store.cpp
+++ b/src/libserve/directory/directory_store.cpp
@@ -18,6 +18,9 @@
 
 /// How long an answer may take to begin, beyond the time that the question waits.
 constexpr Micros kWaitLimit = 800 * kMillisecond;
+/// The same of a record that is written: they are taken one after the other, and those that
+/// would wait for over 2 s are turned away.
+constexpr Micros kAppendWaitLimit = 2500 * kMillisecond;
 /// Answers of so many bytes are logged: on a link of 10 Mbit/s they take 50 ms.
 constexpr std::size_t kLargeAnswer = 64 * 1024;
 constexpr int kOk = 200;
@@ -102,7 +105,7 @@
 {
     HttpRequest request = m_dialect->append(topic, record);
     const HttpResponse response
-        = co_await call(topic, "append", std::move(request), kWaitLimit);
+        = co_await call(topic, "append", std::move(request), kAppendWaitLimit);
     if (response.status == kOk)
         co_return Result<void> {};
     LogEvent("directory_append_failed", LogLevel::Warn)
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -27,8 +27,18 @@
 /// How long a reader's answer may take to begin, beyond the time that it is held.
 constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
 constexpr Micros kConnectTime = 250 * kMillisecond;
+/// The same while a topic must be listed: a reader that has just started itself takes in
+/// thousands of records before it answers.
+constexpr Micros kListingWaitLimit = 3 * kSecond;
 /// A reader that did not tell what it should is not asked for so long.
 constexpr Micros kDistrust = 3 * kSecond;
+/// The same while a topic must be listed: the reader may be about to start.
+constexpr Micros kDistrustAtStart = 500 * kMillisecond;
+/// A page of a listing is asked for so often before the listing begins anew.
+constexpr int kPageTries = 4;
+/// Between tries to write this daemon's record; doubles with each.
+constexpr Micros kPublishRetry = 1 * kSecond;
+constexpr int kMaxPublishDoublings = 3;
 /// Between log lines on the calls to the directory.
 constexpr Micros kReportPace = 10 * kSecond;
 /// Records that could not be read and are not logged again; 300 bytes each.
@@ -94,7 +104,7 @@
     asio::co_spawn(m_io, publish_once(), asio::detached);
 }
 
-asio::awaitable<void>
+asio::awaitable<bool>
 DirectoryWatch::publish_once()
 {
     const Settings& settings = m_kernel.settings;
@@ -110,17 +120,27 @@
     // A daemon that stops takes its record back, so that none is left behind.
     const std::string value = m_kernel.stopping.load() ? std::string() : encode(record);
     DirectoryRecord entry {record.node, value};
-    // One that fails is logged there, and the next one comes soon.
-    (void)co_await m_store.append(DirectoryTopic::Daemons, std::move(entry));
+    // One that fails is logged there.
+    const auto written = co_await m_store.append(DirectoryTopic::Daemons, std::move(entry));
+    if (written && !std::exchange(m_own_written, true))
+        m_pauses.at(DirectoryTopic::Daemons).cancel();
+    co_return written.has_value();
 }
 
+/// The directory takes records one after the other, so that those of hundreds of daemons that
+/// start at once don't all find room: who is turned away comes again at a time of its own.
 asio::awaitable<void>
 DirectoryWatch::publish_own()
 {
+    int failures = 0;
     while (!m_kernel.stopping.load()) {
-        co_await publish_once();
-        co_await pause(
-            publish_pace(m_view.daemons().alive(), m_kernel.settings.directory_writes));
+        const bool written = co_await publish_once();
+        failures = written ? 0 : failures + 1;
+        const Micros pace
+            = publish_pace(m_view.daemons().alive(), m_kernel.settings.directory_writes);
+        const Micros retry
+            = kPublishRetry << std::min(failures - 1, kMaxPublishDoublings);
+        co_await pause(written ? pace : std::min(pace, m_view.in_turn(retry)));
     }
 }
 
@@ -188,7 +208,7 @@
     std::string after;
     std::optional<Offset> end;
     for (;;) {
-        const auto page = co_await m_store.newest(topic, after);
+        const auto page = co_await list_page(topic, after);
         if (!page)
             co_return tl::unexpected(page.error());
         note(m_view.take_listed(topic, page->records, monotonic_us()));
@@ -202,10 +222,23 @@
         after = page->records.back().key;
     }
     m_view.end_listing(topic, *end, asked_at, monotonic_us());
-    note({});
+    note({.news = true, .unread = {}});
     co_return Result<void> {};
 }
 
+/// A listing goes on at the page that failed: 10,003 upstreams are 21 pages, and the
+/// directory that loses one of them is busy already.
+asio::awaitable<Result<DirectoryPage>>
+DirectoryWatch::list_page(DirectoryTopic topic, std::string after)
+{
+    for (int tries = 1;; ++tries) {
+        auto page = co_await m_store.newest(topic, after);
+        if (page || tries == kPageTries)
+            co_return page;
+        co_await pause(m_view.in_turn(m_view.retry_pause(tries)));
+    }
+}
+
 asio::awaitable<Result<void>>
 DirectoryWatch::read(DirectoryTopic topic)
 {
@@ -218,7 +251,7 @@
     if (!page)
         co_return tl::unexpected(page.error());
     if (page->history_lost)
-        view.next.reset();
+        m_view.note_history_lost(topic, monotonic_us());
     else
         note_page(topic, from, *page, asked_at, wait);
     co_return Result<void> {};
@@ -344,7 +377,8 @@
     HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
     CallOptions options;
     const Micros asked_at = monotonic_us();
-    options.deadline_us = asked_at + query.wait + kReaderWaitLimit;
+    options.deadline_us = asked_at + query.wait
+        + (m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit);
     options.body = kLargeBody;
     options.connect_deadline_us = asked_at + kConnectTime;
     options.send_clock = false;
@@ -380,7 +414,7 @@
 asio::awaitable<void>
 DirectoryWatch::trust_later(std::string peers_address)
 {
-    co_await pause(kDistrust);
+    co_await pause(m_view.must_list() ? kDistrustAtStart : kDistrust);
     m_view.daemons().trust(peers_address);
 }
 
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -60,13 +60,15 @@
 
 private:
     boost::asio::awaitable<void> publish_own();
-    boost::asio::awaitable<void> publish_once();
+    boost::asio::awaitable<bool> publish_once();
     boost::asio::awaitable<void> report_calls();
 
     // One loop for each topic asks the directory; one more asks the reader of the hall.
     boost::asio::awaitable<void> follow(DirectoryTopic topic);
     boost::asio::awaitable<void> follow_reader();
     boost::asio::awaitable<Result<void>> list(DirectoryTopic topic);
+    boost::asio::awaitable<Result<DirectoryPage>> list_page(DirectoryTopic topic,
+                                                            std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
     boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
     boost::asio::awaitable<void> trust_later(std::string peers_address);
@@ -101,6 +103,7 @@
     bool m_reached = true;
     std::set<std::tuple<DirectoryTopic, std::string, std::string>> m_unread_logged;
     std::uint64_t m_own_sequence = 0;
+    bool m_own_written = false; ///< this daemon's record lies in the directory
     std::optional<DirectoryRole> m_role;
     std::string m_asked; ///< node; empty: the directory itself
     std::function<void()> m_on_change;
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -147,6 +147,7 @@
         {Mutation::ConfigurationGoesBack, "ConfigurationGoesBack"},
         {Mutation::EvacuationGoesBack, "EvacuationGoesBack"},
         {Mutation::TakeOlderRun, "TakeOlderRun"},
+        {Mutation::TakeOlderListing, "TakeOlderListing"},
         {Mutation::IgnoreWholeAnswers, "IgnoreWholeAnswers"},
         {Mutation::ReturnOfGone, "ReturnOfGone"}};
     bool all = true;
--- a/testsuite/fuzz/directory_world.h
+++ b/testsuite/fuzz/directory_world.h
@@ -315,7 +315,12 @@
         DirectoryView& view = *m_daemons[daemon].view;
         const Topic& log = of(topic);
         const std::optional<Offset> next = view.of(topic).next;
-        if (!next || *next < log.first) {
+        if (next && *next < log.first) {
+            // It lists the topic by itself, or is told of all of it by another daemon.
+            view.note_history_lost(topic, m_now);
+            return;
+        }
+        if (!next) {
             list(daemon, topic);
             return;
         }
@@ -417,18 +422,38 @@
     static void note_ended(Daemon& daemon, const FeedAnswer& answer)
     {
         for (const FeedAnswer::Topic& topic : answer.topics) {
-            const auto next = daemon.view->of(topic.topic).next;
-            if (topic.topic != DirectoryTopic::Upstreams || !next)
+            const TopicView& known = daemon.view->of(topic.topic);
+            if (topic.topic != DirectoryTopic::Upstreams)
                 continue;
+            const bool is_listing = !topic.listing.empty()
+                && topic.listing_end >= known.known_to
+                && known.next.value_or(-1) < topic.listing_end;
+            if (is_listing)
+                note_listed(daemon, topic);
+            if (!is_listing && !known.next)
+                continue;
+            const Offset next = is_listing ? topic.listing_end : *known.next;
             for (OffsetRecord entry : topic.records) {
                 RC_ASSERT(RecordPacker::unpack(entry, RecordHistory()));
                 note_told(daemon, entry.record);
-                if (entry.record.value.empty() && entry.offset >= *next)
+                if (entry.record.value.empty() && entry.offset >= next)
                     daemon.ended.insert(entry.record.key);
             }
         }
     }
 
+    /// All of the topic from another daemon, like a listing of the log's.
+    static void note_listed(Daemon& daemon, const FeedAnswer::Topic& topic)
+    {
+        daemon.ended.clear();
+        for (const std::string& part : topic.listing) {
+            const auto records = unpack_listing(part);
+            RC_ASSERT(records.has_value());
+            for (const OffsetRecord& entry : *records)
+                note_told(daemon, entry.record);
+        }
+    }
+
     std::map<std::string, Truth> truth_before(Offset end)
     {
         std::map<std::string, Truth> truths;
