A record written late is not what a reader tells of an upstream

Cause: a reader kept the last record of each upstream in the order of the log. A record of the run before, written late, took the place of the newest; when the upstream then went, the reader told others of that older record and of the end, and the records in between, read later, looked like its return. The code before kept records the same way.

Change: a reader keeps a record only if the fold has applied no later one of that upstream; a listing names what there is and takes out what it did not name, so that an outdated record in it takes nothing away.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -115,6 +115,8 @@
     /// True if something besides the sequence is news.  Its time cold counts from `now`,
     /// which is late rather than early.
     bool apply(const UpstreamRecord& record, Micros now = 0);
+    /// True if the record was written late: a later one of its upstream was applied before.
+    bool is_outdated(const UpstreamRecord& record) const;
     /// A listing names that identity with a record that can't be read: what is known of it
     /// holds on.
     void note_listed(const std::string& identity);
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -144,8 +144,8 @@
                             DirectoryChange& change);
     bool take_evacuation(const EvacuationRecord& evacuation, Offset at);
     void keep_configuration(Offset offset, const DirectoryRecord& record);
-    bool take_upstream(const DirectoryRecord& record, bool after_outage, Micros now,
-                       DirectoryChange& change);
+    bool take_upstream(const DirectoryRecord& record, Offset at, bool after_outage,
+                       Micros now, DirectoryChange& change);
     void take_daemon(const DirectoryRecord& record, Micros now, DirectoryChange& change);
     bool take_suspects(const DirectoryRecord& record, Offset at, DirectoryChange& change);
     void take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
--- a/src/include/cypressford/topic_listing.h
+++ b/src/include/cypressford/topic_listing.h
@@ -31,7 +31,11 @@
         Offset offset = 0;
     };
 
-    void clear();
+    /// The directory lists the topic: keys that are not named by end_listing() are gone.
+    void begin_listing();
+    void name(const std::string& key) { m_unnamed.erase(key); }
+    void end_listing();
+
     void put(const DirectoryRecord& record, Offset offset);
     void erase(const std::string& key);
 
@@ -49,6 +53,7 @@
     void pack(Offset end);
 
     std::map<std::string, Entry> m_newest;
+    std::set<std::string> m_unnamed; ///< while the topic is listed
     std::set<std::pair<Offset, std::string>> m_by_offset;
     PackedListing m_packed; ///< without parts: to be made
 };
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -114,6 +114,17 @@
     return changed || returned;
 }
 
+bool
+DirectoryFold::is_outdated(const UpstreamRecord& record) const
+{
+    const auto it = m_known.find(record.member.identity);
+    if (it == m_known.end())
+        return false;
+    const RunOrder order = order_of(record.member.born, it->second.member.born);
+    return order == RunOrder::Older
+        || (order == RunOrder::Same && record.sequence < it->second.sequence);
+}
+
 void
 DirectoryFold::note_listed(const std::string& identity)
 {
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -76,14 +76,10 @@
 void
 DirectoryView::open_listing(DirectoryTopic topic)
 {
-    TopicListing& listing = of(topic).listing;
-    // The newest record of a configuration may be an older one, written late.
-    const TopicListing::Entry* known = listing.find(m_configuration_key);
-    const bool keeps = topic == DirectoryTopic::Configuration && known;
-    const TopicListing::Entry in_force = keeps ? *known : TopicListing::Entry {};
-    listing.clear();
-    if (keeps)
-        listing.put({m_configuration_key, in_force.value}, in_force.offset);
+    of(topic).listing.begin_listing();
+    // What lies in the directory may be an older configuration, written late.
+    if (topic == DirectoryTopic::Configuration)
+        of(topic).listing.name(m_configuration_key);
     if (topic == DirectoryTopic::Upstreams)
         m_fold.begin_listing();
     if (topic == DirectoryTopic::Configuration)
@@ -102,6 +98,7 @@
         const bool changed
             = take_record(topic, record, record.offset, after_outage, now, change);
         note_newest(topic, record, record.offset, changed || is_in_force(topic, record));
+        of(topic).listing.name(record.key);
     }
     return change;
 }
@@ -121,6 +118,7 @@
         view.as_of = asked_at;
     view.next = end;
     view.known_to = std::max(view.known_to, end);
+    view.listing.end_listing();
     view.history.restart(end);
     confirm(topic, asked_at, now);
 }
@@ -167,11 +165,14 @@
 DirectoryView::note_newest(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
                            bool in_force)
 {
-    const bool stands_alone = topic != DirectoryTopic::Configuration
-        || m_dialect.decode_evacuation(record).has_value();
+    const bool is_vital
+        = topic == DirectoryTopic::Configuration || topic == DirectoryTopic::Upstreams;
+    const bool is_evacuation = topic == DirectoryTopic::Configuration
+        && m_dialect.decode_evacuation(record).has_value();
     if (record.value.empty())
         of(topic).listing.erase(record.key);
-    else if (stands_alone || in_force)
+    else if (!is_vital || is_evacuation
+             || (topic == DirectoryTopic::Configuration && in_force))
         of(topic).listing.put(record, at);
 }
 
@@ -556,7 +557,7 @@
     case DirectoryTopic::Configuration:
         return take_configuration(record, at, change);
     case DirectoryTopic::Upstreams:
-        return take_upstream(record, after_outage, now, change);
+        return take_upstream(record, at, after_outage, now, change);
     case DirectoryTopic::Suspects:
         return take_suspects(record, at, change);
     case DirectoryTopic::Daemons:
@@ -602,16 +603,22 @@
 }
 
 bool
-DirectoryView::take_upstream(const DirectoryRecord& record, bool after_outage, Micros now,
-                             DirectoryChange& change)
+DirectoryView::take_upstream(const DirectoryRecord& record, Offset at, bool after_outage,
+                             Micros now, DirectoryChange& change)
 {
     if (record.value.empty()) {
         m_fold.drop(record.key, now, after_outage);
         return true;
     }
     const auto upstream = m_dialect.decode_upstream(record);
-    if (upstream)
-        return m_fold.apply(*upstream, now);
+    if (upstream) {
+        const bool changed = m_fold.apply(*upstream, now);
+        // Whoever is told of one that was written late, and then of the upstream's end, takes
+        // the records in between for its return.
+        if (!m_fold.is_outdated(*upstream))
+            of(DirectoryTopic::Upstreams).listing.put(record, at);
+        return changed;
+    }
     m_fold.note_listed(record.key);
     change.unread.push_back(
         {DirectoryTopic::Upstreams, record.key, upstream.error().detail});
--- a/src/libcypressford/topic_listing.cpp
+++ b/src/libcypressford/topic_listing.cpp
@@ -15,10 +15,18 @@
 } // namespace
 
 void
-TopicListing::clear()
+TopicListing::begin_listing()
 {
-    m_newest.clear();
-    m_by_offset.clear();
+    for (const auto& [key, entry] : m_newest)
+        m_unnamed.insert(key);
+}
+
+void
+TopicListing::end_listing()
+{
+    for (const std::string& key : m_unnamed)
+        erase(key);
+    m_unnamed.clear();
     m_packed.parts.clear();
 }
 
