A daemon that knows nobody is referred to its reader by the peers of its settings

Change: the settings name up to three peers (`peers`, filled from the platform's settings). A fresh daemon asks the one that stands first for its hall, and gives its own record; that one collects the records of those that start with it for 0.6 s and refers each to the reader of its part, or tells it that it reads itself (`directory_referred`). It costs the store nothing. Without an answer of any peer the daemon lists who there are after 3 s, in a turn by its draw. A call for a listing or a record may wait 3 s for its answer: the store works on it in any case.

Ruled out: only more patience with the store (986 listings of two pages are 8 s of its work, of 18 s that are allowed after a kill of all).

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -36,6 +36,12 @@
     std::optional<DaemonRecord> daemon; ///< nothing: the directory itself
 };
 
+/// What a daemon that knows no other is told by one that does.
+struct DirectoryReferral {
+    DirectoryRole role = DirectoryRole::Fresh; ///< of the daemon that is told
+    std::vector<DaemonRecord> ask; ///< the first of these that answers
+};
+
 /// Records of daemons, with the time each was last seen to change.  A lead is no
 /// lock: two daemons that lead the same set cost calls that are less full, and
 /// nothing else.
@@ -91,6 +97,10 @@
     /// Whom this daemon, of that hall, asks.
     DirectorySource source_for(std::string_view hall) const;
 
+    /// Whom that daemon, which need not be known here, should ask.  `own`: this daemon's
+    /// record, which may not be listed yet.
+    DirectoryReferral refer(const DaemonRecord& asker, const DaemonRecord& own) const;
+
     /// A daemon without a new record for so long is silent.
     void set_silent_after(Micros time);
 
@@ -114,6 +124,8 @@
 
     bool is_alive(const Known& known) const;
     std::vector<const Known*> candidates() const;
+    /// Those that tell others of the directory, of one hall; of all if it is empty.
+    std::vector<const Known*> tellers(std::string_view hall) const;
     std::string find_leader(std::string_view set_name) const;
     DirectorySource find_source(std::string_view hall) const;
     void forget(const std::string& node);
--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -17,6 +17,7 @@
 #include <string_view>
 #include <vector>
 
+#include <cypressford/daemon_table.h>
 #include <cypressford/directory.h>
 
 namespace cypressford {
@@ -107,6 +108,8 @@
     /// must know an upstream's newest sequence, or takes an older record, written late,
     /// for its return.
     bool wants_signs = false;
+    /// An asker that knows no daemon gives its own record and wants to be referred to one.
+    std::optional<DaemonRecord> joiner;
 };
 
 /// Compresses large values of one topic for the daemons that ask for them, each against
@@ -145,6 +148,7 @@
     };
     std::vector<Topic> topics;
     Micros held = 0; ///< how long the question waited
+    std::optional<DirectoryReferral> referral;
 };
 
 std::string encode(const FeedQuery& query);
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -97,8 +97,23 @@
     /// was away until then.
     bool note_missed(DirectoryTopic topic, Micros now);
 
+    // From a daemon that may know others.
+
+    /// There are such daemons, so that records of daemons need not be listed at once.
+    /// `own`: this daemon's record.
+    void expect_referral(DaemonRecord own) { m_own = std::move(own); }
+    /// True while this daemon knows nobody whom it could ask.
+    bool wants_referral() const;
+    void take_referral(const DirectoryReferral& referral, Micros now);
+
     // For other daemons.
 
+    /// Another daemon has told of itself.
+    void meet(const DaemonRecord& daemon, Micros now);
+    /// False while this daemon, which has just started itself, still meets others.
+    bool can_refer(Micros now) const;
+    DirectoryReferral refer(const DaemonRecord& asker) const;
+
     /// False while a question may wait for news.
     bool must_answer(const FeedQuery& query) const;
     FeedAnswer answer_to(const FeedQuery& query, Micros now);
@@ -170,6 +185,8 @@
     std::array<TopicView, std::size(kTopics)> m_views;
     DirectoryFold m_fold;
     DaemonTable m_daemons;
+    std::optional<DaemonRecord> m_own; ///< nothing: no daemon refers this one
+    DirectoryReferral m_referral; ///< holds until the records of daemons are known
     SuspectTable m_suspects;
     std::vector<DaemonRecord> m_new_daemons;
     std::uint64_t m_configuration_hash = 0; ///< of the value in force; 0: none
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -22,6 +22,8 @@
 constexpr double kLeastRecordsPerSecond = 2;
 constexpr Micros kShortestPace = 3 * kSecond;
 constexpr int kRecordsMissed = 3;
+/// A daemon that knows nobody is told of so many that it may ask one after the other.
+constexpr std::size_t kReferredAtOnce = 4;
 
 /// Highest random weight (Thaler and Ravishankar, 1998): the same everywhere, and
 /// only what a daemon led moves when it goes.
@@ -283,37 +285,94 @@
     return addresses;
 }
 
-std::optional<DaemonRecord>
-DaemonTable::reader_of(std::string_view hall) const
+std::vector<const DaemonTable::Known*>
+DaemonTable::tellers(std::string_view hall) const
 {
     std::vector<const Known*> able = candidates();
     std::erase_if(able, [hall](const Known* known) {
-        return known->record.hall != hall || known->record.feed_address.empty();
+        return known->record.feed_address.empty()
+            || (!hall.empty() && known->record.hall != hall);
     });
-    // Daemons of a large hall are spread over several readers.
-    const std::size_t groups = able.size() / kDaemonsOfReader + 1;
-    const std::size_t group = weight_of(m_own_node, hall) % groups;
+    return able;
+}
+
+namespace {
+
+/// Daemons of a large hall are spread over several readers.
+std::size_t
+count_parts(std::size_t daemons)
+{
+    return daemons / kDaemonsOfReader + 1;
+}
+
+std::string
+name_of_part(std::string_view hall, std::size_t number)
+{
+    return std::string(hall) + "/" + std::to_string(number);
+}
+
+constexpr std::string_view kRootName = "root";
+
+} // namespace
+
+std::optional<DaemonRecord>
+DaemonTable::reader_of(std::string_view hall) const
+{
+    std::vector<const Known*> able = tellers(hall);
+    const std::size_t parts = count_parts(able.size());
+    const std::size_t own_part = weight_of(m_own_node, hall) % parts;
     keep_strong(able);
-    const auto reader_of_group = [&](std::size_t number) {
-        return choose(able, std::string(hall) + "/" + std::to_string(number));
-    };
     // The reader of one part does not ask that of another, which may ask it in turn.
-    for (std::size_t other = 0; other < groups; ++other) {
-        const Known* reader = reader_of_group(other);
+    for (std::size_t other = 0; other < parts; ++other) {
+        const Known* reader = choose(able, name_of_part(hall, other));
         if (reader && reader->record.node == m_own_node)
             return std::nullopt;
     }
-    return other_than_this(reader_of_group(group));
+    return other_than_this(choose(able, name_of_part(hall, own_part)));
 }
 
 std::optional<DaemonRecord>
 DaemonTable::root_reader() const
 {
-    std::vector<const Known*> able = candidates();
-    std::erase_if(able,
-                  [](const Known* known) { return known->record.feed_address.empty(); });
+    std::vector<const Known*> able = tellers({});
     keep_strong(able);
-    return other_than_this(choose(able, "root"));
+    return other_than_this(choose(able, kRootName));
+}
+
+DirectoryReferral
+DaemonTable::refer(const DaemonRecord& asker, const DaemonRecord& own) const
+{
+    std::vector<const Known*> all = tellers({});
+    std::vector<const Known*> of_hall = tellers(asker.hall);
+    const Known self {own};
+    if (!m_daemons.contains(own.node)) {
+        all.push_back(&self);
+        if (own.hall == asker.hall)
+            of_hall.push_back(&self);
+    }
+    const std::size_t parts = count_parts(of_hall.size());
+    const std::size_t own_part = weight_of(asker.node, asker.hall) % parts;
+    keep_strong(all);
+    keep_strong(of_hall);
+    const auto is_asker
+        = [&](const Known* known) { return known && known->record.node == asker.node; };
+    if (is_asker(choose(all, kRootName)))
+        return {DirectoryRole::Root, {}};
+    DirectoryReferral referral {DirectoryRole::Follower, {}};
+    for (std::size_t part = 0; part < parts; ++part)
+        if (is_asker(choose(of_hall, name_of_part(asker.hall, part))))
+            referral.role = DirectoryRole::HallReader;
+    const bool reads = referral.role == DirectoryRole::HallReader;
+    const std::string name
+        = reads ? std::string(kRootName) : name_of_part(asker.hall, own_part);
+    std::vector<const Known*>& able = reads ? all : of_hall;
+    std::erase_if(able, is_asker);
+    while (referral.ask.size() < kReferredAtOnce && !able.empty()) {
+        const Known* next = choose(able, name);
+        referral.ask.push_back(next->record);
+        std::erase(able, next);
+    }
+    return referral;
 }
 
 DirectorySource
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -76,6 +76,26 @@
     record.set_sign(entry.is_sign);
 }
 
+void
+fill(proto::FeedReferral& out, const DirectoryReferral& referral)
+{
+    out.set_role(static_cast<std::uint32_t>(referral.role));
+    for (const DaemonRecord& daemon : referral.ask)
+        out.add_daemons(encode(daemon));
+}
+
+DirectoryReferral
+read(const proto::FeedReferral& in)
+{
+    DirectoryReferral referral;
+    if (in.role() <= static_cast<std::uint32_t>(DirectoryRole::Follower))
+        referral.role = static_cast<DirectoryRole>(in.role());
+    for (const std::string& bytes : in.daemons())
+        if (auto daemon = decode_daemon(bytes))
+            referral.ask.push_back(*std::move(daemon));
+    return referral;
+}
+
 OffsetRecord
 read(const proto::FeedRecord& record)
 {
@@ -248,6 +268,8 @@
     out.set_wait_ms(to_ms(query.wait));
     out.set_takes_packed(query.takes_packed);
     out.set_wants_signs(query.wants_signs);
+    if (query.joiner)
+        out.set_joiner(encode(*query.joiner));
     return out.SerializeAsString();
 }
 
@@ -261,6 +283,8 @@
     query.wait = in.wait_ms() * kMillisecond;
     query.takes_packed = in.takes_packed();
     query.wants_signs = in.wants_signs();
+    if (auto joiner = decode_daemon(in.joiner()))
+        query.joiner = *std::move(joiner);
     for (const proto::FeedCursor& cursor : in.cursors())
         if (const auto topic = topic_of(cursor.topic()))
             query.cursors.push_back(
@@ -273,6 +297,8 @@
 {
     proto::FeedAnswer out;
     out.set_held_ms(to_ms(answer.held));
+    if (answer.referral)
+        fill(*out.mutable_referral(), *answer.referral);
     for (const FeedAnswer::Topic& topic : answer.topics) {
         proto::FeedTopic* item = out.add_topics();
         item->set_topic(static_cast<std::uint32_t>(topic.topic));
@@ -297,6 +323,8 @@
         return fail(ErrorKind::BadRequest, "not an answer about the directory");
     FeedAnswer answer;
     answer.held = in.held_ms() * kMillisecond;
+    if (in.has_referral())
+        answer.referral = read(in.referral());
     for (const proto::FeedTopic& item : in.topics()) {
         const auto topic = topic_of(item.topic());
         if (!topic)
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -32,13 +32,15 @@
 /// A daemon that has listed configuration and upstreams waits no longer for the rest: the
 /// store lists 295 records of daemons in 40 ms.
 constexpr Micros kWaitForRest = 500 * kMillisecond;
+/// Daemons that start together tell of themselves within this time after the first.
+constexpr Micros kMeetingTime = 600 * kMillisecond;
 /// A daemon that is told nothing lists by itself after so long, a reader first, ...
 constexpr Micros kUntoldLimit = 3 * kSecond;
 constexpr Micros kReaderUntoldLimit = 1500 * kMillisecond;
 /// ... one after the other: a listing of 10,003 upstreams is some 30 calls and 4 MB.
 constexpr Micros kListingSpacing = 20 * kMillisecond;
 /// Until it knows how many others there are, a daemon takes them for so many.
-constexpr int kLeastSpreadOver = 9;
+constexpr int kLeastSpreadOver = 200;
 /// Of a listing: as old as can be.
 constexpr Micros kUnknownAge = 0;
 /// So many times in a row a reader may know less than the directory.
@@ -447,9 +449,47 @@
 DirectorySource
 DirectoryView::source() const
 {
-    if (!of(DirectoryTopic::Daemons).next)
-        return {DirectoryRole::Fresh, std::nullopt};
-    return m_daemons.source_for(m_hall);
+    if (of(DirectoryTopic::Daemons).was_listed)
+        return m_daemons.source_for(m_hall);
+    if (m_referral.role == DirectoryRole::Root)
+        return {};
+    for (const DaemonRecord& daemon : m_referral.ask)
+        if (!m_daemons.is_suspected(daemon.peers_address))
+            return {m_referral.role, daemon};
+    return {DirectoryRole::Fresh, std::nullopt};
+}
+
+bool
+DirectoryView::wants_referral() const
+{
+    return source().role == DirectoryRole::Fresh;
+}
+
+void
+DirectoryView::take_referral(const DirectoryReferral& referral, Micros now)
+{
+    m_referral = referral;
+    for (const DaemonRecord& daemon : referral.ask)
+        m_daemons.apply(daemon, now);
+}
+
+void
+DirectoryView::meet(const DaemonRecord& daemon, Micros now)
+{
+    if (m_daemons.apply(daemon, now))
+        m_new_daemons.push_back(daemon);
+}
+
+DirectoryReferral
+DirectoryView::refer(const DaemonRecord& asker) const
+{
+    return m_own ? m_daemons.refer(asker, *m_own) : DirectoryReferral {};
+}
+
+bool
+DirectoryView::can_refer(Micros now) const
+{
+    return of(DirectoryTopic::Daemons).next || now - m_started_at >= kMeetingTime;
 }
 
 /// Daemons that know who reads wait to be told, and those that know nobody until they do:
@@ -461,7 +501,9 @@
 {
     const TopicView& view = of(topic);
     const DirectoryRole role = source().role;
-    if (topic == DirectoryTopic::Daemons || role == DirectoryRole::Root || view.overdue)
+    if (role == DirectoryRole::Root || view.overdue)
+        return 0;
+    if (topic == DirectoryTopic::Daemons && !m_own)
         return 0;
     const Micros limit
         = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -289,6 +289,8 @@
         .kv("peers", settings.peers_address)
         .kv("router", settings.router)
         .kv("admission", settings.admission)
+        .kv("named_peers", settings.peers.size())
+        .kv("first_peer", settings.peers.empty() ? std::string() : settings.peers.front())
         .kv("peer_tls", !settings.tls.certificate.empty());
     return {};
 }
--- a/src/libserve/directory/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -58,6 +58,8 @@
         co_await exchange.respond(problem_response(problem_of(kind)));
         co_return;
     }
+    if (query->joiner)
+        m_view.meet(*query->joiner, monotonic_us());
     const Micros asked_at = monotonic_us();
     const Micros until = asked_at + std::min(query->wait, kMaxHold);
     BootTimer timer(m_io);
@@ -66,7 +68,11 @@
         gone = true;
         timer.cancel();
     });
-    while (!gone && !m_view.must_answer(*query) && monotonic_us() < until) {
+    const auto may_wait = [&] {
+        return query->joiner ? !m_view.can_refer(monotonic_us())
+                             : !m_view.must_answer(*query);
+    };
+    while (!gone && may_wait() && monotonic_us() < until) {
         timer.expires_after(std::chrono::microseconds(until - monotonic_us()));
         m_waiting.insert(&timer);
         co_await timer.async_wait(kToTuple);
@@ -74,6 +80,8 @@
     }
     FeedAnswer answer = m_view.answer_to(*query, monotonic_us());
     answer.held = monotonic_us() - asked_at;
+    if (query->joiner)
+        answer.referral = m_view.refer(*query->joiner);
     HttpResponse response;
     response.content_type = "application/x-protobuf";
     response.body = encode(answer);
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libutil/boot_clock.h"
+#include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -34,6 +35,11 @@
 constexpr Micros kDistrust = 3 * kSecond;
 /// The same while a topic must be listed: the reader may be about to start.
 constexpr Micros kDistrustAtStart = 500 * kMillisecond;
+/// The same of a daemon that hundreds may ask at once: an opening packet that finds its queue
+/// full is sent again after a second.
+constexpr Micros kBusyConnectTime = 1500 * kMillisecond;
+/// A question for a referral waits so long while the daemon that is asked meets others.
+constexpr Micros kReferralHold = 700 * kMillisecond;
 /// A page of a listing is asked for so often before the listing begins anew.
 constexpr int kPageTries = 4;
 /// Between tries to write this daemon's record; doubles with each.
@@ -80,6 +86,10 @@
     if (!address.empty())
         if (auto open = m_feed.listen(address); !open)
             return open;
+    if (!address.empty() && !m_kernel.settings.peers.empty()) {
+        m_view.expect_referral(own_record());
+        asio::co_spawn(m_io, join(), asio::detached);
+    }
     for (const DirectoryTopic topic : DirectoryView::kTopics)
         asio::co_spawn(m_io, follow(topic), asio::detached);
     asio::co_spawn(m_io, publish_own(), asio::detached);
@@ -104,8 +114,8 @@
     asio::co_spawn(m_io, publish_once(), asio::detached);
 }
 
-asio::awaitable<bool>
-DirectoryWatch::publish_once()
+DaemonRecord
+DirectoryWatch::own_record()
 {
     const Settings& settings = m_kernel.settings;
     DaemonRecord record;
@@ -116,6 +126,13 @@
     record.sequence = ++m_own_sequence;
     record.feed_address = settings.announced_feed;
     record.capacity = settings.capacity;
+    return record;
+}
+
+asio::awaitable<bool>
+DirectoryWatch::publish_once()
+{
+    const DaemonRecord record = own_record();
     // GCC 12 destroys braced temporaries of a co_await twice, so they get names.
     // A daemon that stops takes its record back, so that none is left behind.
     const std::string value = m_kernel.stopping.load() ? std::string() : encode(record);
@@ -373,28 +390,96 @@
 asio::awaitable<Result<FeedAnswer>>
 DirectoryWatch::ask_reader(const DaemonRecord& reader)
 {
-    const FeedQuery query = m_view.query();
+    const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
+    auto answer = co_await ask_feed(reader.feed_address, reader.node, m_view.query(),
+                                    kConnectTime, wait_limit);
+    co_return answer;
+}
+
+asio::awaitable<Result<FeedAnswer>>
+DirectoryWatch::ask_feed(std::string feed_address, std::string who, FeedQuery query,
+                         Micros connect_limit, Micros wait_limit)
+{
     HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
     CallOptions options;
     const Micros asked_at = monotonic_us();
-    options.deadline_us = asked_at + query.wait
-        + (m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit);
+    options.deadline_us = asked_at + query.wait + wait_limit;
     options.body = kLargeBody;
-    options.connect_deadline_us = asked_at + kConnectTime;
+    options.connect_deadline_us = asked_at + connect_limit;
     options.send_clock = false;
     const CallResult result
-        = co_await m_peers.call(reader.feed_address, std::move(request), options);
+        = co_await m_peers.call(feed_address, std::move(request), options);
     if (result.status != CallStatus::Answered || result.response.status != kOk) {
         LogEvent("reader_call_failed", LogLevel::Warn)
-            .kv("reader", reader.node)
+            .kv("reader", who)
             .kv("status", result.response.status)
             .kv("bytes", result.response.body.size())
             .kv("us", monotonic_us() - asked_at);
-        co_return fail(ErrorKind::UpstreamFailed, reader.node);
+        co_return fail(ErrorKind::UpstreamFailed, who);
     }
     co_return decode_feed_answer(result.response.body);
 }
 
+// ------------------------------------------------- from a daemon of the settings
+
+/// Feeds have one port on all nodes.  Daemons of one hall ask the same peer first, so that it
+/// meets all of them and knows the strong ones among them.
+std::vector<std::string>
+DirectoryWatch::feeds_of_peers() const
+{
+    const Settings& settings = m_kernel.settings;
+    std::vector<std::string> feeds;
+    const std::uint16_t port = parse_address(settings.announced_feed).port;
+    for (const std::string& peer : settings.peers)
+        feeds.push_back(parse_address(peer).ip + ":" + std::to_string(port));
+    const auto first = static_cast<std::ptrdiff_t>(fast_hash(settings.hall) % feeds.size());
+    std::rotate(feeds.begin(), feeds.begin() + first, feeds.end());
+    return feeds;
+}
+
+asio::awaitable<void>
+DirectoryWatch::join()
+{
+    const std::vector<std::string> feeds = feeds_of_peers();
+    for (std::size_t next = 0; m_view.must_list(); ++next) {
+        if (!m_view.wants_referral()) {
+            co_await pause(kReaderPause);
+            continue;
+        }
+        const bool referred = co_await ask_referral(feeds[next % feeds.size()]);
+        if (!referred)
+            co_await pause(m_view.in_turn(kReaderPause));
+    }
+}
+
+asio::awaitable<bool>
+DirectoryWatch::ask_referral(std::string feed_address)
+{
+    DirectoryReferral referral;
+    if (feed_address == m_kernel.settings.announced_feed) {
+        co_await pause(kReferralHold);
+        referral = m_view.refer(own_record());
+    } else {
+        FeedQuery query;
+        query.wait = kReferralHold;
+        query.joiner = own_record();
+        const std::string who = feed_address;
+        const auto answer = co_await ask_feed(feed_address, who, std::move(query),
+                                              kBusyConnectTime, kListingWaitLimit);
+        if (!answer || !answer->referral)
+            co_return false;
+        referral = *answer->referral;
+    }
+    m_view.take_referral(referral, monotonic_us());
+    LogEvent("directory_referred")
+        .kv("by", feed_address)
+        .kv("role", to_string(referral.role))
+        .kv("daemons", referral.ask.size());
+    for (const DirectoryTopic topic : DirectoryView::kTopics)
+        m_pauses.at(topic).cancel();
+    co_return true;
+}
+
 void
 DirectoryWatch::suspect_reader(const DaemonRecord& reader, std::string_view why)
 {
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -61,6 +61,11 @@
 private:
     boost::asio::awaitable<void> publish_own();
     boost::asio::awaitable<bool> publish_once();
+    DaemonRecord own_record();
+    /// Asks daemons that the settings name whom to ask.
+    boost::asio::awaitable<void> join();
+    boost::asio::awaitable<bool> ask_referral(std::string feed_address);
+    std::vector<std::string> feeds_of_peers() const;
     boost::asio::awaitable<void> report_calls();
 
     // One loop for each topic asks the directory; one more asks the reader of the hall.
@@ -71,6 +76,9 @@
                                                             std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
     boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
+    boost::asio::awaitable<Result<FeedAnswer>>
+    ask_feed(std::string feed_address, std::string who, FeedQuery query, Micros connect_limit,
+             Micros wait_limit);
     boost::asio::awaitable<void> trust_later(std::string peers_address);
     boost::asio::awaitable<void> pause(Micros time);
 
