--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -86,12 +86,16 @@
     Micros item_time = 0; ///< and of each piece, about
     double memory_mb = 0; ///< for results at one upstream; 0: no bound known
     Micros keep_time = 0; ///< a result that is not released lies there so long
+
+    bool operator==(const BatchSpec&) const = default;
 };
 
 /// What an upstream of a set bears just after its start.
 struct ColdSpec {
     Micros time = 0; ///< it is cold so long from its start; 0: never
     double per_s = 0; ///< requests a second that it bears then; 0: no bound known
+
+    bool operator==(const ColdSpec&) const = default;
 };
 
 /// Upstreams of one kind, by hall.
@@ -109,6 +113,8 @@
 
     /// True if one daemon makes its pieces or places its prompts for all.
     bool has_leader() const { return batch || memory_tokens > 0; }
+
+    bool operator==(const UpstreamSetSpec&) const = default;
 };
 
 /// A client account and its share.
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -8,8 +8,10 @@
 
 #pragma once
 
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -127,6 +129,8 @@
 
     /// Upstreams that are believed in.
     std::vector<UpstreamMember> members() const;
+    /// What became of them since the last call; after the first, all of them are new.
+    std::vector<MemberChange> take_changes();
     /// Counts changes of members() and evacuations().
     std::uint64_t revision() const { return m_revision; }
 
@@ -137,14 +141,18 @@
         bool present = true;
         bool listed = false; ///< met in the listing that is under way
         Micros gone_at = -1; ///< not present: when it is to be forgotten
+        std::optional<UpstreamMember> told; ///< by take_changes()
     };
 
     void vanish(Known& known, Micros now, bool after_outage);
+    void note_changed(const std::string& identity);
 
     const Micros m_vanish_grace;
     std::optional<Bundle> m_configuration;
     EvacuationTable m_evacuations;
     std::map<std::string, Known> m_known;
+    std::set<std::string> m_changed; ///< identities, since take_changes()
+    Micros m_expiry_due = std::numeric_limits<Micros>::max(); ///< or later
     std::uint64_t m_revision = 0;
 };
 
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -30,6 +30,7 @@
     /// when this daemon started.
     Micros as_of = 0;
     Micros asked_at = 0; ///< when the directory itself was last asked
+    bool is_pending = false; ///< the reader does not know the topic yet, either
     bool overdue = false; ///< the reader of the hall can't tell what is missing
     bool just_changed = false; ///< by the last answer of the directory
     int misses = 0; ///< of the hall's reader, in a row
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -89,6 +89,9 @@
     /// Which run of which upstream this is.
     UpstreamRun run() const { return {identity, born}; }
 
+    /// What its set says of all its upstreams.
+    void take_spec(const UpstreamSetSpec& spec);
+
     /// Takes over a load report that was made at `at`.  Older ones are ignored.
     void apply_report(const LoadReport& report, Micros at);
 
@@ -255,6 +258,12 @@
     bool operator==(const UpstreamMember&) const = default;
 };
 
+/// What became of one upstream that the platform lists.
+struct MemberChange {
+    std::optional<UpstreamMember> before; ///< nothing: it is new
+    std::optional<UpstreamMember> now; ///< nothing: it is listed no more
+};
+
 using SnapshotPtr = std::shared_ptr<const Snapshot>;
 
 /// Makes snapshots and carries live state over from one to the next.
@@ -284,6 +293,11 @@
     /// under older snapshots.
     SnapshotPtr build(ResolvedBundlePtr bundle, const std::vector<UpstreamMember>& members);
 
+    /// The snapshot `before` with these changes, in time that follows their number.  Null: the
+    /// bundle has other sets, so that a snapshot must be built.
+    SnapshotPtr update(const Snapshot& before, ResolvedBundlePtr bundle,
+                       const std::vector<MemberChange>& changes);
+
     /// Both in one.
     SnapshotPtr build(const Bundle& bundle,
                       const std::vector<UpstreamMember>& members = {});
@@ -304,12 +318,17 @@
                                             const std::string& hall,
                                             const UpstreamRun& run = {});
     std::uint32_t id_of(const std::string& name);
+    /// A reused address with another identity, or one that started again, is another one.
+    static std::string key_of(const std::string& address, const UpstreamRun& run);
     UpstreamSet resolve_set(const UpstreamSetSpec& spec);
     ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
                                       const std::map<std::string, std::size_t>& set_index);
     void add_accounts(ResolvedBundle& resolved, const std::vector<AccountSpec>& accounts);
     void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members);
+    void add_member(UpstreamSet& set, const UpstreamMember& member);
+    void take_out(Snapshot& snapshot, const UpstreamMember& member);
     void retire_unlisted(const std::vector<UpstreamMember>& members);
+    void retire(UpstreamState& upstream);
 
     bool is_evacuated(const std::string& hall) const;
 
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -3,6 +3,8 @@
 
 #include <cypressford/directory.h>
 
+#include <algorithm>
+
 #include <cypressford/mutation.h>
 
 namespace cypressford {
@@ -85,7 +87,9 @@
         return false;
     if (order == RunOrder::Newer) {
         // Its records count anew, and nothing that the run before said holds for it.
+        std::optional<UpstreamMember> told = std::move(known.told);
         known = {};
+        known.told = std::move(told);
         known.listed = true;
         is_new = true;
     }
@@ -110,7 +114,7 @@
     known.gone_at = -1;
     known.member = std::move(member);
     if (changed)
-        ++m_revision;
+        note_changed(record.member.identity);
     return changed || returned;
 }
 
@@ -147,20 +151,54 @@
         return;
     const bool believed = after_outage && !known.member.leaving;
     known.gone_at = now + (believed ? m_vanish_grace : 0);
+    m_expiry_due = std::min(m_expiry_due, known.gone_at);
+}
+
+void
+DirectoryFold::note_changed(const std::string& identity)
+{
+    m_changed.insert(identity);
+    ++m_revision;
 }
 
 void
 DirectoryFold::expire(Micros now)
 {
+    if (now < m_expiry_due)
+        return;
+    m_expiry_due = std::numeric_limits<Micros>::max();
     for (auto it = m_known.begin(); it != m_known.end();) {
         Known& known = it->second;
         if (known.present && known.gone_at >= 0 && known.gone_at <= now) {
             known.present = false;
-            ++m_revision;
+            note_changed(it->first);
         }
-        const bool forgotten = !known.present && now - known.gone_at > kRememberGone;
-        it = forgotten ? m_known.erase(it) : std::next(it);
+        const Micros forgotten_at = known.gone_at + kRememberGone;
+        const bool is_known
+            = known.present || forgotten_at >= now || m_changed.contains(it->first);
+        if (known.gone_at >= 0 && is_known)
+            m_expiry_due
+                = std::min(m_expiry_due, known.present ? known.gone_at : forgotten_at + 1);
+        it = is_known ? std::next(it) : m_known.erase(it);
+    }
+}
+
+std::vector<MemberChange>
+DirectoryFold::take_changes()
+{
+    std::vector<MemberChange> changes;
+    for (const std::string& identity : m_changed) {
+        Known& known = m_known.at(identity);
+        std::optional<UpstreamMember> now;
+        if (known.present)
+            now = known.member;
+        if (known.told == now)
+            continue;
+        changes.push_back({std::move(known.told), now});
+        known.told = std::move(now);
     }
+    m_changed.clear();
+    return changes;
 }
 
 std::vector<UpstreamMember>
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -37,6 +37,8 @@
 /// A daemon that is told nothing lists by itself after so long, a reader first, ...
 constexpr Micros kUntoldLimit = 3 * kSecond;
 constexpr Micros kReaderUntoldLimit = 1500 * kMillisecond;
+/// The same where its reader answers but does not know the topic yet, either.
+constexpr Micros kPendingLimit = 8 * kSecond;
 /// ... one after the other: a listing of 10,003 upstreams is some 30 calls and 4 MB.
 constexpr Micros kListingSpacing = 20 * kMillisecond;
 /// Until it knows how many others there are, a daemon takes them for so many.
@@ -244,8 +246,9 @@
     for (const FeedAnswer::Topic& topic : answer.topics) {
         if (topic.covered)
             take_topic(topic, now - topic.age - on_the_way, now, change);
-        else if (!topic.pending)
-            of(topic.topic).overdue = true;
+        else
+            of(topic.topic).overdue = !topic.pending;
+        of(topic.topic).is_pending = topic.pending;
     }
     return change;
 }
@@ -505,8 +508,9 @@
         return 0;
     if (topic == DirectoryTopic::Daemons && !m_own)
         return 0;
-    const Micros limit
-        = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
+    Micros limit = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
+    if (view.is_pending)
+        limit = kPendingLimit;
     const double others = std::max(kLeastSpreadOver, m_daemons.alive());
     const auto turn = static_cast<Micros>(m_draw * others * kListingSpacing);
     return view.unlisted_since + limit + turn - now;
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -89,18 +89,16 @@
     }
 }
 
-namespace {
-
-/// Key of an upstream; a reused address with another identity, or one that started again,
-/// is another one.
 std::string
-upstream_key(const std::string& address, const UpstreamRun& run)
+UpstreamTable::key_of(const std::string& address, const UpstreamRun& run)
 {
     if (run.identity.empty())
         return address;
     return address + "|" + run.identity + "|" + std::to_string(run.born);
 }
 
+namespace {
+
 void
 index_path(ResolvedBundle& bundle, std::size_t index)
 {
@@ -261,17 +259,6 @@
     }
 }
 
-namespace {
-
-void
-take_spec(UpstreamState& upstream, const UpstreamSetSpec& spec)
-{
-    upstream.cold.set_spec(spec.cold);
-    upstream.said->limit().set_led(spec.has_leader());
-}
-
-} // namespace
-
 UpstreamSet
 UpstreamTable::resolve_set(const UpstreamSetSpec& spec)
 {
@@ -284,51 +271,15 @@
             (hall == m_hall ? set.own : set.remote).push_back(upstream(address, hall));
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& state : *side)
-            take_spec(*state, spec);
+            state->take_spec(spec);
     return set;
 }
 
-void
-UpstreamTable::add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members)
-{
-    const auto set_index = index_sets(snapshot.bundle->sets);
-    for (const UpstreamMember& member : members) {
-        const auto set = set_index.find(member.upstream_set);
-        if (set == set_index.end())
-            continue;
-        auto state = upstream(member.address, member.hall, {member.identity, member.born});
-        state->slots.store(member.slots, std::memory_order_relaxed);
-        if (member.leaving)
-            state->mark_leaving();
-        UpstreamSet& target = snapshot.sets[set->second];
-        take_spec(*state, target.spec);
-        state->cold.note(member.cold_until);
-        (member.hall == m_hall ? target.own : target.remote).push_back(std::move(state));
-    }
-}
-
-/// Upstreams with an identity are known only through the platform's list.
-void
-UpstreamTable::retire_unlisted(const std::vector<UpstreamMember>& members)
-{
-    std::set<std::string> listed;
-    for (const UpstreamMember& member : members)
-        listed.insert(upstream_key(member.address, {member.identity, member.born}));
-    std::erase_if(m_upstreams, [&](const auto& item) {
-        const bool gone = !item.second->identity.empty() && !listed.contains(item.first);
-        if (gone) {
-            item.second->mark_leaving();
-            m_reports.unlist(item.second->run());
-        }
-        return gone;
-    });
-}
-
 std::shared_ptr<UpstreamState>
 UpstreamTable::upstream(const std::string& address, const std::string& hall,
                         const UpstreamRun& run)
 {
-    auto& state = m_upstreams[upstream_key(address, run)];
+    auto& state = m_upstreams[key_of(address, run)];
     if (!state) {
         auto said = run.identity.empty()
             ? m_reports.unnamed(std::hash<std::string> {}(address))
--- /dev/null
+++ b/src/libcypressford/upstream_members.cpp
@@ -0,0 +1,130 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Upstreams that the platform lists come into snapshots and leave them.
+
+#include <algorithm>
+#include <set>
+
+#include <cypressford/upstream.h>
+
+namespace cypressford {
+
+namespace {
+
+using Upstreams = std::vector<std::shared_ptr<UpstreamState>>;
+
+UpstreamSet*
+find_set(Snapshot& snapshot, const std::string& name)
+{
+    for (UpstreamSet& set : snapshot.sets)
+        if (set.spec.name == name)
+            return &set;
+    return nullptr;
+}
+
+/// Upstreams of a set stand in the order of their identities, as the platform lists them.
+Upstreams::iterator
+place_of(Upstreams& upstreams, const std::string& identity)
+{
+    return std::lower_bound(
+        upstreams.begin(), upstreams.end(), identity,
+        [](const auto& state, const std::string& id) { return state->identity < id; });
+}
+
+} // namespace
+
+void
+UpstreamState::take_spec(const UpstreamSetSpec& spec)
+{
+    cold.set_spec(spec.cold);
+    said->limit().set_led(spec.has_leader());
+}
+
+void
+UpstreamTable::add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members)
+{
+    for (const UpstreamMember& member : members)
+        if (UpstreamSet* set = find_set(snapshot, member.upstream_set))
+            add_member(*set, member);
+}
+
+void
+UpstreamTable::add_member(UpstreamSet& set, const UpstreamMember& member)
+{
+    auto state = upstream(member.address, member.hall, {member.identity, member.born});
+    state->slots.store(member.slots, std::memory_order_relaxed);
+    if (member.leaving)
+        state->mark_leaving();
+    state->take_spec(set.spec);
+    state->cold.note(member.cold_until);
+    Upstreams& side = member.hall == m_hall ? set.own : set.remote;
+    side.insert(place_of(side, member.identity), std::move(state));
+}
+
+void
+UpstreamTable::take_out(Snapshot& snapshot, const UpstreamMember& member)
+{
+    UpstreamSet* set = find_set(snapshot, member.upstream_set);
+    if (!set)
+        return;
+    Upstreams& side = member.hall == m_hall ? set->own : set->remote;
+    const auto at = place_of(side, member.identity);
+    if (at != side.end() && (*at)->identity == member.identity)
+        side.erase(at);
+}
+
+SnapshotPtr
+UpstreamTable::update(const Snapshot& before, ResolvedBundlePtr bundle,
+                      const std::vector<MemberChange>& changes)
+{
+    if (bundle->sets != before.bundle->sets)
+        return nullptr;
+    const std::lock_guard lock(m_mutex);
+    auto snapshot = std::make_shared<Snapshot>(before);
+    snapshot->bundle = std::move(bundle);
+    snapshot->generation = ++m_generation;
+    for (const MemberChange& change : changes) {
+        if (change.before)
+            take_out(*snapshot, *change.before);
+        if (change.now)
+            if (UpstreamSet* set = find_set(*snapshot, change.now->upstream_set))
+                add_member(*set, *change.now);
+        if (!change.before)
+            continue;
+        const UpstreamRun run {change.before->identity, change.before->born};
+        const bool is_listed = change.now && change.now->address == change.before->address
+            && UpstreamRun {change.now->identity, change.now->born} == run;
+        const auto known = m_upstreams.find(key_of(change.before->address, run));
+        if (is_listed || known == m_upstreams.end())
+            continue;
+        retire(*known->second);
+        m_upstreams.erase(known);
+    }
+    return snapshot;
+}
+
+/// Upstreams with an identity are known only through the platform's list.
+void
+UpstreamTable::retire_unlisted(const std::vector<UpstreamMember>& members)
+{
+    std::set<std::string> listed;
+    for (const UpstreamMember& member : members)
+        listed.insert(key_of(member.address, {member.identity, member.born}));
+    std::erase_if(m_upstreams, [&](const auto& item) {
+        const bool gone = !item.second->identity.empty() && !listed.contains(item.first);
+        if (gone)
+            retire(*item.second);
+        return gone;
+    });
+}
+
+void
+UpstreamTable::retire(UpstreamState& upstream)
+{
+    upstream.mark_leaving();
+    m_reports.unlist(upstream.run());
+}
+
+} // namespace cypressford
--- a/src/libserve/directory/directory_store.cpp
+++ b/src/libserve/directory/directory_store.cpp
@@ -18,6 +18,8 @@
 
 /// How long an answer may take to begin, beyond the time that the question waits.
 constexpr Micros kWaitLimit = 800 * kMillisecond;
+/// The same of a listing, for which all daemons that have just started may ask.
+constexpr Micros kListWaitLimit = 3 * kSecond;
 /// The same of a record that is written: they are taken one after the other, and those that
 /// would wait for over 2 s are turned away.
 constexpr Micros kAppendWaitLimit = 2500 * kMillisecond;
@@ -88,7 +90,7 @@
 DirectoryStore::newest(DirectoryTopic topic, std::string after)
 {
     auto page = m_dialect->decode_newest(
-        co_await call(topic, "list", m_dialect->newest(topic, after), kWaitLimit));
+        co_await call(topic, "list", m_dialect->newest(topic, after), kListWaitLimit));
     co_return page;
 }
 
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -51,12 +51,23 @@
 constexpr std::size_t kMaxUnreadLogged = 256;
 constexpr int kOk = 200;
 
-std::ptrdiff_t
-count_cold(const std::vector<UpstreamMember>& members)
+struct UpstreamCounts {
+    std::size_t all = 0;
+    std::size_t cold = 0;
+};
+
+UpstreamCounts
+count_upstreams(const Snapshot& snapshot)
 {
     const Micros now = monotonic_us();
-    return std::count_if(members.begin(), members.end(),
-                         [now](const auto& member) { return member.cold_until > now; });
+    UpstreamCounts counts;
+    for (const UpstreamSet& set : snapshot.sets)
+        for (const auto* side : {&set.own, &set.remote})
+            for (const auto& upstream : *side) {
+                ++counts.all;
+                counts.cold += upstream->cold.is_cold(now) ? 1 : 0;
+            }
+    return counts;
 }
 
 } // namespace
@@ -568,15 +579,24 @@
         m_applied = m_kernel.upstreams.resolve(*bundle);
     }
     m_applied_revision = fold.revision();
-    const auto members = fold.members();
-    SnapshotPtr snapshot = m_kernel.upstreams.build(m_applied, members);
+    const std::vector<MemberChange> changes = fold.take_changes();
+    const SnapshotPtr before = m_kernel.snapshot.load();
+    SnapshotPtr snapshot
+        = before ? m_kernel.upstreams.update(*before, m_applied, changes) : nullptr;
+    const bool updated = snapshot != nullptr;
+    if (!updated)
+        snapshot = m_kernel.upstreams.build(m_applied, fold.members());
     m_evacuations.apply(fold.evacuations().halls(), *snapshot);
-    m_kernel.snapshot.store(std::move(snapshot));
+    m_kernel.snapshot.store(snapshot);
+    const Micros build_us = monotonic_us() - build_began_at;
+    const UpstreamCounts counts = count_upstreams(*snapshot);
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
-        .kv("upstreams", members.size())
-        .kv("cold", count_cold(members))
-        .kv("build_us", monotonic_us() - build_began_at);
+        .kv("upstreams", counts.all)
+        .kv("cold", counts.cold)
+        .kv("changes", changes.size())
+        .kv("whole", !updated)
+        .kv("build_us", build_us);
     if (m_on_change)
         m_on_change();
 }
