A stop that ends answers what still waits

A request with a deadline of 20 s comes 0.3 s after SIGTERM; its third stage finds no memory, it waits for it, and its connection is closed without an answer when the process ends.

Cause: a planned stop waits until nothing is in hand or its time is up, and then ends the process, whatever waits for pieces or a place.

Change: 0.4 s before that, what no upstream runs is refused as `stopping`, with a time to come back, or as what is true of it if it was sent before. What runs is left alone.

--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -114,9 +114,11 @@
 struct InputsRead {
     AttemptId attempt = 0;
 };
+/// The daemon ends in a moment: what runs nowhere is answered now.
+struct StopEnds { };
 struct Tick { };
 using Event = std::variant<RequestArrived, AttemptBegun, AttemptEnded, ClaimDecided,
-                           CallerClosed, PreparationEnded, InputsRead, Tick>;
+                           CallerClosed, PreparationEnded, InputsRead, StopEnds, Tick>;
 
 // Actions.
 /// Send stage `stage` of `request` to `upstream`.
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -345,6 +345,43 @@
     CHECK(error_row(*bench.find<Reply>()->error).http_status == 503);
 }
 
+TEST_CASE(
+    "a stop that ends answers what waits for pieces or a place, and nothing that runs")
+{
+    Bench waiting;
+    waiting.publish(pipeline(false), true);
+    waiting.arrive(1, 20 * kSecond, {2});
+    waiting.handle(StopEnds {});
+    REQUIRE(waiting.find<Reply>());
+    CHECK(waiting.find<Reply>()->error == ErrorKind::Stopping);
+    CHECK(waiting.find<Reply>()->ran == Ran::NotRun);
+    CHECK(waiting.find<Reply>()->retry_after > 0);
+    waiting.handle(PreparationEnded {1, true, "a", ""});
+    CHECK_FALSE(waiting.find<SendAttempt>());
+    CHECK(waiting.scheduler().live() == 0);
+
+    // Sent before, it may have run: the answer must not promise that it has not.
+    Bench again;
+    again.publish(pipeline(true), true);
+    again.arrive(1, 20 * kSecond, {2});
+    again.handle(PreparationEnded {1, true, "a", ""});
+    const AttemptId first = again.find<SendAttempt>()->attempt;
+    again.handle(InputsRead {first});
+    again.handle(AttemptEnded {first, AttemptStatus::Lost});
+    REQUIRE(again.find<BeginPreparation>());
+    again.handle(StopEnds {});
+    REQUIRE(again.find<Reply>());
+    CHECK(again.find<Reply>()->ran != Ran::NotRun);
+
+    Bench running;
+    running.publish(pipeline(false));
+    running.arrive(1, 20 * kSecond);
+    REQUIRE(running.find<SendAttempt>());
+    running.handle(StopEnds {});
+    CHECK_FALSE(running.find<Reply>());
+    CHECK_FALSE(running.find<CancelAttempt>());
+}
+
 TEST_CASE("a result that is gone sends the request back to its preparation")
 {
     Bench bench;
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -155,6 +155,25 @@
     out->push_back(ReleaseInputs {request.spec.id});
 }
 
+/// A caller whose connection is closed with the process learns neither that its request has
+/// not run nor when to come back.
+void
+Scheduler::Impl::on(const StopEnds&)
+{
+    std::vector<RequestId> waiting;
+    for (const auto& [id, entry] : entries)
+        if (entry->request.running.empty())
+            waiting.push_back(id);
+    for (const RequestId id : waiting) {
+        const auto it = entries.find(id);
+        if (it == entries.end())
+            continue;
+        Entry& entry = *it->second;
+        entry.machine.abort(ErrorKind::Stopping);
+        forget_if_over(entry);
+    }
+}
+
 void
 Scheduler::Impl::on(const Tick&)
 {
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -202,6 +202,7 @@
     void on(const CallerClosed& event);
     void on(const PreparationEnded& event);
     void on(const InputsRead& event);
+    void on(const StopEnds& event);
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -4,6 +4,7 @@
 #include "libserve/daemon.h"
 
 #include <csignal>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -39,6 +40,9 @@
 constexpr std::chrono::milliseconds kStopCheck {20};
 /// The last of so many parts of a stop's time is left for ending the process.
 constexpr Micros kStopParts = 20;
+/// So long before a stop must end, requests that still wait are refused, so that their
+/// answers reach the callers.
+constexpr Micros kLastAnswers = 400 * kMillisecond;
 /// Daemons of a hall that follow the lease on placing models.
 constexpr int kPlacementCandidates = 2;
 
@@ -223,7 +227,10 @@
         co_await timer.async_wait(kToTuple);
         on_workers([](Worker& worker) { worker.stop_accepting(); });
         bool idle = false;
+        bool refused = false;
         while (!idle && monotonic_us() < limit) {
+            if (monotonic_us() >= limit - kLastAnswers && !std::exchange(refused, true))
+                on_workers([](Worker& worker) { worker.answer_waiting(); });
             on_workers([](Worker& worker) { worker.close_idle(); });
             timer.expires_after(kStopCheck);
             co_await timer.async_wait(kToTuple);
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -115,6 +115,8 @@
     void close_after_answers() { m_server.close_after_answers(); }
     void stop_accepting() { m_server.stop_accepting(); }
     void close_idle() { m_server.close_idle(); }
+    /// The process ends in a moment: requests that run nowhere are answered.
+    void answer_waiting() { feed(StopEnds {}); }
     /// Takes over the bounds that the configuration sets on callers.
     void apply_limits();
     bool is_idle() const { return m_server.connections() == 0 && m_scheduler.live() == 0; }
