--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -135,8 +135,8 @@
     /// Until a directory that did not answer so many times in a row is asked again. Readers
     /// ask at the same pace all along: on them hangs how soon others know.
     Micros retry_pause(int failures) const;
-    /// From half of `time` to one and a half, by this daemon's draw: what many begin at once
-    /// they do not all repeat at once.
+    /// From half of `time` to one and a half, by this daemon's draw: what many begin at
+    /// once they do not all repeat at once.
     Micros in_turn(Micros time) const;
     /// How long a question may wait at the directory.
     Micros wait_of(DirectoryTopic topic, Micros now) const;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -293,8 +293,8 @@
     /// under older snapshots.
     SnapshotPtr build(ResolvedBundlePtr bundle, const std::vector<UpstreamMember>& members);
 
-    /// The snapshot `before` with these changes, in time that follows their number.  Null: the
-    /// bundle has other sets, so that a snapshot must be built.
+    /// The snapshot `before` with these changes, in time that follows their number.  Null:
+    /// the bundle has other sets, so that a snapshot must be built.
     SnapshotPtr update(const Snapshot& before, ResolvedBundlePtr bundle,
                        const std::vector<MemberChange>& changes);
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -160,9 +160,8 @@
 DaemonTable::suspect(const std::string& peers_address)
 {
     bool is_news = false;
-    for_each_at(peers_address, [&](Known& known) {
-        is_news |= !std::exchange(known.suspected, true);
-    });
+    for_each_at(peers_address,
+                [&](Known& known) { is_news |= !std::exchange(known.suspected, true); });
     if (is_news)
         forget_derived();
     return is_news;
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -659,8 +659,8 @@
     const auto upstream = m_dialect.decode_upstream(record);
     if (upstream) {
         const bool changed = m_fold.apply(*upstream, now);
-        // Whoever is told of one that was written late, and then of the upstream's end, takes
-        // the records in between for its return.
+        // Whoever is told of one that was written late, and then of the upstream's end,
+        // takes the records in between for its return.
         if (!m_fold.is_outdated(*upstream))
             of(DirectoryTopic::Upstreams).listing.put(record, at);
         return changed;
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -35,8 +35,8 @@
 constexpr Micros kDistrust = 3 * kSecond;
 /// The same while a topic must be listed: the reader may be about to start.
 constexpr Micros kDistrustAtStart = 500 * kMillisecond;
-/// The same of a daemon that hundreds may ask at once: an opening packet that finds its queue
-/// full is sent again after a second.
+/// The same of a daemon that hundreds may ask at once: an opening packet that finds its
+/// queue full is sent again after a second.
 constexpr Micros kBusyConnectTime = 1500 * kMillisecond;
 /// A question for a referral waits so long while the daemon that is asked meets others.
 constexpr Micros kReferralHold = 700 * kMillisecond;
@@ -155,8 +155,9 @@
     co_return written.has_value();
 }
 
-/// The directory takes records one after the other, so that those of hundreds of daemons that
-/// start at once don't all find room: who is turned away comes again at a time of its own.
+/// The directory takes records one after the other, so that those of hundreds of daemons
+/// that start at once don't all find room: who is turned away comes again at a time of its
+/// own.
 asio::awaitable<void>
 DirectoryWatch::publish_own()
 {
@@ -166,8 +167,7 @@
         failures = written ? 0 : failures + 1;
         const Micros pace
             = publish_pace(m_view.daemons().alive(), m_kernel.settings.directory_writes);
-        const Micros retry
-            = kPublishRetry << std::min(failures - 1, kMaxPublishDoublings);
+        const Micros retry = kPublishRetry << std::min(failures - 1, kMaxPublishDoublings);
         co_await pause(written ? pace : std::min(pace, m_view.in_turn(retry)));
     }
 }
@@ -433,8 +433,8 @@
 
 // ------------------------------------------------- from a daemon of the settings
 
-/// Feeds have one port on all nodes.  Daemons of one hall ask the same peer first, so that it
-/// meets all of them and knows the strong ones among them.
+/// Feeds have one port on all nodes.  Daemons of one hall ask the same peer first, so that
+/// it meets all of them and knows the strong ones among them.
 std::vector<std::string>
 DirectoryWatch::feeds_of_peers() const
 {
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -76,9 +76,10 @@
                                                             std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
     boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
-    boost::asio::awaitable<Result<FeedAnswer>>
-    ask_feed(std::string feed_address, std::string who, FeedQuery query, Micros connect_limit,
-             Micros wait_limit);
+    boost::asio::awaitable<Result<FeedAnswer>> ask_feed(std::string feed_address,
+                                                        std::string who, FeedQuery query,
+                                                        Micros connect_limit,
+                                                        Micros wait_limit);
     boost::asio::awaitable<void> trust_later(std::string peers_address);
     boost::asio::awaitable<void> pause(Micros time);
 
