A prompt's engine is chosen among few, however many there are

Cause: the daemon that leads a set of engines looked at all of them for each prompt and asked a hash table by run for each: 5,715 engines and 245 prompts a second kept it busy, so that a prompt of a weak node waited 55 to 65 ms for its place (12 to 14 ms when the leader was idle), and the work grows with the product of engines and prompts, both of which grow with the fleet.

Change: of a set of more than 256 engines a choice looks at 64 that come first for the prompt on a ring of each hall (consistent hashing) and at 32 at most that keep parts of it, found by part. What is read again is found the same way. Smaller sets are looked at whole as before. A set's revision tells when the ring is made anew.

--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -12,9 +12,11 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include <cypressford/call_dialect.h>
+#include <cypressford/engine_ring.h>
 #include <cypressford/limit_word.h>
 #include <cypressford/policy.h>
 #include <cypressford/reach_table.h>
@@ -45,14 +47,18 @@
 /// with the least left to read before this prompt's answer begins; among those that
 /// are about as good, the first in an order that is the same at every daemon
 /// (highest random weight), so that a new leader finds most prompts where the one
-/// before it had them.  What it believes may be wrong (another leader, a restarted
-/// upstream) and costs time only.
+/// before it had them.  Of a set of thousands it looks at those that keep the prompt's
+/// parts and at some that come first for the prompt, so that a choice costs the same
+/// however many upstreams there are.  What it believes may be wrong (another leader, a
+/// restarted upstream) and costs time only.
 class PromptPlacer {
 public:
     explicit PromptPlacer(PolicySwitches switches = {})
         : m_switches(switches)
     {
     }
+    PromptPlacer(const PromptPlacer&) = delete;
+    PromptPlacer& operator=(const PromptPlacer&) = delete;
 
     /// The chosen upstream, or null.  A reservation counts against the limit that the
     /// upstream names, if it names one.
@@ -65,6 +71,8 @@
         std::int64_t again = 0; ///< of these, tokens that another upstream keeps
     };
     const Read& last_read() const { return m_last_read; }
+    /// How many upstreams the last choice looked at.
+    std::size_t last_considered() const { return m_last_considered; }
 
     /// The answer began, so the prompt is read.
     void note_begun(const std::string& attempt);
@@ -86,8 +94,7 @@
         std::int64_t kept_tokens = 0;
         std::unordered_map<std::uint64_t, KeptPart> kept;
         std::list<std::uint64_t> by_use; ///< last used first
-
-        void keep(const PrefixPart& part, std::int64_t capacity);
+        std::weak_ptr<UpstreamState> upstream;
     };
     struct Placed {
         UpstreamRun run;
@@ -104,11 +111,18 @@
         bool is_near = false; ///< where the rest of what it reads lies, if that counts
         bool is_avoided = false; ///< failed for others lately
     };
-    std::vector<Choice> choices(const UpstreamSet& set, const PromptQuery& query,
-                                Micros now);
+    std::vector<UpstreamPtr> considered(const UpstreamSet& set, const PromptQuery& query,
+                                        std::uint64_t key);
+    std::vector<Choice> choices(const std::vector<UpstreamPtr>& upstreams,
+                                const PromptQuery& query, std::uint64_t key, Micros now);
+    std::uint64_t key_of(const PromptQuery& query) const;
+    /// Some of the engines that keep most of the prompt.
+    std::vector<Engine*> keepers_of(const PromptQuery& query) const;
+    void keep(Engine& engine, const PrefixPart& part, std::int64_t capacity);
+    void forget_part(Engine& engine, std::uint64_t part);
     static void leave_out_avoided(std::vector<Choice>& choices);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
-    double cost(const UpstreamState& upstream, const PromptQuery& query, Micros now);
+    double cost(const UpstreamPtr& upstream, const PromptQuery& query, Micros now);
     std::int64_t tokens_known_elsewhere(const PromptQuery& query,
                                         std::int64_t unread) const;
     void reserve(const UpstreamState& upstream, const UpstreamSet& set,
@@ -117,6 +131,9 @@
 
     PolicySwitches m_switches;
     std::unordered_map<UpstreamRun, Engine, UpstreamRunHash> m_engines;
+    std::unordered_map<std::uint64_t, std::unordered_set<Engine*>> m_keepers; ///< by part
+    EngineRing m_ring;
+    std::size_t m_last_considered = 0;
     std::unordered_map<std::string, Placed> m_placed; ///< by attempt
     ReachTable m_reach;
     Micros m_expired_at = 0;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -171,6 +171,8 @@
     UpstreamSetSpec spec;
     std::vector<std::shared_ptr<UpstreamState>> own; ///< in this daemon's hall
     std::vector<std::shared_ptr<UpstreamState>> remote; ///< in other halls
+    /// Generation of the snapshot in which the two last changed.
+    std::uint64_t revision = 0;
 };
 
 /// What is learned of one pipeline, shared by all threads.
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -36,6 +36,12 @@
 /// Upstreams that failed for others are avoided while at least this part of those that are
 /// usable is left; otherwise the fault is the teller's: one hall of six is enough to go on.
 constexpr double kLeastPartLeft = 0.16;
+/// Of a set of at most so many upstreams all are looked at ...
+constexpr std::size_t kConsideredWhole = 256;
+/// ... of a larger one about so many that come first for the prompt, ...
+constexpr std::size_t kConsideredOfMany = 64;
+/// ... and so many that keep parts of it.
+constexpr std::size_t kMostKeepers = 32;
 /// Without a word of it, a request is forgotten after this time.
 constexpr Micros kForgetAfter = 15 * kSecond;
 /// An engine that was not among the upstreams for so long has ended: what it kept is gone.
@@ -85,22 +91,50 @@
 } // namespace
 
 void
-PromptPlacer::Engine::keep(const PrefixPart& part, std::int64_t capacity)
+PromptPlacer::keep(Engine& engine, const PrefixPart& part, std::int64_t capacity)
 {
-    const auto it = kept.find(part.id);
-    if (it != kept.end()) {
-        by_use.splice(by_use.begin(), by_use, it->second.use);
+    const auto it = engine.kept.find(part.id);
+    if (it != engine.kept.end()) {
+        engine.by_use.splice(engine.by_use.begin(), engine.by_use, it->second.use);
         return;
     }
-    by_use.push_front(part.id);
-    kept[part.id] = {part.tokens, by_use.begin()};
-    kept_tokens += part.tokens;
-    while (kept_tokens > capacity && by_use.size() > 1) {
-        const auto oldest = kept.find(by_use.back());
-        kept_tokens -= oldest->second.tokens;
-        kept.erase(oldest);
-        by_use.pop_back();
+    engine.by_use.push_front(part.id);
+    engine.kept[part.id] = {part.tokens, engine.by_use.begin()};
+    engine.kept_tokens += part.tokens;
+    m_keepers[part.id].insert(&engine);
+    while (engine.kept_tokens > capacity && engine.by_use.size() > 1)
+        forget_part(engine, engine.by_use.back());
+}
+
+void
+PromptPlacer::forget_part(Engine& engine, std::uint64_t part)
+{
+    const auto it = engine.kept.find(part);
+    engine.kept_tokens -= it->second.tokens;
+    engine.by_use.erase(it->second.use);
+    engine.kept.erase(it);
+    const auto keepers = m_keepers.find(part);
+    keepers->second.erase(&engine);
+    if (keepers->second.empty())
+        m_keepers.erase(keepers);
+}
+
+std::vector<PromptPlacer::Engine*>
+PromptPlacer::keepers_of(const PromptQuery& query) const
+{
+    std::vector<Engine*> result;
+    // Whoever keeps a late part keeps those before it, too.
+    for (auto part = query.parts.rbegin(); part != query.parts.rend(); ++part) {
+        const auto keepers = m_keepers.find(part->id);
+        if (keepers == m_keepers.end())
+            continue;
+        for (Engine* engine : keepers->second) {
+            if (result.size() >= kMostKeepers)
+                return result;
+            result.push_back(engine);
+        }
     }
+    return result;
 }
 
 std::int64_t
@@ -116,43 +150,72 @@
 }
 
 double
-PromptPlacer::cost(const UpstreamState& upstream, const PromptQuery& query, Micros now)
+PromptPlacer::cost(const UpstreamPtr& upstream, const PromptQuery& query, Micros now)
 {
-    Engine& engine = m_engines[upstream.run()];
+    Engine& engine = m_engines[upstream->run()];
     engine.seen_at = now;
+    if (engine.upstream.expired())
+        engine.upstream = upstream;
     double tokens = static_cast<double>(engine.unread + tokens_to_read(engine, query));
     tokens += kTokensOfRunning * engine.running;
     return tokens;
 }
 
-std::vector<PromptPlacer::Choice>
-PromptPlacer::choices(const UpstreamSet& set, const PromptQuery& query, Micros now)
+std::uint64_t
+PromptPlacer::key_of(const PromptQuery& query) const
 {
-    std::vector<Choice> result;
-    const std::uint64_t key = m_switches.uses(Mechanism::StableEngines)
+    return m_switches.uses(Mechanism::StableEngines)
         ? query.affinity
         : std::hash<std::string> {}(query.attempt);
+}
+
+std::vector<UpstreamPtr>
+PromptPlacer::considered(const UpstreamSet& set, const PromptQuery& query,
+                         std::uint64_t key)
+{
+    std::vector<UpstreamPtr> upstreams;
+    if (set.own.size() + set.remote.size() <= kConsideredWhole) {
+        for (const auto* side : {&set.own, &set.remote})
+            upstreams.insert(upstreams.end(), side->begin(), side->end());
+        return upstreams;
+    }
+    m_ring.follow(set);
+    upstreams = m_ring.first_for(key, kConsideredOfMany);
+    for (const Engine* engine : keepers_of(query))
+        if (UpstreamPtr upstream = engine->upstream.lock())
+            upstreams.push_back(std::move(upstream));
+    // One that comes first may keep parts, too.
+    std::sort(upstreams.begin(), upstreams.end());
+    upstreams.erase(std::unique(upstreams.begin(), upstreams.end()), upstreams.end());
+    return upstreams;
+}
+
+std::vector<PromptPlacer::Choice>
+PromptPlacer::choices(const std::vector<UpstreamPtr>& upstreams, const PromptQuery& query,
+                      std::uint64_t key, Micros now)
+{
+    std::vector<Choice> result;
+    m_last_considered = upstreams.size();
     const bool keeps_near = m_switches.uses(Mechanism::NearResults)
         && crossing_weight(query) > shared_tokens(query);
     const std::unordered_set<std::string_view> avoided(query.avoid.begin(),
                                                        query.avoid.end());
-    for (const auto* side : {&set.own, &set.remote})
-        for (const auto& upstream : *side) {
-            if (!is_in_service(*upstream, now) || avoided.contains(upstream->identity)
-                || !query.halls.allows(upstream->hall))
-                continue;
-            // An engine that is cold or names a limit takes what it bears; the others go on
-            // to the rest.
-            if (upstream->cold.is_cold(now) && !upstream->cold.may_grant(now))
-                continue;
-            if (upstream->said->limit().opens_at(RatePart::Granted) > now)
-                continue;
-            const bool is_near = keeps_near && upstream->hall == query.near;
-            const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
-                && m_reach.avoids(query.from, upstream->run(), upstream->hall, now);
-            result.push_back({upstream, cost(*upstream, query, now),
-                              weight_of(*upstream, query, key), is_near, is_avoided});
-        }
+    for (const UpstreamPtr& upstream : upstreams) {
+        if (!is_in_service(*upstream, now) || avoided.contains(upstream->identity)
+            || !query.halls.allows(upstream->hall))
+            continue;
+        // An engine that is cold or names a limit takes what it bears; the others go on
+        // to the rest.
+        if (upstream->cold.is_cold(now) && !upstream->cold.may_grant(now))
+            continue;
+        if (upstream->said->limit().opens_at(RatePart::Granted) > now)
+            continue;
+        const bool is_near = keeps_near && upstream->hall == query.near;
+        const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
+            && m_reach.avoids(query.from, upstream->run(), upstream->hall, now);
+        result.push_back({upstream, cost(upstream, query, now),
+                          weight_of(*upstream, query, key), is_near, is_avoided});
+    }
     leave_out_avoided(result);
     return result;
 }
@@ -171,7 +234,14 @@
 PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
     expire(now);
-    const std::vector<Choice> all = choices(set, query, now);
+    const std::uint64_t key = key_of(query);
+    std::vector<Choice> all = choices(considered(set, query, key), query, key, now);
+    if (all.empty()) {
+        // None of a few can be used; any other will do.
+        std::vector<UpstreamPtr> whole(set.own.begin(), set.own.end());
+        whole.insert(whole.end(), set.remote.begin(), set.remote.end());
+        all = choices(whole, query, key, now);
+    }
     if (all.empty())
         return nullptr;
     const auto cheaper = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
@@ -200,8 +270,8 @@
 PromptPlacer::tokens_known_elsewhere(const PromptQuery& query, std::int64_t unread) const
 {
     std::int64_t least = unread;
-    for (const auto& [run, engine] : m_engines)
-        least = std::min(least, tokens_to_read(engine, query));
+    for (const Engine* engine : keepers_of(query))
+        least = std::min(least, tokens_to_read(*engine, query));
     return unread - least;
 }
 
@@ -220,7 +290,7 @@
     const auto capacity = static_cast<std::int64_t>(
         kKeptPart * static_cast<double>(set.spec.memory_tokens));
     for (const PrefixPart& part : query.parts)
-        engine.keep(part, capacity);
+        keep(engine, part, capacity);
 }
 
 void
@@ -271,9 +341,13 @@
             over.push_back(attempt);
     for (const std::string& attempt : over)
         note_ended(attempt);
-    std::erase_if(m_engines, [now](const auto& item) {
-        return item.second.running <= 0 && now - item.second.seen_at > kForgetEngineAfter;
-    });
+    for (auto item = m_engines.begin(); item != m_engines.end();) {
+        Engine& engine = item->second;
+        const bool ended = engine.running <= 0 && now - engine.seen_at > kForgetEngineAfter;
+        while (ended && !engine.by_use.empty())
+            forget_part(engine, engine.by_use.back());
+        item = ended ? m_engines.erase(item) : std::next(item);
+    }
 }
 
 } // namespace cypressford
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -194,6 +194,8 @@
         snapshot->sets.push_back(resolve_set(spec));
     add_members(*snapshot, members);
     retire_unlisted(members);
+    for (UpstreamSet& set : snapshot->sets)
+        set.revision = snapshot->generation;
     return snapshot;
 }
 
--- a/src/libcypressford/upstream_members.cpp
+++ b/src/libcypressford/upstream_members.cpp
@@ -61,6 +61,7 @@
     state->cold.note(member.cold_until);
     Upstreams& side = member.hall == m_hall ? set.own : set.remote;
     side.insert(place_of(side, member.identity), std::move(state));
+    set.revision = m_generation;
 }
 
 void
@@ -73,6 +74,7 @@
     const auto at = place_of(side, member.identity);
     if (at != side.end() && (*at)->identity == member.identity)
         side.erase(at);
+    set->revision = m_generation;
 }
 
 SnapshotPtr
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -90,6 +90,8 @@
 later_words(const UpstreamSet& set, const LimitWords& words, Micros now)
 {
     LimitWords later;
+    if (words.empty())
+        return later;
     for (const LimitWord& own : limit_words(set, now))
         for (const LimitWord& word : words)
             if (own.run == word.run && own.per_s != word.per_s)
