--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -102,7 +102,13 @@
 
     /// There are such daemons, so that records of daemons need not be listed at once.
     /// `own`: this daemon's record.
-    void expect_referral(DaemonRecord own) { m_own = std::move(own); }
+    void expect_referral(DaemonRecord own)
+    {
+        m_own = std::move(own);
+        m_peers_answer = true;
+    }
+    /// None of them refers this daemon.
+    void note_peers_silent() { m_peers_answer = false; }
     /// True while this daemon knows nobody whom it could ask.
     bool wants_referral() const;
     void take_referral(const DirectoryReferral& referral, Micros now);
@@ -111,8 +117,9 @@
 
     /// Another daemon has told of itself.
     void meet(const DaemonRecord& daemon, Micros now);
-    /// False while this daemon, which has just started itself, still meets others.
-    bool can_refer(Micros now) const;
+    /// While this daemon, which has just started itself, still meets others; 0 or less: it
+    /// refers them now.
+    Micros time_until_refer(Micros now) const;
     DirectoryReferral refer(const DaemonRecord& asker) const;
 
     /// False while a question may wait for news.
@@ -186,7 +193,9 @@
     std::array<TopicView, std::size(kTopics)> m_views;
     DirectoryFold m_fold;
     DaemonTable m_daemons;
-    std::optional<DaemonRecord> m_own; ///< nothing: no daemon refers this one
+    std::optional<DaemonRecord> m_own; ///< nothing: this daemon refers nobody
+    bool m_peers_answer = false; ///< as far as is known
+    Micros m_met_at = 0; ///< the last daemon that was new
     DirectoryReferral m_referral; ///< holds until the records of daemons are known
     SuspectTable m_suspects;
     std::vector<DaemonRecord> m_new_daemons;
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -34,6 +34,8 @@
 constexpr Micros kWaitForRest = 500 * kMillisecond;
 /// Daemons that start together tell of themselves within this time after the first.
 constexpr Micros kMeetingTime = 600 * kMillisecond;
+/// Or it is over once none has come for so long.
+constexpr Micros kMeetingQuiet = 150 * kMillisecond;
 /// A daemon that is told nothing lists by itself after so long, a reader first, ...
 constexpr Micros kUntoldLimit = 3 * kSecond;
 constexpr Micros kReaderUntoldLimit = 1500 * kMillisecond;
@@ -445,8 +447,9 @@
 bool
 DirectoryView::must_list() const
 {
-    return std::any_of(std::begin(kTopics), std::end(kTopics),
-                       [this](auto topic) { return !of(topic).next; });
+    return std::any_of(std::begin(kTopics), std::end(kTopics), [this](auto topic) {
+        return topic != DirectoryTopic::Suspects && !of(topic).next;
+    });
 }
 
 DirectorySource
@@ -472,6 +475,7 @@
 DirectoryView::take_referral(const DirectoryReferral& referral, Micros now)
 {
     m_referral = referral;
+    m_peers_answer = true;
     for (const DaemonRecord& daemon : referral.ask)
         m_daemons.apply(daemon, now);
 }
@@ -479,8 +483,10 @@
 void
 DirectoryView::meet(const DaemonRecord& daemon, Micros now)
 {
-    if (m_daemons.apply(daemon, now))
-        m_new_daemons.push_back(daemon);
+    if (!m_daemons.apply(daemon, now))
+        return;
+    m_new_daemons.push_back(daemon);
+    m_met_at = now;
 }
 
 DirectoryReferral
@@ -489,10 +495,13 @@
     return m_own ? m_daemons.refer(asker, *m_own) : DirectoryReferral {};
 }
 
-bool
-DirectoryView::can_refer(Micros now) const
+Micros
+DirectoryView::time_until_refer(Micros now) const
 {
-    return of(DirectoryTopic::Daemons).next || now - m_started_at >= kMeetingTime;
+    if (of(DirectoryTopic::Daemons).was_listed)
+        return 0;
+    const Micros quiet = std::max(m_started_at, m_met_at) + kMeetingQuiet;
+    return std::min(m_started_at + kMeetingTime, quiet) - now;
 }
 
 /// Daemons that know who reads wait to be told, and those that know nobody until they do:
@@ -506,11 +515,14 @@
     const DirectoryRole role = source().role;
     if (role == DirectoryRole::Root || view.overdue)
         return 0;
-    if (topic == DirectoryTopic::Daemons && !m_own)
+    const bool is_daemons = topic == DirectoryTopic::Daemons;
+    if (is_daemons && !m_own)
         return 0;
     Micros limit = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
     if (view.is_pending)
         limit = kPendingLimit;
+    if (is_daemons && !m_peers_answer)
+        limit = 0;
     const double others = std::max(kLeastSpreadOver, m_daemons.alive());
     const auto turn = static_cast<Micros>(m_draw * others * kListingSpacing);
     return view.unlisted_since + limit + turn - now;
--- a/src/libcypressford/fleet_start_load_test.cpp
+++ b/src/libcypressford/fleet_start_load_test.cpp
@@ -234,7 +234,7 @@
 
     void await_referral(std::size_t i, std::size_t peer)
     {
-        if (!m_daemons[peer].view->can_refer(m_time.now)) {
+        if (m_daemons[peer].view->time_until_refer(m_time.now) > 0) {
             m_time.at(m_time.now + kTick, [this, i, peer] { await_referral(i, peer); });
             return;
         }
--- a/src/libserve/directory/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -68,12 +68,14 @@
         gone = true;
         timer.cancel();
     });
-    const auto may_wait = [&] {
-        return query->joiner ? !m_view.can_refer(monotonic_us())
-                             : !m_view.must_answer(*query);
+    const auto time_to_wait = [&]() -> Micros {
+        const Micros now = monotonic_us();
+        if (query->joiner)
+            return std::min(until - now, m_view.time_until_refer(now));
+        return m_view.must_answer(*query) ? 0 : until - now;
     };
-    while (!gone && may_wait() && monotonic_us() < until) {
-        timer.expires_after(std::chrono::microseconds(until - monotonic_us()));
+    for (Micros rest = time_to_wait(); !gone && rest > 0; rest = time_to_wait()) {
+        timer.expires_after(std::chrono::microseconds(rest));
         m_waiting.insert(&timer);
         co_await timer.async_wait(kToTuple);
         m_waiting.erase(&timer);
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -35,8 +35,10 @@
 constexpr Micros kDistrust = 3 * kSecond;
 /// The same while a topic must be listed: the reader may be about to start.
 constexpr Micros kDistrustAtStart = 500 * kMillisecond;
-/// The same of a daemon that hundreds may ask at once: an opening packet that finds its
-/// queue full is sent again after a second.
+/// The same of a peer that may refer this daemon; others may, too.
+constexpr Micros kFirstConnectTime = 400 * kMillisecond;
+/// Once none of them did: an opening packet that finds a queue full, where hundreds ask at
+/// once, is sent again after a second.
 constexpr Micros kBusyConnectTime = 1500 * kMillisecond;
 /// A question for a referral waits so long while the daemon that is asked meets others.
 constexpr Micros kReferralHold = 700 * kMillisecond;
@@ -82,6 +84,7 @@
                            kernel.settings.directory_heartbeat),
              kernel.settings.vanish_grace, kernel.settings.node, kernel.settings.hall,
              kernel.settings.directory_writes, monotonic_us())
+    , m_without_reader(io)
     , m_feed(io, kernel.settings.limits, m_view)
     , m_evacuations(kernel)
     , m_last_contact(monotonic_us())
@@ -352,7 +355,8 @@
         note_source(from);
         const std::optional<DaemonRecord>& asked = from.daemon;
         if (!asked) {
-            co_await pause(kReaderPause);
+            m_without_reader.expires_after(std::chrono::microseconds(kReaderPause));
+            co_await m_without_reader.async_wait(kToTuple);
             continue;
         }
         const Micros asked_at = monotonic_us();
@@ -457,18 +461,28 @@
             co_await pause(kReaderPause);
             continue;
         }
-        const bool referred = co_await ask_referral(feeds[next % feeds.size()]);
-        if (!referred)
-            co_await pause(m_view.in_turn(kReaderPause));
+        const bool is_first_round = next < feeds.size();
+        const bool referred
+            = co_await ask_referral(feeds[next % feeds.size()],
+                                    is_first_round ? kFirstConnectTime : kBusyConnectTime);
+        if (referred)
+            continue;
+        if (next + 1 == feeds.size()) {
+            m_view.note_peers_silent();
+            m_pauses.at(DirectoryTopic::Daemons).cancel();
+        }
+        co_await pause(m_view.in_turn(kReaderPause));
     }
 }
 
 asio::awaitable<bool>
-DirectoryWatch::ask_referral(std::string feed_address)
+DirectoryWatch::ask_referral(std::string feed_address, Micros connect_limit)
 {
     DirectoryReferral referral;
     if (feed_address == m_kernel.settings.announced_feed) {
-        co_await pause(kReferralHold);
+        for (Micros rest = m_view.time_until_refer(monotonic_us()); rest > 0;
+             rest = m_view.time_until_refer(monotonic_us()))
+            co_await pause(rest);
         referral = m_view.refer(own_record());
     } else {
         FeedQuery query;
@@ -476,7 +490,7 @@
         query.joiner = own_record();
         const std::string who = feed_address;
         const auto answer = co_await ask_feed(feed_address, who, std::move(query),
-                                              kBusyConnectTime, kListingWaitLimit);
+                                              connect_limit, kListingWaitLimit);
         if (!answer || !answer->referral)
             co_return false;
         referral = *answer->referral;
@@ -488,6 +502,7 @@
         .kv("daemons", referral.ask.size());
     for (const DirectoryTopic topic : DirectoryView::kTopics)
         m_pauses.at(topic).cancel();
+    m_without_reader.cancel();
     co_return true;
 }
 
@@ -580,9 +595,10 @@
     }
     m_applied_revision = fold.revision();
     const std::vector<MemberChange> changes = fold.take_changes();
-    const SnapshotPtr before = m_kernel.snapshot.load();
-    SnapshotPtr snapshot
-        = before ? m_kernel.upstreams.update(*before, m_applied, changes) : nullptr;
+    SnapshotPtr before = m_kernel.snapshot.load();
+    if (!before)
+        before = m_kernel.upstreams.build(m_applied, {});
+    SnapshotPtr snapshot = m_kernel.upstreams.update(*before, m_applied, changes);
     const bool updated = snapshot != nullptr;
     if (!updated)
         snapshot = m_kernel.upstreams.build(m_applied, fold.members());
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -64,7 +64,8 @@
     DaemonRecord own_record();
     /// Asks daemons that the settings name whom to ask.
     boost::asio::awaitable<void> join();
-    boost::asio::awaitable<bool> ask_referral(std::string feed_address);
+    boost::asio::awaitable<bool> ask_referral(std::string feed_address,
+                                              Micros connect_limit);
     std::vector<std::string> feeds_of_peers() const;
     boost::asio::awaitable<void> report_calls();
 
@@ -101,6 +102,7 @@
     HttpClient m_peers;
     std::map<DirectoryTopic, BootTimer> m_pauses; ///< of the loops
     DirectoryView m_view;
+    BootTimer m_without_reader; ///< between looks whether there is a reader
     DirectoryFeedServer m_feed;
     ResolvedBundlePtr m_applied; ///< the configuration in force
     std::uint64_t m_applied_revision = 0;
