A leader that does not answer is found out once for a hall

Cause: each daemon finds out for itself that a leader is gone, with an order of its own: 0.6 s for the first, 0.2 s for each next one that lies in the same hall. A daemon sees a request every three seconds, so the first request of each of 986 daemons pays that, as long as the cut lasts.

Change: a daemon that loses a leader tells the reader of its part. That one asks the leader for a sign of life and, while it gives none, names it to all that ask (`unreachable`, a revision, in the answer that they wait for in any case); they suspect it and send open orders on at once. Fields are only added; a daemon of an earlier version is never sent it.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -71,6 +71,11 @@
     /// False also once the directory says that it is gone.
     bool is_suspected(const std::string& peers_address) const;
 
+    bool knows(const std::string& peers_address) const
+    {
+        return m_nodes_at.contains(peers_address);
+    }
+
     /// Daemons that are alive, this one among them once it is listed.
     int alive() const;
     /// Alive daemons of one hall.
--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -19,6 +19,7 @@
 
 #include <cypressford/daemon_table.h>
 #include <cypressford/directory.h>
+#include <cypressford/unreachable_peers.h>
 
 namespace cypressford {
 
@@ -110,6 +111,9 @@
     bool wants_signs = false;
     /// An asker that knows no daemon gives its own record and wants to be referred to one.
     std::optional<DaemonRecord> joiner;
+    std::vector<std::string> lost; ///< addresses of daemons that did not answer the asker
+    bool takes_unreachable = false; ///< daemons of an earlier version don't
+    std::uint64_t unreachable_revision = 0; ///< of the list that the asker has
 };
 
 /// Compresses large values of one topic for the daemons that ask for them, each against
@@ -149,6 +153,7 @@
     std::vector<Topic> topics;
     Micros held = 0; ///< how long the question waited
     std::optional<DirectoryReferral> referral;
+    std::optional<UnreachableList> unreachable; ///< nothing: the asker has it
 };
 
 std::string encode(const FeedQuery& query);
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -115,6 +115,9 @@
 
     // For other daemons.
 
+    /// Daemons that don't answer this one.
+    UnreachablePeers& unreachable() { return m_unreachable; }
+
     /// Another daemon has told of itself.
     void meet(const DaemonRecord& daemon, Micros now);
     /// While this daemon, which has just started itself, still meets others; 0 or less: it
@@ -193,6 +196,7 @@
     std::array<TopicView, std::size(kTopics)> m_views;
     DirectoryFold m_fold;
     DaemonTable m_daemons;
+    UnreachablePeers m_unreachable;
     std::optional<DaemonRecord> m_own; ///< nothing: this daemon refers nobody
     bool m_peers_answer = false; ///< as far as is known
     Micros m_met_at = 0; ///< the last daemon that was new
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -270,6 +270,10 @@
     out.set_wants_signs(query.wants_signs);
     if (query.joiner)
         out.set_joiner(encode(*query.joiner));
+    for (const std::string& address : query.lost)
+        out.add_lost(address);
+    out.set_takes_unreachable(query.takes_unreachable);
+    out.set_unreachable_revision(query.unreachable_revision);
     return out.SerializeAsString();
 }
 
@@ -285,6 +289,9 @@
     query.wants_signs = in.wants_signs();
     if (auto joiner = decode_daemon(in.joiner()))
         query.joiner = *std::move(joiner);
+    query.lost.assign(in.lost().begin(), in.lost().end());
+    query.takes_unreachable = in.takes_unreachable();
+    query.unreachable_revision = in.unreachable_revision();
     for (const proto::FeedCursor& cursor : in.cursors())
         if (const auto topic = topic_of(cursor.topic()))
             query.cursors.push_back(
@@ -299,6 +306,11 @@
     out.set_held_ms(to_ms(answer.held));
     if (answer.referral)
         fill(*out.mutable_referral(), *answer.referral);
+    if (answer.unreachable) {
+        out.mutable_unreachable()->set_revision(answer.unreachable->revision);
+        for (const std::string& address : answer.unreachable->addresses)
+            out.mutable_unreachable()->add_addresses(address);
+    }
     for (const FeedAnswer::Topic& topic : answer.topics) {
         proto::FeedTopic* item = out.add_topics();
         item->set_topic(static_cast<std::uint32_t>(topic.topic));
@@ -325,6 +337,11 @@
     answer.held = in.held_ms() * kMillisecond;
     if (in.has_referral())
         answer.referral = read(in.referral());
+    if (in.has_unreachable()) {
+        const auto& told = in.unreachable();
+        answer.unreachable
+            = {told.revision(), {told.addresses().begin(), told.addresses().end()}};
+    }
     for (const proto::FeedTopic& item : in.topics()) {
         const auto topic = topic_of(item.topic());
         if (!topic)
--- a/src/libcypressford/directory_feed_test.cpp
+++ b/src/libcypressford/directory_feed_test.cpp
@@ -179,6 +179,41 @@
     CHECK(answer.topics[0].records[0].record.value == value);
 }
 
+TEST_CASE("whoever asks a reader hears at once which daemons don't answer it")
+{
+    const TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, kSecond);
+    DirectoryView reader(dialect, pace, kGrace, "reader", "hall", 400, 0);
+    DirectoryView follower(dialect, pace, kGrace, "follower", "hall", 400, 0);
+    for (DirectoryView* view : {&reader, &follower})
+        for (const DirectoryTopic topic : DirectoryView::kTopics)
+            view->end_listing(topic, 0, 0, 0);
+    FeedQuery query = follower.query();
+    query.takes_unreachable = true;
+    CHECK_FALSE(reader.must_answer(query));
+    UnreachablePeers& peers = reader.unreachable();
+    CHECK(peers.begin_check("10.0.0.1:1"));
+    CHECK_FALSE(peers.begin_check("10.0.0.1:1"));
+    CHECK_FALSE(reader.must_answer(query));
+    CHECK(peers.note_check("10.0.0.1:1", false));
+    CHECK_FALSE(peers.note_check("10.0.0.1:1", false));
+    CHECK(reader.must_answer(query));
+    const auto told = decode_feed_answer(encode(reader.answer_to(query, 0)));
+    REQUIRE(told);
+    REQUIRE(told->unreachable);
+    CHECK(told->unreachable->addresses == std::set<std::string> {"10.0.0.1:1"});
+    // It is told once; a daemon of an earlier version, which does not say what it has,
+    // never.
+    query.unreachable_revision = told->unreachable->revision;
+    CHECK_FALSE(reader.must_answer(query));
+    CHECK_FALSE(reader.answer_to(query, 0).unreachable);
+    CHECK_FALSE(reader.must_answer(follower.query()));
+    CHECK(peers.note_check("10.0.0.1:1", true));
+    CHECK(reader.must_answer(query));
+    CHECK(reader.answer_to(query, 0).unreachable->addresses.empty());
+    CHECK(peers.begin_check("10.0.0.1:1"));
+}
+
 TEST_CASE("what goes through a reader is in force within the bound")
 {
     for (const Micros bound : {1000, 2000, 3000, 4000, 10000}) {
@@ -203,6 +238,9 @@
                      {DirectoryTopic::Daemons, FeedQuery::kNothing, 0, true}};
     query.wait = 250 * kMillisecond;
     query.takes_packed = true;
+    query.lost = {"10.0.0.1:1"};
+    query.takes_unreachable = true;
+    query.unreachable_revision = 7;
     const auto asked = decode_feed_query(encode(query));
     REQUIRE(asked);
     REQUIRE(asked->cursors.size() == 2);
@@ -214,6 +252,9 @@
     CHECK(asked->cursors[1].takes_listing);
     CHECK(asked->takes_packed);
     CHECK(asked->wait == 250 * kMillisecond);
+    CHECK(asked->lost == query.lost);
+    CHECK(asked->takes_unreachable);
+    CHECK(asked->unreachable_revision == 7);
     FeedAnswer answer;
     answer.held = 20 * kMillisecond;
     const OffsetRecord record {88, {"key", std::string("\0\xff", 2)}, true, 1ULL << 63};
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -354,6 +354,9 @@
 bool
 DirectoryView::must_answer(const FeedQuery& query) const
 {
+    if (query.takes_unreachable
+        && query.unreachable_revision != m_unreachable.list().revision)
+        return true;
     return std::any_of(query.cursors.begin(), query.cursors.end(), [this](const auto& c) {
         const TopicView& view = of(c.topic);
         if (!view.next)
@@ -383,6 +386,9 @@
                 entry = view.packer.pack(entry, view.history, base);
         answer.topics.push_back(std::move(topic));
     }
+    if (query.takes_unreachable
+        && query.unreachable_revision != m_unreachable.list().revision)
+        answer.unreachable = m_unreachable.list();
     return answer;
 }
 
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -4,6 +4,8 @@
 #include "libserve/daemon.h"
 
 #include <csignal>
+#include <set>
+#include <string>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -105,6 +107,13 @@
         kernel.pieces = pieces.get();
         kernel.on_standstill
             = [this] { asio::post(control, [this] { directory->note_standstill(); }); };
+        kernel.on_peer_lost = [this](std::string address) {
+            asio::post(control,
+                       [this, lost = std::move(address)] { directory->report_lost(lost); });
+        };
+        directory->on_unreachable([this](std::set<std::string> addresses) {
+            pieces->take_unreachable(std::move(addresses));
+        });
         ends = std::make_unique<EndWatch>(control);
         kernel.ends = ends.get();
         suspects = std::make_unique<SuspectWriter>(control, kernel, *directory);
--- a/src/libserve/directory/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -60,6 +60,9 @@
     }
     if (query->joiner)
         m_view.meet(*query->joiner, monotonic_us());
+    for (const std::string& address : query->lost)
+        if (m_on_lost)
+            m_on_lost(address);
     const Micros asked_at = monotonic_us();
     const Micros until = asked_at + std::min(query->wait, kMaxHold);
     BootTimer timer(m_io);
--- a/src/libserve/directory/directory_feed_server.h
+++ b/src/libserve/directory/directory_feed_server.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <set>
 #include <string>
 
@@ -30,11 +31,18 @@
     /// Something that can't wait is new.
     void note_news();
 
+    /// Called with addresses of daemons that did not answer an asker.
+    void on_lost(std::function<void(const std::string&)> action)
+    {
+        m_on_lost = std::move(action);
+    }
+
 private:
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
     boost::asio::io_context& m_io;
     DirectoryView& m_view;
+    std::function<void(const std::string&)> m_on_lost;
     std::set<BootTimer*> m_waiting;
     HttpServer m_server;
 };
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "libserve/peers/peer_link.h"
 #include "libutil/boot_clock.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
@@ -42,6 +43,10 @@
 constexpr Micros kBusyConnectTime = 1500 * kMillisecond;
 /// A question for a referral waits so long while the daemon that is asked meets others.
 constexpr Micros kReferralHold = 700 * kMillisecond;
+/// A daemon that is said not to answer is asked for a sign of life for so long, ...
+constexpr Micros kSignWaitLimit = 200 * kMillisecond;
+/// ... and again after this time until it gives one.
+constexpr Micros kPeerCheckPause = 300 * kMillisecond;
 /// A page of a listing is asked for so often before the listing begins anew.
 constexpr int kPageTries = 4;
 /// Between tries to write this daemon's record; doubles with each.
@@ -97,6 +102,9 @@
 DirectoryWatch::start()
 {
     const std::string& address = m_kernel.settings.feed_address;
+    m_feed.on_lost([this](const std::string& lost) {
+        asio::co_spawn(m_io, check_peer(lost), asio::detached);
+    });
     if (!address.empty())
         if (auto open = m_feed.listen(address); !open)
             return open;
@@ -366,6 +374,8 @@
             continue;
         }
         note_answer(*answer, asked_at);
+        if (answer->unreachable)
+            note_unreachable(*answer->unreachable);
         const Micros age = monotonic_us() - m_view.of(DirectoryTopic::Configuration).as_of;
         if (!m_reached && age < m_view.pace().stale_after)
             note_contact(true);
@@ -397,6 +407,7 @@
         return;
     m_role = from.role;
     m_asked = asked;
+    m_unreachable_revision = 0;
     LogEvent("directory_source").kv("role", to_string(from.role)).kv("asks", asked);
     for (const DirectoryTopic topic : DirectoryView::kTopics)
         m_pauses.at(topic).cancel();
@@ -406,7 +417,10 @@
 DirectoryWatch::ask_reader(const DaemonRecord& reader)
 {
     const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
-    auto answer = co_await ask_feed(reader.feed_address, reader.node, m_view.query(),
+    FeedQuery query = m_view.query();
+    query.takes_unreachable = true;
+    query.unreachable_revision = m_unreachable_revision;
+    auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
                                     kConnectTime, wait_limit);
     co_return answer;
 }
@@ -529,6 +543,78 @@
     m_view.daemons().trust(peers_address);
 }
 
+// ------------------------------------------------- daemons that don't answer
+
+/// The reader finds out for all that ask it.
+void
+DirectoryWatch::report_lost(const std::string& peers_address)
+{
+    const DirectorySource from = source();
+    if (from.role == DirectoryRole::Follower && from.daemon)
+        asio::co_spawn(m_io, tell_lost(*from.daemon, peers_address), asio::detached);
+    else
+        asio::co_spawn(m_io, check_peer(peers_address), asio::detached);
+}
+
+asio::awaitable<void>
+DirectoryWatch::tell_lost(DaemonRecord reader, std::string peers_address)
+{
+    FeedQuery query;
+    query.lost = {std::move(peers_address)};
+    // One that fails is logged there; the next loss is told again.
+    (void)co_await ask_feed(reader.feed_address, reader.node, std::move(query),
+                            kConnectTime, kReaderWaitLimit);
+}
+
+asio::awaitable<void>
+DirectoryWatch::check_peer(std::string peers_address)
+{
+    if (!m_view.unreachable().begin_check(peers_address))
+        co_return;
+    for (;;) {
+        // Of one that is gone the directory tells.
+        const bool is_known = m_view.daemons().knows(peers_address);
+        // GCC 12 ends this function wrongly if the call stands in a condition.
+        bool answers = true;
+        if (is_known)
+            answers = co_await gives_sign(peers_address);
+        if (m_view.unreachable().note_check(peers_address, answers)) {
+            LogEvent("peer_checked", LogLevel::Warn)
+                .kv("peer", peers_address)
+                .kv("answers", answers)
+                .kv("unreachable", m_view.unreachable().list().addresses.size());
+            m_feed.note_news();
+            const bool is_own = source().role != DirectoryRole::Follower;
+            if (is_own && m_on_unreachable)
+                m_on_unreachable(m_view.unreachable().list().addresses);
+        }
+        if (answers)
+            co_return;
+        co_await pause(kPeerCheckPause);
+    }
+}
+
+asio::awaitable<bool>
+DirectoryWatch::gives_sign(std::string peers_address)
+{
+    HttpRequest request;
+    request.target = PeerLink::kAlivePath;
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignWaitLimit;
+    const CallResult result
+        = co_await m_peers.call(std::move(peers_address), std::move(request), options);
+    co_return result.status == CallStatus::Answered;
+}
+
+void
+DirectoryWatch::note_unreachable(const UnreachableList& list)
+{
+    m_unreachable_revision = list.revision;
+    // A reader goes by what it finds out itself.
+    if (source().role == DirectoryRole::Follower && m_on_unreachable)
+        m_on_unreachable(list.addresses);
+}
+
 // ----------------------------------------------------------------- in force
 
 void
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -43,6 +43,16 @@
         m_on_daemons = std::move(action);
     }
 
+    /// Called with the daemons that don't answer this one's reader, or this one itself if
+    /// it is a reader, whenever they are others.
+    void on_unreachable(std::function<void(std::set<std::string>)> action)
+    {
+        m_on_unreachable = std::move(action);
+    }
+
+    /// The daemon at that address did not answer this one.
+    void report_lost(const std::string& peers_address);
+
     /// Tells the other daemons at once that this one is stopping.
     void announce_stop();
 
@@ -81,6 +91,10 @@
                                                         std::string who, FeedQuery query,
                                                         Micros connect_limit,
                                                         Micros wait_limit);
+    boost::asio::awaitable<void> tell_lost(DaemonRecord reader, std::string peers_address);
+    boost::asio::awaitable<void> check_peer(std::string peers_address);
+    boost::asio::awaitable<bool> gives_sign(std::string peers_address);
+    void note_unreachable(const UnreachableList& list);
     boost::asio::awaitable<void> trust_later(std::string peers_address);
     boost::asio::awaitable<void> pause(Micros time);
 
@@ -117,6 +131,8 @@
     bool m_own_written = false; ///< this daemon's record lies in the directory
     std::optional<DirectoryRole> m_role;
     std::string m_asked; ///< node; empty: the directory itself
+    std::uint64_t m_unreachable_revision = 0; ///< of the list of the daemon that was asked
+    std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
     std::function<void(std::vector<DaemonRecord>)> m_on_daemons;
 };
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -59,6 +59,8 @@
     /// Configuration and upstreams of the directory are known as of then, at least.
     std::atomic<Micros> directory_known_at {0};
     std::function<void()> on_standstill; ///< may be called from any thread; may be empty
+    /// The daemon at that address did not answer this one.  The same.
+    std::function<void(std::string)> on_peer_lost;
     std::atomic<bool> holds_placement {false}; ///< orders models for the hall
     std::atomic<bool> log_out {false}; ///< the log takes no appends at present
 
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -73,12 +73,30 @@
 {
     if (!m_daemons.suspect(address))
         return;
-    LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address);
+    LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address).kv("told", false);
+    m_watched.insert(address);
+    if (m_kernel.on_peer_lost)
+        m_kernel.on_peer_lost(address);
     m_link.cancel_orders(address);
     asio::co_spawn(m_io, watch_suspect(address), asio::detached);
     check_leaders();
 }
 
+void
+PeerWatch::take_unreachable(std::set<std::string> addresses)
+{
+    for (const std::string& address : addresses) {
+        if (m_told.contains(address) || !m_daemons.suspect(address))
+            continue;
+        LogEvent("leader_suspected", LogLevel::Warn).kv("leader", address).kv("told", true);
+        m_link.cancel_orders(address);
+    }
+    for (const std::string& address : m_told)
+        if (!addresses.contains(address) && !m_watched.contains(address))
+            m_daemons.trust(address);
+    m_told = std::move(addresses);
+}
+
 /// Daemons often go together.  Those that lead, or would next, are asked at once, so that
 /// orders do not find out one daemon after the other.  No others: when 295 daemons lose one
 /// leader, asking everybody is 86,700 calls, 0.6 s of a node of 0.12 of a core.
@@ -119,7 +137,9 @@
         time = std::min(2 * time, kLongestSuspectTime);
         is_alive = co_await m_link.is_alive(address);
     }
-    m_daemons.trust(address);
+    m_watched.erase(address);
+    if (!m_told.contains(address))
+        m_daemons.trust(address);
 }
 
 } // namespace cypressford
--- a/src/libserve/peers/peer_watch.h
+++ b/src/libserve/peers/peer_watch.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,6 +33,10 @@
         return m_daemons.leader_of(set_name);
     }
 
+    /// Daemons that another one of the hall has found not to answer, and no others: they
+    /// lead nothing while they are named.
+    void take_unreachable(std::set<std::string> addresses);
+
     void note_answer(const std::string& address);
     void suspect(const std::string& address);
 
@@ -44,6 +49,8 @@
     Kernel& m_kernel;
     PeerLink& m_link;
     DaemonTable m_daemons;
+    std::set<std::string> m_told; ///< unreachable ones, as told
+    std::set<std::string> m_watched; ///< those that this daemon found out itself
     Micros m_checked_at = 0; ///< when those that lead were last asked for a sign of life
 };
 
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -55,6 +55,14 @@
     asio::post(m_io, [this, records = std::move(records)] { m_peers.take(records); });
 }
 
+void
+PieceService::take_unreachable(std::set<std::string> addresses)
+{
+    asio::post(m_io, [this, told = std::move(addresses)]() mutable {
+        m_peers.take_unreachable(std::move(told));
+    });
+}
+
 void
 PieceService::want(std::uint64_t request, PiecesWanted wanted, Done done)
 {
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,8 @@
     /// A request could not be given to the upstream chosen for it.
     void note_unreached(std::string set_name, std::string attempt);
     void take_daemons(std::vector<DaemonRecord> records);
+    /// Daemons that don't answer the reader of this one's hall, and no others.
+    void take_unreachable(std::set<std::string> addresses);
 
     /// To be called on the service's own thread.
     bool is_idle() const { return m_jobs.empty() && m_leader.is_idle(); }
