--- a/src/libcypressford/member_changes_test.cpp
+++ b/src/libcypressford/member_changes_test.cpp
@@ -69,7 +69,7 @@
         for (int step = 0; step < 200; ++step) {
             now += draw(400) * kMillisecond;
             UpstreamRecord record = record_of(std::to_string(draw(identities)),
-                                              static_cast<std::uint64_t>(step + 1));
+                                              static_cast<std::uint64_t>(step) + 1);
             record.member.upstream_set = draw(4) == 0 ? "engines" : "desk";
             record.member.hall = draw(2) == 0 ? "a" : "b";
             record.member.born = draw(3);
