A daemon that has just been told looks again before that is too old

Cause: a fresh daemon sleeps until it would list a topic by itself, up to 7 s. It is told the topic by a reader 0.25 s after its start; the store then turns that reader away, and the daemon does not see that what it was told must be renewed after 1.3 s until its sleep is over.

Change: while it waits to be told it looks again each 0.2 s. Ruled out: the reader (it told the age of what it knew; others renewed it at 18.14, two seconds before the rule's bound).

--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -61,6 +61,35 @@
     CHECK(longest[DirectoryRole::Follower] == 2 * kSecond);
 }
 
+/// Users saw a key that had been revoked work on for 5 s: a daemon that had just started
+/// was told the configuration by a reader that the directory then turned away, and slept
+/// until it would have listed by itself.
+TEST_CASE("a daemon that waits to be told renews in time what it is told")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    DirectoryView reader(dialect, pace, 0, "reader", "hall", 400, 0);
+    for (const DirectoryTopic topic : DirectoryView::kTopics) {
+        reader.begin_listing(topic, 0);
+        if (topic == DirectoryTopic::Configuration)
+            reader.take_listed(topic, {{"config", "1"}}, 0);
+        reader.end_listing(topic, 1, 0, 0);
+    }
+    const std::vector<DaemonRecord> records = fleet(2);
+    for (int draw = 0; draw < 20; ++draw) {
+        DirectoryView fresh(dialect, pace, 0, "fresh" + std::to_string(draw), "hall", 400,
+                            0);
+        fresh.expect_referral(records[0]);
+        fresh.take_referral({DirectoryRole::Follower, {records[1]}}, 0);
+        const Micros sleeps_until = fresh.time_until_read(DirectoryTopic::Configuration, 0);
+        CHECK(sleeps_until > 0);
+        fresh.take_answer(reader.answer_to(fresh.query(), 0), 0, 0);
+        REQUIRE(fresh.fold().configuration());
+        const Micros must_read_at = fresh.time_until_read(DirectoryTopic::Configuration, 0);
+        CHECK(sleeps_until <= must_read_at);
+    }
+}
+
 TEST_CASE("a configuration that is written again reaches who listed an older one")
 {
     TextDialect dialect;
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -38,6 +38,8 @@
 constexpr Micros kPendingLimit = 8 * kSecond;
 /// ... one after the other, so that the directory bears the listings of any fleet.
 constexpr Micros kListingSpacing = 20 * kMillisecond;
+/// A daemon that waits to be told looks so often whether it was.
+constexpr Micros kLookAgain = 200 * kMillisecond;
 /// Until it knows how many others there are, a daemon takes them for so many.
 constexpr int kLeastSpreadOver = 200;
 
@@ -142,7 +144,8 @@
         limit = 0;
     const double others = std::max(kLeastSpreadOver, m_daemons.alive());
     const auto turn = static_cast<Micros>(m_draw * others * kListingSpacing);
-    return view.unlisted_since + limit + turn - now;
+    // What it is told meanwhile may have to be renewed sooner.
+    return std::min(view.unlisted_since + limit + turn - now, kLookAgain);
 }
 
 Micros
