--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -25,7 +25,7 @@
 constexpr Micros kFirstLooks = 2400 * kMillisecond; ///< so long after the start
 /// Records of daemons older than this are renewed at the directory itself.
 constexpr Micros kDaemonsStale = 6 * kSecond;
-/// A daemon that knows configuration and upstreams waits no longer for the rest.
+/// A daemon that knows configuration and upstreams waits so long for the rest, at most.
 constexpr Micros kWaitForRest = 500 * kMillisecond;
 /// Daemons that start together tell of themselves within this time after the first.
 constexpr Micros kMeetingTime = 600 * kMillisecond;
--- a/testsuite/fuzz/directory_world.h
+++ b/testsuite/fuzz/directory_world.h
@@ -24,6 +24,8 @@
 
 #include "libcypressford/text_dialect.h"
 
+#include "directory_steps.h"
+
 namespace cypressford::fuzz {
 
 constexpr std::size_t kDaemons = 3;
@@ -82,70 +84,6 @@
     return std::stoull(value.substr(at + 1)) * records_of_run + std::stoull(value);
 }
 
-enum class StepKind : unsigned char {
-    Beat,
-    Drain,
-    Go,
-    StartAgain,
-    WriteLate,
-    Configure,
-    WriteOlder,
-    Evacuate,
-    Forget,
-    Read,
-    Ask,
-    Answer,
-    Deliver,
-    Restart,
-    Advance
-};
-
-/// How often each kind is drawn.
-constexpr std::array<std::pair<StepKind, std::size_t>, 15> kWeights {{
-    {StepKind::Beat, 16},
-    {StepKind::Drain, 1},
-    {StepKind::Go, 3},
-    {StepKind::StartAgain, 2},
-    {StepKind::WriteLate, 10},
-    {StepKind::Configure, 2},
-    {StepKind::WriteOlder, 2},
-    {StepKind::Evacuate, 3},
-    {StepKind::Forget, 1},
-    {StepKind::Read, 10},
-    {StepKind::Ask, 24},
-    {StepKind::Answer, 24},
-    {StepKind::Deliver, 24},
-    {StepKind::Restart, 1},
-    {StepKind::Advance, 6},
-}};
-
-constexpr std::size_t
-sum_of_weights()
-{
-    std::size_t sum = 0;
-    for (const auto& [kind, weight] : kWeights)
-        sum += weight;
-    return sum;
-}
-
-/// The kind at that place if each stands as often as its weight says.
-inline StepKind
-kind_at(std::size_t place)
-{
-    for (const auto& [kind, weight] : kWeights) {
-        if (place < weight)
-            return kind;
-        place -= weight;
-    }
-    return StepKind::Advance;
-}
-
-struct Step {
-    StepKind kind;
-    std::size_t a;
-    std::size_t b;
-};
-
 class DirectoryWorld {
 public:
     DirectoryWorld()
