A small fleet's daemons list by themselves, and peers list at once

Peers of the settings wait up to 0.6 s for others before they refer anyone, and a daemon of nine waits for that, for a reader that may not be up, and for its turn, where it used to list by itself within 20 ms. What a thousand daemons need costs nine of them.

Change: a referral tells how many daemons there are; up to 32 each list by themselves at once, a load that does not grow with the fleet. A peer lists the daemons at once (there are three whatever the fleet) and refers at once if the directory knows it from an earlier life; at the first start it meets others as before.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -40,6 +40,7 @@
 struct DirectoryReferral {
     DirectoryRole role = DirectoryRole::Fresh; ///< of the daemon that is told
     std::vector<DaemonRecord> ask; ///< the first of these that answers
+    int alive = 0; ///< daemons of the fleet, as far as the one that tells knows
 };
 
 /// Records of daemons, with the time each was last seen to change.  A lead is no
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -101,10 +101,12 @@
     // From a daemon that may know others.
 
     /// There are such daemons, so that records of daemons need not be listed at once.
-    /// `own`: this daemon's record.
-    void expect_referral(DaemonRecord own)
+    /// `own`: this daemon's record.  `is_peer`: it is one of those that refer others, and
+    /// lists at once whom it may refer them to.
+    void expect_referral(DaemonRecord own, bool is_peer)
     {
         m_own = std::move(own);
+        m_is_peer = is_peer;
         m_peers_answer = true;
     }
     /// None of them refers this daemon.
@@ -198,6 +200,8 @@
     DaemonTable m_daemons;
     UnreachablePeers m_unreachable;
     std::optional<DaemonRecord> m_own; ///< nothing: this daemon refers nobody
+    bool m_is_peer = false;
+    bool m_lived_before = false; ///< the directory holds a record of an earlier life
     bool m_peers_answer = false; ///< as far as is known
     Micros m_met_at = 0; ///< the last daemon that was new
     DirectoryReferral m_referral; ///< holds until the records of daemons are known
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -351,13 +351,14 @@
     }
     const std::size_t parts = count_parts(of_hall.size());
     const std::size_t own_part = weight_of(asker.node, asker.hall) % parts;
+    const int alive = static_cast<int>(all.size());
     keep_strong(all);
     keep_strong(of_hall);
     const auto is_asker
         = [&](const Known* known) { return known && known->record.node == asker.node; };
     if (is_asker(choose(all, kRootName)))
-        return {DirectoryRole::Root, {}};
-    DirectoryReferral referral {DirectoryRole::Follower, {}};
+        return {DirectoryRole::Root, {}, alive};
+    DirectoryReferral referral {DirectoryRole::Follower, {}, alive};
     for (std::size_t part = 0; part < parts; ++part)
         if (is_asker(choose(of_hall, name_of_part(asker.hall, part))))
             referral.role = DirectoryRole::HallReader;
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -82,6 +82,7 @@
     out.set_role(static_cast<std::uint32_t>(referral.role));
     for (const DaemonRecord& daemon : referral.ask)
         out.add_daemons(encode(daemon));
+    out.set_alive(static_cast<std::uint32_t>(std::max(0, referral.alive)));
 }
 
 DirectoryReferral
@@ -93,6 +94,7 @@
     for (const std::string& bytes : in.daemons())
         if (auto daemon = decode_daemon(bytes))
             referral.ask.push_back(*std::move(daemon));
+    referral.alive = static_cast<int>(in.alive());
     return referral;
 }
 
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -306,6 +306,8 @@
         gone.stopping = true;
         m_new_daemons.push_back(std::move(gone));
     } else if (auto daemon = decode_daemon(record.value)) {
+        m_lived_before |= m_own && daemon->node == m_own->node
+            && daemon->incarnation != m_own->incarnation;
         m_daemons.apply(*daemon, now);
         m_new_daemons.push_back(*std::move(daemon));
     } else {
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -79,7 +79,7 @@
     for (int draw = 0; draw < 20; ++draw) {
         DirectoryView fresh(dialect, pace, 0, "fresh" + std::to_string(draw), "hall", 400,
                             0);
-        fresh.expect_referral(records[0]);
+        fresh.expect_referral(records[0], false);
         fresh.take_referral({DirectoryRole::Follower, {records[1]}}, 0);
         const Micros sleeps_until = fresh.time_until_read(DirectoryTopic::Configuration, 0);
         CHECK(sleeps_until > 0);
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -40,6 +40,9 @@
 constexpr Micros kListingSpacing = 20 * kMillisecond;
 /// A daemon that waits to be told looks so often whether it was.
 constexpr Micros kLookAgain = 200 * kMillisecond;
+/// The directory bears the listings of so many daemons at once: each lists by itself, which
+/// is soonest.
+constexpr int kFewDaemons = 32;
 /// Until it knows how many others there are, a daemon takes them for so many.
 constexpr int kLeastSpreadOver = 200;
 
@@ -117,7 +120,9 @@
 Micros
 DirectoryView::time_until_refer(Micros now) const
 {
-    if (of(DirectoryTopic::Daemons).was_listed)
+    // Who was there before knows the fleet by its records; at the first start they are few
+    // yet.
+    if (of(DirectoryTopic::Daemons).was_listed && m_lived_before)
         return 0;
     const Micros quiet = std::max(m_started_at, m_met_at) + kMeetingQuiet;
     return std::min(m_started_at + kMeetingTime, quiet) - now;
@@ -135,7 +140,11 @@
     if (role == DirectoryRole::Root || view.overdue)
         return 0;
     const bool is_daemons = topic == DirectoryTopic::Daemons;
-    if (is_daemons && !m_own)
+    if (is_daemons && (!m_own || m_is_peer))
+        return 0;
+    const int known
+        = of(DirectoryTopic::Daemons).was_listed ? m_daemons.alive() : m_referral.alive;
+    if (known > 0 && known <= kFewDaemons)
         return 0;
     Micros limit = role == DirectoryRole::HallReader ? kReaderUntoldLimit : kUntoldLimit;
     if (view.is_pending)
--- a/src/libcypressford/fleet_start_load_test.cpp
+++ b/src/libcypressford/fleet_start_load_test.cpp
@@ -88,6 +88,8 @@
 struct Play {
     int calls = 0;
     int calls_for_vital = 0; ///< configuration and upstreams
+    Micros last_start = 0;
+    Micros mean_wait = 0; ///< of a daemon, from its start until it serves
     Micros all_serve_at = -1;
     int most_followers = 0; ///< of one daemon
 };
@@ -111,6 +113,7 @@
             record.capacity = i % 20 == 7 ? 1 : 0.12;
             if (has_records)
                 m_log.topics[2].records.push_back({record.node, encode(record)});
+            record.incarnation = 2; // that of the life which begins
             m_records.push_back(std::move(record));
         }
         m_asked.resize(m_records.size());
@@ -120,11 +123,13 @@
     {
         for (std::size_t i = 0; i < m_records.size(); ++i) {
             const auto start = static_cast<Micros>(i * 37 % 300) * kMillisecond;
+            m_play.last_start = std::max(m_play.last_start, start);
             m_time.at(start, [this, i] { begin(i); });
         }
         while (m_play.all_serve_at < 0 && m_time.now < limit)
             m_time.run_until(m_time.now + kTick);
         m_play.calls = m_log.calls;
+        m_play.mean_wait = m_waited / static_cast<Micros>(m_records.size());
         m_play.most_followers = *std::max_element(m_asked.begin(), m_asked.end());
         return m_play;
     }
@@ -135,6 +140,7 @@
         std::array<bool, std::size(DirectoryView::kTopics)> reading {};
         bool asking = false;
         bool serves = false;
+        Micros started_at = 0;
     };
 
     void begin(std::size_t i)
@@ -142,11 +148,12 @@
         if (m_daemons.empty())
             m_daemons.resize(m_records.size());
         const DaemonRecord& own = m_records[i];
+        m_daemons[i].started_at = m_time.now;
         const DirectoryPace pace(5 * kSecond, 5 * kSecond);
         m_daemons[i].view = std::make_unique<DirectoryView>(
             m_dialect, pace, kSecond, own.node, own.hall, 3200, m_time.now);
         if (m_has_peers)
-            m_daemons[i].view->expect_referral(own);
+            m_daemons[i].view->expect_referral(own, i < kPeers);
         publish(i);
         step(i);
     }
@@ -182,6 +189,7 @@
         if (daemon.serves || !daemon.view->can_serve(m_time.now))
             return;
         daemon.serves = true;
+        m_waited += m_time.now - daemon.started_at;
         if (++m_serving == m_records.size())
             m_play.all_serve_at = m_time.now;
     }
@@ -280,6 +288,7 @@
     std::vector<Daemon> m_daemons;
     std::vector<int> m_asked;
     std::size_t m_serving = 0;
+    Micros m_waited = 0; ///< by all that serve
     Play m_play;
 };
 
@@ -308,6 +317,23 @@
     }
 }
 
+/// Callers of nine nodes that had all lost power were refused for half a second more than
+/// when each daemon had listed the directory by itself.
+TEST_CASE("a small fleet serves as soon as it is up after all were killed")
+{
+    for (const int daemons : {3, 9, 30}) {
+        const Play play = StartingFleet(daemons, true, true).run(20 * kSecond);
+        MESSAGE(daemons, " daemons, all serve ",
+                (play.all_serve_at - play.last_start) / kMillisecond,
+                " ms after the last has started, each after ",
+                play.mean_wait / kMillisecond, " ms in the mean, ", play.calls, " calls");
+        REQUIRE(play.all_serve_at >= 0);
+        CHECK(play.all_serve_at - play.last_start <= 150 * kMillisecond);
+        CHECK(play.mean_wait <= 100 * kMillisecond);
+        CHECK(play.calls <= 10 * daemons + 20);
+    }
+}
+
 TEST_CASE("daemons that nobody refers ask the directory one after the other")
 {
     const Play play = StartingFleet(300, false, true).run(20 * kSecond);
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -103,7 +103,11 @@
         if (auto open = m_feed.listen(address); !open)
             return open;
     if (!address.empty() && !m_kernel.settings.peers.empty()) {
-        m_view.expect_referral(own_record());
+        const std::vector<std::string> feeds = feeds_of_peers();
+        const bool is_peer
+            = std::find(feeds.begin(), feeds.end(), m_kernel.settings.announced_feed)
+            != feeds.end();
+        m_view.expect_referral(own_record(), is_peer);
         asio::co_spawn(m_io, join(), asio::detached);
     }
     for (const DirectoryTopic topic : DirectoryView::kTopics)
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -43,7 +43,7 @@
 /// ... and again after this time until it gives one.
 constexpr Micros kPeerCheckPause = 300 * kMillisecond;
 /// Between peers that did not refer this daemon.
-constexpr Micros kRoundPause = 200 * kMillisecond;
+constexpr Micros kRoundPause = 100 * kMillisecond;
 
 } // namespace
 
