A daemon writes its own record once it has heard who there is

Cause: the store takes records of daemons one after the other, 4 ms each. After a kill of all, hundreds of daemons wrote theirs first, and the listing that the readers need stood behind them; followers serve without it only 0.5 s after their start.

Change: the first record is written once the records of daemons are known here, or 0.5 s after the start.

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -150,6 +150,9 @@
     /// From half of `time` to one and a half, by this daemon's draw: what many begin at
     /// once they do not all repeat at once.
     Micros in_turn(Micros time) const;
+    /// Until this daemon's first record is to be written; 0 or less: now.  Records of
+    /// hundreds that start at once would keep their readers from listing who there is.
+    Micros time_until_publish(Micros now) const;
     /// How long a question may wait at the directory.
     Micros wait_of(DirectoryTopic topic, Micros now) const;
 
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -27,6 +27,8 @@
 constexpr Micros kDaemonsStale = 6 * kSecond;
 /// A daemon that knows configuration and upstreams waits so long for the rest, at most.
 constexpr Micros kWaitForRest = 500 * kMillisecond;
+/// A daemon that has not heard who there is writes its own record after so long.
+constexpr Micros kPublishLimit = 500 * kMillisecond;
 /// Daemons that start together tell of themselves within this time after the first.
 constexpr Micros kMeetingTime = 600 * kMillisecond;
 /// Or it is over once none has come for so long.
@@ -199,6 +201,14 @@
     return time / 2 + static_cast<Micros>(m_draw * static_cast<double>(time));
 }
 
+Micros
+DirectoryView::time_until_publish(Micros now) const
+{
+    if (of(DirectoryTopic::Daemons).was_listed)
+        return 0;
+    return m_started_at + kPublishLimit - now;
+}
+
 /// A record that came while a question waited leaves open when; asked again without
 /// waiting, the directory confirms it at once.
 Micros
--- a/src/libcypressford/fleet_start_load_test.cpp
+++ b/src/libcypressford/fleet_start_load_test.cpp
@@ -140,6 +140,7 @@
         std::array<bool, std::size(DirectoryView::kTopics)> reading {};
         bool asking = false;
         bool serves = false;
+        bool published = false;
         Micros started_at = 0;
     };
 
@@ -154,7 +155,6 @@
             m_dialect, pace, kSecond, own.node, own.hall, 3200, m_time.now);
         if (m_has_peers)
             m_daemons[i].view->expect_referral(own, i < kPeers);
-        publish(i);
         step(i);
     }
 
@@ -171,6 +171,10 @@
     void step(std::size_t i)
     {
         Daemon& daemon = m_daemons[i];
+        if (!daemon.published && daemon.view->time_until_publish(m_time.now) <= 0) {
+            daemon.published = true;
+            publish(i);
+        }
         for (const DirectoryTopic topic : DirectoryView::kTopics)
             if (!daemon.reading.at(static_cast<std::size_t>(topic))
                 && daemon.view->time_until_read(topic, m_time.now) <= 0)
@@ -334,6 +338,18 @@
     }
 }
 
+/// Records that all daemons wrote of themselves kept the readers from listing who there
+/// was.
+TEST_CASE("any fleet serves as soon as it is up after all were killed")
+{
+    for (const int daemons : {61, 105, 300, 1000, 2000}) {
+        const Play play = StartingFleet(daemons, true, true).run(20 * kSecond);
+        REQUIRE(play.all_serve_at >= 0);
+        CHECK(play.all_serve_at - play.last_start <= 150 * kMillisecond);
+        CHECK(play.calls_for_vital <= 40);
+    }
+}
+
 TEST_CASE("daemons that nobody refers ask the directory one after the other")
 {
     const Play play = StartingFleet(300, false, true).run(20 * kSecond);
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -32,6 +32,8 @@
 constexpr Micros kDistrustAtStart = 500 * kMillisecond;
 /// A page of a listing is asked for so often before the listing begins anew.
 constexpr int kPageTries = 4;
+/// Between looks whether this daemon's first record may be written.
+constexpr Micros kPublishLook = 20 * kMillisecond;
 /// Between tries to write this daemon's record; doubles with each.
 constexpr Micros kPublishRetry = 1 * kSecond;
 constexpr int kMaxPublishDoublings = 3;
@@ -170,6 +172,8 @@
 asio::awaitable<void>
 DirectoryWatch::publish_own()
 {
+    while (m_view.time_until_publish(monotonic_us()) > 0)
+        co_await pause(kPublishLook);
     int failures = 0;
     while (!m_kernel.stopping.load()) {
         const bool written = co_await publish_once();
