Each answer of the store tells the log's generation, and daemons log a change

What could not be told from logs of the incident: whether the log that answers is the one that answered before, and whether a read began behind its end.

Change: the dialect decodes the header, in answers of any status; directory_generation, directory_history_lost and directory_calls name it. No decision depends on it.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -24,6 +24,10 @@
 
 namespace cypressford {
 
+/// Rises by one each time the log comes back from an older copy of itself; 0: not told.
+/// What was written since the copy is gone, and offsets are given out again.
+using LogGeneration = std::uint64_t;
+
 /// What is kept under keys.
 enum class DirectoryTopic : unsigned char { Configuration, Upstreams, Daemons, Suspects };
 
@@ -73,6 +77,8 @@
     virtual HttpRequest read(DirectoryTopic topic, Offset from, Micros wait) const = 0;
     virtual HttpRequest append(DirectoryTopic topic, const DirectoryRecord& record) const
         = 0;
+    /// Told by all answers, those to failed calls among them.
+    virtual LogGeneration generation_of(const HttpResponse& response) const = 0;
     virtual Result<DirectoryPage> decode_newest(const HttpResponse& response) const = 0;
     virtual Result<DirectoryPage> decode_read(const HttpResponse& response) const = 0;
 
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -20,6 +20,7 @@
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
     HttpRequest read(DirectoryTopic, Offset, Micros) const override { return {}; }
     HttpRequest append(DirectoryTopic, const DirectoryRecord&) const override { return {}; }
+    LogGeneration generation_of(const HttpResponse&) const override { return 0; }
     Result<DirectoryPage> decode_newest(const HttpResponse&) const override { return {}; }
     Result<DirectoryPage> decode_read(const HttpResponse&) const override { return {}; }
 
--- a/src/libserve/directory/directory_store.cpp
+++ b/src/libserve/directory/directory_store.cpp
@@ -81,11 +81,25 @@
                                                      std::move(request), options);
     log_call(topic, result, monotonic_us() - asked_at);
     HttpResponse response = result.response;
+    note_generation(topic, response);
     if (result.status != CallStatus::Answered)
         response.status = 0;
     co_return response;
 }
 
+void
+DirectoryStore::note_generation(DirectoryTopic topic, const HttpResponse& response)
+{
+    const LogGeneration told = m_dialect->generation_of(response);
+    if (told == 0 || told == m_generation)
+        return;
+    LogEvent("directory_generation", LogLevel::Warn)
+        .kv("generation", told)
+        .kv("before", m_generation)
+        .kv("topic", to_string(topic));
+    m_generation = told;
+}
+
 asio::awaitable<Result<DirectoryPage>>
 DirectoryStore::newest(DirectoryTopic topic, std::string after)
 {
@@ -99,6 +113,11 @@
 {
     auto page = m_dialect->decode_read(co_await call(
         topic, "read", m_dialect->read(topic, from, wait), wait + kWaitLimit));
+    if (page && page->history_lost)
+        LogEvent("directory_history_lost", LogLevel::Warn)
+            .kv("topic", to_string(topic))
+            .kv("from", from)
+            .kv("generation", m_generation);
     co_return page;
 }
 
@@ -123,7 +142,7 @@
     if (m_calls.empty())
         return;
     LogEvent line("directory_calls");
-    line.kv("role", role);
+    line.kv("role", role).kv("generation", m_generation);
     for (const auto& [what, count] : std::exchange(m_calls, {}))
         line.kv(what, count);
 }
--- a/src/libserve/directory/directory_store.h
+++ b/src/libserve/directory/directory_store.h
@@ -43,9 +43,13 @@
     boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, std::string_view kind,
                                               HttpRequest request, Micros wait_limit);
 
+    /// Logs another generation than the last one.
+    void note_generation(DirectoryTopic topic, const HttpResponse& response);
+
     Kernel& m_kernel;
     const std::unique_ptr<DirectoryDialect> m_dialect;
     HttpClient m_client;
+    LogGeneration m_generation = 0; ///< of the newest answer that told one
     std::map<std::string, int> m_calls; ///< since the last line, by kind and topic
 };
 
--- a/testsuite/platform_names.sh
+++ b/testsuite/platform_names.sh
@@ -8,7 +8,7 @@
 cd "$1"
 names='X-Attempt-Id|X-Replica-|X-Segments|X-Segment-Key|X-Expect-|X-Not-Executed|X-Tenant'
 names+='|X-Prefix-Hash|X-Token-Count|Api-Key|stage-run|stage-free|op/config'
-names+='|X-Cold-|allowed_regions|cold_start_s|cold_per_s|cold_remaining'
+names+='|Store-Era|X-Cold-|allowed_regions|cold_start_s|cold_per_s|cold_remaining'
 names+='|keyed\.(op|servers)|log-(read|append|newest)|health_path|path_prefix"'
 if grep -rnE "$names" src testsuite --include='*' --exclude=platform_names.sh; then
   echo "the platform's names stand outside platform/" >&2
