A log that comes back from an older copy is read anew

Cause: offsets were taken for the log's for ever. The store came back without its last records and gave their offsets out again; the root reader was told that its offset was gone and listed anew, but took what its followers asked for behind the old offset for known and empty. Where the log had grown past a reader's offset in time, the reader missed records as well. The ends of an evacuation and of suspects were ordered by the same offsets. Evidence: of the records after the return those at offsets 4, 5 and 6 reached the root reader only, the one at offset 7 everybody, and 7 was the daemons' offset; in a test, n1 and n2 behind an offset of generation 1 while the store told 2.

Change: an offset belongs to a generation of the log, which the store tells in each answer and daemons tell each other. Who hears of another one lists all topics anew and drops answers that were asked for before; what is known holds on (a copy takes back no configuration, end or later start), what the copy lacks is believed in for vanish_grace_ms. Own records, and records of suspects that the log lost, are written again. Readers and askers of an earlier build tell none: such a reader is left once the log was restored.

Why it holds: no cursor, history, packed listing or order by offset outlives its generation, and a daemon can't take part of one from the store or another daemon without being told which it is.

Ruled out: counting offsets that go back (a log that has grown past them hides it); listing at each outage (a short one is not seen by all); the time of the copy (not told).

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -57,6 +57,9 @@
     /// True if the record is news.
     bool apply(const DaemonRecord& record, Micros now);
 
+    /// True if another start of that daemon is known than the record is of.
+    bool knows_other_start(const DaemonRecord& record) const;
+
     /// The directory was read: who has no new record by now has written none.  While
     /// it can't be read, nobody becomes silent by that.
     void note_read(Micros now);
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -130,7 +130,9 @@
     void note_listed(const std::string& identity);
     /// The record of that identity was dropped.
     void drop(const std::string& identity, Micros now, bool after_outage);
-    /// Forgets upstreams whose grace is over.
+    /// How long records that the directory may have lost are believed in.
+    Micros vanish_grace() const { return m_vanish_grace; }
+    /// Forgets upstreams and evacuations whose grace is over.
     void expire(Micros now);
 
     /// Upstreams that are believed in.
--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -114,6 +114,7 @@
     std::vector<std::string> lost; ///< addresses of daemons that did not answer the asker
     bool takes_unreachable = false; ///< daemons of an earlier version don't
     std::uint64_t unreachable_revision = 0; ///< of the list that the asker has
+    LogGeneration generation = 0; ///< of the log that the cursors are of
 };
 
 /// Compresses large values of one topic for the daemons that ask for them, each against
@@ -154,6 +155,7 @@
     Micros held = 0; ///< how long the question waited
     std::optional<DirectoryReferral> referral;
     std::optional<UnreachableList> unreachable; ///< nothing: the asker has it
+    LogGeneration generation = 0; ///< of the log that the offsets are of
 };
 
 std::string encode(const FeedQuery& query);
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -26,6 +26,8 @@
     Offset known_to = 0; ///< an older listing would take back what is known
     Micros unlisted_since = 0; ///< while it must be listed
     bool was_listed = false;
+    bool is_restored = false; ///< must be listed since the log came back from a copy
+    Micros returns_until = 0; ///< records that the log lost may be written again
     /// The directory was as known here at that time or later; until the topic was listed:
     /// when this daemon started.
     Micros as_of = 0;
@@ -89,6 +91,19 @@
     /// The directory has forgotten what follows; the topic must be listed again.
     void note_history_lost(DirectoryTopic topic, Micros now);
 
+    /// What the directory's answer says of the log's generation.  If it is another one, what
+    /// was read no longer tells what lies at an offset: all topics must be listed again, and
+    /// answers to questions that were asked before count no more.  True if so.
+    bool note_generation(LogGeneration told, Micros now);
+    /// The same by the word of another daemon, which may know of an older one.
+    bool hear_generation(LogGeneration told, Micros now)
+    {
+        return told > m_generation && note_generation(told, now);
+    }
+    LogGeneration generation() const { return m_generation; }
+    /// How often topics had to be listed again for that.
+    int restores() const { return m_restores; }
+
     // From the reader of the hall.
 
     FeedQuery query() const;
@@ -134,6 +149,9 @@
     /// True while a topic must be listed before others can tell what follows.
     bool must_list() const;
 
+    /// Records of suspects that the log lost, those whose keys begin with `prefix`.
+    std::vector<DirectoryRecord> lost_suspects(std::string_view prefix) const;
+
     /// True once enough is known to take requests.  Without the records of daemons a daemon
     /// takes itself for the leader of all sets: when 295 start at once and each makes calls
     /// of its own, 1,205 of 2,610 calls for pieces find their upstream full.  Without those
@@ -153,6 +171,8 @@
     /// Until this daemon's first record is to be written; 0 or less: now.  Records of
     /// hundreds that start at once would keep their readers from listing who there is.
     Micros time_until_publish(Micros now) const;
+    /// Between the log's return from a copy and this daemon's next record.
+    Micros time_to_republish() const;
     /// How long a question may wait at the directory.
     Micros wait_of(DirectoryTopic topic, Micros now) const;
 
@@ -165,6 +185,12 @@
         return static_cast<std::size_t>(topic);
     }
     void open_listing(DirectoryTopic topic);
+    void forget_offsets(DirectoryTopic topic, Micros now);
+    /// True if offsets of a log of that generation are those of this daemon's log.
+    bool shares_offsets(LogGeneration told) const;
+    /// The cursor as this daemon's log has it.
+    FeedQuery::Cursor translated(const FeedQuery::Cursor& cursor,
+                                 LogGeneration generation) const;
     Micros time_until_listed(DirectoryTopic topic, Micros now) const;
     /// True while all daemons may be starting and don't know each other yet.
     bool is_new(Micros now) const;
@@ -173,6 +199,7 @@
                      bool after_outage, Micros now, DirectoryChange& change);
     bool take_configuration(const DirectoryRecord& record, Offset at,
                             DirectoryChange& change);
+    void end_evacuations(Offset end, Micros now);
     bool take_evacuation(const EvacuationRecord& evacuation, Offset at);
     void keep_configuration(Offset offset, const DirectoryRecord& record);
     bool take_upstream(const DirectoryRecord& record, Offset at, bool after_outage,
@@ -202,6 +229,8 @@
     DirectoryFold m_fold;
     DaemonTable m_daemons;
     UnreachablePeers m_unreachable;
+    LogGeneration m_generation = 0; ///< 0: not told
+    int m_restores = 0;
     std::optional<DaemonRecord> m_own; ///< nothing: this daemon refers nobody
     bool m_is_peer = false;
     bool m_lived_before = false; ///< the directory holds a record of an earlier life
--- a/src/include/cypressford/evacuation.h
+++ b/src/include/cypressford/evacuation.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,12 +30,19 @@
     /// True if it changed which halls are evacuated.
     bool apply(const EvacuationRecord& record, Offset at);
 
+    /// The log came back from an older copy: records that follow are newer, whatever their
+    /// offsets.
+    void forget_offsets();
+
     /// The listing that follows names all evacuations there are.
     void begin_listing();
     /// Evacuations that were not listed have ended, but for those that were begun at
-    /// `end`, where the log ended when the listing began, or later.  True if that
-    /// changed which halls are evacuated.
-    bool end_listing(Offset end);
+    /// `end`, where the log ended when the listing began, or later.  With `believed_until`,
+    /// the log may have lost their records, and they end then.  True if that changed which
+    /// halls are evacuated.
+    bool end_listing(Offset end, std::optional<Micros> believed_until = std::nullopt);
+    /// Ends those that were believed in until now.  True if there were any.
+    bool expire(Micros now);
 
     /// Place of the record that is in force for the hall; -1: none is known.
     Offset newest(const std::string& hall) const;
@@ -47,6 +55,7 @@
         bool begun = false;
         Offset at = -1; ///< of the record that is in force
         bool listed = false; ///< met in the listing that is under way
+        std::optional<Micros> believed_until; ///< without a record
     };
 
     std::map<std::string, Known> m_halls; ///< ended ones too, for their offsets
--- a/src/include/cypressford/mutation.h
+++ b/src/include/cypressford/mutation.h
@@ -47,6 +47,8 @@
     LimitStays, ///< a limit that an upstream names no more is kept
     ForgetSharers, ///< the part of a daemon that was heard of a moment ago is given away
     TakeOlderListing, ///< all of a topic is taken from a daemon that knows less
+    KeepOffsets, ///< offsets count on after the log came back from an older copy
+    TakeOlderGeneration, ///< what a daemon tells of the log before that is taken
     ForgetUnlisted, ///< what an upstream said is forgotten when its entry lapses
 };
 
--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -19,6 +19,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <cypressford/claims.h>
@@ -104,9 +105,19 @@
     /// A record of this daemon that is not in the log yet: newer than all that is.  It
     /// takes the place of what was given under its key.
     void apply_unwritten(const std::string& key, const SuspectRecord& record);
+    /// The log has acknowledged a record that was given before it was written.
+    void note_written(const std::string& key);
     /// The record is not in the log any more.  True if it was known.
     bool drop(const std::string& key);
 
+    /// The log came back from an older copy: records that are not listed now were lost, and
+    /// hold on here until they are written again.
+    void note_log_restored();
+    bool has_lost() const { return m_lost > 0; }
+    /// Lost records whose keys begin with `prefix`.
+    std::vector<std::pair<std::string, SuspectRecord>>
+    lost(std::string_view prefix) const;
+
     /// The listing that follows names all records there are.
     void begin_listing();
     /// Records that were not listed are gone, but for those written at `end` or later.
@@ -125,6 +136,8 @@
         SuspectRecord record;
         Offset at = 0;
         bool listed = false; ///< met in the listing that is under way
+        bool is_written = false; ///< the log has, or had, it
+        bool is_lost = false; ///< the log may have lost it
     };
     /// What is known of one request.
     struct Suspect {
@@ -132,6 +145,7 @@
         std::set<std::string> answered; ///< keys of records
     };
 
+    void note_written(Known& known);
     bool put(const std::string& key, const SuspectRecord& record, Offset at);
     void add(const std::string& key, const SuspectRecord& record);
     void remove(const std::string& key, const SuspectRecord& record);
@@ -146,6 +160,7 @@
     /// Ends of those with kEndsToWatch or more.
     std::unordered_map<RequestDigest, std::set<UpstreamRun>, RequestDigestHash> m_watched;
     std::set<std::string> m_forgotten; ///< keys that may be in the log yet
+    std::size_t m_lost = 0; ///< records
     Offset m_unwritten = 0; ///< records that were given before they were written
     std::uint64_t m_revision = 0;
 };
--- a/src/include/cypressford/topic_listing.h
+++ b/src/include/cypressford/topic_listing.h
@@ -28,7 +28,7 @@
 public:
     struct Entry {
         std::string value;
-        Offset offset = 0;
+        Offset offset = 0; ///< -1: not known
     };
 
     /// The directory lists the topic: keys that are not named by end_listing() are gone.
@@ -36,6 +36,9 @@
     void name(const std::string& key) { m_unnamed.erase(key); }
     void end_listing();
 
+    /// The log came back from an older copy: no record is known to lie where it was read.
+    void forget_offsets();
+
     void put(const DirectoryRecord& record, Offset offset);
     void erase(const std::string& key);
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -78,6 +78,14 @@
     return true;
 }
 
+bool
+DaemonTable::knows_other_start(const DaemonRecord& record) const
+{
+    const auto known = m_daemons.find(record.node);
+    return known != m_daemons.end()
+        && known->second.record.incarnation != record.incarnation;
+}
+
 /// Its address stands for it no more.
 void
 DaemonTable::forget(const std::string& node)
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -276,6 +276,7 @@
         out.add_lost(address);
     out.set_takes_unreachable(query.takes_unreachable);
     out.set_unreachable_revision(query.unreachable_revision);
+    out.set_generation(query.generation);
     return out.SerializeAsString();
 }
 
@@ -294,6 +295,7 @@
     query.lost.assign(in.lost().begin(), in.lost().end());
     query.takes_unreachable = in.takes_unreachable();
     query.unreachable_revision = in.unreachable_revision();
+    query.generation = in.generation();
     for (const proto::FeedCursor& cursor : in.cursors())
         if (const auto topic = topic_of(cursor.topic()))
             query.cursors.push_back(
@@ -306,6 +308,7 @@
 {
     proto::FeedAnswer out;
     out.set_held_ms(to_ms(answer.held));
+    out.set_generation(answer.generation);
     if (answer.referral)
         fill(*out.mutable_referral(), *answer.referral);
     if (answer.unreachable) {
@@ -337,6 +340,7 @@
         return fail(ErrorKind::BadRequest, "not an answer about the directory");
     FeedAnswer answer;
     answer.held = in.held_ms() * kMillisecond;
+    answer.generation = in.generation();
     if (in.has_referral())
         answer.referral = read(in.referral());
     if (in.has_unreachable()) {
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -164,6 +164,8 @@
 void
 DirectoryFold::expire(Micros now)
 {
+    if (m_evacuations.expire(now))
+        ++m_revision;
     if (now < m_expiry_due)
         return;
     m_expiry_due = std::numeric_limits<Micros>::max();
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -78,13 +78,15 @@
     TopicView& view = of(topic);
     if (topic == DirectoryTopic::Upstreams)
         m_fold.end_listing(now, is_after_outage(topic, now));
-    if (topic == DirectoryTopic::Configuration && m_fold.evacuations().end_listing(end))
-        m_fold.note_evacuations_changed();
+    if (topic == DirectoryTopic::Configuration)
+        end_evacuations(end, now);
     if (topic == DirectoryTopic::Suspects)
         m_suspects.end_listing(end);
     // Another daemon may tell of a time before this one started.
     if (!std::exchange(view.was_listed, true))
         view.as_of = asked_at;
+    if (std::exchange(view.is_restored, false))
+        view.returns_until = now + m_pace.outage;
     view.next = end;
     view.known_to = std::max(view.known_to, end);
     view.listing.end_listing();
@@ -92,6 +94,16 @@
     confirm(topic, asked_at, now);
 }
 
+void
+DirectoryView::end_evacuations(Offset end, Micros now)
+{
+    std::optional<Micros> believed_until;
+    if (of(DirectoryTopic::Configuration).is_restored)
+        believed_until = now + m_fold.vanish_grace();
+    if (m_fold.evacuations().end_listing(end, believed_until))
+        m_fold.note_evacuations_changed();
+}
+
 DirectoryChange
 DirectoryView::take_page(DirectoryTopic topic, Offset from,
                          const std::vector<DirectoryRecord>& records, Micros asked_at,
@@ -128,6 +140,48 @@
     of(topic).unlisted_since = now;
 }
 
+bool
+DirectoryView::note_generation(LogGeneration told, Micros now)
+{
+    if (told == 0 || told == m_generation)
+        return false;
+    const bool is_first = std::exchange(m_generation, told) == 0;
+    if (is_first || mutated(Mutation::KeepOffsets))
+        return false;
+    ++m_restores;
+    for (const DirectoryTopic topic : kTopics)
+        forget_offsets(topic, now);
+    m_fold.evacuations().forget_offsets();
+    m_suspects.note_log_restored();
+    return true;
+}
+
+/// What is known holds on; the listing that follows adds to it.
+void
+DirectoryView::forget_offsets(DirectoryTopic topic, Micros now)
+{
+    TopicView& view = of(topic);
+    note_history_lost(topic, now);
+    view.known_to = 0;
+    view.is_restored = true;
+    view.overdue = false;
+    view.just_changed = false;
+    view.history = {};
+    view.packer = {};
+    view.listing.forget_offsets();
+}
+
+std::vector<DirectoryRecord>
+DirectoryView::lost_suspects(std::string_view prefix) const
+{
+    std::vector<DirectoryRecord> records;
+    if (of(DirectoryTopic::Suspects).is_restored)
+        return records;
+    for (const auto& [key, record] : m_suspects.lost(prefix))
+        records.push_back({key, encode(record)});
+    return records;
+}
+
 /// Keeps it for daemons that know nothing yet.  A configuration that is not in force is
 /// none that they should begin with.
 void
@@ -189,7 +243,8 @@
 bool
 DirectoryView::is_after_outage(DirectoryTopic topic, Micros now) const
 {
-    return now - of(topic).as_of > m_pace.outage;
+    const TopicView& view = of(topic);
+    return view.is_restored || now < view.returns_until || now - view.as_of > m_pace.outage;
 }
 
 void
@@ -306,6 +361,9 @@
         gone.stopping = true;
         m_new_daemons.push_back(std::move(gone));
     } else if (auto daemon = decode_daemon(record.value)) {
+        // An older copy holds what a daemon wrote before its last start.
+        if (of(DirectoryTopic::Daemons).is_restored && m_daemons.knows_other_start(*daemon))
+            return;
         m_lived_before |= m_own && daemon->node == m_own->node
             && daemon->incarnation != m_own->incarnation;
         m_daemons.apply(*daemon, now);
--- a/src/libcypressford/directory_view_feed.cpp
+++ b/src/libcypressford/directory_view_feed.cpp
@@ -33,6 +33,7 @@
     const bool is_reader = source().role != DirectoryRole::Follower;
     query.wait = is_reader ? m_pace.reader_hold : m_pace.hold;
     query.takes_packed = true;
+    query.generation = m_generation;
     query.wants_signs = is_reader;
     for (const DirectoryTopic topic : kTopics) {
         const TopicView& view = of(topic);
@@ -46,6 +47,8 @@
 DirectoryView::take_answer(const FeedAnswer& answer, Micros asked_at, Micros now)
 {
     DirectoryChange change;
+    if (!shares_offsets(answer.generation) && !mutated(Mutation::TakeOlderGeneration))
+        return change;
     Micros on_the_way = std::max<Micros>(0, now - asked_at - answer.held);
     if (mutated(Mutation::ForgetTransit))
         on_the_way = 0;
@@ -59,6 +62,29 @@
     return change;
 }
 
+/// Daemons of an earlier version tell no generation: while the log was never restored, theirs
+/// is the same.
+bool
+DirectoryView::shares_offsets(LogGeneration told) const
+{
+    return told == m_generation || m_generation == 0 || (told == 0 && m_restores == 0);
+}
+
+FeedQuery::Cursor
+DirectoryView::translated(const FeedQuery::Cursor& cursor, LogGeneration generation) const
+{
+    // An asker of an earlier version tells no generation, also once it has listed anew.
+    const bool is_ahead = cursor.from > of(cursor.topic).history.next();
+    const bool is_foreign = generation == 0 ? m_restores > 0 && is_ahead
+                                            : !shares_offsets(generation);
+    FeedQuery::Cursor result = cursor;
+    if (is_foreign && !mutated(Mutation::KeepOffsets)) {
+        result.from = FeedQuery::kNothing;
+        result.base = 0;
+    }
+    return result;
+}
+
 void
 DirectoryView::take_topic(const FeedAnswer::Topic& topic, Micros as_of, Micros now,
                           DirectoryChange& change)
@@ -161,7 +187,8 @@
     if (query.takes_unreachable
         && query.unreachable_revision != m_unreachable.list().revision)
         return true;
-    return std::any_of(query.cursors.begin(), query.cursors.end(), [this](const auto& c) {
+    return std::any_of(query.cursors.begin(), query.cursors.end(), [&](const auto& told) {
+        const FeedQuery::Cursor c = translated(told, query.generation);
         const TopicView& view = of(c.topic);
         if (!view.next)
             return false;
@@ -175,7 +202,9 @@
 DirectoryView::answer_to(const FeedQuery& query, Micros now)
 {
     FeedAnswer answer;
-    for (const FeedQuery::Cursor& cursor : query.cursors) {
+    answer.generation = m_generation;
+    for (const FeedQuery::Cursor& told : query.cursors) {
+        const FeedQuery::Cursor cursor = translated(told, query.generation);
         FeedAnswer::Topic topic = answer_to(cursor, now);
         const bool wants_signs
             = query.wants_signs && cursor.topic == DirectoryTopic::Upstreams;
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -42,6 +42,8 @@
 constexpr Micros kListingSpacing = 20 * kMillisecond;
 /// A daemon that waits to be told looks so often whether it was.
 constexpr Micros kLookAgain = 200 * kMillisecond;
+/// Between records of daemons that write them again, one after the other.
+constexpr Micros kRecordSpacing = 5 * kMillisecond;
 /// The directory bears the listings of so many daemons at once: each lists by itself, which
 /// is soonest.
 constexpr int kFewDaemons = 32;
@@ -209,6 +211,12 @@
     return m_started_at + kPublishLimit - now;
 }
 
+Micros
+DirectoryView::time_to_republish() const
+{
+    return in_turn(m_daemons.alive() * kRecordSpacing);
+}
+
 /// A record that came while a question waited leaves open when; asked again without
 /// waiting, the directory confirms it at once.
 Micros
--- a/src/libcypressford/evacuation.cpp
+++ b/src/libcypressford/evacuation.cpp
@@ -15,11 +15,19 @@
     if (at <= known.at && !mutated(Mutation::EvacuationGoesBack))
         return false;
     known.at = at;
+    known.believed_until.reset();
     const bool changed = known.begun != record.begun;
     known.begun = record.begun;
     return changed;
 }
 
+void
+EvacuationTable::forget_offsets()
+{
+    for (auto& [hall, known] : m_halls)
+        known.at = -1;
+}
+
 void
 EvacuationTable::begin_listing()
 {
@@ -28,14 +36,31 @@
 }
 
 bool
-EvacuationTable::end_listing(Offset end)
+EvacuationTable::end_listing(Offset end, std::optional<Micros> believed_until)
 {
     bool changed = false;
     for (auto& [hall, known] : m_halls) {
         if (!known.begun || known.listed || known.at >= end)
             continue;
-        known.begun = false;
         known.at = end - 1;
+        known.believed_until = believed_until;
+        if (believed_until)
+            continue;
+        known.begun = false;
+        changed = true;
+    }
+    return changed;
+}
+
+bool
+EvacuationTable::expire(Micros now)
+{
+    bool changed = false;
+    for (auto& [hall, known] : m_halls) {
+        if (!known.believed_until || *known.believed_until > now)
+            continue;
+        known.believed_until.reset();
+        known.begun = false;
         changed = true;
     }
     return changed;
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 #include <cypressford/mutation.h>
 
@@ -160,11 +161,57 @@
     put(key, record, kUnwritten + m_unwritten++);
 }
 
+void
+SuspectTable::note_written(const std::string& key)
+{
+    const auto it = m_records.find(key);
+    if (it == m_records.end())
+        return;
+    note_written(it->second);
+}
+
+void
+SuspectTable::note_written(Known& known)
+{
+    known.is_written = true;
+    m_lost -= std::exchange(known.is_lost, false) ? 1 : 0;
+}
+
+/// In the order that they had, behind all that the log holds.
+void
+SuspectTable::note_log_restored()
+{
+    std::vector<std::pair<Offset, std::string>> order;
+    for (const auto& [key, known] : m_records)
+        order.emplace_back(known.at, key);
+    std::sort(order.begin(), order.end());
+    m_unwritten = 0;
+    m_lost = 0;
+    for (const auto& [at, key] : order) {
+        Known& known = m_records.at(key);
+        known.at = kUnwritten + m_unwritten++;
+        known.is_lost = known.is_written;
+        m_lost += known.is_lost ? 1 : 0;
+    }
+}
+
+std::vector<std::pair<std::string, SuspectRecord>>
+SuspectTable::lost(std::string_view prefix) const
+{
+    std::vector<std::pair<std::string, SuspectRecord>> records;
+    for (const auto& [key, known] : m_records)
+        if (known.is_lost && key.starts_with(prefix))
+            records.emplace_back(key, known.record);
+    return records;
+}
+
 bool
 SuspectTable::put(const std::string& key, const SuspectRecord& record, Offset at)
 {
     auto [it, is_new] = m_records.try_emplace(key);
     it->second.listed = true;
+    if (at < kUnwritten)
+        note_written(it->second);
     // Written again after an answer that was lost, a record is where it was first.
     const bool is_known = !is_new && it->second.at <= at;
     if (is_known)
@@ -188,6 +235,7 @@
     if (it == m_records.end())
         return false;
     const SuspectRecord record = std::move(it->second.record);
+    m_lost -= it->second.is_lost ? 1 : 0;
     remove(key, record);
     m_records.erase(it);
     recount(record);
--- a/src/libcypressford/topic_listing.cpp
+++ b/src/libcypressford/topic_listing.cpp
@@ -30,6 +30,17 @@
     m_packed.parts.clear();
 }
 
+void
+TopicListing::forget_offsets()
+{
+    m_by_offset.clear();
+    for (auto& [key, entry] : m_newest) {
+        entry.offset = -1;
+        m_by_offset.emplace(entry.offset, key);
+    }
+    m_packed = {};
+}
+
 void
 TopicListing::put(const DirectoryRecord& record, Offset offset)
 {
--- a/src/libserve/directory/directory_feed_server.cpp
+++ b/src/libserve/directory/directory_feed_server.cpp
@@ -58,6 +58,8 @@
         co_await exchange.respond(problem_response(problem_of(kind)));
         co_return;
     }
+    if (m_on_generation)
+        m_on_generation(query->generation);
     if (query->joiner)
         m_view.meet(*query->joiner, monotonic_us());
     for (const std::string& address : query->lost)
--- a/src/libserve/directory/directory_feed_server.h
+++ b/src/libserve/directory/directory_feed_server.h
@@ -37,12 +37,19 @@
         m_on_lost = std::move(action);
     }
 
+    /// Called with what askers tell of the log's generation.
+    void on_generation(std::function<void(LogGeneration)> action)
+    {
+        m_on_generation = std::move(action);
+    }
+
 private:
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
 
     boost::asio::io_context& m_io;
     DirectoryView& m_view;
     std::function<void(const std::string&)> m_on_lost;
+    std::function<void(LogGeneration)> m_on_generation;
     std::set<BootTimer*> m_waiting;
     HttpServer m_server;
 };
--- a/src/libserve/directory/directory_store.cpp
+++ b/src/libserve/directory/directory_store.cpp
@@ -81,23 +81,31 @@
                                                      std::move(request), options);
     log_call(topic, result, monotonic_us() - asked_at);
     HttpResponse response = result.response;
-    note_generation(topic, response);
-    if (result.status != CallStatus::Answered)
+    const bool is_current = note_generation(topic, response, asked_at);
+    if (result.status != CallStatus::Answered || !is_current)
         response.status = 0;
     co_return response;
 }
 
-void
-DirectoryStore::note_generation(DirectoryTopic topic, const HttpResponse& response)
+bool
+DirectoryStore::note_generation(DirectoryTopic topic, const HttpResponse& response,
+                                Micros asked_at)
 {
     const LogGeneration told = m_dialect->generation_of(response);
     if (told == 0 || told == m_generation)
-        return;
+        return true;
+    const bool is_late = m_generation != 0 && asked_at < m_generation_at;
+    if (is_late && told < m_generation)
+        return false;
     LogEvent("directory_generation", LogLevel::Warn)
         .kv("generation", told)
         .kv("before", m_generation)
         .kv("topic", to_string(topic));
     m_generation = told;
+    m_generation_at = monotonic_us();
+    if (m_on_generation)
+        m_on_generation(told);
+    return true;
 }
 
 asio::awaitable<Result<DirectoryPage>>
--- a/src/libserve/directory/directory_store.h
+++ b/src/libserve/directory/directory_store.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,12 @@
     boost::asio::awaitable<Result<void>> append(DirectoryTopic topic,
                                                 DirectoryRecord record);
 
+    /// Called with the log's generation when an answer tells another one than the last.
+    void on_generation(std::function<void(LogGeneration)> action)
+    {
+        m_on_generation = std::move(action);
+    }
+
     const DirectoryDialect& dialect() const { return *m_dialect; }
 
     /// One log line on the calls since the last such line, if there were any.  `role`: of
@@ -43,13 +50,16 @@
     boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, std::string_view kind,
                                               HttpRequest request, Micros wait_limit);
 
-    /// Logs another generation than the last one.
-    void note_generation(DirectoryTopic topic, const HttpResponse& response);
+    /// False if the answer is of a generation that was over before it came.
+    bool note_generation(DirectoryTopic topic, const HttpResponse& response,
+                         Micros asked_at);
 
     Kernel& m_kernel;
     const std::unique_ptr<DirectoryDialect> m_dialect;
     HttpClient m_client;
     LogGeneration m_generation = 0; ///< of the newest answer that told one
+    Micros m_generation_at = 0; ///< when it was first told
+    std::function<void(LogGeneration)> m_on_generation;
     std::map<std::string, int> m_calls; ///< since the last line, by kind and topic
 };
 
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -85,6 +85,7 @@
                            kernel.settings.directory_heartbeat),
              kernel.settings.vanish_grace, kernel.settings.node, kernel.settings.hall,
              kernel.settings.directory_writes, monotonic_us())
+    , m_until_publish(io)
     , m_without_reader(io)
     , m_feed(io, kernel.settings.limits, m_view)
     , m_evacuations(kernel)
@@ -98,6 +99,11 @@
 DirectoryWatch::start()
 {
     const std::string& address = m_kernel.settings.feed_address;
+    m_store.on_generation([this](LogGeneration told) {
+        if (m_view.note_generation(told, monotonic_us()))
+            recover_from_restore("directory");
+    });
+    m_feed.on_generation([this](LogGeneration told) { hear_generation(told); });
     m_feed.on_lost([this](const std::string& lost) {
         asio::co_spawn(m_io, check_peer(lost), asio::detached);
     });
@@ -181,7 +187,11 @@
         const Micros pace
             = publish_pace(m_view.daemons().alive(), m_kernel.settings.directory_writes);
         const Micros retry = kPublishRetry << std::min(failures - 1, kMaxPublishDoublings);
-        co_await pause(written ? pace : std::min(pace, m_view.in_turn(retry)));
+        const Micros rest = written ? pace : std::min(pace, m_view.in_turn(retry));
+        m_until_publish.expires_after(std::chrono::microseconds(rest));
+        const auto [cancelled] = co_await m_until_publish.async_wait(kToTuple);
+        if (cancelled)
+            co_await pause(m_view.time_to_republish());
     }
 }
 
@@ -245,6 +255,7 @@
 DirectoryWatch::list(DirectoryTopic topic)
 {
     const Micros asked_at = monotonic_us();
+    const int restores = m_view.restores();
     m_view.begin_listing(topic, asked_at);
     std::string after;
     std::optional<Offset> end;
@@ -252,6 +263,8 @@
         const auto page = co_await list_page(topic, after);
         if (!page)
             co_return tl::unexpected(page.error());
+        if (restores != m_view.restores())
+            co_return Result<void> {};
         note(m_view.take_listed(topic, page->records, monotonic_us()));
         // What changed while later pages were read follows behind the first end.
         end = end.value_or(page->end);
@@ -288,9 +301,13 @@
     const Micros wait = m_view.wait_of(topic, asked_at);
     view.asked_at = asked_at;
     const Offset from = *view.next;
+    const int restores = m_view.restores();
     const auto page = co_await m_store.read(topic, from, wait);
     if (!page)
         co_return tl::unexpected(page.error());
+    // What it says is of offsets that hold no more.
+    if (restores != m_view.restores())
+        co_return Result<void> {};
     if (page->history_lost)
         m_view.note_history_lost(topic, monotonic_us());
     else
@@ -353,6 +370,30 @@
         std::memory_order_relaxed);
     bring_into_force();
     bring_suspects_into_force();
+    if (m_on_suspects_lost && m_view.suspects().has_lost())
+        m_on_suspects_lost();
+}
+
+// ----------------------------------------------------- a log that was restored
+
+void
+DirectoryWatch::hear_generation(LogGeneration told)
+{
+    if (m_view.hear_generation(told, monotonic_us()))
+        recover_from_restore("daemon");
+}
+
+void
+DirectoryWatch::recover_from_restore(std::string_view told_by)
+{
+    LogEvent("directory_restored", LogLevel::Warn)
+        .kv("generation", m_view.generation())
+        .kv("told_by", told_by)
+        .kv("role", to_string(source().role))
+        .kv("version", m_applied ? m_applied->version : 0);
+    for (const DirectoryTopic topic : DirectoryView::kTopics)
+        m_pauses.at(topic).cancel();
+    m_until_publish.cancel();
 }
 
 // ---------------------------------------------------- from the hall's reader
@@ -375,7 +416,11 @@
             suspect_reader(*asked, "silent");
             continue;
         }
+        hear_generation(answer->generation);
         note_answer(*answer, asked_at);
+        // One of an earlier version counts on at the offsets that it knew.
+        if (answer->generation == 0 && m_view.restores() > 0)
+            suspect_reader(*asked, "no_generation");
         if (answer->unreachable)
             note_unreachable(*answer->unreachable);
         const Micros age = monotonic_us() - m_view.of(DirectoryTopic::Configuration).as_of;
@@ -480,6 +525,25 @@
     bring_suspects_into_force();
 }
 
+void
+DirectoryWatch::note_suspects_written(const std::string& key)
+{
+    m_view.suspects().note_written(key);
+}
+
+std::vector<DirectoryRecord>
+DirectoryWatch::lost_suspects(std::string_view prefix) const
+{
+    return m_view.lost_suspects(prefix);
+}
+
+std::vector<DirectoryRecord>
+DirectoryWatch::lost_suspects_of_all() const
+{
+    const bool is_other = source().role != DirectoryRole::Root;
+    return is_other ? std::vector<DirectoryRecord> {} : m_view.lost_suspects("");
+}
+
 std::vector<std::string>
 DirectoryWatch::outdated_suspects(std::size_t most) const
 {
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -50,6 +50,12 @@
         m_on_unreachable = std::move(action);
     }
 
+    /// Called when the log may have lost records of suspects.
+    void on_suspects_lost(std::function<void()> action)
+    {
+        m_on_suspects_lost = std::move(action);
+    }
+
     /// The daemon at that address did not answer this one.
     void report_lost(const std::string& peers_address);
 
@@ -65,6 +71,12 @@
     /// What this daemon says of requests under which upstreams ended is in force here at
     /// once.  Given again under one key, it says more than before.
     void take_own_suspects(const std::string& key, const SuspectRecord& record);
+    /// The directory has acknowledged the record of that key.
+    void note_suspects_written(const std::string& key);
+    /// Records whose keys begin with `prefix`, to be written again: the log lost them.
+    std::vector<DirectoryRecord> lost_suspects(std::string_view prefix) const;
+    /// The same of all daemons; none if another one looks after them.
+    std::vector<DirectoryRecord> lost_suspects_of_all() const;
     /// Keys that this daemon is to delete from the directory; none if another one is.
     std::vector<std::string> outdated_suspects(std::size_t most) const;
 
@@ -95,6 +107,10 @@
     boost::asio::awaitable<void> check_peer(std::string peers_address);
     boost::asio::awaitable<bool> gives_sign(std::string peers_address);
     void note_unreachable(const UnreachableList& list);
+    /// What another daemon says of the log's generation.
+    void hear_generation(LogGeneration told);
+    /// The log came back from an older copy: lists, and writes again what it may have lost.
+    void recover_from_restore(std::string_view told_by);
     boost::asio::awaitable<void> trust_later(std::string peers_address);
     boost::asio::awaitable<void> pause(Micros time);
 
@@ -116,6 +132,7 @@
     HttpClient m_peers;
     std::map<DirectoryTopic, BootTimer> m_pauses; ///< of the loops
     DirectoryView m_view;
+    BootTimer m_until_publish; ///< of this daemon's record; cancelled: it may be lost
     BootTimer m_without_reader; ///< between looks whether there is a reader
     DirectoryFeedServer m_feed;
     ResolvedBundlePtr m_applied; ///< the configuration in force
@@ -134,6 +151,7 @@
     std::uint64_t m_unreachable_revision = 0; ///< of the list of the daemon that was asked
     std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
+    std::function<void()> m_on_suspects_lost;
     std::function<void(std::vector<DaemonRecord>)> m_on_daemons;
 };
 
--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -40,13 +40,15 @@
     : m_io(io)
     , m_directory(directory)
     // No two records of a fleet have one key: the incarnation is drawn at random.
-    , m_outbox(kernel.settings.node + "." + format_stamp(kernel.incarnation) + ".")
+    , m_prefix(kernel.settings.node + "." + format_stamp(kernel.incarnation) + ".")
+    , m_outbox(m_prefix)
 {
 }
 
 void
 SuspectWriter::start()
 {
+    m_directory.on_suspects_lost([this] { begin_writing(); });
     asio::co_spawn(m_io, tidy(), asio::detached);
 }
 
@@ -89,12 +91,16 @@
 {
     Micros rest = kFirstPause;
     co_await pause(kGather);
+    std::vector<DirectoryRecord> lost = m_directory.lost_suspects(m_prefix);
+    // Those that fail are tried again with the next news.
+    (void)co_await write_again(std::move(lost));
     while (!m_outbox.empty()) {
         const SuspectOutbox::Entry& first = m_outbox.seal_first();
         DirectoryRecord entry {first.key, encode(first.record)};
         const auto written
             = co_await m_directory.write(DirectoryTopic::Suspects, std::move(entry));
         if (written) {
+            m_directory.note_suspects_written(first.key);
             m_outbox.drop_first();
             rest = kFirstPause;
             continue;
@@ -107,13 +113,31 @@
     m_writing = false;
 }
 
-/// The root reader deletes for all what counts no longer, so that the directory keeps no
-/// more than daemons do.
+asio::awaitable<bool>
+SuspectWriter::write_again(std::vector<DirectoryRecord> records)
+{
+    for (DirectoryRecord& record : records) {
+        const std::string key = record.key;
+        const auto written
+            = co_await m_directory.write(DirectoryTopic::Suspects, std::move(record));
+        if (!written)
+            co_return false;
+        m_directory.note_suspects_written(key);
+    }
+    co_return true;
+}
+
+/// The root reader writes again what the log lost of daemons that are gone, and deletes for
+/// all what counts no longer, so that the directory keeps no more than daemons do.
 asio::awaitable<void>
 SuspectWriter::tidy()
 {
     for (;;) {
         co_await pause(kTidyPace);
+        std::vector<DirectoryRecord> lost = m_directory.lost_suspects_of_all();
+        const bool all_written = co_await write_again(std::move(lost));
+        if (!all_written)
+            continue;
         for (const std::string& key : m_directory.outdated_suspects(kTidyAtOnce)) {
             DirectoryRecord nothing {key, {}};
             const auto deleted
--- a/src/libserve/suspects/suspect_writer.h
+++ b/src/libserve/suspects/suspect_writer.h
@@ -30,11 +30,14 @@
 private:
     void begin_writing();
     boost::asio::awaitable<void> write_all();
+    /// False once a call failed.
+    boost::asio::awaitable<bool> write_again(std::vector<DirectoryRecord> records);
     boost::asio::awaitable<void> tidy();
     boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
     DirectoryWatch& m_directory;
+    const std::string m_prefix; ///< of this daemon's keys
     SuspectOutbox m_outbox;
     bool m_writing = false; ///< write_all() runs
 };
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -5,7 +5,7 @@
 /// Stateful fuzzing of DirectoryView: three daemons of a hall read a log themselves
 /// and ask each other, in any order and with any delay, while upstreams come, drain,
 /// go and start again, older records are written late, configurations change, halls are
-/// evacuated and the log forgets.  A simple oracle knows the whole log.
+/// evacuated, the log forgets, or comes back from an older copy.  A simple oracle knows the whole log.
 ///
 ///   cypressford_directory_fuzz               fixed cases
 ///   cypressford_directory_fuzz --mutations   each deliberate fault must be caught
@@ -149,6 +149,8 @@
         {Mutation::TakeOlderRun, "TakeOlderRun"},
         {Mutation::TakeOlderListing, "TakeOlderListing"},
         {Mutation::IgnoreWholeAnswers, "IgnoreWholeAnswers"},
+        {Mutation::KeepOffsets, "KeepOffsets"},
+        {Mutation::TakeOlderGeneration, "TakeOlderGeneration"},
         {Mutation::ReturnOfGone, "ReturnOfGone"}};
     bool all = true;
     for (const auto& [fault, name] : faults) {
