--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -43,25 +43,6 @@
 /// Records that could not be read and are not logged again; 300 bytes each.
 constexpr std::size_t kMaxUnreadLogged = 256;
 
-struct UpstreamCounts {
-    std::size_t all = 0;
-    std::size_t cold = 0;
-};
-
-UpstreamCounts
-count_upstreams(const Snapshot& snapshot)
-{
-    const Micros now = monotonic_us();
-    UpstreamCounts counts;
-    for (const UpstreamSet& set : snapshot.sets)
-        for (const auto* side : {&set.own, &set.remote})
-            for (const auto& upstream : *side) {
-                ++counts.all;
-                counts.cold += upstream->cold.is_cold(now) ? 1 : 0;
-            }
-    return counts;
-}
-
 CallOptions
 feed_call(Micros connect_until, Micros answer_until)
 {
@@ -504,7 +485,7 @@
     m_view.daemons().trust(peers_address);
 }
 
-// ----------------------------------------------------------------- in force
+// ------------------------------------------------------- contact with the store
 
 void
 DirectoryWatch::note_contact(bool reached)
@@ -518,97 +499,4 @@
         m_last_contact = now;
 }
 
-void
-DirectoryWatch::take_own_suspects(const std::string& key, const SuspectRecord& record)
-{
-    m_view.suspects().apply_unwritten(key, record);
-    bring_suspects_into_force();
-}
-
-void
-DirectoryWatch::note_suspects_written(const std::string& key)
-{
-    m_view.suspects().note_written(key);
-}
-
-std::vector<DirectoryRecord>
-DirectoryWatch::lost_suspects(std::string_view prefix) const
-{
-    return m_view.lost_suspects(prefix);
-}
-
-std::vector<DirectoryRecord>
-DirectoryWatch::lost_suspects_of_all() const
-{
-    const bool is_other = source().role != DirectoryRole::Root;
-    return is_other ? std::vector<DirectoryRecord> {} : m_view.lost_suspects("");
-}
-
-std::vector<std::string>
-DirectoryWatch::outdated_suspects(std::size_t most) const
-{
-    const bool is_other = source().role != DirectoryRole::Root;
-    return is_other ? std::vector<std::string> {}
-                    : m_view.suspects().outdated(wall_ms(), most);
-}
-
-void
-DirectoryWatch::bring_suspects_into_force()
-{
-    const SuspectTable& suspects = m_view.suspects();
-    if (suspects.revision() == m_applied_suspects)
-        return;
-    m_applied_suspects = suspects.revision();
-    SuspectViewPtr view = suspects.view();
-    LogEvent("suspects_in_force", LogLevel::Warn)
-        .kv("revision", m_applied_suspects)
-        .kv("watched", view->size())
-        .kv("quarantined", view->count_quarantined());
-    m_kernel.suspects.store(std::move(view));
-}
-
-void
-DirectoryWatch::bring_into_force()
-{
-    DirectoryFold& fold = m_view.fold();
-    fold.expire(monotonic_us());
-    if (!m_view.can_serve(monotonic_us()))
-        return;
-    const Bundle* bundle = fold.configuration();
-    const bool is_new = !m_applied || bundle->version != m_applied->version;
-    if (!is_new && fold.revision() == m_applied_revision)
-        return;
-    const Micros build_began_at = monotonic_us();
-    if (is_new) {
-        LogEvent("configuration_in_force")
-            .kv("version", bundle->version)
-            .kv("before", m_applied ? m_applied->version : 0)
-            .kv("pipelines", bundle->pipelines.size())
-            .kv("decode_us", m_taken_us);
-        m_applied = m_kernel.upstreams.resolve(*bundle);
-    }
-    m_applied_revision = fold.revision();
-    const std::vector<MemberChange> changes = fold.take_changes();
-    SnapshotPtr before = m_kernel.snapshot.load();
-    if (!before)
-        before = m_kernel.upstreams.build(m_applied, {});
-    SnapshotPtr snapshot = m_kernel.upstreams.update(*before, m_applied, changes);
-    const bool updated = snapshot != nullptr;
-    if (!updated)
-        snapshot = m_kernel.upstreams.build(m_applied, fold.members());
-    m_evacuations.apply(fold.evacuations().halls(), *snapshot);
-    m_kernel.snapshot.store(snapshot);
-    const Micros build_us = monotonic_us() - build_began_at;
-    const UpstreamCounts counts = count_upstreams(*snapshot);
-    LogEvent("upstreams_in_force")
-        .kv("revision", m_applied_revision)
-        .kv("upstreams", counts.all)
-        .kv("cold", counts.cold)
-        .kv("changes", changes.size())
-        .kv("whole", !updated)
-        .kv("build_us", build_us);
-    if (m_on_change)
-        m_on_change();
-}
-
 } // namespace cypressford
