A reader that does not answer in time is asked once more while that can't cost the bound

Users' halls see: a reader that gets no processor for 0.3 s is taken for silent, left for 3 s, and its followers go to another one or to the store.

Cause: the first missing answer was taken for the end of the reader, however fresh the follower's knowledge.

A cut or dead reader is found out 0.3 s later at most, and no knowledge gets older than before.

Ruled out: a longer limit for each answer (a frozen reader would cost every follower that time in each round).

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -160,6 +160,9 @@
 
     /// What this daemon is to the directory, and whom it asks.
     DirectorySource source() const;
+    /// True if a reader that did not answer can be asked once more, for so long, before what
+    /// is known must be renewed: it may be waiting for its processor.
+    bool may_ask_again(Micros answer_time, Micros now) const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
     /// Until a directory that did not answer so many times in a row is asked again. Readers
@@ -184,6 +187,11 @@
     {
         return static_cast<std::size_t>(topic);
     }
+    Micros bearable_age(DirectoryRole role) const
+    {
+        return role == DirectoryRole::HallReader ? m_pace.reader_stale_after
+                                                 : m_pace.stale_after;
+    }
     void open_listing(DirectoryTopic topic);
     void forget_offsets(DirectoryTopic topic, Micros now);
     /// True if offsets of a log of that generation are those of this daemon's log.
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -90,6 +90,28 @@
     }
 }
 
+TEST_CASE("a reader that did not answer is asked once more while what is known stays fresh")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    constexpr Micros answer_time = 300 * kMillisecond;
+    const std::vector<DaemonRecord> records = fleet(40);
+    for (const DaemonRecord& own : records) {
+        DirectoryView view(dialect, pace, 0, own.node, own.hall, 400, 0);
+        CHECK_FALSE(view.may_ask_again(answer_time, 0));
+        for (const DirectoryTopic topic : DirectoryView::kTopics) {
+            view.begin_listing(topic, 0);
+            view.end_listing(topic, 1, 0, 0);
+        }
+        for (const DaemonRecord& record : records)
+            view.daemons().apply(record, 0);
+        const bool is_reader = view.source().role == DirectoryRole::HallReader;
+        const Micros fresh = is_reader ? pace.reader_stale_after : pace.stale_after;
+        CHECK(view.may_ask_again(answer_time, fresh - answer_time - 1));
+        CHECK_FALSE(view.may_ask_again(answer_time, fresh - answer_time));
+    }
+}
+
 TEST_CASE("a configuration that is written again reaches who listed an older one")
 {
     TextDialect dialect;
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -161,6 +161,14 @@
     return std::min(view.unlisted_since + limit + turn - now, kLookAgain);
 }
 
+bool
+DirectoryView::may_ask_again(Micros answer_time, Micros now) const
+{
+    const Micros known_at = std::min(of(DirectoryTopic::Configuration).as_of,
+                                     of(DirectoryTopic::Upstreams).as_of);
+    return !must_list() && now + answer_time < known_at + bearable_age(source().role);
+}
+
 Micros
 DirectoryView::time_until_read(DirectoryTopic topic, Micros now) const
 {
@@ -173,10 +181,7 @@
     if (from.daemon) {
         if (view.overdue)
             return 0;
-        const Micros bearable = role == DirectoryRole::HallReader
-            ? m_pace.reader_stale_after
-            : m_pace.stale_after;
-        const Micros stale = is_daemons ? kDaemonsStale : bearable;
+        const Micros stale = is_daemons ? kDaemonsStale : bearable_age(role);
         // While the directory is away it is not asked without a pause.
         return std::max(view.as_of + stale, view.asked_at + kRetryPause) - now;
     }
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -391,8 +391,12 @@
             co_await m_without_reader.async_wait(kToTuple);
             continue;
         }
-        const Micros asked_at = monotonic_us();
-        const auto answer = co_await ask_reader(*asked);
+        Micros asked_at = monotonic_us();
+        auto answer = co_await ask_reader(*asked, true);
+        if (!answer && m_view.may_ask_again(kReaderWaitLimit, monotonic_us())) {
+            asked_at = monotonic_us();
+            answer = co_await ask_reader(*asked, false);
+        }
         if (!answer) {
             suspect_reader(*asked, "silent");
             continue;
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -81,6 +81,9 @@
     std::vector<std::string> outdated_suspects(std::size_t most) const;
 
 private:
+    /// How long a reader's answer may take to begin, beyond the time that it is held.
+    static constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
+
     boost::asio::awaitable<void> publish_own();
     boost::asio::awaitable<bool> publish_once();
     DaemonRecord own_record();
@@ -98,7 +101,8 @@
     boost::asio::awaitable<Result<DirectoryPage>> list_page(DirectoryTopic topic,
                                                             std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
-    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
+    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader,
+                                                          bool waits_for_news);
     boost::asio::awaitable<Result<FeedAnswer>> ask_feed(std::string feed_address,
                                                         std::string who, FeedQuery query,
                                                         Micros connect_limit,
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -25,8 +25,6 @@
 
 namespace {
 
-/// How long a reader's answer may take to begin, beyond the time that it is held.
-constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
 constexpr Micros kConnectTime = 250 * kMillisecond;
 /// The same while a topic must be listed: a reader that has just started itself takes in
 /// thousands of records before it answers.
@@ -48,10 +46,12 @@
 } // namespace
 
 asio::awaitable<Result<FeedAnswer>>
-DirectoryWatch::ask_reader(const DaemonRecord& reader)
+DirectoryWatch::ask_reader(const DaemonRecord& reader, bool waits_for_news)
 {
     const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
     FeedQuery query = m_view.query();
+    if (!waits_for_news)
+        query.wait = 0;
     query.takes_unreachable = true;
     query.unreachable_revision = m_unreachable_revision;
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
