--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -91,9 +91,9 @@
     /// The directory has forgotten what follows; the topic must be listed again.
     void note_history_lost(DirectoryTopic topic, Micros now);
 
-    /// What the directory's answer says of the log's generation.  If it is another one, what
-    /// was read no longer tells what lies at an offset: all topics must be listed again, and
-    /// answers to questions that were asked before count no more.  True if so.
+    /// What the directory's answer says of the log's generation.  If it is another one,
+    /// what was read no longer tells what lies at an offset: all topics must be listed
+    /// again, and answers to questions that were asked before count no more.  True if so.
     bool note_generation(LogGeneration told, Micros now);
     /// The same by the word of another daemon, which may know of an older one.
     bool hear_generation(LogGeneration told, Micros now)
@@ -160,8 +160,8 @@
 
     /// What this daemon is to the directory, and whom it asks.
     DirectorySource source() const;
-    /// True if a reader that did not answer can be asked once more, for so long, before what
-    /// is known must be renewed: it may be waiting for its processor.
+    /// True if a reader that did not answer can be asked once more, for so long, before
+    /// what is known must be renewed: it may be waiting for its processor.
     bool may_ask_again(Micros answer_time, Micros now) const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -115,8 +115,7 @@
     void note_log_restored();
     bool has_lost() const { return m_lost > 0; }
     /// Lost records whose keys begin with `prefix`.
-    std::vector<std::pair<std::string, SuspectRecord>>
-    lost(std::string_view prefix) const;
+    std::vector<std::pair<std::string, SuspectRecord>> lost(std::string_view prefix) const;
 
     /// The listing that follows names all records there are.
     void begin_listing();
--- a/src/libcypressford/directory_view_feed.cpp
+++ b/src/libcypressford/directory_view_feed.cpp
@@ -62,8 +62,8 @@
     return change;
 }
 
-/// Daemons of an earlier version tell no generation: while the log was never restored, theirs
-/// is the same.
+/// Daemons of an earlier version tell no generation: while the log was never restored,
+/// theirs is the same.
 bool
 DirectoryView::shares_offsets(LogGeneration told) const
 {
@@ -75,8 +75,8 @@
 {
     // An asker of an earlier version tells no generation, also once it has listed anew.
     const bool is_ahead = cursor.from > of(cursor.topic).history.next();
-    const bool is_foreign = generation == 0 ? m_restores > 0 && is_ahead
-                                            : !shares_offsets(generation);
+    const bool is_foreign
+        = generation == 0 ? m_restores > 0 && is_ahead : !shares_offsets(generation);
     FeedQuery::Cursor result = cursor;
     if (is_foreign && !mutated(Mutation::KeepOffsets)) {
         result.from = FeedQuery::kNothing;
--- a/src/libcypressford/restored_log_test.cpp
+++ b/src/libcypressford/restored_log_test.cpp
@@ -50,7 +50,7 @@
     }
 }
 
-/// Asks the reader as a daemon does; false if the reader's word does not count.
+/// Asks the reader as a daemon does.
 void
 ask(DirectoryView& asker, DirectoryView& reader, Micros now = 0)
 {
@@ -67,7 +67,8 @@
     return view.fold().configuration()->version;
 }
 
-TEST_CASE("a configuration at an offset given out again reaches the reader and its followers")
+TEST_CASE(
+    "a configuration at an offset given out again reaches the reader and its followers")
 {
     const TextDialect dialect;
     DirectoryView reader = view_of(dialect, "reader");
@@ -102,7 +103,8 @@
     CHECK(version_of(fresh) == 22);
 }
 
-TEST_CASE("who hears first that the log was restored tells its reader, whose word counts then")
+TEST_CASE(
+    "who hears first that the log was restored tells its reader, whose word counts then")
 {
     const TextDialect dialect;
     DirectoryView reader = view_of(dialect, "reader");
@@ -273,7 +275,8 @@
     DirectoryView m_view = view_of(m_dialect, "own");
 };
 
-TEST_CASE("a quarantine holds on although the log lost its records, until it has them again")
+TEST_CASE(
+    "a quarantine holds on although the log lost its records, until it has them again")
 {
     RestoredSuspects suspects;
     REQUIRE(suspects.is_quarantined());
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -182,6 +182,7 @@
 SuspectTable::note_log_restored()
 {
     std::vector<std::pair<Offset, std::string>> order;
+    order.reserve(m_records.size());
     for (const auto& [key, known] : m_records)
         order.emplace_back(known.at, key);
     std::sort(order.begin(), order.end());
--- a/testsuite/fuzz/directory_fuzz.cpp
+++ b/testsuite/fuzz/directory_fuzz.cpp
@@ -5,7 +5,8 @@
 /// Stateful fuzzing of DirectoryView: three daemons of a hall read a log themselves
 /// and ask each other, in any order and with any delay, while upstreams come, drain,
 /// go and start again, older records are written late, configurations change, halls are
-/// evacuated, the log forgets, or comes back from an older copy.  A simple oracle knows the whole log.
+/// evacuated, the log forgets, or comes back from an older copy.  A simple oracle knows the
+/// whole log.
 ///
 ///   cypressford_directory_fuzz               fixed cases
 ///   cypressford_directory_fuzz --mutations   each deliberate fault must be caught
--- a/testsuite/fuzz/directory_world.h
+++ b/testsuite/fuzz/directory_world.h
@@ -254,8 +254,8 @@
     /// The log comes back from an older copy, and its writers write again what holds.
     void restore(std::size_t a, std::size_t b)
     {
-        const std::map<std::string, bool> evacuations = evacuations_before(
-            of(DirectoryTopic::Configuration).end());
+        const std::map<std::string, bool> evacuations
+            = evacuations_before(of(DirectoryTopic::Configuration).end());
         for (const auto& [name, truth] : truth_before(of(DirectoryTopic::Upstreams).end()))
             if (!truth.present)
                 m_ended_before_restore[name] = truth;
