A daemon serves on by what comes while topics are listed again

Callers would see: once the store was restored, or has forgotten its history, a configuration that a daemon has taken is in force only when upstreams are listed, too: seconds later where thousands of them are told down a tree of readers.

Cause: what must be known before a fresh daemon takes requests was asked as "is listed now".

Change: it is asked as "was listed once"; what must be listed again holds on.

Measured: restored_log_test, a new case with three checks that fail before, and pass after.

--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -57,10 +57,11 @@
 bool
 DirectoryView::can_serve(Micros now) const
 {
-    if (!of(DirectoryTopic::Upstreams).next || !m_fold.configuration())
+    // What must be listed again holds on meanwhile.
+    if (!of(DirectoryTopic::Upstreams).was_listed || !m_fold.configuration())
         return false;
     const bool has_rest
-        = of(DirectoryTopic::Daemons).next && of(DirectoryTopic::Suspects).next;
+        = of(DirectoryTopic::Daemons).was_listed && of(DirectoryTopic::Suspects).was_listed;
     return has_rest || now - m_started_at >= kWaitForRest;
 }
 
--- a/src/libcypressford/restored_log_test.cpp
+++ b/src/libcypressford/restored_log_test.cpp
@@ -161,6 +161,20 @@
     CHECK(reader.answer_to(query, 0).topics.front().listing.empty());
 }
 
+TEST_CASE("a daemon serves on, by new configurations too, while upstreams are listed again")
+{
+    const TextDialect dialect;
+    DirectoryView view = view_of(dialect, "own");
+    view.note_generation(kBefore, 0);
+    list_all(view, "22", 7);
+    REQUIRE(view.can_serve(0));
+    view.note_generation(kAfter, 0);
+    CHECK(view.can_serve(0));
+    list(view, DirectoryTopic::Configuration, {{"config", "24", 4}}, 5);
+    CHECK(view.can_serve(0));
+    CHECK(version_of(view) == 24);
+}
+
 TEST_CASE("upstreams that the copy lacks are believed in, those that left stay gone")
 {
     const TextDialect dialect;
--- a/src/libserve/directory/directory_store.h
+++ b/src/libserve/directory/directory_store.h
@@ -50,7 +50,8 @@
     boost::asio::awaitable<HttpResponse> call(DirectoryTopic topic, std::string_view kind,
                                               HttpRequest request, Micros wait_limit);
 
-    /// False if the answer is of a generation that was over before it came.
+    /// Logs and passes on another generation than the last.  False if the answer is of one
+    /// that was over before it came.
     bool note_generation(DirectoryTopic topic, const HttpResponse& response,
                          Micros asked_at);
 
