Reading: what a DirectoryWatch hears from its reader stands in a file of its own

A result of decode_feed_answer has a name before it is returned: GCC 12 takes the frame of that coroutine for one freed wrongly otherwise.

--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -4,7 +4,6 @@
 #include <cypressford/upstream.h>
 
 #include <algorithm>
-#include <set>
 
 namespace cypressford {
 
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -11,7 +11,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "libserve/peers/peer_link.h"
 #include "libutil/boot_clock.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
@@ -24,12 +23,6 @@
 namespace {
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
-/// Without a reader, between looks whether there is one.
-constexpr Micros kReaderPause = 200 * kMillisecond;
-/// A reader that did not tell what it should is not asked for so long.
-constexpr Micros kDistrust = 3 * kSecond;
-/// The same while a topic must be listed: the reader may be about to start.
-constexpr Micros kDistrustAtStart = 500 * kMillisecond;
 /// A page of a listing is asked for so often before the listing begins anew.
 constexpr int kPageTries = 4;
 /// Between looks whether this daemon's first record may be written.
@@ -37,23 +30,11 @@
 /// Between tries to write this daemon's record; doubles with each.
 constexpr Micros kPublishRetry = 1 * kSecond;
 constexpr int kMaxPublishDoublings = 3;
-constexpr int kOk = 200;
 /// Between log lines on the calls to the directory.
 constexpr Micros kReportPace = 10 * kSecond;
 /// Records that could not be read and are not logged again; 300 bytes each.
 constexpr std::size_t kMaxUnreadLogged = 256;
 
-CallOptions
-feed_call(Micros connect_until, Micros answer_until)
-{
-    CallOptions options;
-    options.connect_deadline_us = connect_until;
-    options.deadline_us = answer_until;
-    options.body = kLargeBody;
-    options.send_clock = false;
-    return options;
-}
-
 } // namespace
 
 DirectoryWatch::DirectoryWatch(asio::io_context& io, Kernel& kernel)
@@ -355,6 +336,13 @@
         m_on_suspects_lost();
 }
 
+void
+DirectoryWatch::note_standstill()
+{
+    for (const DirectoryTopic topic : DirectoryView::kTopics)
+        m_pauses.at(topic).cancel();
+}
+
 // ----------------------------------------------------- a log that was restored
 
 void
@@ -377,118 +365,6 @@
     m_until_publish.cancel();
 }
 
-// ---------------------------------------------------- from the hall's reader
-
-asio::awaitable<void>
-DirectoryWatch::follow_reader()
-{
-    for (;;) {
-        const DirectorySource from = source();
-        note_source(from);
-        const std::optional<DaemonRecord>& asked = from.daemon;
-        if (!asked) {
-            m_without_reader.expires_after(std::chrono::microseconds(kReaderPause));
-            co_await m_without_reader.async_wait(kToTuple);
-            continue;
-        }
-        Micros asked_at = monotonic_us();
-        auto answer = co_await ask_reader(*asked, true);
-        if (!answer && m_view.may_ask_again(kReaderWaitLimit, monotonic_us())) {
-            asked_at = monotonic_us();
-            answer = co_await ask_reader(*asked, false);
-        }
-        if (!answer) {
-            suspect_reader(*asked, "silent");
-            continue;
-        }
-        hear_generation(answer->generation);
-        note_answer(*answer, asked_at);
-        // One of an earlier version counts on at the offsets that it knew.
-        if (answer->generation == 0 && m_view.restores() > 0)
-            suspect_reader(*asked, "no_generation");
-        if (answer->unreachable)
-            note_unreachable(*answer->unreachable);
-        const Micros age = monotonic_us() - m_view.of(DirectoryTopic::Configuration).as_of;
-        if (!m_reached && age < m_view.pace().stale_after)
-            note_contact(true);
-        bool complete = true;
-        for (const DirectoryTopic topic : DirectoryView::kTopics) {
-            complete = complete && !m_view.of(topic).overdue;
-            if (m_view.of(topic).overdue)
-                m_pauses.at(topic).cancel();
-        }
-        if (!complete)
-            co_await pause(kReaderPause);
-    }
-}
-
-void
-DirectoryWatch::note_standstill()
-{
-    for (const DirectoryTopic topic : DirectoryView::kTopics)
-        m_pauses.at(topic).cancel();
-}
-
-/// Whom this daemon hears from changed: who came to read the directory itself does so at
-/// once, not when it would have missed its reader.
-void
-DirectoryWatch::note_source(const DirectorySource& from)
-{
-    const std::string asked = from.daemon ? from.daemon->node : std::string();
-    if (m_role == from.role && m_asked == asked)
-        return;
-    m_role = from.role;
-    m_asked = asked;
-    m_unreachable_revision = 0;
-    LogEvent("directory_source").kv("role", to_string(from.role)).kv("asks", asked);
-    for (const DirectoryTopic topic : DirectoryView::kTopics)
-        m_pauses.at(topic).cancel();
-}
-
-asio::awaitable<Result<FeedAnswer>>
-DirectoryWatch::ask_feed(std::string feed_address, std::string who, FeedQuery query,
-                         Micros connect_limit, Micros wait_limit)
-{
-    const Micros asked_at = monotonic_us();
-    HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
-    CallOptions options
-        = feed_call(asked_at + connect_limit, asked_at + query.wait + wait_limit);
-    const CallResult result
-        = co_await m_peers.call(feed_address, std::move(request), std::move(options));
-    if (result.status != CallStatus::Answered || result.response.status != kOk) {
-        LogEvent("reader_call_failed", LogLevel::Warn)
-            .kv("reader", who)
-            .kv("status", result.response.status)
-            .kv("bytes", result.response.body.size())
-            .kv("us", monotonic_us() - asked_at);
-        co_return fail(ErrorKind::UpstreamFailed, who);
-    }
-    co_return decode_feed_answer(result.response.body);
-}
-
-void
-DirectoryWatch::suspect_reader(const DaemonRecord& reader, std::string_view why)
-{
-    if (!m_view.daemons().suspect(reader.peers_address))
-        return;
-    const Micros now = monotonic_us();
-    LogEvent("reader_suspected", LogLevel::Warn)
-        .kv("reader", reader.node)
-        .kv("why", why)
-        .kv("configuration_age_ms",
-            (now - m_view.of(DirectoryTopic::Configuration).as_of) / kMillisecond)
-        .kv("upstreams_age_ms",
-            (now - m_view.of(DirectoryTopic::Upstreams).as_of) / kMillisecond);
-    asio::co_spawn(m_io, trust_later(reader.peers_address), asio::detached);
-}
-
-asio::awaitable<void>
-DirectoryWatch::trust_later(std::string peers_address)
-{
-    co_await pause(m_view.must_list() ? kDistrustAtStart : kDistrust);
-    m_view.daemons().trust(peers_address);
-}
-
 // ------------------------------------------------------- contact with the store
 
 void
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -42,9 +42,43 @@
 constexpr Micros kPeerCheckPause = 300 * kMillisecond;
 /// Between peers that did not refer this daemon.
 constexpr Micros kRoundPause = 100 * kMillisecond;
+constexpr int kOk = 200;
+
+CallOptions
+feed_call(Micros connect_until, Micros answer_until)
+{
+    CallOptions options;
+    options.connect_deadline_us = connect_until;
+    options.deadline_us = answer_until;
+    options.body = kLargeBody;
+    options.send_clock = false;
+    return options;
+}
 
 } // namespace
 
+asio::awaitable<Result<FeedAnswer>>
+DirectoryWatch::ask_feed(std::string feed_address, std::string who, FeedQuery query,
+                         Micros connect_limit, Micros wait_limit)
+{
+    const Micros asked_at = monotonic_us();
+    HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
+    CallOptions options
+        = feed_call(asked_at + connect_limit, asked_at + query.wait + wait_limit);
+    const CallResult result
+        = co_await m_peers.call(feed_address, std::move(request), std::move(options));
+    if (result.status != CallStatus::Answered || result.response.status != kOk) {
+        LogEvent("reader_call_failed", LogLevel::Warn)
+            .kv("reader", who)
+            .kv("status", result.response.status)
+            .kv("bytes", result.response.body.size())
+            .kv("us", monotonic_us() - asked_at);
+        co_return fail(ErrorKind::UpstreamFailed, who);
+    }
+    auto answer = decode_feed_answer(result.response.body);
+    co_return answer;
+}
+
 asio::awaitable<Result<FeedAnswer>>
 DirectoryWatch::ask_reader(const DaemonRecord& reader, bool waits_for_news)
 {
