A reader at work is not taken for a silent one

What callers saw: while a reader unpacked and resolved a large configuration its followers left it, one after the other, and read the same configuration at the store, at the moment when that is dearest; on a thin link the change was in force later at each of them.

Cause: a question to the reader may be late by 0.3 s, and once more by 0.3 s. The thread that answers also does the work on a change, so a reader at work for 0.6 s is silent like a dead one.

Change: the second question stays open for as long as the reader gives signs of life at its address for peers, which a worker thread answers; each sign has 0.3 s and a connection of its own. Why it holds: a stopped, dead or cut reader gives none, so it is left when it was left before (0.3 s after the second question); one that gives signs for ever is left (why=no_news) once what is known is as old as the bound, and what is older than 0.65 of the bound is read at the directory meanwhile, as before.

Ruled out: a longer limit for every question (a frozen reader would cost each follower that time); signs in the answer itself (the thread that would send them is the one at work).

--- a/src/include/cypressford/directory_feed.h
+++ b/src/include/cypressford/directory_feed.h
@@ -80,6 +80,7 @@
     /// one upstream.
     DirectoryPace(Micros bound, Micros heartbeat);
 
+    Micros bound;
     /// Without contact for so long, records may have lapsed by the directory's fault.
     Micros outage;
     Micros stale_after; ///< older knowledge is renewed at the directory itself
--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -163,6 +163,8 @@
     /// True if a reader that did not answer can be asked once more, for so long, before
     /// what is known must be renewed: it may be waiting for its processor.
     bool may_ask_again(Micros answer_time, Micros now) const;
+    /// A reader that gives signs of life but has told nothing by then is left.
+    Micros reader_due_at() const;
     /// Until the directory itself is to be asked; 0 or less: now.
     Micros time_until_read(DirectoryTopic topic, Micros now) const;
     /// Until a directory that did not answer so many times in a row is asked again. Readers
@@ -192,6 +194,8 @@
         return role == DirectoryRole::HallReader ? m_pace.reader_stale_after
                                                  : m_pace.stale_after;
     }
+    /// Configuration and upstreams are known as they were then.
+    Micros known_at() const;
     void open_listing(DirectoryTopic topic);
     void forget_offsets(DirectoryTopic topic, Micros now);
     /// True if offsets of a log of that generation are those of this daemon's log.
--- a/src/libcypressford/directory_feed.cpp
+++ b/src/libcypressford/directory_feed.cpp
@@ -245,8 +245,9 @@
     return true;
 }
 
-DirectoryPace::DirectoryPace(Micros bound, Micros heartbeat)
-    : outage(kHeartbeatsOfOutage * heartbeat)
+DirectoryPace::DirectoryPace(Micros bound_, Micros heartbeat)
+    : bound(bound_)
+    , outage(kHeartbeatsOfOutage * heartbeat)
     , stale_after(std::min(part_of(bound, kStalePart), part_of(outage, kStalePartOfOutage)))
     , reader_stale_after(part_of(stale_after, kReaderStalePart))
     , read_wait(part_of(stale_after, kWaitPart))
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -112,6 +112,20 @@
     }
 }
 
+TEST_CASE("a reader that gives signs of life but no news is left within the bound")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    DirectoryView view(dialect, pace, 0, "own", "hall", 400, 0);
+    const auto list = [&](DirectoryTopic topic, Micros now) {
+        view.begin_listing(topic, now);
+        view.end_listing(topic, 1, now, now);
+    };
+    list(DirectoryTopic::Configuration, 100 * kMillisecond);
+    list(DirectoryTopic::Upstreams, 300 * kMillisecond);
+    CHECK(view.reader_due_at() == 2 * kSecond + 100 * kMillisecond);
+}
+
 TEST_CASE("a configuration that is written again reaches who listed an older one")
 {
     TextDialect dialect;
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -162,12 +162,23 @@
     return std::min(view.unlisted_since + limit + turn - now, kLookAgain);
 }
 
+Micros
+DirectoryView::known_at() const
+{
+    return std::min(of(DirectoryTopic::Configuration).as_of,
+                    of(DirectoryTopic::Upstreams).as_of);
+}
+
 bool
 DirectoryView::may_ask_again(Micros answer_time, Micros now) const
 {
-    const Micros known_at = std::min(of(DirectoryTopic::Configuration).as_of,
-                                     of(DirectoryTopic::Upstreams).as_of);
-    return !must_list() && now + answer_time < known_at + bearable_age(source().role);
+    return !must_list() && now + answer_time < known_at() + bearable_age(source().role);
+}
+
+Micros
+DirectoryView::reader_due_at() const
+{
+    return known_at() + m_pace.bound;
 }
 
 Micros
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -5,6 +5,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -84,11 +86,21 @@
     /// How long a reader's answer may take to begin, beyond the time that it is held.
     static constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
 
+    /// A question to a reader that did not answer in time.
+    struct LateAnswer {
+        std::shared_ptr<CallHandle> call = std::make_shared<CallHandle>();
+        bool is_over = false; ///< the answer has begun, or the question was given up
+        bool gave_sign = false; ///< the reader, meanwhile
+    };
+
     boost::asio::awaitable<void> publish_own();
     boost::asio::awaitable<bool> publish_once();
     DaemonRecord own_record();
     /// Asks daemons that the settings name whom to ask.
     boost::asio::awaitable<void> join();
+    boost::asio::awaitable<std::optional<DirectoryReferral>> own_referral();
+    boost::asio::awaitable<std::optional<DirectoryReferral>>
+    ask_peer(std::string feed_address, Micros connect_limit);
     boost::asio::awaitable<bool> ask_referral(std::string feed_address,
                                               Micros connect_limit);
     std::vector<std::string> feeds_of_peers() const;
@@ -101,15 +113,20 @@
     boost::asio::awaitable<Result<DirectoryPage>> list_page(DirectoryTopic topic,
                                                             std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
-    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader,
-                                                          bool waits_for_news);
+    FeedQuery reader_query() const;
+    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
+    boost::asio::awaitable<Result<FeedAnswer>>
+    ask_reader_again(const DaemonRecord& reader, std::shared_ptr<LateAnswer> late);
+    boost::asio::awaitable<void> watch_reader(DaemonRecord reader,
+                                              std::shared_ptr<LateAnswer> late);
+    /// `limits`: by when connection and answer must have come.
     boost::asio::awaitable<Result<FeedAnswer>> ask_feed(std::string feed_address,
                                                         std::string who, FeedQuery query,
-                                                        Micros connect_limit,
-                                                        Micros wait_limit);
+                                                        CallOptions limits);
     boost::asio::awaitable<void> tell_lost(DaemonRecord reader, std::string peers_address);
     boost::asio::awaitable<void> check_peer(std::string peers_address);
-    boost::asio::awaitable<bool> gives_sign(std::string peers_address);
+    boost::asio::awaitable<bool> gives_sign(std::string peers_address, Micros limit,
+                                            bool fresh_connection);
     void note_unreachable(const UnreachableList& list);
     /// What another daemon says of the log's generation.
     void hear_generation(LogGeneration told);
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -40,16 +40,19 @@
 constexpr Micros kSignWaitLimit = 200 * kMillisecond;
 /// ... and again after this time until it gives one.
 constexpr Micros kPeerCheckPause = 300 * kMillisecond;
+/// Between signs of life of a reader whose answer is late.
+constexpr Micros kReaderSignPause = 200 * kMillisecond;
 /// Between peers that did not refer this daemon.
 constexpr Micros kRoundPause = 100 * kMillisecond;
 constexpr int kOk = 200;
 
 CallOptions
-feed_call(Micros connect_until, Micros answer_until)
+feed_call(Micros connect_limit, Micros answer_limit)
 {
+    const Micros now = monotonic_us();
     CallOptions options;
-    options.connect_deadline_us = connect_until;
-    options.deadline_us = answer_until;
+    options.connect_deadline_us = now + connect_limit;
+    options.deadline_us = now + answer_limit;
     options.body = kLargeBody;
     options.send_clock = false;
     return options;
@@ -59,14 +62,12 @@
 
 asio::awaitable<Result<FeedAnswer>>
 DirectoryWatch::ask_feed(std::string feed_address, std::string who, FeedQuery query,
-                         Micros connect_limit, Micros wait_limit)
+                         CallOptions limits)
 {
     const Micros asked_at = monotonic_us();
     HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(query));
-    CallOptions options
-        = feed_call(asked_at + connect_limit, asked_at + query.wait + wait_limit);
     const CallResult result
-        = co_await m_peers.call(feed_address, std::move(request), std::move(options));
+        = co_await m_peers.call(feed_address, std::move(request), std::move(limits));
     if (result.status != CallStatus::Answered || result.response.status != kOk) {
         LogEvent("reader_call_failed", LogLevel::Warn)
             .kv("reader", who)
@@ -79,20 +80,64 @@
     co_return answer;
 }
 
-asio::awaitable<Result<FeedAnswer>>
-DirectoryWatch::ask_reader(const DaemonRecord& reader, bool waits_for_news)
+FeedQuery
+DirectoryWatch::reader_query() const
 {
-    const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
     FeedQuery query = m_view.query();
-    if (!waits_for_news)
-        query.wait = 0;
     query.takes_unreachable = true;
     query.unreachable_revision = m_unreachable_revision;
+    return query;
+}
+
+asio::awaitable<Result<FeedAnswer>>
+DirectoryWatch::ask_reader(const DaemonRecord& reader)
+{
+    const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
+    FeedQuery query = reader_query();
+    CallOptions options = feed_call(kConnectTime, query.wait + wait_limit);
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
-                                    kConnectTime, wait_limit);
+                                    std::move(options));
     co_return answer;
 }
 
+/// While it is at work on a large change a reader answers nobody, but other threads of it
+/// give signs of life.  Leaving it for that would send its followers to the directory all
+/// at once, for the same change.
+asio::awaitable<Result<FeedAnswer>>
+DirectoryWatch::ask_reader_again(const DaemonRecord& reader,
+                                 std::shared_ptr<LateAnswer> late)
+{
+    FeedQuery query = reader_query();
+    query.wait = 0;
+    CallOptions options
+        = feed_call(kConnectTime, m_view.reader_due_at() - monotonic_us());
+    options.handle = late->call;
+    options.on_head = [late](const HttpResponse&) { late->is_over = true; };
+    asio::co_spawn(m_io, watch_reader(reader, late), asio::detached);
+    auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
+                                    std::move(options));
+    late->is_over = true;
+    co_return answer;
+}
+
+asio::awaitable<void>
+DirectoryWatch::watch_reader(DaemonRecord reader, std::shared_ptr<LateAnswer> late)
+{
+    while (!late->is_over) {
+        const bool alive
+            = co_await gives_sign(reader.peers_address, kReaderWaitLimit, true);
+        if (late->is_over)
+            co_return;
+        if (!alive) {
+            late->call->cancel();
+            co_return;
+        }
+        if (!std::exchange(late->gave_sign, true))
+            LogEvent("reader_at_work").kv("reader", reader.node);
+        co_await pause(kReaderSignPause);
+    }
+}
+
 // ------------------------------------------------- from a daemon of the settings
 
 /// Feeds have one port on all nodes.  Daemons of one hall ask the same peer first, so that
@@ -134,30 +179,46 @@
     }
 }
 
+asio::awaitable<std::optional<DirectoryReferral>>
+DirectoryWatch::own_referral()
+{
+    for (Micros rest = m_view.time_until_refer(monotonic_us()); rest > 0;
+         rest = m_view.time_until_refer(monotonic_us()))
+        co_await pause(rest);
+    co_return m_view.refer(own_record());
+}
+
+asio::awaitable<std::optional<DirectoryReferral>>
+DirectoryWatch::ask_peer(std::string feed_address, Micros connect_limit)
+{
+    FeedQuery query;
+    query.wait = kReferralHold;
+    query.joiner = own_record();
+    CallOptions options = feed_call(connect_limit, query.wait + kListingWaitLimit);
+    const auto answer = co_await ask_feed(feed_address, feed_address, std::move(query),
+                                          std::move(options));
+    std::optional<DirectoryReferral> referral;
+    if (answer)
+        referral = answer->referral;
+    co_return referral;
+}
+
 asio::awaitable<bool>
 DirectoryWatch::ask_referral(std::string feed_address, Micros connect_limit)
 {
-    DirectoryReferral referral;
-    if (feed_address == m_kernel.settings.announced_feed) {
-        for (Micros rest = m_view.time_until_refer(monotonic_us()); rest > 0;
-             rest = m_view.time_until_refer(monotonic_us()))
-            co_await pause(rest);
-        referral = m_view.refer(own_record());
-    } else {
-        FeedQuery query;
-        query.wait = kReferralHold;
-        query.joiner = own_record();
-        const auto answer = co_await ask_feed(feed_address, feed_address, std::move(query),
-                                              connect_limit, kListingWaitLimit);
-        if (!answer || !answer->referral)
-            co_return false;
-        referral = *answer->referral;
-    }
-    m_view.take_referral(referral, monotonic_us());
+    const bool is_own = feed_address == m_kernel.settings.announced_feed;
+    std::optional<DirectoryReferral> referral;
+    if (is_own)
+        referral = co_await own_referral();
+    else
+        referral = co_await ask_peer(feed_address, connect_limit);
+    if (!referral)
+        co_return false;
+    m_view.take_referral(*referral, monotonic_us());
     LogEvent("directory_referred")
         .kv("by", feed_address)
-        .kv("role", to_string(referral.role))
-        .kv("daemons", referral.ask.size());
+        .kv("role", to_string(referral->role))
+        .kv("daemons", referral->ask.size());
     for (const DirectoryTopic topic : DirectoryView::kTopics)
         m_pauses.at(topic).cancel();
     m_without_reader.cancel();
@@ -182,9 +243,10 @@
 {
     FeedQuery query;
     query.lost = {std::move(peers_address)};
+    CallOptions options = feed_call(kConnectTime, kReaderWaitLimit);
     // One that fails is logged there; the next loss is told again.
     (void)co_await ask_feed(reader.feed_address, reader.node, std::move(query),
-                            kConnectTime, kReaderWaitLimit);
+                            std::move(options));
 }
 
 asio::awaitable<void>
@@ -198,7 +260,7 @@
         // GCC 12 ends this function wrongly if the call stands in a condition.
         bool answers = true;
         if (is_known)
-            answers = co_await gives_sign(peers_address);
+            answers = co_await gives_sign(peers_address, kSignWaitLimit, false);
         if (m_view.unreachable().note_check(peers_address, answers)) {
             LogEvent("peer_checked", LogLevel::Warn)
                 .kv("peer", peers_address)
@@ -216,12 +278,13 @@
 }
 
 asio::awaitable<bool>
-DirectoryWatch::gives_sign(std::string peers_address)
+DirectoryWatch::gives_sign(std::string peers_address, Micros limit, bool fresh_connection)
 {
     HttpRequest request;
     request.target = PeerLink::kAlivePath;
     CallOptions options;
-    options.deadline_us = monotonic_us() + kSignWaitLimit;
+    options.deadline_us = monotonic_us() + limit;
+    options.fresh_connection = fresh_connection;
     const CallResult result
         = co_await m_peers.call(std::move(peers_address), std::move(request), options);
     co_return result.status == CallStatus::Answered;
--- a/src/libserve/directory/directory_watch_reader.cpp
+++ b/src/libserve/directory/directory_watch_reader.cpp
@@ -46,13 +46,14 @@
             continue;
         }
         Micros asked_at = monotonic_us();
-        auto answer = co_await ask_reader(*asked, true);
+        auto answer = co_await ask_reader(*asked);
+        auto late = std::make_shared<LateAnswer>();
         if (!answer && m_view.may_ask_again(kReaderWaitLimit, monotonic_us())) {
             asked_at = monotonic_us();
-            answer = co_await ask_reader(*asked, false);
+            answer = co_await ask_reader_again(*asked, late);
         }
         if (!answer) {
-            suspect_reader(*asked, "silent");
+            suspect_reader(*asked, late->gave_sign ? "no_news" : "silent");
             continue;
         }
         hear_generation(answer->generation);
