A reader whose answer is on its way is not taken for stale

What callers saw: a daemon that had just been handed a configuration by its reader left that reader at once, and read the next change whole at the store.

Cause: what other topics' readers should have told is judged by how old those topics are, and they get old while one large answer is on its way, or while the reader is at work on it: two looks at the directory that brought nothing else were two misses.

Change: a look at the directory counts as a miss only while the reader is neither late with signs of life nor sending. Why it holds: topics that got old are still read at the directory, so no knowledge is older than before; an answer has 0.8 s between bytes and 10 s in all, so nobody sends for ever.

--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -194,7 +194,8 @@
             continue;
         }
         const std::optional<DaemonRecord> should_tell = source().daemon;
-        const bool missed = should_tell && !view.overdue;
+        // One whose answer is late or on its way can't have told yet.
+        const bool missed = should_tell && !view.overdue && !m_reader_at_work;
         view.overdue = false;
         Result<void> done;
         if (view.next)
@@ -208,7 +209,7 @@
             continue;
         }
         view.failures = 0;
-        if (missed && m_view.note_missed(topic, monotonic_us()))
+        if (missed && !m_reader_at_work && m_view.note_missed(topic, monotonic_us()))
             suspect_reader(*should_tell, "stale");
     }
 }
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -169,6 +169,8 @@
     bool m_own_written = false; ///< this daemon's record lies in the directory
     std::optional<DirectoryRole> m_role;
     std::string m_asked; ///< node; empty: the directory itself
+    /// Its answer is late but it gives signs of life, or the answer is on its way.
+    bool m_reader_at_work = false;
     std::uint64_t m_unreachable_revision = 0; ///< of the list of the daemon that was asked
     std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -95,8 +95,10 @@
     const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
     FeedQuery query = reader_query();
     CallOptions options = feed_call(kConnectTime, query.wait + wait_limit);
+    options.on_head = [this](const HttpResponse&) { m_reader_at_work = true; };
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
                                     std::move(options));
+    m_reader_at_work = false;
     co_return answer;
 }
 
@@ -112,11 +114,15 @@
     CallOptions options
         = feed_call(kConnectTime, m_view.reader_due_at() - monotonic_us());
     options.handle = late->call;
-    options.on_head = [late](const HttpResponse&) { late->is_over = true; };
+    options.on_head = [this, late](const HttpResponse&) {
+        late->is_over = true;
+        m_reader_at_work = true;
+    };
     asio::co_spawn(m_io, watch_reader(reader, late), asio::detached);
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
                                     std::move(options));
     late->is_over = true;
+    m_reader_at_work = false;
     co_return answer;
 }
 
@@ -132,6 +138,7 @@
             late->call->cancel();
             co_return;
         }
+        m_reader_at_work = true;
         if (!std::exchange(late->gave_sign, true))
             LogEvent("reader_at_work").kv("reader", reader.node);
         co_await pause(kReaderSignPause);
