A question to a reader at work stays open

Cause: the first question was given up 0.3 s after its time however alive the reader was, and the second one, which asks for signs of life, was not asked at all where what is known would get old within 0.3 s.

Change: ReaderWatch, of one question each: it stays open while the reader gives signs of life at its address for peers or answers an empty question over a new connection. One that answers only over new connections has lost the connection of the question, which is asked again. Why it holds: whoever gives no sign for 0.3 s is left when it was left before (0.6 s after the time to hold a question, 0.3 s where knowledge gets old first), whoever gives signs but no news once what is known is as old as the bound.

Ruled out: giving up sooner a connection whose reader answers elsewhere; beside load 56 it was asked twice while the first answer was on its way.

--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -194,8 +194,7 @@
             continue;
         }
         const std::optional<DaemonRecord> should_tell = source().daemon;
-        // One whose answer is late or on its way can't have told yet.
-        const bool missed = should_tell && !view.overdue && !m_reader_at_work;
+        const bool missed = should_tell && !view.overdue && !is_reader_at_work();
         view.overdue = false;
         Result<void> done;
         if (view.next)
@@ -209,7 +208,7 @@
             continue;
         }
         view.failures = 0;
-        if (missed && !m_reader_at_work && m_view.note_missed(topic, monotonic_us()))
+        if (missed && !is_reader_at_work() && m_view.note_missed(topic, monotonic_us()))
             suspect_reader(*should_tell, "stale");
     }
 }
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -21,6 +21,7 @@
 #include "libserve/directory/directory_feed_server.h"
 #include "libserve/directory/directory_store.h"
 #include "libserve/directory/evacuations.h"
+#include "libserve/directory/reader_watch.h"
 #include "libserve/kernel.h"
 #include "libutil/boot_clock.h"
 #include "libutil/http_client.h"
@@ -86,13 +87,6 @@
     /// How long a reader's answer may take to begin, beyond the time that it is held.
     static constexpr Micros kReaderWaitLimit = 300 * kMillisecond;
 
-    /// A question to a reader that did not answer in time.
-    struct LateAnswer {
-        std::shared_ptr<CallHandle> call = std::make_shared<CallHandle>();
-        bool is_over = false; ///< the answer has begun, or the question was given up
-        bool gave_sign = false; ///< the reader, meanwhile
-    };
-
     boost::asio::awaitable<void> publish_own();
     boost::asio::awaitable<bool> publish_once();
     DaemonRecord own_record();
@@ -114,19 +108,18 @@
                                                             std::string after);
     boost::asio::awaitable<Result<void>> read(DirectoryTopic topic);
     FeedQuery reader_query() const;
-    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader);
-    boost::asio::awaitable<Result<FeedAnswer>>
-    ask_reader_again(const DaemonRecord& reader, std::shared_ptr<LateAnswer> late);
-    boost::asio::awaitable<void> watch_reader(DaemonRecord reader,
-                                              std::shared_ptr<LateAnswer> late);
+    /// The first question waits for news, the next one is answered at once.
+    boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader,
+                                                          bool is_first);
+    /// After a question to the reader that was not answered.
+    bool may_ask_again() const;
     /// `limits`: by when connection and answer must have come.
     boost::asio::awaitable<Result<FeedAnswer>> ask_feed(std::string feed_address,
                                                         std::string who, FeedQuery query,
                                                         CallOptions limits);
     boost::asio::awaitable<void> tell_lost(DaemonRecord reader, std::string peers_address);
     boost::asio::awaitable<void> check_peer(std::string peers_address);
-    boost::asio::awaitable<bool> gives_sign(std::string peers_address, Micros limit,
-                                            bool fresh_connection);
+    boost::asio::awaitable<bool> gives_sign(std::string peers_address);
     void note_unreachable(const UnreachableList& list);
     /// What another daemon says of the log's generation.
     void hear_generation(LogGeneration told);
@@ -136,6 +129,8 @@
     boost::asio::awaitable<void> pause(Micros time);
 
     DirectorySource source() const;
+    /// The reader's answer is late or arriving, so it can't have told what is new.
+    bool is_reader_at_work() const { return m_reader_watch && m_reader_watch->is_at_work(); }
     void note_source(const DirectorySource& from);
     void suspect_reader(const DaemonRecord& reader, std::string_view why);
     void note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
@@ -169,8 +164,7 @@
     bool m_own_written = false; ///< this daemon's record lies in the directory
     std::optional<DirectoryRole> m_role;
     std::string m_asked; ///< node; empty: the directory itself
-    /// Its answer is late but it gives signs of life, or the answer is on its way.
-    bool m_reader_at_work = false;
+    std::shared_ptr<ReaderWatch> m_reader_watch; ///< of the last question to the reader
     std::uint64_t m_unreachable_revision = 0; ///< of the list of the daemon that was asked
     std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -40,8 +40,6 @@
 constexpr Micros kSignWaitLimit = 200 * kMillisecond;
 /// ... and again after this time until it gives one.
 constexpr Micros kPeerCheckPause = 300 * kMillisecond;
-/// Between signs of life of a reader whose answer is late.
-constexpr Micros kReaderSignPause = 200 * kMillisecond;
 /// Between peers that did not refer this daemon.
 constexpr Micros kRoundPause = 100 * kMillisecond;
 constexpr int kOk = 200;
@@ -90,61 +88,35 @@
 }
 
 asio::awaitable<Result<FeedAnswer>>
-DirectoryWatch::ask_reader(const DaemonRecord& reader)
-{
-    const Micros wait_limit = m_view.must_list() ? kListingWaitLimit : kReaderWaitLimit;
-    FeedQuery query = reader_query();
-    CallOptions options = feed_call(kConnectTime, query.wait + wait_limit);
-    options.on_head = [this](const HttpResponse&) { m_reader_at_work = true; };
-    auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
-                                    std::move(options));
-    m_reader_at_work = false;
-    co_return answer;
-}
-
-/// While it is at work on a large change a reader answers nobody, but other threads of it
-/// give signs of life.  Leaving it for that would send its followers to the directory all
-/// at once, for the same change.
-asio::awaitable<Result<FeedAnswer>>
-DirectoryWatch::ask_reader_again(const DaemonRecord& reader,
-                                 std::shared_ptr<LateAnswer> late)
+DirectoryWatch::ask_reader(const DaemonRecord& reader, bool is_first)
 {
+    const Micros now = monotonic_us();
+    const bool must_list = m_view.must_list();
     FeedQuery query = reader_query();
-    query.wait = 0;
-    CallOptions options
-        = feed_call(kConnectTime, m_view.reader_due_at() - monotonic_us());
-    options.handle = late->call;
-    options.on_head = [this, late](const HttpResponse&) {
-        late->is_over = true;
-        m_reader_at_work = true;
-    };
-    asio::co_spawn(m_io, watch_reader(reader, late), asio::detached);
+    if (!is_first)
+        query.wait = 0;
+    const Micros limit = must_list ? kListingWaitLimit : kReaderWaitLimit;
+    const Micros answer_due = query.wait + limit;
+    CallOptions options = feed_call(kConnectTime, answer_due);
+    options.fresh_connection = !is_first;
+    const auto watch = std::make_shared<ReaderWatch>(m_io, m_peers, reader);
+    m_reader_watch = watch;
+    options.handle = watch->call();
+    options.on_head = [watch](const HttpResponse&) { watch->note_begun(); };
+    if (!must_list) {
+        options.deadline_us = std::max(options.deadline_us, m_view.reader_due_at());
+        // Where what is known gets old first, a silent reader must be found out sooner.
+        const bool stays_fresh
+            = m_view.may_ask_again(answer_due + ReaderWatch::kSignLimit, now);
+        const Micros late_at = now + (stays_fresh ? answer_due : query.wait);
+        asio::co_spawn(m_io, watch->run(late_at), asio::detached);
+    }
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
                                     std::move(options));
-    late->is_over = true;
-    m_reader_at_work = false;
+    watch->end();
     co_return answer;
 }
 
-asio::awaitable<void>
-DirectoryWatch::watch_reader(DaemonRecord reader, std::shared_ptr<LateAnswer> late)
-{
-    while (!late->is_over) {
-        const bool alive
-            = co_await gives_sign(reader.peers_address, kReaderWaitLimit, true);
-        if (late->is_over)
-            co_return;
-        if (!alive) {
-            late->call->cancel();
-            co_return;
-        }
-        m_reader_at_work = true;
-        if (!std::exchange(late->gave_sign, true))
-            LogEvent("reader_at_work").kv("reader", reader.node);
-        co_await pause(kReaderSignPause);
-    }
-}
-
 // ------------------------------------------------- from a daemon of the settings
 
 /// Feeds have one port on all nodes.  Daemons of one hall ask the same peer first, so that
@@ -267,7 +239,7 @@
         // GCC 12 ends this function wrongly if the call stands in a condition.
         bool answers = true;
         if (is_known)
-            answers = co_await gives_sign(peers_address, kSignWaitLimit, false);
+            answers = co_await gives_sign(peers_address);
         if (m_view.unreachable().note_check(peers_address, answers)) {
             LogEvent("peer_checked", LogLevel::Warn)
                 .kv("peer", peers_address)
@@ -285,13 +257,12 @@
 }
 
 asio::awaitable<bool>
-DirectoryWatch::gives_sign(std::string peers_address, Micros limit, bool fresh_connection)
+DirectoryWatch::gives_sign(std::string peers_address)
 {
     HttpRequest request;
     request.target = PeerLink::kAlivePath;
     CallOptions options;
-    options.deadline_us = monotonic_us() + limit;
-    options.fresh_connection = fresh_connection;
+    options.deadline_us = monotonic_us() + kSignWaitLimit;
     const CallResult result
         = co_await m_peers.call(std::move(peers_address), std::move(request), options);
     co_return result.status == CallStatus::Answered;
--- a/src/libserve/directory/directory_watch_reader.cpp
+++ b/src/libserve/directory/directory_watch_reader.cpp
@@ -46,14 +46,13 @@
             continue;
         }
         Micros asked_at = monotonic_us();
-        auto answer = co_await ask_reader(*asked);
-        auto late = std::make_shared<LateAnswer>();
-        if (!answer && m_view.may_ask_again(kReaderWaitLimit, monotonic_us())) {
+        auto answer = co_await ask_reader(*asked, true);
+        if (!answer && may_ask_again()) {
             asked_at = monotonic_us();
-            answer = co_await ask_reader_again(*asked, late);
+            answer = co_await ask_reader(*asked, false);
         }
         if (!answer) {
-            suspect_reader(*asked, late->gave_sign ? "no_news" : "silent");
+            suspect_reader(*asked, m_reader_watch->gave_sign() ? "no_news" : "silent");
             continue;
         }
         hear_generation(answer->generation);
@@ -77,6 +76,15 @@
     }
 }
 
+bool
+DirectoryWatch::may_ask_again() const
+{
+    if (m_reader_watch->is_connection_dead())
+        return true;
+    return !m_reader_watch->is_silent() && !m_reader_watch->gave_sign()
+        && m_view.may_ask_again(kReaderWaitLimit, monotonic_us());
+}
+
 /// Whom this daemon hears from changed: who came to read the directory itself does so at
 /// once, not when it would have missed its reader.
 void
--- /dev/null
+++ b/src/libserve/directory/reader_watch.cpp
@@ -0,0 +1,133 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "libserve/directory/reader_watch.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cypressford/directory_feed.h>
+
+#include "libserve/directory/directory_feed_server.h"
+#include "libserve/peers/peer_link.h"
+#include "libutil/event_log.h"
+#include "libutil/hybrid_clock.h"
+
+namespace cypressford {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+/// Between signs of life of a reader whose answer is late.
+constexpr Micros kSignPause = 200 * kMillisecond;
+
+} // namespace
+
+ReaderWatch::ReaderWatch(asio::io_context& io, HttpClient& client, DaemonRecord reader)
+    : m_io(io)
+    , m_client(client)
+    , m_reader(std::move(reader))
+    , m_timer(io)
+{
+}
+
+asio::awaitable<void>
+ReaderWatch::run(Micros late_at)
+{
+    const auto self = shared_from_this();
+    while (!is_over() && monotonic_us() < late_at)
+        co_await wait_until(late_at);
+    while (!is_over()) {
+        ask_for_signs();
+        const Micros asked_at = monotonic_us();
+        while (!is_over() && !has_sign() && monotonic_us() < asked_at + kSignLimit)
+            co_await wait_until(asked_at + kSignLimit);
+        if (is_over())
+            co_return;
+        m_silent = !has_sign();
+        if (m_silent)
+            break;
+        if (!std::exchange(m_gave_sign, true))
+            LogEvent("reader_at_work").kv("reader", m_reader.node);
+        const Micros next_at = monotonic_us() + kSignPause;
+        while (!is_over() && monotonic_us() < next_at)
+            co_await wait_until(next_at);
+        // Its feed is free to answer, and has answered what came after this question.
+        m_connection_dead = !is_over() && m_feed_answers;
+        if (m_connection_dead)
+            break;
+    }
+    if (!is_over())
+        m_call->cancel();
+}
+
+void
+ReaderWatch::note_begun()
+{
+    m_begun = true;
+    m_timer.cancel();
+}
+
+void
+ReaderWatch::end()
+{
+    m_ended = true;
+    m_timer.cancel();
+}
+
+void
+ReaderWatch::ask_for_signs()
+{
+    m_peers_answers = false;
+    m_feed_answers = false;
+    asio::co_spawn(m_io, ask_peers_address(), asio::detached);
+    asio::co_spawn(m_io, ask_feed_address(), asio::detached);
+}
+
+asio::awaitable<void>
+ReaderWatch::ask_peers_address()
+{
+    const auto self = shared_from_this();
+    HttpRequest request;
+    request.target = PeerLink::kAlivePath;
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignLimit;
+    const CallResult result
+        = co_await m_client.call(m_reader.peers_address, std::move(request), options);
+    if (result.status != CallStatus::Answered)
+        co_return;
+    m_peers_answers = true;
+    m_timer.cancel();
+}
+
+asio::awaitable<void>
+ReaderWatch::ask_feed_address()
+{
+    const auto self = shared_from_this();
+    HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(FeedQuery {}));
+    CallOptions options;
+    options.deadline_us = monotonic_us() + kSignLimit;
+    options.fresh_connection = true;
+    options.send_clock = false;
+    const CallResult result
+        = co_await m_client.call(m_reader.feed_address, std::move(request), options);
+    if (result.status != CallStatus::Answered)
+        co_return;
+    m_feed_answers = true;
+    m_timer.cancel();
+}
+
+asio::awaitable<void>
+ReaderWatch::wait_until(Micros time)
+{
+    m_timer.expires_at(BootClock::time_point(std::chrono::microseconds(time)));
+    co_await m_timer.async_wait(kToTuple);
+}
+
+} // namespace cypressford
