A configuration that was read counts although a listing has passed its offset

What callers saw: for 3.4 s a daemon on a thin link answered 404 for a route that the store had acknowledged; it had read the configuration whole after 1.7 s, threw it away and read it again.

Cause: while the page was on its way another daemon told a listing that ended behind it. That listing held an older configuration, which another writer had written late; the newer one in the page was taken for seen.

Change: a configuration is offered wherever it lies; versions only rise, so an older one changes nothing. It is not kept in the history, whose offsets rise, but in the listing, which is packed anew for it.

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -225,6 +225,7 @@
     void note_newest(DirectoryTopic topic, const DirectoryRecord& record, Offset at,
                      bool in_force);
     void keep(DirectoryTopic topic, Offset offset, const DirectoryRecord& record);
+    bool is_configuration(DirectoryTopic topic, const DirectoryRecord& record) const;
     bool is_in_force(DirectoryTopic topic, const DirectoryRecord& record) const;
     void keep_told(DirectoryTopic topic, const OffsetRecord& told, bool changed);
     FeedAnswer::Topic answer_to(const FeedQuery::Cursor& cursor, Micros now);
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -116,9 +116,11 @@
     for (const DirectoryRecord& record : records) {
         // The reader of the hall may have told of it meanwhile.
         const bool is_seen = view.next && offset < *view.next;
+        // Not of a configuration if it told a listing, whose newest one was written late.
+        const bool is_taken = !is_seen || is_configuration(topic, record);
         const bool changed
-            = !is_seen && take_record(topic, record, offset, after_outage, now, change);
-        if (changed || (!is_seen && is_in_force(topic, record)))
+            = is_taken && take_record(topic, record, offset, after_outage, now, change);
+        if (!is_seen && (changed || is_in_force(topic, record)))
             keep(topic, offset, record);
         change.news |= changed && topic != DirectoryTopic::Daemons;
         note_newest(topic, record, offset, changed || is_in_force(topic, record));
@@ -199,6 +201,12 @@
         of(topic).listing.put(record, at);
 }
 
+bool
+DirectoryView::is_configuration(DirectoryTopic topic, const DirectoryRecord& record) const
+{
+    return topic == DirectoryTopic::Configuration && !m_dialect.decode_evacuation(record);
+}
+
 /// True for the configuration in force, written once more: it changes nothing here, but
 /// whoever listed an older one, written late in between, has missed it.
 bool
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -147,5 +147,35 @@
     CHECK(fresh.fold().configuration()->version == 7);
 }
 
+/// Users saw a daemon on a thin link read a large configuration twice.
+TEST_CASE("a configuration counts whose offset a listing of another daemon has passed meanwhile")
+{
+    TextDialect dialect;
+    const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
+    const auto list = [](DirectoryView& view, const char* version, Offset end) {
+        view.begin_listing(DirectoryTopic::Configuration, 0);
+        view.take_listed(DirectoryTopic::Configuration, {{"config", version}}, 0);
+        view.end_listing(DirectoryTopic::Configuration, end, 0, 0);
+    };
+    // 7 lies at 0 and 11 at 1; then 3, written late, at 2.
+    DirectoryView view(dialect, pace, 0, "own", "hall", 400, 0);
+    list(view, "7", 1);
+    DirectoryView other(dialect, pace, 0, "other", "hall", 400, 0);
+    list(other, "3", 3);
+    view.take_answer(other.answer_to(view.query(), 0), 0, 0);
+    CHECK(view.fold().configuration()->version == 7);
+    // The page that was asked for before the listing came.
+    const DirectoryChange change
+        = view.take_page(DirectoryTopic::Configuration, 1, {{"config", "11"}}, 0, 0, 0);
+    CHECK(view.fold().configuration()->version == 11);
+    CHECK(change.news);
+    CHECK(view.of(DirectoryTopic::Configuration).next == 3);
+    // Whoever asks next is told.
+    DirectoryView fresh(dialect, pace, 0, "fresh", "hall", 400, 0);
+    fresh.take_answer(view.answer_to(fresh.query(), 0), 0, 0);
+    REQUIRE(fresh.fold().configuration());
+    CHECK(fresh.fold().configuration()->version == 11);
+}
+
 } // namespace
 } // namespace cypressford
--- a/src/libcypressford/topic_listing.cpp
+++ b/src/libcypressford/topic_listing.cpp
@@ -49,6 +49,9 @@
         m_by_offset.erase({entry->second.offset, record.key});
     entry->second = {record.value, offset};
     m_by_offset.emplace(offset, record.key);
+    // What follows the packed listing does not hold it.
+    if (offset < m_packed.end)
+        m_packed.parts.clear();
 }
 
 void
