--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -148,7 +148,8 @@
 }
 
 /// Users saw a daemon on a thin link read a large configuration twice.
-TEST_CASE("a configuration counts whose offset a listing of another daemon has passed meanwhile")
+TEST_CASE(
+    "a configuration counts whose offset a listing of another daemon has passed meanwhile")
 {
     TextDialect dialect;
     const DirectoryPace pace(2 * kSecond, 1200 * kMillisecond);
--- a/src/libcypressford/path_index_load_test.cpp
+++ b/src/libcypressford/path_index_load_test.cpp
@@ -34,7 +34,8 @@
     timespec time {};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
     constexpr double nanosecond = 1e-9;
-    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * nanosecond;
+    return static_cast<double>(time.tv_sec)
+        + static_cast<double>(time.tv_nsec) * nanosecond;
 }
 
 double
@@ -46,8 +47,10 @@
     return processor_time() - began_at;
 }
 
-/// Guards against a reader that is silent for as long as it compares all routes with each other.
-TEST_CASE("the work of resolving a configuration grows with its routes, not with their square")
+/// Guards against a reader that is silent for as long as it compares all routes with each
+/// other.
+TEST_CASE(
+    "the work of resolving a configuration grows with its routes, not with their square")
 {
     constexpr std::size_t few = 2000;
     constexpr std::size_t times = 8;
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -130,7 +130,10 @@
 
     DirectorySource source() const;
     /// The reader's answer is late or arriving, so it can't have told what is new.
-    bool is_reader_at_work() const { return m_reader_watch && m_reader_watch->is_at_work(); }
+    bool is_reader_at_work() const
+    {
+        return m_reader_watch && m_reader_watch->is_at_work();
+    }
     void note_source(const DirectorySource& from);
     void suspect_reader(const DaemonRecord& reader, std::string_view why);
     void note_page(DirectoryTopic topic, Offset from, const DirectoryPage& page,
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -47,15 +47,11 @@
     const bool is_new = !m_applied || bundle->version != m_applied->version;
     if (!is_new && fold.revision() == m_applied_revision)
         return;
-    const Micros build_began_at = monotonic_us();
-    if (is_new) {
-        LogEvent("configuration_in_force")
-            .kv("version", bundle->version)
-            .kv("before", m_applied ? m_applied->version : 0)
-            .kv("pipelines", bundle->pipelines.size())
-            .kv("decode_us", m_taken_us);
+    const std::uint64_t version_before = m_applied ? m_applied->version : 0;
+    const Micros resolve_began_at = monotonic_us();
+    if (is_new)
         m_applied = m_kernel.upstreams.resolve(*bundle);
-    }
+    const Micros build_began_at = monotonic_us();
     m_applied_revision = fold.revision();
     const std::vector<MemberChange> changes = fold.take_changes();
     SnapshotPtr before = m_kernel.snapshot.load();
@@ -68,6 +64,13 @@
     m_evacuations.apply(fold.evacuations().halls(), *snapshot);
     m_kernel.snapshot.store(snapshot);
     const Micros build_us = monotonic_us() - build_began_at;
+    if (is_new)
+        LogEvent("configuration_in_force")
+            .kv("version", m_applied->version)
+            .kv("before", version_before)
+            .kv("pipelines", m_applied->pipelines.size())
+            .kv("decode_us", m_taken_us)
+            .kv("resolve_us", build_began_at - resolve_began_at);
     const UpstreamCounts counts = count_upstreams(*snapshot);
     LogEvent("upstreams_in_force")
         .kv("revision", m_applied_revision)
--- a/src/libserve/directory/reader_watch.h
+++ b/src/libserve/directory/reader_watch.h
@@ -27,8 +27,8 @@
 
     ReaderWatch(boost::asio::io_context& io, HttpClient& client, DaemonRecord reader);
 
-    /// The call that carries the question; cancelled if the reader gives no sign of life, or
-    /// if it answers over other connections only.
+    /// The call that carries the question; cancelled if the reader gives no sign of life,
+    /// or if it answers over other connections only.
     const std::shared_ptr<CallHandle>& call() const { return m_call; }
 
     /// Asks for signs of life from that point in time on, until the end.
