Readers are asked for signs of life only when they are late

Seen on reading: where what is known gets old anyway, as in an outage of the store, a follower would ask for signs at the moment when its question ends: with each question, over a new connection.

Change: there the sign is due within the last 0.2 s of the time that an answer has always had, so a silent reader is left as soon as before, and one that answers at its usual time is asked for none.

--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -112,7 +112,7 @@
     boost::asio::awaitable<Result<FeedAnswer>> ask_reader(const DaemonRecord& reader,
                                                           bool is_first);
     /// After a question to the reader that was not answered.
-    bool may_ask_again() const;
+    bool may_ask_reader_again() const;
     /// `limits`: by when connection and answer must have come.
     boost::asio::awaitable<Result<FeedAnswer>> ask_feed(std::string feed_address,
                                                         std::string who, FeedQuery query,
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -36,7 +36,7 @@
 constexpr Micros kBusyConnectTime = 1500 * kMillisecond;
 /// A question for a referral waits so long while the daemon that is asked meets others.
 constexpr Micros kReferralHold = 700 * kMillisecond;
-/// A daemon that is said not to answer is asked for a sign of life for so long, ...
+/// A sign of life that another daemon is asked for is due after so long, ...
 constexpr Micros kSignWaitLimit = 200 * kMillisecond;
 /// ... and again after this time until it gives one.
 constexpr Micros kPeerCheckPause = 300 * kMillisecond;
@@ -106,10 +106,10 @@
     if (!must_list) {
         options.deadline_us = std::max(options.deadline_us, m_view.reader_due_at());
         // Where what is known gets old first, a silent reader must be found out sooner.
-        const bool stays_fresh
-            = m_view.may_ask_again(answer_due + ReaderWatch::kSignLimit, now);
-        const Micros late_at = now + (stays_fresh ? answer_due : query.wait);
-        asio::co_spawn(m_io, watch->run(late_at), asio::detached);
+        const bool stays_fresh = m_view.may_ask_again(answer_due + kReaderWaitLimit, now);
+        const Micros sign_limit = stays_fresh ? kReaderWaitLimit : kSignWaitLimit;
+        const Micros late_at = now + answer_due - (stays_fresh ? 0 : kSignWaitLimit);
+        asio::co_spawn(m_io, watch->run(late_at, sign_limit), asio::detached);
     }
     auto answer = co_await ask_feed(reader.feed_address, reader.node, std::move(query),
                                     std::move(options));
--- a/src/libserve/directory/directory_watch_reader.cpp
+++ b/src/libserve/directory/directory_watch_reader.cpp
@@ -47,7 +47,7 @@
         }
         Micros asked_at = monotonic_us();
         auto answer = co_await ask_reader(*asked, true);
-        if (!answer && may_ask_again()) {
+        if (!answer && may_ask_reader_again()) {
             asked_at = monotonic_us();
             answer = co_await ask_reader(*asked, false);
         }
@@ -77,7 +77,7 @@
 }
 
 bool
-DirectoryWatch::may_ask_again() const
+DirectoryWatch::may_ask_reader_again() const
 {
     if (m_reader_watch->is_connection_dead())
         return true;
--- a/src/libserve/directory/reader_watch.cpp
+++ b/src/libserve/directory/reader_watch.cpp
@@ -38,16 +38,16 @@
 }
 
 asio::awaitable<void>
-ReaderWatch::run(Micros late_at)
+ReaderWatch::run(Micros late_at, Micros sign_limit)
 {
     const auto self = shared_from_this();
     while (!is_over() && monotonic_us() < late_at)
         co_await wait_until(late_at);
     while (!is_over()) {
-        ask_for_signs();
-        const Micros asked_at = monotonic_us();
-        while (!is_over() && !has_sign() && monotonic_us() < asked_at + kSignLimit)
-            co_await wait_until(asked_at + kSignLimit);
+        const Micros sign_due = monotonic_us() + sign_limit;
+        ask_for_signs(sign_due);
+        while (!is_over() && !has_sign() && monotonic_us() < sign_due)
+            co_await wait_until(sign_due);
         if (is_over())
             co_return;
         m_silent = !has_sign();
@@ -82,22 +82,22 @@
 }
 
 void
-ReaderWatch::ask_for_signs()
+ReaderWatch::ask_for_signs(Micros until)
 {
     m_peers_answers = false;
     m_feed_answers = false;
-    asio::co_spawn(m_io, ask_peers_address(), asio::detached);
-    asio::co_spawn(m_io, ask_feed_address(), asio::detached);
+    asio::co_spawn(m_io, ask_peers_address(until), asio::detached);
+    asio::co_spawn(m_io, ask_feed_address(until), asio::detached);
 }
 
 asio::awaitable<void>
-ReaderWatch::ask_peers_address()
+ReaderWatch::ask_peers_address(Micros until)
 {
     const auto self = shared_from_this();
     HttpRequest request;
     request.target = PeerLink::kAlivePath;
     CallOptions options;
-    options.deadline_us = monotonic_us() + kSignLimit;
+    options.deadline_us = until;
     const CallResult result
         = co_await m_client.call(m_reader.peers_address, std::move(request), options);
     if (result.status != CallStatus::Answered)
@@ -107,12 +107,12 @@
 }
 
 asio::awaitable<void>
-ReaderWatch::ask_feed_address()
+ReaderWatch::ask_feed_address(Micros until)
 {
     const auto self = shared_from_this();
     HttpRequest request = protobuf_post(DirectoryFeedServer::kPath, encode(FeedQuery {}));
     CallOptions options;
-    options.deadline_us = monotonic_us() + kSignLimit;
+    options.deadline_us = until;
     options.fresh_connection = true;
     options.send_clock = false;
     const CallResult result
--- a/src/libserve/directory/reader_watch.h
+++ b/src/libserve/directory/reader_watch.h
@@ -22,17 +22,15 @@
 /// question to its feed over a new connection.  Lives on the control thread.
 class ReaderWatch : public std::enable_shared_from_this<ReaderWatch> {
 public:
-    /// How long the reader may be without a sign of life.
-    static constexpr Micros kSignLimit = 300 * kMillisecond;
-
     ReaderWatch(boost::asio::io_context& io, HttpClient& client, DaemonRecord reader);
 
     /// The call that carries the question; cancelled if the reader gives no sign of life,
     /// or if it answers over other connections only.
     const std::shared_ptr<CallHandle>& call() const { return m_call; }
 
-    /// Asks for signs of life from that point in time on, until the end.
-    boost::asio::awaitable<void> run(Micros late_at);
+    /// Asks for signs of life from that point in time on, until the end; the reader may be
+    /// without one for `sign_limit`.
+    boost::asio::awaitable<void> run(Micros late_at, Micros sign_limit);
 
     /// The answer has begun to arrive.
     void note_begun();
@@ -49,9 +47,9 @@
 private:
     bool is_over() const { return m_begun || m_ended; }
     bool has_sign() const { return m_peers_answers || m_feed_answers; }
-    void ask_for_signs();
-    boost::asio::awaitable<void> ask_peers_address();
-    boost::asio::awaitable<void> ask_feed_address();
+    void ask_for_signs(Micros until);
+    boost::asio::awaitable<void> ask_peers_address(Micros until);
+    boost::asio::awaitable<void> ask_feed_address(Micros until);
     /// Returns sooner when something was heard, or the watch is over.
     boost::asio::awaitable<void> wait_until(Micros time);
 
