--- a/src/include/cypressford/pieces.h
+++ b/src/include/cypressford/pieces.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -187,6 +188,11 @@
     /// False if the piece is not in the queue.
     bool remove(PieceId id);
     std::size_t size() const { return m_by_id.size(); }
+    /// Number of waiting pieces by priority.
+    const std::array<int, kLowestPriority + 1>& queued_by_priority() const
+    {
+        return m_queued;
+    }
 
     /// The next call, if a piece waits and an upstream is free for it.  To be called until
     /// it returns none, and again after hall_wait_limit().
@@ -266,6 +272,7 @@
     Ranks m_waiting;
     std::unordered_set<PieceId> m_late; ///< waiting pieces that can no longer be prompt
     std::unordered_map<PieceId, WaitingPiece> m_by_id;
+    std::array<int, kLowestPriority + 1> m_queued {};
     std::unordered_map<PieceId, std::size_t> m_group_sizes; ///< waiting pieces by group
     std::unordered_map<const UpstreamState*, Micros> m_backed_off;
     std::unordered_map<const UpstreamState*, int> m_failures; ///< consecutive failures
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -2,8 +2,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Mechanisms of scheduling and placement that can be switched off individually, to
-/// measure the effect of each (ablation).  All are on unless switched off in the settings.
+/// Mechanisms of scheduling and placement that can be switched individually, by a
+/// deployment that needs them or to measure the effect of each (ablation).  Those from
+/// kFirstOptIn on are off unless the settings switch them on; the others are on unless the
+/// settings switch them off.
 
 #pragma once
 
@@ -30,17 +32,25 @@
     EjectUnresponsive, ///< upstreams that do not start to answer are ejected
     SharedReach, ///< upstreams that are unreachable for one daemon are avoided by all
     StrongLeaders, ///< only nodes with half of the strongest node's capacity lead
+    CapacityLedger, ///< leaders admit requests before their first piece is made
+    RoomiestUpstream, ///< calls limited by memory for results go where most is free
+    UpstreamSpeeds, ///< upstreams are chosen by their reported or learned speed
+    UnreadBound, ///< answers that callers do not read are buffered within bounds
+    AccountPrecedence, ///< the account's priority takes precedence over the pipeline's
     kCount
 };
 
 inline constexpr std::size_t kMechanisms = static_cast<std::size_t>(Mechanism::kCount);
+/// This mechanism and those after it are off by default.
+inline constexpr Mechanism kFirstOptIn = Mechanism::CapacityLedger;
 
 /// Names used in settings, in the order of Mechanism.
 inline constexpr std::array<std::string_view, kMechanisms> kMechanismNames {
-    "hall_waits",       "whole_groups",   "full_calls_first", "late_tier",
-    "drop_late_pieces", "early_release",  "latest_start",     "transfer_halls",
-    "stable_engines",   "tolerated_cost", "near_results",     "eject_silent",
-    "shared_reach",     "strong_leaders"};
+    "hall_waits",       "whole_groups",   "full_calls_first",  "late_tier",
+    "drop_late_pieces", "early_release",  "latest_start",      "transfer_halls",
+    "stable_engines",   "tolerated_cost", "near_results",      "eject_silent",
+    "shared_reach",     "strong_leaders", "capacity_ledger",   "roomiest_upstream",
+    "upstream_speeds",  "unread_bound",   "account_precedence"};
 
 /// Empty for an unknown name.
 constexpr std::optional<Mechanism>
@@ -55,11 +65,21 @@
 /// The set of mechanisms that are switched on.
 class PolicySwitches {
 public:
+    PolicySwitches()
+    {
+        for (auto at = static_cast<std::size_t>(kFirstOptIn); at < kMechanisms; ++at)
+            m_off.set(at);
+    }
+
     bool uses(Mechanism mechanism) const
     {
         return !m_off.test(static_cast<std::size_t>(mechanism));
     }
     void switch_off(Mechanism mechanism) { m_off.set(static_cast<std::size_t>(mechanism)); }
+    void switch_on(Mechanism mechanism)
+    {
+        m_off.reset(static_cast<std::size_t>(mechanism));
+    }
 
 private:
     std::bitset<kMechanisms> m_off;
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -86,7 +86,7 @@
         return fail(ErrorKind::BadRequest, "malformed piece order");
     PieceOrder order;
     order.upstream_set = in.upstream_set();
-    order.priority = in.priority();
+    order.priority = std::clamp(in.priority(), 0, kLowestPriority);
     order.time_left = in.remaining_ms() * kMillisecond;
     order.due_left = in.due_ms() * kMillisecond;
     order.near = in.near();
--- a/src/libcypressford/piece_queue.cpp
+++ b/src/libcypressford/piece_queue.cpp
@@ -30,6 +30,7 @@
         return;
     m_waiting.insert(rank_of(piece));
     ++m_group_sizes[piece.group];
+    ++m_queued.at(static_cast<std::size_t>(piece.priority));
 }
 
 /// Removes the piece's records; it must have been removed from m_waiting before.
@@ -37,6 +38,7 @@
 PieceQueue::erase(PieceId id)
 {
     const auto it = m_by_id.find(id);
+    --m_queued.at(static_cast<std::size_t>(it->second.priority));
     const auto group = m_group_sizes.find(it->second.group);
     if (--group->second == 0)
         m_group_sizes.erase(group);
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -137,28 +137,42 @@
     read_duration(reader, "write_ms", limits.write_time);
 }
 
-/// Reads the mechanisms to switch off; switching one off shows its effect.
-void
-read_switches(YamlMapReader& reader, PolicySwitches& switches)
+/// Reads a list of mechanisms; unknown names are faults.
+std::vector<Mechanism>
+read_mechanisms(YamlMapReader& reader, const char* key)
 {
     std::vector<std::string> names;
-    reader.read("without", names);
+    reader.read(key, names);
+    std::vector<Mechanism> mechanisms;
     for (const std::string& name : names) {
         if (const auto mechanism = mechanism_of(name)) {
-            switches.switch_off(*mechanism);
+            mechanisms.push_back(*mechanism);
             continue;
         }
         if (name == "stable_homes") {
-            reader.add(reader.child("without"),
-                       "without: 'stable_homes' is now called 'stable_engines'");
+            reader.add(reader.child(key),
+                       std::string(key)
+                           + ": 'stable_homes' is now called 'stable_engines'");
             continue;
         }
-        std::string fault = "without: no '";
+        std::string fault = std::string(key) + ": no '";
         fault.append(name).append("' among:");
         for (const std::string_view mechanism_name : kMechanismNames)
             fault.append(" ").append(mechanism_name);
-        reader.add(reader.child("without"), fault);
+        reader.add(reader.child(key), fault);
     }
+    return mechanisms;
+}
+
+/// A mechanism that is listed both in "with" and in "without" is off, so that the effect of
+/// each can be measured by adding one line.
+void
+read_switches(YamlMapReader& reader, PolicySwitches& switches)
+{
+    for (const Mechanism mechanism : read_mechanisms(reader, "with"))
+        switches.switch_on(mechanism);
+    for (const Mechanism mechanism : read_mechanisms(reader, "without"))
+        switches.switch_off(mechanism);
 }
 
 void
