Test of the mechanisms' names: some are off by default

Cause: the test asked that each mechanism is on by default. Those that a deployment asks for are off. It now asks for the default of each, and that each can be switched on and off.

--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -357,16 +357,18 @@
     CHECK(decoded_releases->unreachable == Handles {"u"});
 }
 
-TEST_CASE("mechanisms are found by their names, and each can be switched off")
+TEST_CASE("mechanisms are found by their names, have a default, and can be switched")
 {
     for (std::size_t at = 0; at < kMechanisms; ++at) {
         const auto mechanism = mechanism_of(kMechanismNames.at(at));
         REQUIRE(mechanism);
         CHECK(static_cast<std::size_t>(*mechanism) == at);
         PolicySwitches switches;
-        CHECK(switches.uses(*mechanism));
+        CHECK(switches.uses(*mechanism) == (*mechanism < kFirstOptIn));
         switches.switch_off(*mechanism);
         CHECK_FALSE(switches.uses(*mechanism));
+        switches.switch_on(*mechanism);
+        CHECK(switches.uses(*mechanism));
     }
     CHECK_FALSE(mechanism_of("hall_wait"));
     // Without waits for halls, a piece goes to the first free upstream.
