Capacity queries: messages, encoding and the handling of a refusal

Cause: nothing decides before the first piece of a request whether all sets that it needs can serve it in time.

--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -3,7 +3,7 @@
 
 /// \file
 /// Messages between a daemon and the daemon that leads an upstream set: orders for pieces,
-/// placement of prompts, and releases of results.
+/// admission by capacity, placement of prompts, and releases of results.
 
 #pragma once
 
@@ -13,6 +13,7 @@
 
 #include <cypressford/call_dialect.h>
 #include <cypressford/prompt_placer.h>
+#include <cypressford/set_capacity.h>
 
 namespace cypressford {
 
@@ -41,6 +42,8 @@
     std::vector<std::string> started; ///< requests whose answer started: the prompt is read
     std::vector<std::string> ended; ///< requests that no longer run at the set
     std::vector<std::string> unreachable; ///< requests that did not reach their upstream
+    /// Requests whose promised capacity is not needed.
+    std::vector<std::string> withdrawn;
 };
 
 /// Query for the engine of a set that should read a prompt.
@@ -70,4 +73,11 @@
 std::string encode(const PieceAnswer& answer);
 Result<PieceAnswer> decode_piece_answer(std::string_view bytes);
 
+using CapacityVerdicts = std::vector<CapacityVerdict>;
+
+std::string encode(const SetQueries& queries);
+Result<SetQueries> decode_capacity_queries(std::string_view bytes);
+std::string encode(const CapacityVerdicts& verdicts);
+Result<CapacityVerdicts> decode_capacity_verdicts(std::string_view bytes);
+
 } // namespace cypressford
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -102,13 +102,16 @@
     RequestId request = 0;
 };
 /// The pieces of a request are made and an upstream is chosen for it, or the pieces
-/// can't be made.
+/// can't be made, or a leader refused to have them made.
 struct PreparationEnded {
     RequestId request = 0;
     bool made = false;
     std::string hall; ///< where most of the results are; empty if unknown
     std::string identity; ///< identity of the chosen upstream; empty: any
     bool is_counted = false; ///< the leader counted the call against the upstream's limit
+    /// No piece was made: the leader of a set does not expect to make them in time.
+    bool refused = false;
+    Micros retry_after = 0; ///< if refused
 };
 /// The upstream's answer shows that it has read the results that the request was
 /// prepared with.
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include "cypressford.pb.h"
 
@@ -118,6 +119,8 @@
         out.add_ended(attempt);
     for (const std::string& attempt : releases.unreachable)
         out.add_unreached(attempt);
+    for (const std::string& attempt : releases.withdrawn)
+        out.add_withdrawn(attempt);
     return out.SerializeAsString();
 }
 
@@ -131,7 +134,8 @@
                      {in.handles().begin(), in.handles().end()},
                      {in.begun().begin(), in.begun().end()},
                      {in.ended().begin(), in.ended().end()},
-                     {in.unreached().begin(), in.unreached().end()}};
+                     {in.unreached().begin(), in.unreached().end()},
+                     {in.withdrawn().begin(), in.withdrawn().end()}};
 }
 
 namespace {
@@ -266,4 +270,84 @@
     return answer;
 }
 
+namespace {
+
+/// Milliseconds in the range of the field's type.
+template <class Field>
+Field
+to_ms(Micros time)
+{
+    return static_cast<Field>(std::clamp<Micros>(time / kMillisecond,
+                                                 std::numeric_limits<Field>::min(),
+                                                 std::numeric_limits<Field>::max()));
+}
+
+} // namespace
+
+std::string
+encode(const SetQueries& queries)
+{
+    proto::CapacityQueries out;
+    for (const auto& [upstream_set, need] : queries) {
+        proto::CapacityQuery* query = out.add_queries();
+        query->set_upstream_set(upstream_set);
+        query->set_attempt(need.attempt);
+        query->set_account(need.account);
+        query->set_priority(need.priority);
+        query->set_pieces(static_cast<std::uint32_t>(std::max(0, need.pieces)));
+        query->set_starts_ms(to_ms<std::int32_t>(need.starts_in));
+        query->set_due_ms(to_ms<std::int32_t>(need.due_in));
+        query->set_remaining_ms(to_ms<std::uint32_t>(need.expires_in));
+    }
+    return out.SerializeAsString();
+}
+
+Result<SetQueries>
+decode_capacity_queries(std::string_view bytes)
+{
+    constexpr std::uint32_t max_pieces = std::numeric_limits<int>::max();
+    proto::CapacityQueries in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "malformed capacity queries");
+    SetQueries queries;
+    for (const proto::CapacityQuery& item : in.queries()) {
+        SetQuery query {item.upstream_set(), {}};
+        query.need.attempt = item.attempt();
+        query.need.account = item.account();
+        query.need.priority = std::clamp(item.priority(), 0, kLowestPriority);
+        query.need.pieces = static_cast<int>(std::min(item.pieces(), max_pieces));
+        query.need.starts_in = item.starts_ms() * kMillisecond;
+        query.need.due_in = item.due_ms() * kMillisecond;
+        query.need.expires_in = item.remaining_ms() * kMillisecond;
+        queries.push_back(std::move(query));
+    }
+    return queries;
+}
+
+std::string
+encode(const CapacityVerdicts& verdicts)
+{
+    proto::CapacityVerdicts out;
+    for (const CapacityVerdict& verdict : verdicts) {
+        proto::CapacityVerdict* item = out.add_verdicts();
+        item->set_admitted(verdict.admitted);
+        item->set_expected_wait_ms(to_ms<std::uint32_t>(verdict.expected_wait));
+        item->set_retry_after_ms(to_ms<std::uint32_t>(verdict.retry_after));
+    }
+    return out.SerializeAsString();
+}
+
+Result<CapacityVerdicts>
+decode_capacity_verdicts(std::string_view bytes)
+{
+    proto::CapacityVerdicts in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+        return fail(ErrorKind::BadRequest, "malformed capacity verdicts");
+    CapacityVerdicts verdicts;
+    for (const proto::CapacityVerdict& item : in.verdicts())
+        verdicts.push_back({item.admitted(), item.expected_wait_ms() * kMillisecond,
+                            item.retry_after_ms() * kMillisecond});
+    return verdicts;
+}
+
 } // namespace cypressford
--- a/src/libcypressford/pieces_test.cpp
+++ b/src/libcypressford/pieces_test.cpp
@@ -351,10 +351,11 @@
     REQUIRE(decoded_answer->pieces.size() == 2);
     CHECK(decoded_answer->pieces[1].outcome == PieceOutcome::Late);
     const auto decoded_releases
-        = decode_releases(encode(Releases {"s", {"h"}, {"b"}, {"e"}, {"u"}}));
+        = decode_releases(encode(Releases {"s", {"h"}, {"b"}, {"e"}, {"u"}, {"w"}}));
     REQUIRE(decoded_releases);
     CHECK(decoded_releases->ended == Handles {"e"});
     CHECK(decoded_releases->unreachable == Handles {"u"});
+    CHECK(decoded_releases->withdrawn == Handles {"w"});
 }
 
 TEST_CASE("mechanisms are found by their names, have a default, and can be switched")
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -350,6 +350,26 @@
     CHECK(error_row(*fixture.find<Reply>()->error).http_status == 503);
 }
 
+TEST_CASE("a refusal by a leader ends the request as not run, with the leader's time")
+{
+    // Guards against a refusal that is answered like a failure: without the leader's time
+    // all callers would retry after the same second.
+    RelayFixture fixture;
+    fixture.publish(pipeline(false), true);
+    fixture.arrive(1, 4 * kSecond, {2});
+    PreparationEnded ended {1, false, "", ""};
+    ended.refused = true;
+    ended.retry_after = 470 * kMillisecond;
+    fixture.handle(ended);
+    REQUIRE(fixture.find<Reply>());
+    CHECK(*fixture.find<Reply>()->error == ErrorKind::DeadlineUnreachable);
+    CHECK(fixture.find<Reply>()->ran == Ran::NotRun);
+    CHECK(fixture.find<Reply>()->retry_after == ended.retry_after);
+    CHECK_FALSE(fixture.find<CancelPreparation>());
+    CHECK_FALSE(fixture.find<SendAttempt>());
+    CHECK(fixture.find<Forget>());
+}
+
 TEST_CASE("before the daemon exits, waiting requests are answered and running ones are not")
 {
     RelayFixture waiting;
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -130,7 +130,10 @@
         entry.machine.preparation_made();
     } else {
         request.preparation = PreparationState::Wanted;
-        entry.machine.abort(ErrorKind::NoUpstream);
+        if (event.refused)
+            request.retry_after = event.retry_after;
+        entry.machine.abort(event.refused ? ErrorKind::DeadlineUnreachable
+                                          : ErrorKind::NoUpstream);
     }
     advance(entry);
     forget_if_ended(entry);
