Leaders of sets admit requests before their first piece is made

Change: with policy: with: [capacity_ledger], a daemon asks the leaders of all sets that a request needs, concurrently and with one message to each, with a time limit of 50 ms. If one refuses, the request ends as not run with the longest of the leaders' times, and the promises of the others are withdrawn. A leader that does not answer is not suspected, and the request continues.

--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -208,6 +208,7 @@
     request.counts = context->spec.pieces;
     request.attempt = context->relay->call.attempt;
     request.piece_key = context->relay->call.piece_key;
+    request.account = context->account;
     request.priority = context->resolved().spec.priority;
     request.deadline = action.deadline;
     request.target_by = action.target_by;
@@ -241,8 +242,11 @@
         return;
     }
     it->second->relay->inputs = std::move(result.inputs);
+    for (const std::string& set_name : result.refused_by)
+        ++m_metrics.capacity_refused[set_name];
     feed(PreparationEnded {request, result.made, std::move(result.hall),
-                           std::move(result.identity), result.is_counted});
+                           std::move(result.identity), result.is_counted,
+                           !result.refused_by.empty(), result.retry_after});
 }
 
 void
--- a/src/libserve/operator/metrics.cpp
+++ b/src/libserve/operator/metrics.cpp
@@ -83,6 +83,22 @@
         counter("cypressford_ejections_total", "Upstreams taken out.", stats.ejections));
 }
 
+MetricFamily
+refusals_by_set(const std::map<std::string, std::uint64_t>& refused)
+{
+    MetricFamily result
+        = family("cypressford_capacity_refused",
+                 "Requests refused by the leader of an upstream set, by upstream set.",
+                 MetricType::Counter);
+    for (const auto& [set, count] : refused) {
+        ClientMetric metric;
+        metric.label = {{"upstreams", set}};
+        metric.counter.value = static_cast<double>(count);
+        result.metric.push_back(metric);
+    }
+    return result;
+}
+
 } // namespace
 
 struct TimeHistogram::Impl {
@@ -158,6 +174,8 @@
         request_time[pipeline].merge(times);
     for (const auto& [set, times] : other.attempt_time)
         attempt_time[set].merge(times);
+    for (const auto& [set, count] : other.capacity_refused)
+        capacity_refused[set] += count;
     scheduler.admitted += other.scheduler.admitted;
     scheduler.refused += other.scheduler.refused;
     scheduler.attempts += other.scheduler.attempts;
@@ -196,6 +214,7 @@
         attempts.metric.push_back(histogram_metric("upstreams", set, histogram));
     families.push_back(std::move(attempts));
     add_scheduler(snapshot.scheduler, families);
+    families.push_back(refusals_by_set(snapshot.capacity_refused));
     for (const Gauge& gauge : gauges) {
         MetricFamily result
             = family(gauge.name.c_str(), gauge.help.c_str(), MetricType::Gauge);
--- a/src/libserve/operator/metrics.h
+++ b/src/libserve/operator/metrics.h
@@ -47,6 +47,8 @@
         requests; ///< pipeline, outcome
     std::map<std::string, TimeHistogram> request_time; ///< by pipeline, answered requests
     std::map<std::string, TimeHistogram> attempt_time; ///< by upstream set
+    /// Requests that the leader of the set refused, by upstream set.
+    std::map<std::string, std::uint64_t> capacity_refused;
     SchedulerStats scheduler;
     std::uint64_t connections = 0;
     std::uint64_t in_progress = 0;
--- a/src/libserve/peers/peer_link.cpp
+++ b/src/libserve/peers/peer_link.cpp
@@ -22,6 +22,8 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Micros kConnectTimeout = 250 * kMillisecond;
 constexpr Micros kKeepaliveTimeout = 200 * kMillisecond;
+/// Longest delay of a request by capacity queries; a thirtieth of a target of 1,500 ms.
+constexpr Micros kCapacityTimeout = 50 * kMillisecond;
 constexpr int kOk = 200;
 
 } // namespace
@@ -53,13 +55,13 @@
         handle->cancel();
 }
 
-/// Sends a message that the peer answers without delay, within kKeepaliveTimeout.
+/// Sends a message that the peer answers without delay.
 asio::awaitable<CallResult>
-PeerLink::post(std::string address, const char* path, std::string body)
+PeerLink::post(std::string address, const char* path, std::string body, Micros time_limit)
 {
     HttpRequest request = protobuf_post(path, std::move(body));
     CallOptions options;
-    options.deadline_us = monotonic_us() + kKeepaliveTimeout;
+    options.deadline_us = monotonic_us() + time_limit;
     co_return co_await m_client.call(std::move(address), std::move(request),
                                      std::move(options));
 }
@@ -67,20 +69,34 @@
 asio::awaitable<bool>
 PeerLink::send_releases(std::string address, Releases releases)
 {
-    const CallResult result
-        = co_await post(std::move(address), kReleasePath, encode(releases));
+    const CallResult result = co_await post(std::move(address), kReleasePath,
+                                            encode(releases), kKeepaliveTimeout);
     co_return result.status == CallStatus::Answered&& result.response.status == kOk;
 }
 
 asio::awaitable<Result<PlaceAnswer>>
 PeerLink::place(std::string address, PlaceQuery query)
 {
-    const CallResult result = co_await post(address, kPlacePath, encode(query));
+    const CallResult result
+        = co_await post(address, kPlacePath, encode(query), kKeepaliveTimeout);
     if (result.status != CallStatus::Answered || result.response.status != kOk)
         co_return fail(ErrorKind::UpstreamFailed, address);
     co_return decode_place_answer(result.response.body);
 }
 
+asio::awaitable<Result<CapacityVerdicts>>
+PeerLink::reserve(std::string address, SetQueries queries)
+{
+    const CallResult result
+        = co_await post(address, kCapacityPath, encode(queries), kCapacityTimeout);
+    if (result.status != CallStatus::Answered || result.response.status != kOk)
+        co_return fail(ErrorKind::UpstreamFailed, address);
+    auto verdicts = decode_capacity_verdicts(result.response.body);
+    if (verdicts && verdicts->size() != queries.size())
+        co_return fail(ErrorKind::UpstreamFailed, address);
+    co_return verdicts;
+}
+
 /// Status of the answer to a keepalive request; 0 for none.
 asio::awaitable<int>
 PeerLink::keepalive_status(std::string address)
--- a/src/libserve/peers/peer_link.h
+++ b/src/libserve/peers/peer_link.h
@@ -44,9 +44,15 @@
     boost::asio::awaitable<Result<PlaceAnswer>> place(std::string address,
                                                       PlaceQuery query);
 
+    /// Verdicts of the daemon, one for each query.  An error means that it did not answer
+    /// within kCapacityTimeout, does not know the message, or that its answer is invalid.
+    boost::asio::awaitable<Result<CapacityVerdicts>> reserve(std::string address,
+                                                             SetQueries queries);
+
     /// True if the daemon answers and is not stopping.
     boost::asio::awaitable<bool> is_alive(std::string address);
 
+    static constexpr const char* kCapacityPath = "/v1/capacity";
     static constexpr const char* kPlacePath = "/v1/place";
     static constexpr const char* kReleasePath = "/v1/releases";
     static constexpr const char* kOrderPath = "/v1/pieces";
@@ -54,7 +60,7 @@
 
 private:
     boost::asio::awaitable<CallResult> post(std::string address, const char* path,
-                                            std::string body);
+                                            std::string body, Micros time_limit);
     boost::asio::awaitable<void> watch(std::string address);
     boost::asio::awaitable<int> keepalive_status(std::string address);
     boost::asio::io_context& m_io;
--- a/src/libserve/pieces/piece_job.cpp
+++ b/src/libserve/pieces/piece_job.cpp
@@ -79,6 +79,18 @@
     cypressford::receive_limit_reports(reader_set(), reports, now);
 }
 
+SetQueries
+PieceJob::capacity_queries(Micros now) const
+{
+    CapacityQuery request;
+    request.attempt = wanted.attempt;
+    request.account = wanted.account;
+    request.priority = wanted.priority;
+    request.expires_in = wanted.deadline - now;
+    return cypressford::capacity_queries(*wanted.snapshot, resolved(), wanted.counts,
+                                         request, wanted.target_by - now);
+}
+
 PieceOrder
 PieceJob::order_for(std::size_t stage, std::string hall) const
 {
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -28,6 +28,7 @@
     std::vector<int> counts; ///< by piece stage
     std::string attempt; ///< the request's id at upstreams
     std::string piece_key;
+    std::string account;
     int priority = 0;
     Micros deadline = 0;
     Micros target_by = 0; ///< when the pieces must be made to meet the target latency
@@ -54,6 +55,9 @@
     std::string identity; ///< of the upstream that should read them; empty: any
     /// The leader has counted the call against the upstream's rate limit.
     bool is_counted = false;
+    /// Sets whose leaders refused the request before its first piece was made.
+    std::vector<std::string> refused_by;
+    Micros retry_after = 0; ///< if refused: the longest of the leaders' times
 };
 
 /// State of one request's pieces while they are made.
@@ -94,6 +98,9 @@
     /// Takes over limit reports from the leader.
     void receive_limit_reports(const LimitReports& reports, Micros now) const;
 
+    /// What the request needs of each set.
+    SetQueries capacity_queries(Micros now) const;
+
     /// The order for a stage; its `due_left` is still a point in time, not a duration.
     PieceOrder order_for(std::size_t stage, std::string near) const;
 
@@ -114,6 +121,11 @@
     bool failed = false;
     bool cancelled = false;
     int running = 0; ///< stages in progress
+    int leaders_asked = 0; ///< leaders that have not answered the capacity queries
+    /// Sets whose leaders may have promised capacity that was not used by an order.
+    std::set<std::string> promised;
+    std::vector<std::string> refused_by; ///< sets whose leaders refused the request
+    Micros retry_after = 0; ///< longest time of these leaders
     std::set<std::shared_ptr<CallHandle>> calls; ///< to other daemons
     std::set<std::shared_ptr<PieceMaker::Ticket>> tickets; ///< at this daemon
     BootTimer changed;
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -38,6 +39,8 @@
 constexpr Micros kBackOffWhenNoMemory = 30 * kMillisecond;
 /// Interval of checks on pieces that wait for a certain upstream.
 constexpr Micros kRecheckInterval = 20 * kMillisecond;
+/// Interval of log lines on the verdicts of a set's ledger.
+constexpr Micros kVerdictLogInterval = kSecond;
 constexpr int kMaxCallsPerPiece = 4; ///< maximum number of calls in which a piece is sent
 constexpr int kOk = 200;
 constexpr std::int64_t kBytesPerKb = 1000;
@@ -138,6 +141,64 @@
     return nullptr;
 }
 
+CapacityVerdict
+PieceMaker::reserve(const SetQuery& query)
+{
+    const Micros now = monotonic_us();
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    const UpstreamSet* set = snapshot ? find_set(*snapshot, query.upstream_set) : nullptr;
+    const double rate = set ? full_call_rate(*set, now) : 0;
+    if (rate <= 0)
+        return {};
+    SetQueue& set_queue = set_queue_of(query.upstream_set);
+    const SetCapacity capacity {rate, set_queue.queue.queued_by_priority()};
+    const CapacityVerdict verdict = set_queue.ledger.reserve(query.need, capacity, now);
+    count_verdict(query, verdict, rate);
+    return verdict;
+}
+
+void
+PieceMaker::withdraw(const Releases& releases)
+{
+    if (releases.withdrawn.empty())
+        return;
+    CapacityLedger& ledger = set_queue_of(releases.upstream_set).ledger;
+    for (const std::string& attempt : releases.withdrawn)
+        ledger.release(attempt);
+}
+
+void
+PieceMaker::count_verdict(const SetQuery& query, const CapacityVerdict& verdict,
+                          double rate)
+{
+    VerdictCounts& counts = set_queue_of(query.upstream_set).verdicts;
+    if (counts.is_empty())
+        asio::co_spawn(m_io, log_verdicts_later(query.upstream_set), asio::detached);
+    ++(verdict.admitted ? counts.admitted : counts.refused);
+    if (is_over_share(query.need, verdict))
+        ++counts.over_share;
+    counts.pieces_per_s = rate;
+}
+
+/// Logs the verdicts of the set's ledger that were counted in one interval.
+asio::awaitable<void>
+PieceMaker::log_verdicts_later(std::string set_name)
+{
+    BootTimer timer(m_io);
+    timer.expires_after(std::chrono::microseconds(kVerdictLogInterval));
+    co_await timer.async_wait(kToTuple);
+    SetQueue& set_queue = set_queue_of(set_name);
+    const VerdictCounts counts = std::exchange(set_queue.verdicts, {});
+    LogEvent("capacity")
+        .kv("set", set_name)
+        .kv("admitted", counts.admitted)
+        .kv("refused", counts.refused)
+        .kv("over_share", counts.over_share)
+        .kv("pieces_per_s", counts.pieces_per_s)
+        .kv("promised", set_queue.ledger.size())
+        .kv("queued", set_queue.queue.size());
+}
+
 asio::awaitable<PieceAnswer>
 PieceMaker::make(PieceOrder wanted, std::shared_ptr<Ticket> ticket)
 {
@@ -160,6 +221,9 @@
         m_pieces[id] = {order, i, 0, false};
         set_queue.queue.add(waiting_piece(*order, id));
     }
+    const std::string attempt
+        = order->order.pieces.empty() ? "" : order->order.pieces.front().attempt;
+    set_queue.ledger.on_ordered(attempt);
     if (!order->order.is_retry)
         set_queue.retries.earn(order->ids.size());
     ticket->m_on_cancel = [weak = std::weak_ptr(order)] {
@@ -178,6 +242,7 @@
     }
     ticket->m_on_cancel = nullptr;
     cancel(order);
+    set_queue.ledger.release(attempt);
     PieceAnswer answer;
     answer.pieces = order->results;
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
@@ -209,6 +274,8 @@
     for (const PieceId id : set_queue.queue.take_overdue(*set, monotonic_us()))
         finish(id, {PieceOutcome::Late, {}});
     while (auto call = set_queue.queue.next_call(*set, monotonic_us())) {
+        set_queue.ledger.record_call(static_cast<int>(call->pieces.size()),
+                                     set_queue.queue.size() > 0, monotonic_us());
         call->upstream->in_flight.fetch_add(1, std::memory_order_relaxed);
         for (const PieceId id : call->pieces) {
             Piece& piece = m_pieces.at(id);
--- a/src/libserve/pieces/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <cypressford/capacity_ledger.h>
 #include <cypressford/piece_order.h>
 #include <cypressford/pieces.h>
 #include <cypressford/retry_budget.h>
@@ -44,6 +45,13 @@
 
     PieceMaker(boost::asio::io_context& io, Kernel& kernel, FreeResult free_result);
 
+    /// The verdict of the set's ledger.  Admits if this daemon has no capacity to promise:
+    /// the set is unknown here, or none of its upstreams is usable.
+    CapacityVerdict reserve(const SetQuery& query);
+
+    /// Removes the promises to requests that do not need them.
+    void withdraw(const Releases& releases);
+
     /// Completes when every piece is made, one has failed, the order's deadline has passed
     /// or the ticket is cancelled.
     boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
@@ -64,11 +72,22 @@
         int calls = 0; ///< number of calls in which the piece was sent
         bool in_flight = false; ///< a call with the piece is in progress
     };
+    /// Verdicts of the ledger of one set, for the log.
+    struct VerdictCounts {
+        int admitted = 0;
+        int refused = 0;
+        int over_share = 0; ///< refused because of the account's share
+        double pieces_per_s = 0; ///< of the set, at the last query
+
+        bool is_empty() const { return admitted + refused == 0; }
+    };
     /// State of one upstream set.
     struct SetQueue {
         PieceQueue queue;
         RetryBudget retries;
         bool recheck_scheduled = false; ///< a later dispatch is scheduled
+        CapacityLedger ledger {};
+        VerdictCounts verdicts {}; ///< since the last log line
     };
 
     /// A call as it was sent, for the log and for the memory estimate.
@@ -82,6 +101,8 @@
     static WaitingPiece waiting_piece(const Order& order, PieceId id);
     RetryBudget new_budget() const;
     SetQueue& set_queue_of(const std::string& set_name);
+    void count_verdict(const SetQuery& query, const CapacityVerdict& verdict, double rate);
+    boost::asio::awaitable<void> log_verdicts_later(std::string set_name);
     const UpstreamSet* find_set(const Snapshot& snapshot, const std::string& name) const;
     void dispatch(const std::string& set_name);
     boost::asio::awaitable<void> run_call(std::string set_name, SnapshotPtr snapshot,
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -3,7 +3,9 @@
 
 #include "libserve/pieces/piece_service.h"
 
+#include <algorithm>
 #include <limits>
+#include <map>
 #include <set>
 
 #include <boost/asio/as_tuple.hpp>
@@ -98,7 +100,11 @@
 asio::awaitable<void>
 PieceService::run(JobPtr job)
 {
-    if (job->wanted.follows_prompt && job->wanted.near.empty() && !job->plan.is_done()) {
+    if (asks_for_capacity(*job))
+        co_await reserve(job);
+    const bool asks_for_engine
+        = job->wanted.follows_prompt && job->wanted.near.empty() && !job->plan.is_done();
+    if (asks_for_engine && !job->failed && !job->cancelled) {
         const PlaceAnswer engine = co_await place(job, std::string(), 0, false);
         job->near = engine.hall;
     }
@@ -149,10 +155,80 @@
             ticket->cancel();
         queue_releases(job->with_set_names(job->plan.unreleased()));
     }
+    for (const std::string& set_name : job->promised)
+        m_outbox.add_withdrawn(set_name, job->wanted.attempt);
+    result.refused_by = std::move(job->refused_by);
+    result.retry_after = job->retry_after;
     if (!job->cancelled)
         job->done(std::move(result));
 }
 
+/// Each request is asked for once: the results of a retry were made before, and are made
+/// again under the limit on retries.
+bool
+PieceService::asks_for_capacity(const PieceJob& job) const
+{
+    return uses(Mechanism::CapacityLedger) && !job.wanted.is_retry && !job.plan.is_done()
+        && !job.cancelled;
+}
+
+/// Asks the leaders of all sets that the request needs, concurrently, with one message to
+/// each.  The job fails if one of them refuses; without an answer the request continues.
+asio::awaitable<void>
+PieceService::reserve(JobPtr job)
+{
+    std::map<std::string, SetQueries> by_leader;
+    for (SetQuery& query : job->capacity_queries(monotonic_us()))
+        by_leader[m_peers.leader_of(query.upstream_set)].push_back(std::move(query));
+    for (auto& [leader, queries] : by_leader) {
+        ++job->leaders_asked;
+        asio::co_spawn(m_io, ask_leader(job, leader, std::move(queries)), asio::detached);
+    }
+    while (job->leaders_asked > 0) {
+        job->changed.expires_at(BootTimer::time_point::max());
+        co_await job->changed.async_wait(kToTuple);
+    }
+}
+
+/// A leader that does not answer is not suspected, because the time limit is shorter than
+/// the delays of a busy daemon.  Its promise is withdrawn all the same if it is not used,
+/// since only the answer may have been late.
+asio::awaitable<void>
+PieceService::ask_leader(JobPtr job, std::string leader, SetQueries queries)
+{
+    for (const SetQuery& query : queries)
+        job->promised.insert(query.upstream_set);
+    CapacityVerdicts verdicts;
+    if (leader.empty()) {
+        verdicts = m_leader.reserve(queries);
+    } else if (auto answer = co_await m_link.reserve(leader, queries)) {
+        m_peers.record_response(leader);
+        verdicts = *std::move(answer);
+    }
+    for (std::size_t i = 0; i < verdicts.size(); ++i)
+        if (!verdicts[i].admitted)
+            record_refusal(*job, queries[i], verdicts[i]);
+    --job->leaders_asked;
+    job->changed.cancel();
+}
+
+void
+PieceService::record_refusal(PieceJob& job, const SetQuery& query,
+                             const CapacityVerdict& verdict)
+{
+    LogEvent("capacity_refused")
+        .kv("request", job.wanted.attempt)
+        .kv("set", query.upstream_set)
+        .kv("priority", query.need.priority)
+        .kv("account", query.need.account)
+        .kv("expected_wait_us", verdict.expected_wait)
+        .kv("retry_after_us", verdict.retry_after);
+    job.failed = true;
+    job.promised.erase(query.upstream_set);
+    job.refused_by.push_back(query.upstream_set);
+    job.retry_after = std::max(job.retry_after, verdict.retry_after);
+}
+
 asio::awaitable<void>
 PieceService::run_stage(JobPtr job, std::size_t stage)
 {
@@ -231,6 +307,7 @@
             job->tickets.insert(ticket);
             PieceAnswer own = co_await m_leader.make(std::move(copy), ticket);
             job->tickets.erase(ticket);
+            job->promised.erase(set_name);
             record_wait(*job, set_name, own.expected_wait);
             co_return own;
         }
@@ -240,6 +317,7 @@
         job->calls.erase(handle);
         if (answer) {
             m_peers.record_response(leader);
+            job->promised.erase(set_name);
             record_wait(*job, set_name, answer->expected_wait);
             co_return answer;
         }
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -62,6 +62,12 @@
     {
         return m_kernel.settings.scheduler.switches.uses(mechanism);
     }
+    bool asks_for_capacity(const PieceJob& job) const;
+    boost::asio::awaitable<void> reserve(JobPtr job);
+    boost::asio::awaitable<void> ask_leader(JobPtr job, std::string leader,
+                                            SetQueries queries);
+    void record_refusal(PieceJob& job, const SetQuery& query,
+                        const CapacityVerdict& verdict);
     boost::asio::awaitable<void> run_stage(JobPtr job, std::size_t stage);
     boost::asio::awaitable<Result<PieceAnswer>> order(JobPtr job, PieceOrder order);
     PlaceQuery place_query(const PieceJob& job) const;
--- a/src/libserve/pieces/release_outbox.cpp
+++ b/src/libserve/pieces/release_outbox.cpp
@@ -56,6 +56,12 @@
     of(set_name).unreachable.push_back(std::move(attempt));
 }
 
+void
+ReleaseOutbox::add_withdrawn(const std::string& set_name, std::string attempt)
+{
+    of(set_name).withdrawn.push_back(std::move(attempt));
+}
+
 Releases&
 ReleaseOutbox::of(const std::string& set_name)
 {
--- a/src/libserve/pieces/release_outbox.h
+++ b/src/libserve/pieces/release_outbox.h
@@ -34,6 +34,8 @@
     void add_ended(const std::string& set_name, std::string attempt);
     /// Adds a report that a request did not reach its selected upstream.
     void add_unreachable(const std::string& set_name, std::string attempt);
+    /// Adds a request that does not need the capacity that the set's leader promised.
+    void add_withdrawn(const std::string& set_name, std::string attempt);
 
 private:
     Releases& of(const std::string& set_name);
--- a/src/libserve/pieces/set_leader.cpp
+++ b/src/libserve/pieces/set_leader.cpp
@@ -54,6 +54,8 @@
     const std::string path(exchange.request().path());
     if (path == PeerLink::kOrderPath) {
         co_await serve_order(exchange);
+    } else if (path == PeerLink::kCapacityPath) {
+        co_await serve_capacity(exchange);
     } else if (path == PeerLink::kPlacePath) {
         const auto query = decode_place_query(exchange.request().body);
         HttpResponse response;
@@ -70,9 +72,7 @@
     } else if (path == PeerLink::kAlivePath) {
         HttpResponse alive;
         alive.content_type = "text/plain";
-        // Without a configuration this daemon cannot lead any set.
-        const bool leads = !m_kernel.stopping.load() && m_kernel.snapshot.load();
-        alive.status = leads ? kOk : kUnavailable;
+        alive.status = can_lead() ? kOk : kUnavailable;
         co_await exchange.respond(std::move(alive));
     } else {
         co_await exchange.respond(problem_response(problem_of(ErrorKind::NotFound)));
@@ -83,8 +83,7 @@
 SetLeader::serve_order(HttpExchange& exchange)
 {
     auto order = decode_piece_order(exchange.request().body);
-    const bool accepts = order && !m_kernel.stopping.load() && m_kernel.snapshot.load();
-    if (!accepts) {
+    if (!order || !can_lead()) {
         const ErrorKind kind = order ? ErrorKind::Stopping : ErrorKind::BadRequest;
         co_await exchange.respond(problem_response(problem_of(kind)));
         co_return;
@@ -97,6 +96,33 @@
     co_await exchange.respond(std::move(response));
 }
 
+/// A daemon that is stopping does not promise capacity: the sets' next leaders do not have
+/// its promises.
+asio::awaitable<void>
+SetLeader::serve_capacity(HttpExchange& exchange)
+{
+    const auto queries = decode_capacity_queries(exchange.request().body);
+    if (!queries || !can_lead()) {
+        const ErrorKind kind = queries ? ErrorKind::Stopping : ErrorKind::BadRequest;
+        co_await exchange.respond(problem_response(problem_of(kind)));
+        co_return;
+    }
+    HttpResponse response;
+    response.content_type = "application/x-protobuf";
+    response.body = encode(reserve(*queries));
+    co_await exchange.respond(std::move(response));
+}
+
+CapacityVerdicts
+SetLeader::reserve(const SetQueries& queries)
+{
+    CapacityVerdicts verdicts;
+    verdicts.reserve(queries.size());
+    for (const SetQuery& query : queries)
+        verdicts.push_back(m_maker.reserve(query));
+    return verdicts;
+}
+
 PlaceAnswer
 SetLeader::place(const PlaceQuery& query)
 {
@@ -146,6 +172,7 @@
         for (const std::string& attempt : releases.ended)
             placer->second.record_ended(attempt);
     }
+    m_maker.withdraw(releases);
     m_holders.free(releases);
 }
 
--- a/src/libserve/pieces/set_leader.h
+++ b/src/libserve/pieces/set_leader.h
@@ -20,8 +20,8 @@
 
 namespace cypressford {
 
-/// Serves all daemons as the leader of upstream sets: makes pieces, places prompts, and
-/// processes releases.  Runs on one thread.
+/// Serves all daemons as the leader of upstream sets: admits requests by capacity, makes
+/// pieces, places prompts, and processes releases.  Runs on one thread.
 class SetLeader {
 public:
     SetLeader(boost::asio::io_context& io, Kernel& kernel,
@@ -34,6 +34,8 @@
     boost::asio::awaitable<PieceAnswer> make(PieceOrder order,
                                              std::shared_ptr<PieceMaker::Ticket> ticket);
     PlaceAnswer place(const PlaceQuery& query);
+    /// Verdicts from the ledgers of the sets, one for each query.
+    CapacityVerdicts reserve(const SetQueries& queries);
     void take_releases(const Releases& releases);
 
     bool is_idle() const { return m_maker.is_idle(); }
@@ -41,6 +43,9 @@
 private:
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_order(HttpExchange& exchange);
+    boost::asio::awaitable<void> serve_capacity(HttpExchange& exchange);
+    /// False without a configuration, and while the daemon is stopping.
+    bool can_lead() const { return !m_kernel.stopping.load() && m_kernel.snapshot.load(); }
 
     Kernel& m_kernel;
     PieceMaker m_maker;
