Refused preparations in the fuzzer, and the rate of a set computed every 20 ms

Cause: the rate of a set was computed for each capacity query, which visits all upstreams of the set.

Change: it is computed at most every 20 ms. In the relay fuzzer, a first preparation that fails before a piece is made is a refusal; its reply must be not run, with the leader's time.

Measured: relay_fuzz and relay_fuzz_mutations pass.

--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -39,6 +39,9 @@
 constexpr Micros kBackOffWhenNoMemory = 30 * kMillisecond;
 /// Interval of checks on pieces that wait for a certain upstream.
 constexpr Micros kRecheckInterval = 20 * kMillisecond;
+/// The rate of a set is computed at most this often, since that visits all its upstreams
+/// and a leader may receive thousands of queries per second.
+constexpr Micros kRateInterval = 20 * kMillisecond;
 /// Interval of log lines on the verdicts of a set's ledger.
 constexpr Micros kVerdictLogInterval = kSecond;
 constexpr int kMaxCallsPerPiece = 4; ///< maximum number of calls in which a piece is sent
@@ -147,16 +150,28 @@
     const Micros now = monotonic_us();
     const SnapshotPtr snapshot = m_kernel.snapshot.load();
     const UpstreamSet* set = snapshot ? find_set(*snapshot, query.upstream_set) : nullptr;
-    const double rate = set ? full_call_rate(*set, now) : 0;
-    if (rate <= 0)
+    if (!set)
         return {};
     SetQueue& set_queue = set_queue_of(query.upstream_set);
+    const double rate = full_rate(set_queue, *set, now);
+    if (rate <= 0)
+        return {};
     const SetCapacity capacity {rate, set_queue.queue.queued_by_priority()};
     const CapacityVerdict verdict = set_queue.ledger.reserve(query.need, capacity, now);
-    count_verdict(query, verdict, rate);
+    count_verdict(query, verdict);
     return verdict;
 }
 
+double
+PieceMaker::full_rate(SetQueue& set_queue, const UpstreamSet& set, Micros now)
+{
+    if (now - set_queue.rate_computed_at >= kRateInterval) {
+        set_queue.full_rate = full_call_rate(set, now);
+        set_queue.rate_computed_at = now;
+    }
+    return set_queue.full_rate;
+}
+
 void
 PieceMaker::withdraw(const Releases& releases)
 {
@@ -168,8 +183,7 @@
 }
 
 void
-PieceMaker::count_verdict(const SetQuery& query, const CapacityVerdict& verdict,
-                          double rate)
+PieceMaker::count_verdict(const SetQuery& query, const CapacityVerdict& verdict)
 {
     VerdictCounts& counts = set_queue_of(query.upstream_set).verdicts;
     if (counts.is_empty())
@@ -177,7 +191,6 @@
     ++(verdict.admitted ? counts.admitted : counts.refused);
     if (is_over_share(query.need, verdict))
         ++counts.over_share;
-    counts.pieces_per_s = rate;
 }
 
 /// Logs the verdicts of the set's ledger that were counted in one interval.
@@ -194,7 +207,7 @@
         .kv("admitted", counts.admitted)
         .kv("refused", counts.refused)
         .kv("over_share", counts.over_share)
-        .kv("pieces_per_s", counts.pieces_per_s)
+        .kv("pieces_per_s", set_queue.full_rate)
         .kv("promised", set_queue.ledger.size())
         .kv("queued", set_queue.queue.size());
 }
--- a/src/libserve/pieces/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -77,8 +77,6 @@
         int admitted = 0;
         int refused = 0;
         int over_share = 0; ///< refused because of the account's share
-        double pieces_per_s = 0; ///< of the set, at the last query
-
         bool is_empty() const { return admitted + refused == 0; }
     };
     /// State of one upstream set.
@@ -88,6 +86,8 @@
         bool recheck_scheduled = false; ///< a later dispatch is scheduled
         CapacityLedger ledger {};
         VerdictCounts verdicts {}; ///< since the last log line
+        double full_rate = 0; ///< full_call_rate() at `rate_computed_at`
+        Micros rate_computed_at = -kSecond;
     };
 
     /// A call as it was sent, for the log and for the memory estimate.
@@ -101,7 +101,8 @@
     static WaitingPiece waiting_piece(const Order& order, PieceId id);
     RetryBudget new_budget() const;
     SetQueue& set_queue_of(const std::string& set_name);
-    void count_verdict(const SetQuery& query, const CapacityVerdict& verdict, double rate);
+    void count_verdict(const SetQuery& query, const CapacityVerdict& verdict);
+    static double full_rate(SetQueue& set_queue, const UpstreamSet& set, Micros now);
     boost::asio::awaitable<void> log_verdicts_later(std::string set_name);
     const UpstreamSet* find_set(const Snapshot& snapshot, const std::string& name) const;
     void dispatch(const std::string& set_name);
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -333,8 +333,14 @@
         model.inputs = model.preparation->plan.final_inputs();
     else
         release(model.preparation->plan.unreleased());
+    // A leader refuses only the first preparation, and before a piece is made.
+    const bool refused = !succeeded && model.preparations == 1
+        && model.preparation->plan.unreleased().empty();
+    if (refused)
+        model.refused_for = 1 + static_cast<Micros>(id);
     model.preparation.reset();
-    m_last_event = {id, PreparationEnded {id, succeeded, "a", ""}};
+    m_last_event = {
+        id, PreparationEnded {id, succeeded, "a", "", false, refused, model.refused_for}};
     handle(id, m_last_event->second);
 }
 
@@ -536,6 +542,11 @@
     ++model.replies;
     RC_ASSERT(model.replies == 1);
     RC_ASSERT(action.ran != Ran::NotRun || model.runs == 0);
+    if (model.refused_for > 0) {
+        RC_ASSERT(action.error == ErrorKind::DeadlineUnreachable);
+        RC_ASSERT(action.ran == Ran::NotRun);
+        RC_ASSERT(action.retry_after == model.refused_for);
+    }
 }
 
 void
--- a/testsuite/fuzz/relay_world.h
+++ b/testsuite/fuzz/relay_world.h
@@ -44,6 +44,7 @@
     std::vector<std::string> inputs; ///< results that are sent with an attempt
     std::optional<Preparation> preparation;
     int preparations = 0;
+    Micros refused_for = 0; ///< retry-after time of the refused preparation; 0: none
     int sent = 0;
     int runs = 0; ///< attempts that an upstream has started
     int replies = 0;
