Precedence of client accounts over pipelines

Cause: the priority of client accounts, which takes precedence over that of the pipeline, was read from the configuration but not used.

Change: resolving a bundle numbers the pairs of an account's and a pipeline's priority (ResolvedBundle::rank_of). With Mechanism::AccountPrecedence these numbers replace the pipeline's priority in queues, admission, orders of pieces and calls to upstreams; without it nothing changes. Callers without a credential rank with the last account. The platform's plug-in derives the mechanism from 'platform: contracts'; 'policy: without' overrides it. daemon_start, request_begin and 'settings check' show what is in force.

--- a/src/cypressford/cypressford.cpp
+++ b/src/cypressford/cypressford.cpp
@@ -68,6 +68,9 @@
     const auto settings = parse_settings(text);
     if (settings) {
         std::cout << path << ": ok\n";
+        const std::string opt_ins = names_of_opt_ins(settings->scheduler.switches);
+        if (!opt_ins.empty())
+            std::cout << "with: " << opt_ins << '\n';
         return kExitOk;
     }
     std::cerr << format_faults(path, settings.error());
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -68,6 +68,13 @@
     double capacity = 1; ///< processor power of its node, relative to the others
 };
 
+/// Features that a deployment needs according to the platform's own settings.
+struct DeploymentFeatures {
+    bool account_precedence = false; ///< Mechanism::AccountPrecedence
+
+    bool operator==(const DeploymentFeatures&) const = default;
+};
+
 /// Names, formats and calls of such a platform.  Makes no decisions.
 class DirectoryDialect {
 public:
@@ -89,6 +96,13 @@
     virtual std::optional<EvacuationRecord>
     decode_evacuation(const DirectoryRecord& record) const = 0;
     virtual Result<UpstreamRecord> decode_upstream(const DirectoryRecord& record) const = 0;
+
+    /// Translates the platform's names of what a deployment was promised, as they stand in
+    /// the settings.  Unknown names are ignored: the platform may add some at any time.
+    virtual DeploymentFeatures features(const std::vector<std::string>& /*contracts*/) const
+    {
+        return {};
+    }
 };
 
 /// Configuration, evacuations and upstreams as derived from the records seen so far, in the
--- a/src/include/cypressford/policy.h
+++ b/src/include/cypressford/policy.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <bitset>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 
@@ -85,4 +86,15 @@
     std::bitset<kMechanisms> m_off;
 };
 
+/// Names of the mechanisms that are off by default and switched on, separated by commas.
+inline std::string
+names_of_opt_ins(const PolicySwitches& switches)
+{
+    std::string names;
+    for (auto at = static_cast<std::size_t>(kFirstOptIn); at < kMechanisms; ++at)
+        if (switches.uses(static_cast<Mechanism>(at)))
+            names.append(names.empty() ? "" : ",").append(kMechanismNames.at(at));
+    return names;
+}
+
 } // namespace cypressford
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -24,6 +24,7 @@
 #include <cypressford/cold.h>
 #include <cypressford/hall_limit.h>
 #include <cypressford/path_index.h>
+#include <cypressford/policy.h>
 #include <cypressford/self_report.h>
 #include <cypressford/upstream_run.h>
 
@@ -199,6 +200,7 @@
     std::vector<std::size_t> piece_sets; ///< per piece stage: index into Snapshot::sets
     std::vector<StageId> piece_stage_ids; ///< per piece stage
     HallLimit halls; ///< halls of its regions
+    int rank_offset = 0; ///< see ResolvedBundle::rank_of()
 };
 
 /// One account with its live state.
@@ -206,6 +208,7 @@
     AccountSpec spec;
     std::shared_ptr<AccountState> state;
     HallLimit halls {}; ///< halls of its regions
+    int first_rank = 0; ///< see ResolvedBundle::rank_of()
 };
 
 /// A bundle with its pipelines and accounts resolved.  Immutable, and shared by all
@@ -227,6 +230,17 @@
     /// share the longest prefix.  Nothing if none matches.
     std::optional<std::size_t> match(std::string_view host, std::string_view path,
                                      std::uint64_t pick) const;
+
+    /// Precedence of requests of this account to this pipeline, 0 for the first, up to
+    /// kLowestPriority.  The distinct pairs of an account's and a pipeline's priority are
+    /// numbered in ascending order, the account's first; all pairs from kLowestPriority on
+    /// share that number.  Daemons with the same bundle compute the same numbers.
+    int rank_of(std::size_t account, std::size_t pipeline) const;
+
+    /// Priority of these requests in queues, admission and calls, up to kLowestPriority:
+    /// rank_of() with Mechanism::AccountPrecedence, otherwise the pipeline's own.
+    int priority_of(std::size_t account, std::size_t pipeline,
+                    const PolicySwitches& switches) const;
 };
 
 using ResolvedBundlePtr = std::shared_ptr<const ResolvedBundle>;
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -37,6 +37,7 @@
 /// Data of one request; the order of its steps is in RequestMachine.
 struct Request {
     RequestSpec spec;
+    int resolved_priority = 0; ///< ResolvedBundle::priority_of() its account and pipeline
     Micros arrived = 0;
     std::size_t stage = 0;
     ClaimState claim = ClaimState::None;
@@ -76,7 +77,7 @@
     {
         return spec.snapshot->bundle->accounts[spec.account];
     }
-    int priority() const { return pipeline().spec.priority; }
+    int priority() const { return resolved_priority; }
 
     /// True if the current stage must not run twice and only the claim prevents it.
     bool stage_needs_claim() const
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -28,7 +28,7 @@
     query.deadline = request.spec.deadline;
     if (pipeline.spec.target_latency > 0)
         query.target_by = now + pipeline.spec.target_latency;
-    query.priority = pipeline.spec.priority;
+    query.priority = request.priority();
     query.in_progress = static_cast<int>(unanswered);
     const ResolvedAccount& account = request.account();
     const auto of_account = by_account.find(account.state.get());
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -98,6 +98,8 @@
             , machine(*this)
         {
             request.spec = std::move(spec);
+            request.resolved_priority = request.spec.snapshot->bundle->priority_of(
+                request.spec.account, request.spec.pipeline, owner.options.switches);
         }
 
         void send() override { owner.send(request); }
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/upstream.h>
 
 #include <algorithm>
+#include <set>
 
 namespace cypressford {
 
@@ -98,12 +99,15 @@
 
 namespace {
 
-/// Callers without a credential share an account without a name.
+/// Callers without a credential share an account without a name.  It has the last priority
+/// among the accounts, so that nobody gains precedence by leaving out the credential.
 void
 add_anonymous_account(ResolvedBundle& bundle)
 {
     constexpr double unbounded = 1e9;
     AccountSpec spec;
+    for (const ResolvedAccount& account : bundle.accounts)
+        spec.priority = std::max(spec.priority, account.spec.priority);
     spec.rate = unbounded;
     spec.burst = unbounded;
     bundle.anonymous_account = bundle.accounts.size();
@@ -139,8 +143,54 @@
     return choose_by_weight(*this, *found, pick);
 }
 
+int
+ResolvedBundle::rank_of(std::size_t account, std::size_t pipeline) const
+{
+    return std::min(accounts[account].first_rank + pipelines[pipeline].rank_offset,
+                    kLowestPriority);
+}
+
+int
+ResolvedBundle::priority_of(std::size_t account, std::size_t pipeline,
+                            const PolicySwitches& switches) const
+{
+    return switches.uses(Mechanism::AccountPrecedence) ? rank_of(account, pipeline)
+                                                       : pipelines[pipeline].spec.priority;
+}
+
 namespace {
 
+/// Position of each distinct value in ascending order.
+std::map<int, int>
+positions_of(const std::set<int>& values)
+{
+    std::map<int, int> positions;
+    for (const int value : values)
+        positions.emplace(value, static_cast<int>(positions.size()));
+    return positions;
+}
+
+/// Every account may call every pipeline, so the ordered pairs of priorities are the
+/// accounts' priorities in order, each with all priorities of pipelines.
+void
+assign_ranks(ResolvedBundle& bundle)
+{
+    std::set<int> of_accounts;
+    std::set<int> of_pipelines;
+    for (const ResolvedAccount& account : bundle.accounts)
+        of_accounts.insert(account.spec.priority);
+    for (const ResolvedPipeline& pipeline : bundle.pipelines)
+        of_pipelines.insert(pipeline.spec.priority);
+    const auto account_position = positions_of(of_accounts);
+    const auto pipeline_position = positions_of(of_pipelines);
+    for (ResolvedPipeline& pipeline : bundle.pipelines)
+        pipeline.rank_offset = pipeline_position.at(pipeline.spec.priority);
+    const int pipeline_priorities = static_cast<int>(pipeline_position.size());
+    for (ResolvedAccount& account : bundle.accounts)
+        account.first_rank
+            = account_position.at(account.spec.priority) * pipeline_priorities;
+}
+
 std::map<std::string, std::size_t>
 index_sets(const std::vector<UpstreamSetSpec>& sets)
 {
@@ -194,6 +244,7 @@
     }
     add_accounts(*resolved, bundle.accounts);
     add_anonymous_account(*resolved);
+    assign_ranks(*resolved);
     return resolved;
 }
 
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -309,7 +309,8 @@
         .kv("admission", settings.admission)
         .kv("named_peers", settings.peers.size())
         .kv("first_peer", settings.peers.empty() ? std::string() : settings.peers.front())
-        .kv("peer_tls", !settings.tls.certificate.empty());
+        .kv("peer_tls", !settings.tls.certificate.empty())
+        .kv("with", names_of_opt_ins(settings.scheduler.switches));
     return {};
 }
 
--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -208,7 +208,7 @@
     request.counts = context->spec.pieces;
     request.attempt = context->relay->call.attempt;
     request.piece_key = context->relay->call.piece_key;
-    request.priority = context->resolved().spec.priority;
+    request.priority = context->priority(m_kernel.settings.scheduler.switches);
     request.deadline = action.deadline;
     request.target_by = action.target_by;
     request.near = action.near;
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -97,6 +97,11 @@
     {
         return spec.snapshot->bundle->accounts[spec.account];
     }
+    /// See ResolvedBundle::priority_of().
+    int priority(const PolicySwitches& switches) const
+    {
+        return spec.snapshot->bundle->priority_of(spec.account, spec.pipeline, switches);
+    }
 };
 using ContextPtr = std::shared_ptr<RequestContext>;
 
--- a/src/libserve/relay/attempt.cpp
+++ b/src/libserve/relay/attempt.cpp
@@ -128,7 +128,7 @@
     StageCall call;
     call.stage = &pipeline.spec.stages[send.stage];
     call.input = context.input;
-    call.priority = pipeline.spec.priority;
+    call.priority = context.priority(m_kernel.settings.scheduler.switches);
     call.budget_ms = (context.spec.deadline - monotonic_us()) / kMillisecond;
     if (!call.stage->repeatable)
         call.key = context.account + "/" + context.key;
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -150,6 +150,7 @@
         .kv("request", context->log_id())
         .kv("pipeline", context->pipeline)
         .kv("account", context->account)
+        .kv("priority", context->priority(m_kernel.settings.scheduler.switches))
         .kv("version", context->spec.snapshot->bundle->version)
         .kv("generation", context->spec.snapshot->generation)
         .kv("deadline_us", context->spec.deadline - context->arrived)
@@ -286,7 +287,7 @@
     call.identity = send.upstream->identity;
     call.account = context.account;
     call.time_left = send.deadline - monotonic_us();
-    call.priority = context.resolved().spec.priority;
+    call.priority = context.priority(m_kernel.settings.scheduler.switches);
     for (const PieceHandle& input : context.relay->inputs)
         call.inputs.push_back(input.handle);
     call.last_event = context.relay->events.last_id();
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -102,6 +102,19 @@
     read_range(reader, "writes_per_s", 1.0, 1e6, settings.directory_writes);
 }
 
+/// Switches on what the platform's plug-in derives from its own names.  Read before
+/// "policy", which can switch it off again.
+void
+read_contracts(YamlMapReader& reader, Settings& settings)
+{
+    std::vector<std::string> contracts;
+    reader.read("contracts", contracts);
+    const auto dialect
+        = Registry<DirectoryDialect>::instance().make(settings.platform.kind);
+    if (dialect->features(contracts).account_precedence)
+        settings.scheduler.switches.switch_on(Mechanism::AccountPrecedence);
+}
+
 void
 read_platform(YamlMapReader& reader, Settings& settings)
 {
@@ -115,6 +128,7 @@
         read_address(reader, "store", true, settings.platform.log);
         read_directory_bounds(reader, settings);
         read_ms(reader, "vanish_grace_ms", settings.removal_grace_period);
+        read_contracts(reader, settings);
         return;
     }
     read_plugin<PlatformClient>(reader, "kind", settings.platform.kind);
--- a/testsuite/platform_names.sh
+++ b/testsuite/platform_names.sh
@@ -10,6 +10,7 @@
 names+='|X-Prefix-Hash|X-Token-Count|Api-Key|stage-run|stage-free|op/config'
 names+='|Store-Era|X-Cold-|allowed_regions|cold_start_s|cold_per_s|cold_remaining'
 names+='|keyed\.(op|servers)|log-(read|append|newest)|health_path|path_prefix"'
+names+='|"pressure"'
 if grep -rnE "$names" src testsuite --include='*' --exclude=platform_names.sh; then
   echo "names of the platform occur outside platform/" >&2
   exit 1
--- a/testsuite/settings.sh
+++ b/testsuite/settings.sh
@@ -46,4 +46,26 @@
 fi
 grep -q ":9: without: 'stable_homes' is now called 'stable_engines'" <<< "$faults"
 grep -q "'outage_patience_ms' is now called 'outage_wait_limit_ms'" <<< "$faults"
+
+# The platform's plug-in decides which of its contracts switches a mechanism on; the policy
+# can switch it off again.  Contracts that it does not know are accepted.
+write_contracts() {
+  sed -i "s/^  store: .*/&\n  contracts: $1/" "$file"
+}
+contract=$(grep -oP 'kPressure = "\K[^"]*' "$(dirname "$0")/../platform/directory.cpp")
+write_settings "hall_waits"
+write_contracts "[unknown, $contract]"
+"$command" settings check "$file" | grep -q '^with: account_precedence$'
+write_settings "account_precedence"
+write_contracts "[$contract]"
+if "$command" settings check "$file" | grep -q account_precedence; then
+  echo "policy: without does not switch off a mechanism of a contract"
+  exit 1
+fi
+write_settings "hall_waits"
+write_contracts "[unknown]"
+if "$command" settings check "$file" | grep -q account_precedence; then
+  echo "an unknown contract switched a mechanism on"
+  exit 1
+fi
 echo "settings: ok"
