--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -209,7 +209,7 @@
     request.attempt = context->relay->call.attempt;
     request.piece_key = context->relay->call.piece_key;
     request.account = context->account;
-    request.priority = context->resolved().spec.priority;
+    request.priority = context->priority(m_kernel.settings.scheduler.switches);
     request.deadline = action.deadline;
     request.target_by = action.target_by;
     request.near = action.near;
