Release of results of unknown size no longer ends the leader

Cause: ResultMemory removes an upstream's entry when its bytes fall to 0. The release of a second reservation of 0 bytes at that upstream then dereferenced the end of the map. Orders of stages without result_bytes reserve 0 bytes.

Change: a release without an entry only removes the reservation.

--- a/src/libcypressford/result_memory.cpp
+++ b/src/libcypressford/result_memory.cpp
@@ -80,10 +80,14 @@
     if (it == m_reservations.end())
         return;
     const Reservation& reservation = it->second;
+    // A result of unknown size takes 0 bytes, so that the release of another one may
+    // already have removed the entry.
     const auto bytes = m_bytes.find(reservation.upstream);
-    bytes->second -= reservation.bytes;
-    if (bytes->second <= 0)
-        m_bytes.erase(bytes);
+    if (bytes != m_bytes.end()) {
+        bytes->second -= reservation.bytes;
+        if (bytes->second <= 0)
+            m_bytes.erase(bytes);
+    }
     m_by_handle.erase(reservation.handle);
     m_expiries.erase({reservation.until, piece});
     m_reservations.erase(it);
