--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -27,6 +27,7 @@
 #include <cypressford/policy.h>
 #include <cypressford/self_report.h>
 #include <cypressford/upstream_run.h>
+#include <cypressford/upstream_speed.h>
 
 namespace cypressford {
 
@@ -81,6 +82,7 @@
     std::atomic<Micros> latency {0}; ///< moving average; 0 while unknown
     std::atomic<Micros> answered_at {0}; ///< time of the last complete answer
     ColdState cold;
+    ReportedSpeed speed;
 
     /// True if the platform, a peer or the upstream itself reports it as leaving.
     bool is_leaving(Micros now) const
