Bounds for answers that callers do not read

Cause: a daemon buffered the events of a stream without bound for a caller that does not read. A chunk had to be accepted within write_ms, so a caller that read a large chunk slowly was cut off.

Change: with Mechanism::UnreadBound, unread bytes are counted for each answer and for all answers of the node (limits: unread_bytes, 8 MB). The upstream of a caller that does read is paused until the excess is gone. Bodies of requests count until the upstream starts to answer. The time limit of a chunk applies to progress, and the system's send buffer is limited. Gauge: cypressford_unread_bytes.

--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -45,6 +45,11 @@
     /// From the request's arrival to the first event sent to the caller; 0: none.
     Micros time_to_first_event = 0;
     std::string unsent_events; ///< complete events not yet sent to the caller
+    /// Bytes that the caller has not read; null without Mechanism::UnreadBound and before
+    /// and after the answer.
+    AnswerBufferPtr unread;
+    std::int64_t writing = 0; ///< bytes passed to the connection and not accepted by it
+    HttpExchange* exchange = nullptr; ///< valid while `unread` is not null
 };
 
 /// Data of a request for its worker only; the scheduler does not use these data.
@@ -148,18 +153,33 @@
     void finish_metrics(const RequestContext& context, std::string_view outcome);
 
     // relay.cpp: relayed requests.
+    struct RelayedCall;
     boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
     Result<ContextPtr> make_relay(const HttpRequest& request);
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
     /// `arrived` is the time of the request's arrival.
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
                                               Micros arrived, bool& begun);
+    // unread.cpp: answers that callers read slowly.
+    bool bounds_unread() const
+    {
+        return m_kernel.settings.scheduler.switches.uses(Mechanism::UnreadBound);
+    }
+    void open_unread(HttpExchange& exchange, const ContextPtr& context);
+    void close_unread(Relay& relay);
+    void cut_answer(const RequestContext& context);
+    void on_arrived(Relay& relay, std::size_t bytes);
+    void on_accepted(Relay& relay, std::size_t bytes);
+    boost::asio::awaitable<bool> respond_counted(HttpExchange& exchange,
+                                                 ContextPtr context);
+    /// False while the answer may not grow because its caller reads slowly.
+    bool may_read_more(RelayedCall& call);
+
     HttpResponse relayed_problem(const RequestContext& context) const;
     HttpResponse refusal(const Error& error) const;
     boost::asio::awaitable<AttemptStatus> call_relayed(const SendAttempt& send,
                                                        ContextPtr context,
                                                        std::shared_ptr<CallHandle> handle);
-    struct RelayedCall;
     CallOptions options_of(RelayedCall& call);
     bool is_quarantined(const RelayedCall& call);
     void begin_relayed_stream(RelayedCall& call, const HttpResponse& head);
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -46,6 +46,7 @@
     , tokens(settings.daemon_key)
     , incarnation(random_u64())
     , upstreams(settings.hall, incarnation, settings.hall_regions)
+    , answers(settings.unread_bytes)
 {
     reloaded.store(std::make_shared<const Settings>(settings));
 }
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -13,6 +13,7 @@
 #include <string>
 
 #include <cypressford/admission.h>
+#include <cypressford/answer_buffer.h>
 #include <cypressford/call_dialect.h>
 #include <cypressford/router.h>
 #include <cypressford/session_token.h>
@@ -48,6 +49,7 @@
     UpstreamTable upstreams;
     RcuCell<Snapshot> snapshot;
     RcuCell<SuspectView> suspects; ///< null until the first view is stored
+    AnswerBuffers answers; ///< unread answers, with Mechanism::UnreadBound
     std::atomic<bool> stopping {false};
     std::atomic<int> daemons_in_hall {1};
     std::atomic<int> daemons {1}; ///< daemons of all halls that are assumed to be alive
--- a/src/libserve/operator/operator_pages.cpp
+++ b/src/libserve/operator/operator_pages.cpp
@@ -51,6 +51,8 @@
          static_cast<double>(total.in_progress)},
         {"cypressford_connections", "Open connections of callers.",
          static_cast<double>(total.connections)},
+        {"cypressford_unread_bytes", "Bytes of answers that callers have not read.",
+         static_cast<double>(kernel.answers.held())},
         {"cypressford_hall_daemons", "Live daemons of the hall.",
          static_cast<double>(kernel.daemons_in_hall.load())},
         {"cypressford_directory_calls", "Calls to the platform's directory.",
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -6,6 +6,7 @@
 /// back unchanged.  The scheduler decides the upstream and the number of attempts.
 
 #include "libserve/entry/worker.h"
+#include "libserve/relay/relayed_call.h"
 
 #include "libserve/upstream_says.h"
 #include "libutil/crypto.h"
@@ -239,6 +240,8 @@
 {
     Relay& relay = *context->relay;
     bool begun = false;
+    if (bounds_unread() && context->resolved().spec.stream)
+        open_unread(exchange, context);
     while (!context->reply || !relay.unsent_events.empty()) {
         if (relay.unsent_events.empty()) {
             co_await context->changed.async_wait(kToTuple);
@@ -248,6 +251,7 @@
             break;
         }
     }
+    close_unread(relay);
     const bool failed = !context->reply || context->reply->error;
     finish_metrics(*context,
                    context->caller_disconnected ? "caller_gone"
@@ -259,7 +263,10 @@
     } else if (failed) {
         co_await exchange.respond(relayed_problem(*context));
     } else if (relay.answer) {
-        co_await exchange.respond(*std::move(relay.answer));
+        if (bounds_unread())
+            co_await respond_counted(exchange, context);
+        else
+            co_await exchange.respond(*std::move(relay.answer));
     } else {
         if (!begun)
             co_await exchange.begin_stream(*relay.head);
@@ -277,7 +284,11 @@
     if (relay.time_to_first_event == 0)
         relay.time_to_first_event = monotonic_us() - arrived;
     const std::string text = std::exchange(relay.unsent_events, {});
-    co_return co_await exchange.write(text);
+    relay.writing = static_cast<std::int64_t>(text.size());
+    const bool written = co_await exchange.write(text);
+    if (written)
+        on_accepted(relay, text.size());
+    co_return written;
 }
 
 ForwardedCall
@@ -294,27 +305,6 @@
     return call;
 }
 
-/// State of one call to an upstream.
-struct Worker::RelayedCall {
-    RelayedCall(const SendAttempt& send_, ContextPtr context_,
-                std::shared_ptr<CallHandle> handle_)
-        : send(send_)
-        , context(std::move(context_))
-        , handle(std::move(handle_))
-    {
-    }
-
-    const SendAttempt& send;
-    const ContextPtr context;
-    const std::shared_ptr<CallHandle> handle;
-    const Micros sent_at = monotonic_us();
-    UpstreamAnswer answer; ///< read from the head; empty before it arrives
-    bool stream_valid = true; ///< signed, not encoded, with increasing event ids so far
-
-    Relay& relay() const { return *context->relay; }
-    bool streams() const { return context->resolved().spec.stream; }
-};
-
 /// Checked on arrival and again before each send, since a request waits meanwhile for
 /// pieces, slots and the end of a backoff.  Without the second check, 6 waiting requests
 /// were run another 8 to 9 times after all daemons had the quarantine (ending_requests).
@@ -361,6 +351,7 @@
     // The upstream's report of its own state is recorded even if the call is cancelled or
     // breaks off after the head.
     options.on_answer = [this, &call](const HttpResponse& head, Micros connected) {
+        call.body.release();
         call.answer = m_kernel.calls->read_answer(head);
         record_upstream_report(*call.send.upstream, call.answer,
                                {call.sent_at, connected, call.relay().call.attempt});
@@ -372,12 +363,17 @@
     };
     if (!call.streams())
         return options;
+    if (bounds_unread())
+        call.handle->pause_unless([this, &call] { return may_read_more(call); });
     options.on_head
         = [this, &call](const HttpResponse& head) { begin_relayed_stream(call, head); };
-    options.on_chunk = [&call](std::string_view piece) {
+    options.on_chunk = [this, &call](std::string_view piece) {
         if (!call.stream_valid || call.handle->cancelled())
             return;
-        call.stream_valid = call.relay().events.feed(piece, call.relay().unsent_events);
+        Relay& relay = call.relay();
+        const std::size_t before = relay.unsent_events.size();
+        call.stream_valid = relay.events.feed(piece, relay.unsent_events);
+        on_arrived(relay, relay.unsent_events.size() - before);
         call.context->changed.cancel();
     };
     return options;
@@ -435,6 +431,9 @@
     if (forwarded.time_left < kMinCallTime)
         co_return AttemptStatus::NotSent;
     RelayedCall call(send, context, std::move(handle));
+    if (bounds_unread())
+        call.body.hold(m_kernel.answers,
+                       static_cast<std::int64_t>(context->relay->request.body.size()));
     HttpRequest request = m_kernel.calls->forward(context->relay->request, forwarded);
     CallResult result = co_await m_client.call(send.upstream->address, std::move(request),
                                                options_of(call));
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -149,6 +149,8 @@
     read_duration(reader, "body_ms", limits.body_time);
     read_duration(reader, "idle_ms", limits.idle_time);
     read_duration(reader, "write_ms", limits.write_time);
+    read_range<std::int64_t>(reader, "unread_bytes", 1 << 16, 1 << 30,
+                             settings.unread_bytes);
 }
 
 /// Reads a list of mechanisms; unknown names are faults.
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -59,6 +59,9 @@
     std::string daemon_key; ///< raw bytes, the same for all daemons
     TlsSettings tls;
     HttpLimits limits;
+    /// Bytes of answers that callers have not read, all answers together.  The default is a
+    /// sixteenth of the memory of the smallest nodes, 120 to 160 MB.
+    std::int64_t unread_bytes = std::int64_t {8} << 20;
     SchedulerOptions scheduler;
     ClaimOptions claims;
     Micros watch_interval = 500 * kMillisecond; ///< between load reports of an upstream
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -33,6 +33,10 @@
 constexpr std::size_t kMaxIdlePerAddress = 64; ///< connections
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t kChunkBytes = 8 * 1024;
+/// Interval of the checks whether a paused body may be read on; see
+/// CallHandle::pause_unless(). A pause serves to keep tens of kilobytes from growing, which
+/// 20 ms do not change.
+constexpr std::chrono::milliseconds kPauseInterval {20};
 /// TCP_USER_TIMEOUT: data that stays unacknowledged for this time aborts the connection.
 constexpr int kUserTimeoutMs = 3000;
 
@@ -237,6 +241,10 @@
         std::array<char, kChunkBytes> chunk {};
         const std::int64_t until = monotonic_us() + options.body.limit_us;
         while (!parser.is_done()) {
+            while (m_socket.is_open() && options.handle->is_paused()) {
+                BootTimer timer(m_socket.get_executor(), kPauseInterval);
+                co_await timer.async_wait(kToTuple);
+            }
             if (options.body.gap_us > 0)
                 set_deadline(std::min(until, monotonic_us() + options.body.gap_us));
             parser.get().body().data = chunk.data();
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -49,7 +49,7 @@
 boost::asio::awaitable<PortState> probe_port(boost::asio::io_context& io,
                                              std::string address, std::int64_t deadline_us);
 
-/// Allows another coroutine on the same thread to cancel a call.
+/// Allows another coroutine on the same thread to cancel or pause a call.
 class CallHandle {
 public:
     void cancel()
@@ -60,8 +60,15 @@
     }
     bool cancelled() const { return m_cancelled; }
 
+    /// `may_read` is asked before each read of the answer's body, and again every 20 ms
+    /// while it returns false, until the call is cancelled or reaches its deadline.
+    void pause_unless(std::function<bool()> may_read) { m_may_read = std::move(may_read); }
+
 private:
     friend class HttpClient;
+    bool is_paused() const { return !m_cancelled && m_may_read && !m_may_read(); }
+
+    std::function<bool()> m_may_read; ///< empty: always
     std::function<void()> m_abort;
     bool m_cancelled = false;
 };
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -27,6 +27,10 @@
 
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kBacklog = 1024;
+/// Send buffer of connections whose progress is watched.  Without this limit the system
+/// accepted more than 3 MB of an answer of 4 MB for a caller on the same machine that read
+/// nothing.  128 KB, doubled by the system, allow 5 MB/s at a round trip of 50 ms.
+constexpr int kWatchedSendBuffer = 128 * 1024;
 /// Delay before accepting again after a failure such as too many open files.
 constexpr std::chrono::milliseconds kAcceptRetryDelay {10};
 
@@ -71,6 +75,8 @@
             std::size_t size = 0;
             std::tie(ec, size)
                 = co_await http::async_write_some(m_socket, serializer, kToTuple);
+            if (m_on_progress && size > 0)
+                m_on_progress(size);
         }
         watchdog.disarm();
         co_return finish_write(ec);
@@ -99,6 +105,8 @@
     asio::awaitable<bool> write(std::string_view text) override
     {
         const auto chunk = http::make_chunk(asio::const_buffer(text.data(), text.size()));
+        if (m_on_progress)
+            co_return co_await write_with_progress(chunk);
         SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         watchdog.arm(m_limits.write_time);
         auto [ec, size] = co_await asio::async_write(m_socket, chunk, kToTuple);
@@ -113,8 +121,26 @@
         co_return finish_write(ec);
     }
 
+    void watch_progress(std::function<void(std::size_t)> on_progress) override
+    {
+        m_on_progress = std::move(on_progress);
+        boost::system::error_code ignored;
+        m_socket.set_option(asio::socket_base::send_buffer_size(kWatchedSendBuffer),
+                            ignored);
+    }
+
     void drop() override { m_keep_alive = false; }
 
+    void abort() override
+    {
+        m_keep_alive = false;
+        boost::system::error_code ignored;
+        // Without this option the system keeps unsent bytes for a caller that does not
+        // read.
+        m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+
     void watch(std::function<void()> on_disconnect) override
     {
         m_on_disconnect = std::make_shared<std::function<void()>>(std::move(on_disconnect));
@@ -132,9 +158,10 @@
             });
     }
 
-    /// Stops watching for a disconnect once the handler has returned.
+    /// Stops watching for a disconnect and progress once the handler has returned.
     void stop_watching()
     {
+        m_on_progress = nullptr;
         if (!m_on_disconnect)
             return;
         *m_on_disconnect = nullptr;
@@ -189,6 +216,23 @@
     }
 
 private:
+    template <class Chunk> asio::awaitable<bool> write_with_progress(const Chunk& chunk)
+    {
+        beast::buffers_suffix<Chunk> rest(chunk);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
+        boost::system::error_code ec;
+        while (!ec && beast::buffer_bytes(rest) > 0) {
+            watchdog.arm(m_limits.write_time);
+            std::size_t size = 0;
+            std::tie(ec, size) = co_await m_socket.async_write_some(rest, kToTuple);
+            rest.consume(size);
+            if (size > 0)
+                m_on_progress(size);
+        }
+        watchdog.disarm();
+        co_return finish_write(ec);
+    }
+
     template <class Message>
     static void add_fields(Message& message, const HttpResponse& response)
     {
@@ -228,6 +272,7 @@
     bool m_keep_alive = true;
     bool m_idle = false;
     std::shared_ptr<std::function<void()>> m_on_disconnect; ///< empty once called
+    std::function<void(std::size_t)> m_on_progress; ///< empty: progress is not watched
 };
 
 } // namespace
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -54,8 +54,18 @@
     virtual boost::asio::awaitable<bool> write(std::string_view text) = 0;
     virtual boost::asio::awaitable<bool> end() = 0;
 
+    /// Calls `on_progress` with the number of bytes, including framing, that the socket has
+    /// accepted, until the handler returns.  The limit on each chunk of a stream then
+    /// applies to progress, so that a large chunk may take longer on a slow link.  The
+    /// system's send buffer is limited, so that accepted bytes are about to be read.
+    virtual void watch_progress(std::function<void(std::size_t)> on_progress) = 0;
+
     /// Closes the connection after the handler has returned, without a complete answer.
     virtual void drop() = 0;
+
+    /// Closes the connection now: pending writes fail, and bytes that the caller has not
+    /// received are discarded.
+    virtual void abort() = 0;
 };
 
 class HttpServer {
--- a/src/libutil/http_server_test.cpp
+++ b/src/libutil/http_server_test.cpp
@@ -30,12 +30,15 @@
 /// A server that answers with kBodyBytes bytes, and one caller of it.
 class LargeAnswer {
 public:
-    explicit LargeAnswer(std::chrono::milliseconds write_time)
+    /// `abort_after`: the server closes the connection once this many bytes of a stream are
+    /// accepted; 0: the answer is not a stream.
+    explicit LargeAnswer(std::chrono::milliseconds write_time, std::size_t abort_after = 0)
         : m_server(
             m_io, limits_of(write_time),
             [this](HttpExchange& exchange) { return answer(exchange); },
             [](ErrorKind) { return HttpResponse {}; })
         , m_caller(m_io)
+        , m_abort_after(abort_after)
     {
         const auto port = m_server.listen({"127.0.0.1", 0});
         REQUIRE(port);
@@ -58,6 +61,7 @@
 
     std::optional<bool> sent; ///< result of the server's respond()
     std::size_t bytes_read = 0;
+    std::size_t accepted = 0; ///< bytes that the server's socket reported as progress
 
 private:
     static HttpLimits limits_of(std::chrono::milliseconds write_time)
@@ -69,6 +73,16 @@
 
     asio::awaitable<void> answer(HttpExchange& exchange)
     {
+        if (m_abort_after > 0) {
+            co_await exchange.begin_stream("text/plain");
+            exchange.watch_progress([this, &exchange](std::size_t bytes) {
+                accepted += bytes;
+                if (accepted >= m_abort_after)
+                    exchange.abort();
+            });
+            sent = co_await exchange.write(std::string(kBodyBytes, 'x'));
+            co_return;
+        }
         HttpResponse response;
         response.body.assign(kBodyBytes, 'x');
         sent = co_await exchange.respond(std::move(response));
@@ -102,6 +116,7 @@
     asio::io_context m_io;
     HttpServer m_server;
     tcp::socket m_caller;
+    const std::size_t m_abort_after;
     unsigned short m_port = 0;
 };
 
@@ -121,5 +136,21 @@
     CHECK(answer.sent == false);
 }
 
+TEST_CASE("the limit on a chunk applies to progress if progress is watched")
+{
+    LargeAnswer answer(std::chrono::milliseconds(1000), 2 * kBodyBytes);
+    answer.read_slowly(std::chrono::milliseconds(50));
+    CHECK(answer.bytes_read >= kBodyBytes);
+    CHECK(answer.accepted >= kBodyBytes);
+}
+
+TEST_CASE("an aborted connection fails the write that is in progress")
+{
+    LargeAnswer answer(std::chrono::milliseconds(60000), 1);
+    answer.read_nothing();
+    CHECK(answer.sent == false);
+    CHECK(answer.accepted < kBodyBytes);
+}
+
 } // namespace
 } // namespace cypressford
