--- a/src/libcypressford/capacity_ledger.cpp
+++ b/src/libcypressford/capacity_ledger.cpp
@@ -19,6 +19,10 @@
 /// An account is over its share above this multiple of the even part, so that accounts with
 /// slightly uneven demand are not refused before others.
 constexpr double kShareTolerance = 1.5;
+/// Fraction of the slack that a wait may use up before accounts are limited to their share,
+/// as in the admission of a daemon (BudgetAdmission).  With half of it, accounts that are
+/// always larger than others were refused in peaks in which everything was served in time.
+constexpr double kContendedSlack = 0.8;
 /// Averaging time of the inflow; the same as at the admission of requests (StageQueue).
 constexpr double kInflowWindow = kSecond;
 /// Averaging time of the measured rate.  A second leader halves the rate of the first one,
@@ -208,7 +212,7 @@
         return {true, wait, 0};
     if (wait > slack)
         return refuse(situation, wait);
-    if (!is_full() && wait > slack / 2
+    if (!is_full() && wait > kContendedSlack * static_cast<double>(slack)
         && m_shares.is_over_share(query.account, query.priority))
         return refuse(situation, wait);
     if (const Micros way = time_to_make_way(situation); way > 0)
