--- a/src/libcypressford/capacity_ledger.cpp
+++ b/src/libcypressford/capacity_ledger.cpp
@@ -23,8 +23,8 @@
 /// as in the admission of a daemon (BudgetAdmission).  With half of it, accounts that are
 /// always larger than others were refused in peaks in which everything was served in time.
 constexpr double kContendedSlack = 0.8;
-/// Averaging time of the inflow, longer than the peaks of a second or less in which requests
-/// of a steady demand come close together: the queue takes these up.
+/// Averaging time of the inflow, longer than the peaks of a second or less in which
+/// requests of a steady demand come close together: the queue takes these up.
 constexpr double kInflowWindow = 3.0 * kSecond;
 /// Averaging time of the measured rate.  A second leader halves the rate of the first one,
 /// which must show within a second: 86% of the average is then newer.
