--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -164,12 +164,16 @@
 }
 
 /// Each request is asked for once: the results of a retry were made before, and are made
-/// again under the limit on retries.
+/// again under the limit on retries.  In a small fleet the waits that leaders report with
+/// their answers suffice: the excess of admitted work grows with the number of daemons that
+/// learn of a queue separately.
 bool
 PieceService::asks_for_capacity(const PieceJob& job) const
 {
-    return uses(Mechanism::CapacityLedger) && !job.wanted.is_retry && !job.plan.is_done()
-        && !job.cancelled;
+    const bool is_large
+        = m_kernel.daemons.load() >= m_kernel.settings.capacity_ledger_min_daemons;
+    return uses(Mechanism::CapacityLedger) && is_large && !job.wanted.is_retry
+        && !job.plan.is_done() && !job.cancelled;
 }
 
 /// Asks the leaders of all sets that the request needs, concurrently, with one message to
--- a/src/libserve/settings.cpp
+++ b/src/libserve/settings.cpp
@@ -209,6 +209,8 @@
     read_range(reader, "retry_limit_ratio", 0.0, 1.0, options.retry_limit.ratio);
     read_range(reader, "retry_limit_extra", 0.0, 1e6, options.retry_limit.extra);
     read_ms(reader, "token_life_ms", settings.token_life);
+    read_range(reader, "capacity_ledger_min_daemons", 1, 1'000'000,
+               settings.capacity_ledger_min_daemons);
     read_switches(reader, options.switches);
 }
 
--- a/src/libserve/settings.h
+++ b/src/libserve/settings.h
@@ -63,6 +63,8 @@
     /// sixteenth of the memory of the smallest nodes, 120 to 160 MB.
     std::int64_t unread_bytes = std::int64_t {8} << 20;
     SchedulerOptions scheduler;
+    /// Smallest fleet in which the leaders of sets are asked for capacity.
+    int capacity_ledger_min_daemons = 1;
     ClaimOptions claims;
     Micros watch_interval = 500 * kMillisecond; ///< between load reports of an upstream
     double watch_rate = 5; ///< load reports requested per second, at most
