Less urgent requests wait for urgent inflow only if work is waiting

Cause: the wait of a less urgent request was its work ahead at the rate that more urgent inflow leaves, also when calls had room for all that waited. Change: up to 0.1 s of work ahead at the whole rate, the same as the queue above which a set counts as saturated, the whole rate applies.

--- a/src/libcypressford/capacity_ledger.cpp
+++ b/src/libcypressford/capacity_ledger.cpp
@@ -33,6 +33,10 @@
 /// than pieces take to reach the last of three sets (0.6 s): else the full rate would be
 /// promised again before the pieces admitted by it arrive.
 constexpr double kRateMemory = 2 * kSecond;
+/// Work ahead of a request, in seconds at the whole rate, up to which more urgent pieces do
+/// not delay it.  Without this limit, less urgent requests were refused on days without an
+/// overload, because more urgent ones use most of the rate but leave room in the calls.
+constexpr double kContendedWork = 0.1;
 /// Calls in kRateWindow below which the measured rate counts in part only.
 constexpr double kMinCalls = 5;
 /// Time of work in the queue from which on the set is saturated.  Shorter queues may
@@ -274,7 +278,9 @@
         slot_end += ExpectedPieces::kSlot;
         seconds = ExpectedPieces::kSlot / kMicrosPerSecond;
     }
-    return time_for(longest, drain);
+    // Little work fits into calls that are not full, and waits behind no more urgent
+    // pieces.
+    return time_for(longest, longest <= kContendedWork * rate ? rate : drain);
 }
 
 /// Expected wait if only the least share of the rate is left for the request's priority:
--- a/src/libcypressford/capacity_ledger_load_test.cpp
+++ b/src/libcypressford/capacity_ledger_load_test.cpp
@@ -500,5 +500,37 @@
     CHECK_FALSE(ledger.reserve(query("new", 0, 10), capacity, 0).admitted);
 }
 
+// Guards against refusals of less urgent requests on days without an overload: more urgent
+// pieces use most of the rate, but calls have room.
+TEST_CASE("less urgent requests are refused for urgent inflow only if work is waiting")
+{
+    constexpr int pieces_per_s = 1'000;
+    constexpr Micros interval = 10 * kMillisecond;
+    constexpr int less_urgent = 10;
+    CapacityLedger ledger;
+    Micros now = 0;
+    // Urgent pieces at nine tenths of the rate.
+    for (; now < 10 * kSecond; now += interval) {
+        CHECK(ledger.reserve(query("urgent", 0, 9), {pieces_per_s, {}}, now).admitted);
+        ledger.on_ordered("urgent");
+        ledger.release("urgent");
+    }
+    const auto admitted_with_queue_of = [&](int urgent_pieces) {
+        SetCapacity capacity {pieces_per_s, {}};
+        capacity.queued.front() = urgent_pieces;
+        int admitted = 0;
+        for (int i = 0; i < less_urgent; ++i) {
+            CapacityQuery later = query("later" + std::to_string(i), 2, 2);
+            later.due_in = 200 * kMillisecond;
+            admitted += ledger.reserve(later, capacity, now).admitted ? 1 : 0;
+        }
+        for (int i = 0; i < less_urgent; ++i)
+            ledger.release("later" + std::to_string(i));
+        return admitted;
+    };
+    CHECK(admitted_with_queue_of(40) == less_urgent);
+    CHECK(admitted_with_queue_of(400) < less_urgent);
+}
+
 } // namespace
 } // namespace cypressford
