--- a/src/libcypressford/answer_buffer_test.cpp
+++ b/src/libcypressford/answer_buffer_test.cpp
@@ -42,8 +42,10 @@
 {
     AnswerBuffers buffers(2 * kMb);
     std::vector<int> cuts;
+    constexpr int count = 4;
     std::vector<AnswerBufferPtr> answers;
-    for (int i = 0; i < 4; ++i)
+    answers.reserve(count);
+    for (int i = 0; i < count; ++i)
         answers.push_back(buffers.open([&cuts, i] { cuts.push_back(i); }));
     buffers.on_arrived(*answers[0], kMb * 7 / 8, 0); // is read
     buffers.on_arrived(*answers[1], kMb / 2, 0);
