Daemons without links to upstreams reach them through other daemons

Cause: a daemon had one way to an upstream, its own link, and nothing told the loss of its links from upstreams that are down. Change: UpstreamLinks finds a lost link by direct connections to different upstreams that fail with none established in between; UpstreamConnector then opens connections through a peer (CONNECT at its address for peers, one hop); the peer forwards bytes only, so that admission, leadership, limits, budgets, deadlines and at most once stay where they were. A tunnel that opens triggers the probe that ends the state. Idle direct connections are not used meanwhile. EndWatch asks up to three peers before it takes an upstream for ended. Ruled out: forwarding whole requests to other daemons (two daemons would decide on one request, and the leader of a stage set would still send nothing); moving the lead (needs agreement on who is cut off, and the requests themselves still reach no engine); counting answers as a sign of the link (connections may live on while new ones are refused).

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include <cypressford/directory.h>
+#include <cypressford/upstream_links.h>
 
 namespace cypressford {
 
@@ -83,6 +84,11 @@
         return m_nodes_at.contains(peers_address);
     }
 
+    /// Other daemons that are alive and not suspected, as peers for tunnels.
+    TunnelPeers tunnel_peers() const;
+    /// Counts changes of tunnel_peers(), apart from those that only time causes.
+    std::uint64_t peers_revision() const { return m_peers_revision; }
+
     /// Number of daemons that are alive, including this one once it is listed.
     int alive() const;
     /// Number of daemons of one hall that are alive.
@@ -158,6 +164,7 @@
     std::map<std::string, Known> m_daemons; ///< by node
     std::multimap<std::string, std::string> m_nodes_at; ///< by peers_address
     std::optional<Micros> m_next_expiry; ///< nothing: not computed yet
+    std::uint64_t m_peers_revision = 0;
     mutable Derived m_derived;
 };
 
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -330,6 +330,9 @@
     std::uint32_t id_of(const std::string& name);
     /// The key includes the run: a reused address with another identity, or a restarted
     /// upstream, has a state of its own.
+    /// True if an upstream, of any identity, is known at that address.
+    bool has_address(std::string_view address) const;
+
     static std::string key_of(const std::string& address, const UpstreamRun& run);
     UpstreamSet resolve_set(const UpstreamSetSpec& spec);
     ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -68,6 +68,9 @@
         return false;
     if (is_new || record.incarnation != known.record.incarnation)
         known.suspected = false;
+    if (is_new || record.incarnation != known.record.incarnation
+        || record.stopping != known.record.stopping)
+        ++m_peers_revision;
     const bool moved = is_new || known.record.peers_address != record.peers_address;
     if (moved && !is_new)
         forget_address(record.node);
@@ -99,6 +102,7 @@
 {
     forget_address(node);
     m_daemons.erase(node);
+    ++m_peers_revision;
     invalidate_derived();
 }
 
@@ -171,8 +175,10 @@
     bool is_change = false;
     for_each_at(peers_address,
                 [&](Known& known) { is_change |= !std::exchange(known.suspected, true); });
-    if (is_change)
+    if (is_change) {
+        ++m_peers_revision;
         invalidate_derived();
+    }
     return is_change;
 }
 
@@ -180,6 +186,7 @@
 DaemonTable::trust(const std::string& peers_address)
 {
     for_each_at(peers_address, [&](Known& known) { known.suspected = false; });
+    ++m_peers_revision;
     invalidate_derived();
 }
 
@@ -229,6 +236,21 @@
             result.push_back(&known);
     return result;
 }
+TunnelPeers
+DaemonTable::tunnel_peers() const
+{
+    TunnelPeers peers;
+    for (const Known* known : candidates())
+        if (known->record.node != m_own_node && !known->record.peers_address.empty())
+            peers.push_back({known->record.peers_address, known->record.hall,
+                             known->record.capacity});
+    const auto by_address = [](const TunnelPeer& left, const TunnelPeer& right) {
+        return left.address < right.address;
+    };
+    std::sort(peers.begin(), peers.end(), by_address);
+    return peers;
+}
+
 
 const DaemonTable::Known*
 DaemonTable::choose(const std::vector<const Known*>& candidates, std::string_view key)
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -103,7 +103,8 @@
         }
         if (!directory)
             return;
-        pieces = std::make_unique<PieceService>(workers.front()->io(), kernel);
+        pieces = std::make_unique<PieceService>(workers.front()->io(), kernel,
+                                                workers.front()->connector());
         kernel.pieces = pieces.get();
         kernel.on_suspension_detected
             = [this] { asio::post(control, [this] { directory->on_resumed(); }); };
@@ -115,7 +116,7 @@
         directory->on_unreachable([this](std::set<std::string> addresses) {
             pieces->set_unreachable(std::move(addresses));
         });
-        ends = std::make_unique<EndWatch>(control);
+        ends = std::make_unique<EndWatch>(control, kernel);
         kernel.ends = ends.get();
         suspects = std::make_unique<SuspectWriter>(control, kernel, *directory);
         ends->on_end([this](UpstreamEnd end) { suspects->report_end(std::move(end)); });
--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -45,7 +45,8 @@
     , m_index(index)
     , m_scheduler(kernel.settings.scheduler, *kernel.router, *kernel.admission,
                   random_source())
-    , m_client(m_io)
+    , m_connector(m_io, kernel)
+    , m_client(m_io, &m_connector)
     , m_server(
           m_io, kernel.settings.limits,
           [this](HttpExchange& exchange) { return serve(exchange); },
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -22,6 +22,7 @@
 
 #include "libserve/entry/problem.h"
 #include "libserve/kernel.h"
+#include "libserve/links/upstream_connector.h"
 #include "libserve/operator/metrics.h"
 #include "libserve/pieces/piece_service.h"
 #include "libserve/relay/event_splitter.h"
@@ -123,6 +124,8 @@
     void stop();
 
     boost::asio::io_context& io() { return m_io; }
+    /// For calls to upstreams on this worker's thread.
+    UpstreamConnector& connector() { return m_connector; }
 
     // The following run on the worker's thread.
     void close_after_answers() { m_server.close_after_answers(); }
@@ -241,6 +244,7 @@
     boost::asio::io_context m_io {1};
     std::thread m_thread;
     Scheduler m_scheduler;
+    UpstreamConnector m_connector;
     HttpClient m_client;
     HttpServer m_server;
     std::unordered_map<RequestId, ContextPtr> m_contexts;
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -20,6 +20,7 @@
 #include <cypressford/suspects.h>
 #include <cypressford/upstream.h>
 #include <cypressford/upstream_kind.h>
+#include <cypressford/upstream_links.h>
 
 #include "libserve/settings.h"
 #include "libutil/rcu_cell.h"
@@ -49,6 +50,10 @@
     UpstreamTable upstreams;
     RcuCell<Snapshot> snapshot;
     RcuCell<SuspectView> suspects; ///< null until the first view is stored
+    /// This daemon has lost its links to all upstreams, as seen by the thread that last
+    /// opened or lost a connection.
+    std::atomic<bool> is_cut_off {false};
+    RcuCell<TunnelPeers> tunnel_peers; ///< null until the first daemons are known
     AnswerBuffers answers; ///< unread answers, with Mechanism::UnreadBound
     std::atomic<bool> stopping {false};
     std::atomic<int> daemons_in_hall {1};
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -61,6 +61,21 @@
     m_kernel.daemons_in_hall.store(std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
     m_kernel.daemons.store(std::max(1, m_daemons.alive()));
     m_kernel.upstreams.set_daemons(m_daemons.alive(), now);
+    publish_tunnel_peers();
+}
+
+/// The list is copied only if it may have changed: keepalives arrive several times a second.
+void
+PeerWatch::publish_tunnel_peers()
+{
+    const std::uint64_t revision = m_daemons.peers_revision();
+    if (m_kernel.tunnel_peers.load() && revision == m_published_revision
+        && m_daemons.alive() == m_published_alive)
+        return;
+    m_published_revision = revision;
+    m_published_alive = m_daemons.alive();
+    m_kernel.tunnel_peers.store(
+        std::make_shared<const TunnelPeers>(m_daemons.tunnel_peers()));
 }
 
 void
--- a/src/libserve/peers/peer_watch.h
+++ b/src/libserve/peers/peer_watch.h
@@ -41,6 +41,7 @@
     void suspect(const std::string& address);
 
 private:
+    void publish_tunnel_peers();
     void check_leaders();
     boost::asio::awaitable<void> check(std::string address);
     boost::asio::awaitable<void> watch_suspect(std::string address);
@@ -53,6 +54,9 @@
         m_reported_unreachable; ///< unreachable daemons as reported by the hall's reader
     std::set<std::string>
         m_locally_suspected; ///< suspected by this daemon's own observation
+    /// What the published peers for tunnels were derived from.
+    std::uint64_t m_published_revision = 0;
+    int m_published_alive = 0;
     Micros m_leaders_checked_at = 0; ///< when leaders were last sent keepalive requests
 };
 
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -102,11 +102,12 @@
     return piece;
 }
 
-PieceMaker::PieceMaker(asio::io_context& io, Kernel& kernel, FreeResult free_result)
+PieceMaker::PieceMaker(asio::io_context& io, Kernel& kernel, Connector& connector,
+                       FreeResult free_result)
     : m_io(io)
     , m_kernel(kernel)
     , m_free_result(std::move(free_result))
-    , m_client(io)
+    , m_client(io, &connector)
 {
 }
 
--- a/src/libserve/pieces/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -43,7 +43,8 @@
     using FreeResult
         = std::function<void(const std::string& set_name, const std::string& handle)>;
 
-    PieceMaker(boost::asio::io_context& io, Kernel& kernel, FreeResult free_result);
+    PieceMaker(boost::asio::io_context& io, Kernel& kernel, Connector& connector,
+               FreeResult free_result);
 
     /// The verdict of the set's ledger.  Admits if this daemon has no capacity to promise:
     /// the set is unknown here, or none of its upstreams is usable.
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-PieceService::PieceService(asio::io_context& io, Kernel& kernel)
+PieceService::PieceService(asio::io_context& io, Kernel& kernel,
+                           UpstreamConnector& connector)
     : m_io(io)
     , m_kernel(kernel)
-    , m_leader(io, kernel,
+    , m_leader(io, kernel, connector,
                [this](const std::string& set_name, const std::string& handle) {
                    queue_releases({{set_name, handle}});
                })
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -16,6 +16,7 @@
 #include <cypressford/scheduler.h>
 
 #include "libserve/kernel.h"
+#include "libserve/links/upstream_connector.h"
 #include "libserve/peers/peer_link.h"
 #include "libserve/peers/peer_watch.h"
 #include "libserve/pieces/piece_job.h"
@@ -32,7 +33,8 @@
 public:
     using Done = PieceJob::Done;
 
-    PieceService(boost::asio::io_context& io, Kernel& kernel);
+    /// `connector`: for calls to upstreams; must outlive the service.
+    PieceService(boost::asio::io_context& io, Kernel& kernel, UpstreamConnector& connector);
 
     /// Binds the address for other daemons.
     Result<void> listen(const std::string& address) { return m_leader.listen(address); }
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -32,11 +32,12 @@
 
 } // namespace
 
-ResultHolders::ResultHolders(asio::io_context& io, Kernel& kernel, OnFreed on_freed)
+ResultHolders::ResultHolders(asio::io_context& io, Kernel& kernel, Connector& connector,
+                             OnFreed on_freed)
     : m_io(io)
     , m_kernel(kernel)
     , m_on_freed(std::move(on_freed))
-    , m_client(io)
+    , m_client(io, &connector)
 {
 }
 
--- a/src/libserve/pieces/result_keepers.h
+++ b/src/libserve/pieces/result_keepers.h
@@ -27,7 +27,8 @@
 
     /// `on_freed` is called after a holder has answered: a call that relies on the freed
     /// memory must not arrive at the holder earlier.
-    ResultHolders(boost::asio::io_context& io, Kernel& kernel, OnFreed on_freed);
+    ResultHolders(boost::asio::io_context& io, Kernel& kernel, Connector& connector,
+                  OnFreed on_freed);
 
     /// Releases the results, with one call for each holder.
     void free(const Releases& releases);
--- a/src/libserve/pieces/set_leader.cpp
+++ b/src/libserve/pieces/set_leader.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/entry/problem.h"
+#include "libserve/links/tunnel_protocol.h"
 #include "libserve/peers/peer_link.h"
 #include "libserve/upstream_says.h"
 #include "libutil/event_log.h"
@@ -22,11 +23,13 @@
 
 } // namespace
 
-SetLeader::SetLeader(asio::io_context& io, Kernel& kernel,
+SetLeader::SetLeader(asio::io_context& io, Kernel& kernel, UpstreamConnector& connector,
                      PieceMaker::FreeResult free_result)
     : m_kernel(kernel)
-    , m_maker(io, kernel, std::move(free_result))
-    , m_holders(io, kernel, [this](const Releases& freed) { m_maker.on_releases(freed); })
+    , m_maker(io, kernel, connector, std::move(free_result))
+    , m_holders(io, kernel, connector,
+                [this](const Releases& freed) { m_maker.on_releases(freed); })
+    , m_tunnels(io, kernel, connector)
     , m_server(
           io, kernel.settings.limits,
           [this](HttpExchange& exchange) { return serve(exchange); },
@@ -52,7 +55,9 @@
 SetLeader::serve(HttpExchange& exchange)
 {
     const std::string path(exchange.request().path());
-    if (path == PeerLink::kOrderPath) {
+    if (exchange.request().method == kTunnelMethod) {
+        co_await m_tunnels.serve(exchange);
+    } else if (path == PeerLink::kOrderPath) {
         co_await serve_order(exchange);
     } else if (path == PeerLink::kCapacityPath) {
         co_await serve_capacity(exchange);
--- a/src/libserve/pieces/set_leader.h
+++ b/src/libserve/pieces/set_leader.h
@@ -14,6 +14,8 @@
 #include <cypressford/prompt_placer.h>
 
 #include "libserve/kernel.h"
+#include "libserve/links/tunnel_server.h"
+#include "libserve/links/upstream_connector.h"
 #include "libserve/pieces/piece_maker.h"
 #include "libserve/pieces/result_keepers.h"
 #include "libutil/http_server.h"
@@ -21,10 +23,10 @@
 namespace cypressford {
 
 /// Serves all daemons as the leader of upstream sets: admits requests by capacity, makes
-/// pieces, places prompts, and processes releases.  Runs on one thread.
+/// pieces, places prompts, and processes releases; also opens tunnels.  Runs on one thread.
 class SetLeader {
 public:
-    SetLeader(boost::asio::io_context& io, Kernel& kernel,
+    SetLeader(boost::asio::io_context& io, Kernel& kernel, UpstreamConnector& connector,
               PieceMaker::FreeResult free_result);
 
     /// Binds the address for other daemons.
@@ -38,7 +40,7 @@
     CapacityVerdicts reserve(const SetQueries& queries);
     void take_releases(const Releases& releases);
 
-    bool is_idle() const { return m_maker.is_idle(); }
+    bool is_idle() const { return m_maker.is_idle() && m_tunnels.open() == 0; }
 
 private:
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
@@ -50,6 +52,7 @@
     Kernel& m_kernel;
     PieceMaker m_maker;
     ResultHolders m_holders;
+    TunnelServer m_tunnels;
     HttpServer m_server;
     std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
 };
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -14,7 +14,9 @@
 
 #include <cypressford/bundle.h>
 
+#include "libserve/links/tunnel_protocol.h"
 #include "libutil/boot_clock.h"
+#include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/http_client.h"
 #include "libutil/hybrid_clock.h"
@@ -31,6 +33,11 @@
 constexpr std::chrono::milliseconds kCollectionTime {20};
 /// A reachable node, even of another hall, answers within a few milliseconds.
 constexpr Micros kProbeTimeout = 250 * kMillisecond;
+/// Daemons that are asked whether an upstream that refuses this daemon accepts them.  With
+/// one, five of eight daemons that lose their links at the same moment would often confirm
+/// each other.
+constexpr std::size_t kAskedPeers = 3;
+constexpr Micros kPeerTimeout = 300 * kMillisecond;
 
 } // namespace
 
@@ -58,6 +65,30 @@
     it->second.push_back(std::move(run));
 }
 
+/// A port that refuses this daemon is no evidence while the daemon's own links are reset.
+asio::awaitable<bool>
+EndWatch::has_ended(std::string address)
+{
+    const auto peers = m_kernel.tunnel_peers.load();
+    TunnelPeerChoice choice;
+    std::vector<std::string> asked;
+    bool is_confirmed = false;
+    while (peers && asked.size() < kAskedPeers) {
+        const Micros now = monotonic_us();
+        const auto peer = choice.choose(*peers, asked, random_u64(), now);
+        if (!peer)
+            break;
+        asked.push_back(peer->address);
+        boost::asio::ip::tcp::socket socket(m_io);
+        const TunnelAnswer answer
+            = co_await open_tunnel(socket, peer->address, address, now + kPeerTimeout);
+        if (answer == TunnelAnswer::Opened)
+            co_return false;
+        is_confirmed |= answer == TunnelAnswer::UpstreamRefused;
+    }
+    co_return is_confirmed || !m_kernel.is_cut_off.load(std::memory_order_relaxed);
+}
+
 asio::awaitable<void>
 EndWatch::check_ended(UpstreamRun upstream, std::string address)
 {
@@ -66,16 +97,18 @@
     co_await timer.async_wait(kToTuple);
     const PortState state
         = co_await probe_port(m_io, address, monotonic_us() + kProbeTimeout);
+    bool ended = false;
+    if (state == PortState::Refused)
+        ended = co_await has_ended(address);
     const std::vector<BrokenRun> broken = std::exchange(m_broken[upstream], {});
     m_broken.erase(upstream);
-    LogEvent(state == PortState::Refused ? "upstream_ended" : "upstream_not_ended",
-             LogLevel::Warn)
+    LogEvent(ended ? "upstream_ended" : "upstream_not_ended", LogLevel::Warn)
         .kv("identity", upstream.identity)
         .kv("born", upstream.born)
         .kv("address", address)
         .kv("port", to_string(state))
         .kv("runs", broken.size());
-    if (state != PortState::Refused || !m_on_end)
+    if (!ended || !m_on_end)
         co_return;
     UpstreamEnd end;
     end.upstream = upstream;
--- a/src/libserve/suspects/end_watch.h
+++ b/src/libserve/suspects/end_watch.h
@@ -13,6 +13,8 @@
 
 #include <cypressford/suspects.h>
 
+#include "libserve/kernel.h"
+
 namespace cypressford {
 
 /// A run of a request that was interrupted because its upstream closed the connection.
@@ -24,12 +26,13 @@
 };
 
 /// Determines whether upstreams that interrupted runs have ended or have only closed
-/// connections, by a probe of the port: an upstream that has ended refuses connections.
-/// Lives on the control thread.
+/// connections, by a probe of the port: an upstream that has ended refuses connections, also
+/// those of other daemons.  Lives on the control thread.
 class EndWatch {
 public:
-    explicit EndWatch(boost::asio::io_context& io)
+    EndWatch(boost::asio::io_context& io, const Kernel& kernel)
         : m_io(io)
+        , m_kernel(kernel)
     {
     }
 
@@ -49,8 +52,10 @@
 private:
     void add(BrokenRun run);
     boost::asio::awaitable<void> check_ended(UpstreamRun upstream, std::string address);
+    boost::asio::awaitable<bool> has_ended(std::string address);
 
     boost::asio::io_context& m_io;
+    const Kernel& m_kernel;
     /// Interrupted runs of upstreams that are being checked.
     std::map<UpstreamRun, std::vector<BrokenRun>> m_broken;
     std::function<void(UpstreamEnd)> m_on_end;
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -40,6 +40,11 @@
 /// TCP_USER_TIMEOUT: data that stays unacknowledged for this time aborts the connection.
 constexpr int kUserTimeoutMs = 3000;
 
+/// A connector may take this time longer to find another way than a direct connection may.
+constexpr std::int64_t kOtherWaysUs = 600'000;
+/// Interval of the checks whether idle connections may still be used.
+constexpr std::int64_t kIdleCheckIntervalUs = 500'000;
+
 constexpr std::string_view kTimeoutField = "timeout=";
 constexpr std::int64_t kMicrosPerSecond = 1'000'000;
 
@@ -131,12 +136,21 @@
 
 class HttpClient::Connection {
 public:
-    Connection(asio::io_context& io, std::string address)
+    Connection(asio::io_context& io, std::string address, Connector* connector)
         : m_socket(io)
         , m_watchdog(m_socket, SocketWatchdog::Action::Close)
+        , m_silence(io)
         , m_address(std::move(address))
+        , m_connector(connector)
+    {
+    }
+    ~Connection()
     {
+        if (is_tunnel())
+            m_connector->on_closed(m_via);
     }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
 
     asio::awaitable<bool> connect()
     {
@@ -147,10 +161,23 @@
         auto [ec] = co_await m_socket.async_connect(endpoint, kToTuple);
         if (ec)
             co_return false;
-        boost::system::error_code ignored;
-        m_socket.set_option(tcp::no_delay(true), ignored);
-        m_socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
-        m_connected_us = monotonic_us();
+        on_connected();
+        co_return true;
+    }
+
+    asio::awaitable<bool> connect_by_connector(std::int64_t direct_deadline,
+                                               std::int64_t deadline)
+    {
+        if (parse_address(m_address).ip.empty())
+            co_return false;
+        ConnectRequest request {m_address, direct_deadline, deadline,
+                                [this] { return m_aborted; }};
+        ConnectResult result
+            = co_await m_connector->connect(m_socket, std::move(request));
+        if (!result.connected)
+            co_return false;
+        m_via = std::move(result.via);
+        on_connected();
         co_return true;
     }
 
@@ -158,9 +185,12 @@
     void clear_deadline() { m_watchdog.disarm(); }
     void abort()
     {
+        m_aborted = true;
         boost::system::error_code ignored;
         m_socket.close(ignored);
     }
+    const std::string& via() const { return m_via; }
+    bool is_tunnel() const { return !m_via.empty(); }
     bool reusable() const { return m_reusable; }
     void mark_idle() { m_idle_since_us = monotonic_us(); }
     /// True if neither the idle limit of the call nor the remote keep-alive has expired.
@@ -197,9 +227,12 @@
             co_return lost(write_error);
         http::response_parser<http::buffer_body> parser;
         parser.body_limit(kMaxAnswerBytes);
+        watch_silence();
         auto [ec, read]
             = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
+        m_silence.cancel();
         m_got_bytes = m_buffer.size() > 0 || parser.got_some();
+        report_to_connector();
         if (ec)
             co_return lost(ec);
         CallResult result = lost({}, head_of(parser.get()));
@@ -221,6 +254,42 @@
     }
 
 private:
+    void on_connected()
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        m_socket.set_option(UserTimeout(kUserTimeoutMs), ignored);
+        m_connected_us = monotonic_us();
+    }
+
+    /// A new connection has just shown that the link works.
+    bool is_reused_direct() const
+    {
+        return m_connector && !is_tunnel() && m_idle_since_us != 0;
+    }
+
+    void watch_silence()
+    {
+        m_exchange_began_us = monotonic_us();
+        if (!is_reused_direct())
+            return;
+        m_silence.expires_after(std::chrono::microseconds(Connector::kSilenceUs));
+        m_silence.async_wait([connector = m_connector, address = m_address](auto ec) {
+            if (!ec)
+                connector->on_silence(address);
+        });
+    }
+
+    void report_to_connector()
+    {
+        const bool waited
+            = monotonic_us() - m_exchange_began_us >= Connector::kSilenceUs;
+        if (m_connector && !is_tunnel() && m_got_bytes)
+            m_connector->record_answer();
+        else if (is_reused_direct() && waited)
+            m_connector->on_silence(m_address);
+    }
+
     /// End of the remote side's announced keep-alive, with a margin; 0: not announced.
     static std::int64_t keep_until(const HttpResponse& response)
     {
@@ -265,8 +334,13 @@
 
     tcp::socket m_socket;
     SocketWatchdog m_watchdog;
+    BootTimer m_silence; ///< until the first byte of an answer is overdue
     beast::flat_buffer m_buffer;
     std::string m_address;
+    Connector* const m_connector; ///< null: direct connections only
+    std::string m_via; ///< address of the intermediate; empty: none
+    bool m_aborted = false;
+    std::int64_t m_exchange_began_us = 0;
     bool m_reusable = false;
     bool m_got_bytes = false;
     std::int64_t m_connected_us = 0;
@@ -274,8 +348,9 @@
     std::int64_t m_keep_until_us = 0; ///< 0: not announced
 };
 
-HttpClient::HttpClient(asio::io_context& io)
+HttpClient::HttpClient(asio::io_context& io, Connector* connector)
     : m_io(io)
+    , m_connector(connector)
 {
 }
 
@@ -307,13 +382,9 @@
             }
         }
     }
-    auto connection = std::make_unique<Connection>(m_io, address);
-    options.handle->m_abort = [raw = connection.get()] { raw->abort(); };
-    connection->set_deadline(options.connect_deadline_us > 0 ? std::min(
-                                 options.connect_deadline_us, options.deadline_us)
-                                                             : options.deadline_us);
-    const bool connected = !options.handle->cancelled() && co_await connection->connect();
-    options.handle->m_abort = nullptr;
+    auto connection = std::make_unique<Connection>(m_io, address, m_connector);
+    // GCC 12 compiles the end of this coroutine wrongly if the call is in the condition.
+    const bool connected = co_await open(*connection, options);
     if (!connected || options.handle->cancelled())
         co_return CallResult {};
     CallResult result = co_await attempt(*connection, request, options);
@@ -321,6 +392,25 @@
     co_return result;
 }
 
+asio::awaitable<bool>
+HttpClient::open(Connection& connection, const CallOptions& options)
+{
+    if (options.handle->cancelled())
+        co_return false;
+    options.handle->m_abort = [&connection] { connection.abort(); };
+    const std::int64_t direct = options.connect_deadline_us > 0
+        ? std::min(options.connect_deadline_us, options.deadline_us)
+        : options.deadline_us;
+    const std::int64_t deadline
+        = m_connector ? std::min(direct + kOtherWaysUs, options.deadline_us) : direct;
+    connection.set_deadline(deadline);
+    const bool connected = m_connector
+        ? co_await connection.connect_by_connector(direct, deadline)
+        : co_await connection.connect();
+    options.handle->m_abort = nullptr;
+    co_return connected;
+}
+
 asio::awaitable<CallResult>
 HttpClient::attempt(Connection& connection, const HttpRequest& request,
                     const CallOptions& options)
@@ -339,16 +429,39 @@
 std::unique_ptr<HttpClient::Connection>
 HttpClient::take_idle(const std::string& address, const CallOptions& options)
 {
+    close_unusable_idle();
     auto it = m_idle.find(address);
-    while (it != m_idle.end() && !it->second.empty()) {
-        auto connection = std::move(it->second.back());
-        it->second.pop_back();
+    if (it == m_idle.end())
+        return nullptr;
+    auto& idle = it->second;
+    for (std::size_t at = idle.size(); at-- > 0;) {
+        // A direct connection that may not be used during a cut stays for the time after it.
+        if (m_connector && !m_connector->may_reuse(idle[at]->via()))
+            continue;
+        auto connection = std::move(idle[at]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
         if (connection->is_fresh(options) && !connection->is_stale())
             return connection;
     }
     return nullptr;
 }
 
+/// Closes idle tunnels that may not be used any more, so that the intermediate can stop, and
+/// connections that the remote side has closed.
+void
+HttpClient::close_unusable_idle()
+{
+    const std::int64_t now = monotonic_us();
+    if (!m_connector || now - m_idle_checked_us < kIdleCheckIntervalUs)
+        return;
+    m_idle_checked_us = now;
+    for (auto& [address, idle] : m_idle)
+        std::erase_if(idle, [this](const auto& connection) {
+            return connection->is_tunnel()
+                && (!m_connector->may_reuse(connection->via()) || connection->is_stale());
+        });
+}
+
 void
 HttpClient::store_if_reusable(const std::string& address,
                               std::unique_ptr<Connection> connection)
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include "http.h"
 
@@ -49,6 +50,44 @@
 boost::asio::awaitable<PortState> probe_port(boost::asio::io_context& io,
                                              std::string address, std::int64_t deadline_us);
 
+/// A connection that a Connector is to open.
+struct ConnectRequest {
+    std::string address; ///< "ip:port"
+    std::int64_t direct_deadline_us = 0; ///< for a direct connection
+    std::int64_t deadline_us = 0; ///< for all ways together
+    std::function<bool()> is_cancelled;
+};
+
+/// How a connection was opened.
+struct ConnectResult {
+    bool connected = false;
+    std::string via; ///< address of the intermediate; empty: a direct connection
+    bool is_target_down = false; ///< an intermediate found that no way leads to the address
+};
+
+/// Opens the connections of an HttpClient, for callers that can reach an address in several
+/// ways.  Lives on the client's thread.
+class Connector {
+public:
+    virtual ~Connector() = default;
+
+    /// Connects the socket, which may be closed and opened again meanwhile.
+    virtual boost::asio::awaitable<ConnectResult>
+    connect(boost::asio::ip::tcp::socket& socket, ConnectRequest request) = 0;
+
+    /// False if an idle connection that was opened that way is not to be used now.
+    virtual bool may_reuse(const std::string& via) const = 0;
+    /// The remote side has begun to answer on a direct connection.
+    virtual void record_answer() = 0;
+    /// A call on a reused direct connection got no byte for kSilenceUs, or was given up
+    /// without one.
+    virtual void on_silence(const std::string& address) = 0;
+    virtual void on_closed(const std::string& via) = 0;
+
+    /// Several round trips between halls; less than most callers wait for an answer.
+    static constexpr std::int64_t kSilenceUs = 400'000;
+};
+
 /// Allows another coroutine on the same thread to cancel or pause a call.
 class CallHandle {
 public:
@@ -115,7 +154,8 @@
 /// Not thread-safe: each thread needs its own client.
 class HttpClient {
 public:
-    explicit HttpClient(boost::asio::io_context& io);
+    /// `connector`: null for direct connections only; must outlive the client.
+    explicit HttpClient(boost::asio::io_context& io, Connector* connector = nullptr);
     ~HttpClient();
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
@@ -132,13 +172,17 @@
 
     boost::asio::awaitable<CallResult>
     attempt(Connection& connection, const HttpRequest& request, const CallOptions& options);
+    boost::asio::awaitable<bool> open(Connection& connection, const CallOptions& options);
     std::unique_ptr<Connection> take_idle(const std::string& address,
                                           const CallOptions& options);
+    void close_unusable_idle();
     void store_if_reusable(const std::string& address,
                            std::unique_ptr<Connection> connection);
 
     boost::asio::io_context& m_io;
+    Connector* const m_connector;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>> m_idle;
+    std::int64_t m_idle_checked_us = 0;
 };
 
 } // namespace cypressford
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -15,6 +15,7 @@
 
 #include "boot_clock.h"
 #include "socket_watchdog.h"
+#include "splice.h"
 
 namespace cypressford {
 
@@ -129,6 +130,19 @@
                             ignored);
     }
 
+    asio::awaitable<void> tunnel(tcp::socket target) override
+    {
+        static constexpr std::string_view head = "HTTP/1.1 200 Connected\r\n\r\n";
+        m_keep_alive = false;
+        auto [head_error, head_size]
+            = co_await asio::async_write(m_socket, asio::buffer(head), kToTuple);
+        // Bytes that the caller sent without waiting for the answer.
+        auto [error, size] = co_await asio::async_write(target, m_buffer.data(), kToTuple);
+        m_buffer.consume(size);
+        if (!head_error && !error)
+            co_await splice(m_socket, target);
+    }
+
     void drop() override { m_keep_alive = false; }
 
     void abort() override
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <cypressford/error.h>
 
@@ -32,8 +33,8 @@
     std::chrono::milliseconds write_time {10000};
 };
 
-/// One request and the functions that answer it.  A handler calls exactly one of respond()
-/// and begin_stream().
+/// One request and the functions that answer it.  A handler calls exactly one of respond(),
+/// begin_stream() and tunnel().
 class HttpExchange {
 public:
     virtual ~HttpExchange() = default;
@@ -60,6 +61,10 @@
     /// system's send buffer is limited, so that accepted bytes are about to be read.
     virtual void watch_progress(std::function<void(std::size_t)> on_progress) = 0;
 
+    /// Answers a CONNECT request with 200 and forwards bytes between the caller and
+    /// `target` until one of them ends; then both are closed.
+    virtual boost::asio::awaitable<void> tunnel(boost::asio::ip::tcp::socket target) = 0;
+
     /// Closes the connection after the handler has returned, without a complete answer.
     virtual void drop() = 0;
 
