Upstreams that fail when they reject too many calls get no more than they have room for

Cause: an upstream that announces how many calls a second it may reject (Server-Brittle) got as many as before: each daemon used its slots, rounded up, and sent again right after a rejection. Change: the announcement is kept like a limit (AnnouncedRate, which both now share). While it holds, the slots of an upstream are divided among all daemons exactly, calls beyond a daemon's part count against the announced rate, the leader of a set places no prompt at an engine whose slots are taken and says so, and a rejection keeps a daemon away for as long as all of them together need to stay within half of the rate. A request that finds no room asks the leader again until its target can't be met any more, and is then refused with a time to come back.

--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -76,6 +76,10 @@
     /// limit given.
     std::optional<double> limit_per_s;
     bool limit_unreadable = false; ///< a limit is given, but can't be parsed
+    /// Calls a second that the upstream may reject, of all daemons together, before it
+    /// fails; empty: none given.
+    std::optional<double> rejections_per_s;
+    bool rejections_unreadable = false; ///< they are given, but can't be parsed
     std::optional<UpstreamLoad> load; ///< empty: no load given
     bool load_unreadable = false; ///< a load is given, but can't be parsed
 };
--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -91,6 +91,9 @@
 
     /// Number of daemons that are alive, including this one once it is listed.
     int alive() const;
+    /// This daemon's place among the live daemons, from 0, in an order that is the same at
+    /// every daemon.
+    int own_index() const;
     /// Number of daemons of one hall that are alive.
     int alive_in(std::string_view hall) const;
 
@@ -161,10 +164,10 @@
     Micros m_record_timeout;
     Micros m_read_at = 0;
     bool m_weak_nodes_lead = false;
+    std::uint64_t m_peers_revision = 0;
     std::map<std::string, Known> m_daemons; ///< by node
     std::multimap<std::string, std::string> m_nodes_at; ///< by peers_address
     std::optional<Micros> m_next_expiry; ///< nothing: not computed yet
-    std::uint64_t m_peers_revision = 0;
     mutable Derived m_derived;
 };
 
--- a/src/include/cypressford/piece_order.h
+++ b/src/include/cypressford/piece_order.h
@@ -59,6 +59,7 @@
     bool is_counted = false;
     /// Limit reports of the leader that are newer than those of the query, or differ.
     LimitReports limits;
+    bool is_full = false; ///< upstreams are usable, but would reject the prompt now
 };
 
 std::string encode(const PlaceQuery& query);
--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -40,6 +40,8 @@
     std::map<std::string, double> hall_parts;
     std::vector<std::string> avoid; ///< identities of upstreams
     LimitReports limits; ///< limit reports that the requesting daemon has received
+    /// The same for the calls that upstreams may reject.
+    LimitReports rejections;
     HallLimit halls; ///< the only halls where the prompt may be read
     std::string from; ///< hall of the daemon that will send it
     bool reserve = false; ///< false: query only, nothing is recorded
@@ -79,6 +81,8 @@
         std::int64_t reread = 0; ///< of these, tokens that another upstream has cached
     };
     const ReadCost& last_read() const { return m_last_read; }
+    /// True if the last choice found none only because all would have rejected the prompt.
+    bool last_was_full() const { return m_last_was_full; }
     /// Number of upstreams that the last choice examined.
     std::size_t last_candidate_count() const { return m_last_candidate_count; }
 
@@ -169,6 +173,7 @@
     std::unordered_map<std::uint64_t, std::unordered_set<Engine*>> m_holders; ///< by part
     EngineRing m_ring;
     std::size_t m_last_candidate_count = 0;
+    bool m_last_was_full = false;
     std::unordered_map<std::string, Placement> m_placements; ///< by attempt
     std::uint64_t m_last_number = 0; ///< of a placement
     ReachTable m_reach;
--- a/src/include/cypressford/shared_rate.h
+++ b/src/include/cypressford/shared_rate.h
@@ -22,12 +22,18 @@
     /// Sets the number of daemons that are alive at `now`.  Called by one thread.
     void set(int alive, Micros now);
     int get() const { return m_count.load(std::memory_order_relaxed); }
+    /// Sets this daemon's place in the list of live daemons, from 0.
+    void set_own_index(int index) { m_index.store(index, std::memory_order_relaxed); }
+    /// This daemon's part of `total` units that can't be divided.  The parts of all daemons
+    /// add up to it; `key` determines which of them get one more than others.
+    int own_part(int total, std::uint64_t key) const;
 
     /// How long a daemon that is no longer alive is counted.
     static constexpr Micros kRemovalDelay = 10 * kSecond;
 
 private:
     std::atomic<int> m_count {1};
+    std::atomic<int> m_index {0};
     Micros m_fewer_since = 0; ///< 0: not fewer alive than counted
 };
 
@@ -96,6 +102,7 @@
     {
         m_has_leader.store(has_leader, std::memory_order_relaxed);
     }
+    bool has_leader() const { return m_has_leader.load(std::memory_order_relaxed); }
 
     /// Calls per second of that part of this daemon.  Only valid while a rate is set.
     double rate_of(RatePart part) const;
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -67,6 +67,7 @@
     const std::uint64_t address_hash = std::hash<std::string> {}(address);
 
     std::atomic<int> slots {0}; ///< concurrent calls; 0: as configured for its set
+    std::atomic<int> configured_slots {0}; ///< of its set
     std::atomic<int> in_flight {0}; ///< calls of this daemon
     std::atomic<int> others_in_flight {
         0}; ///< calls of other daemons, including queued ones, as last reported
@@ -90,6 +91,13 @@
         return leaving.load(std::memory_order_relaxed) || self_report->may_be_leaving(now);
     }
 
+    /// Concurrent calls that it serves.
+    int slot_count() const
+    {
+        const int own = slots.load(std::memory_order_relaxed);
+        return own > 0 ? own : configured_slots.load(std::memory_order_relaxed);
+    }
+
     /// The run of the upstream that this state belongs to.
     UpstreamRun run() const { return {identity, born}; }
 
@@ -294,6 +302,8 @@
     /// Sets the number of live daemons in all halls, which share the rates of
     /// upstreams.  Called by one thread.
     void set_daemons(int count, Micros now) { m_sharers->set(count, now); }
+    /// Sets this daemon's place in the list of live daemons, from 0.
+    void set_own_index(int index) { m_sharers->set_own_index(index); }
 
     /// Resolves a bundle.  Like all functions here, not on the request path.
     ResolvedBundlePtr resolve(const Bundle& bundle);
@@ -320,6 +330,9 @@
     /// The upstream with that address, or null.
     std::shared_ptr<UpstreamState> find(std::string_view address) const;
 
+    /// True if an upstream, of any identity, is known at that address.
+    bool has_address(std::string_view address) const;
+
     /// All upstreams known to this table.
     std::vector<std::shared_ptr<UpstreamState>> all() const;
 
@@ -330,9 +343,6 @@
     std::uint32_t id_of(const std::string& name);
     /// The key includes the run: a reused address with another identity, or a restarted
     /// upstream, has a state of its own.
-    /// True if an upstream, of any identity, is known at that address.
-    bool has_address(std::string_view address) const;
-
     static std::string key_of(const std::string& address, const UpstreamRun& run);
     UpstreamSet resolve_set(const UpstreamSetSpec& spec);
     ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
--- a/src/include/cypressford/upstream_use.h
+++ b/src/include/cypressford/upstream_use.h
@@ -13,6 +13,7 @@
 /// The part of an upstream's announced rate limit that a call is counted against.
 enum class CallCount : unsigned char {
     Own, ///< this daemon's own part
+    Placed, ///< the same, at the upstream that the leader of the set chose
     Granted, ///< the part that this daemon has as the leader of the set
     Counted, ///< none: the leader of the set counted the call when it granted it
 };
@@ -20,8 +21,8 @@
 /// To be called right before the first byte of a call: since the upstream was chosen, a
 /// connection may have been opened (up to 250 ms) and answers to other threads' calls may
 /// have changed its state.  False if the upstream is leaving, in an evacuated hall or in
-/// backoff, or if its announced limit allows no call now; otherwise the call is counted as
-/// sent.  Every sender of the daemon calls this, so that retries, hedges and resumed
+/// backoff, or if its announced limit allows no call now, or if it might reject the call and
+/// may reject no more; otherwise the call is counted as sent.  Every sender of the daemon calls this, so that retries, hedges and resumed
 /// streams are counted as well.
 bool begin_call(UpstreamState& upstream, CallCount count, Micros now);
 
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -23,11 +23,25 @@
     return own > 0 ? own : set.spec.slots;
 }
 
+/// True if `in_flight` calls of this daemon, together with the parts of all others, fit into
+/// the upstream's slots.
 bool
-has_slot(const UpstreamState& upstream, int slots, int daemons)
+fits_own_slots(const UpstreamState& upstream, int in_flight)
 {
-    return upstream.in_flight.load(std::memory_order_relaxed)
-        < slot_limit(upstream, slots, daemons);
+    return in_flight
+        <= upstream.self_report->own_slots(upstream.slot_count(), upstream.address_hash);
+}
+
+/// `placed`: the leader of the set, which counts the calls of all daemons, chose the upstream.
+bool
+has_slot(const UpstreamState& upstream, int slots, bool placed, const CandidateQuery& query)
+{
+    const int in_flight = upstream.in_flight.load(std::memory_order_relaxed);
+    const SharedRate& rejections = upstream.self_report->rejections();
+    if (rejections.is_set() && !placed)
+        return fits_own_slots(upstream, in_flight + 1)
+            || rejections.next_allowed_at(RatePart::Own) <= query.now;
+    return in_flight < slot_limit(upstream, slots, query.daemons_in_hall);
 }
 
 /// True if the upstream failed recently and is due for one trial call.
@@ -71,13 +85,20 @@
         != query.tried.end();
 }
 
+/// True if the leader of the set chose the upstream for this call.
+bool
+is_placed(const UpstreamState& upstream, const CandidateQuery& query)
+{
+    return !query.granted.empty() && upstream.identity == query.granted;
+}
+
 /// True for warm upstreams, and for cold ones that the call may be sent to.
 bool
 is_warm_enough(const UpstreamState& upstream, const CandidateQuery& query)
 {
     if (!upstream.cold.is_cold(query.now))
         return true;
-    if (!query.granted.empty() && upstream.identity == query.granted)
+    if (is_placed(upstream, query))
         return true;
     return query.allow_cold && upstream.cold.may_send(query.daemons, query.now);
 }
@@ -87,9 +108,7 @@
 bool
 is_usable_for(const UpstreamState& upstream, const CandidateQuery& query)
 {
-    const bool is_counted
-        = query.is_counted && !query.granted.empty() && upstream.identity == query.granted;
-    if (is_counted)
+    if (query.is_counted && is_placed(upstream, query))
         return is_in_service(upstream, query.now)
             && !upstream.self_report->in_backoff(query.now);
     return is_usable(upstream, query.now);
@@ -106,7 +125,8 @@
     if (query.halls && !query.halls->allows(upstream->hall))
         return;
     if (query.limit_slots
-        && !has_slot(*upstream, slots_of(*upstream, set), query.daemons_in_hall))
+        && !has_slot(*upstream, slots_of(*upstream, set), is_placed(*upstream, query),
+                     query))
         return;
     const bool probing = needs_probe(*upstream);
     if (probing
@@ -185,7 +205,11 @@
         return false;
     if (count == CallCount::Counted)
         return true;
-    const RatePart part = count == CallCount::Own ? RatePart::Own : RatePart::Granted;
+    const bool may_be_rejected = count == CallCount::Own
+        && !fits_own_slots(upstream, upstream.in_flight.load(std::memory_order_relaxed));
+    if (may_be_rejected && !upstream.self_report->rejections().take(RatePart::Own, now))
+        return false;
+    const RatePart part = count == CallCount::Granted ? RatePart::Granted : RatePart::Own;
     return upstream.self_report->limit().take(part, now);
 }
 
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -218,6 +218,15 @@
     return *m_derived.alive;
 }
 
+int
+DaemonTable::own_index() const
+{
+    const auto end = m_daemons.lower_bound(m_own_node);
+    return static_cast<int>(std::count_if(m_daemons.begin(), end, [&](const auto& item) {
+        return is_alive(item.second);
+    }));
+}
+
 int
 DaemonTable::alive_in(std::string_view hall) const
 {
@@ -227,15 +236,6 @@
         }));
 }
 
-std::vector<const DaemonTable::Known*>
-DaemonTable::candidates() const
-{
-    std::vector<const Known*> result;
-    for (const auto& [node, known] : m_daemons)
-        if (is_alive(known) && !known.suspected)
-            result.push_back(&known);
-    return result;
-}
 TunnelPeers
 DaemonTable::tunnel_peers() const
 {
@@ -251,6 +251,15 @@
     return peers;
 }
 
+std::vector<const DaemonTable::Known*>
+DaemonTable::candidates() const
+{
+    std::vector<const Known*> result;
+    for (const auto& [node, known] : m_daemons)
+        if (is_alive(known) && !known.suspected)
+            result.push_back(&known);
+    return result;
+}
 
 const DaemonTable::Known*
 DaemonTable::choose(const std::vector<const Known*>& candidates, std::string_view key)
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -140,12 +140,13 @@
 
 namespace {
 
-template <class Message>
+using LimitWords = google::protobuf::RepeatedPtrField<proto::LimitWord>;
+
 void
-write_limits(const LimitReports& limits, Message& out)
+write_limits(const LimitReports& limits, LimitWords& out)
 {
     for (const LimitReport& report : limits) {
-        proto::LimitWord* item = out.add_limits();
+        proto::LimitWord* item = out.Add();
         item->set_identity(report.run.identity);
         item->set_born(report.run.born);
         item->set_per_s(report.per_s);
@@ -154,12 +155,11 @@
 }
 
 /// Skips reports with invalid values, and those beyond kMaxLimitReports.
-template <class Message>
 LimitReports
-read_limits(const Message& in)
+read_limits(const LimitWords& in)
 {
     LimitReports limits;
-    for (const proto::LimitWord& item : in.limits()) {
+    for (const proto::LimitWord& item : in) {
         const bool makes_sense
             = std::isfinite(item.per_s()) && item.per_s() >= 0 && item.ago_us() >= 0;
         if (makes_sense && limits.size() < kMaxLimitReports)
@@ -192,7 +192,8 @@
     }
     for (const std::string& identity : prompt.avoid)
         out.add_avoid(identity);
-    write_limits(prompt.limits, out);
+    write_limits(prompt.limits, *out.mutable_limits());
+    write_limits(prompt.rejections, *out.mutable_rejections());
     return out.SerializeAsString();
 }
 
@@ -216,7 +217,8 @@
     query.prompt.avoid.assign(in.avoid().begin(), in.avoid().end());
     for (const proto::PromptPart& part : in.parts())
         query.prompt.parts.push_back({part.id(), part.tokens()});
-    query.prompt.limits = read_limits(in);
+    query.prompt.limits = read_limits(in.limits());
+    query.prompt.rejections = read_limits(in.rejections());
     return query;
 }
 
@@ -227,7 +229,8 @@
     out.set_identity(answer.identity);
     out.set_hall(answer.hall);
     out.set_counted(answer.is_counted);
-    write_limits(answer.limits, out);
+    write_limits(answer.limits, *out.mutable_limits());
+    out.set_full(answer.is_full);
     return out.SerializeAsString();
 }
 
@@ -237,7 +240,8 @@
     proto::PlaceAnswer in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(ErrorKind::BadRequest, "malformed prompt placement answer");
-    return PlaceAnswer {in.identity(), in.hall(), in.counted(), read_limits(in)};
+    return PlaceAnswer {in.identity(), in.hall(), in.counted(),
+                        read_limits(in.limits()), in.full()};
 }
 
 std::string
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -244,6 +244,12 @@
         const bool is_avoided = m_switches.uses(Mechanism::SharedReach)
             && m_reach.should_avoid(query.from, upstream->run(), upstream->hall, now);
         const Engine& engine = examine(upstream, now);
+        // It would reject the prompt, and may reject only few.
+        if (upstream->self_report->rejections().is_set()
+            && engine.running >= upstream->slot_count()) {
+            m_last_was_full = true;
+            continue;
+        }
         result.push_back({upstream, cost(engine, query),
                           weight_of(*upstream, query, key) * order_factor(engine), is_near,
                           is_avoided, is_slow(*upstream, engine, now)});
@@ -283,6 +289,7 @@
 PromptPlacer::place(const UpstreamSet& set, const PromptQuery& query, Micros now)
 {
     expire(now);
+    m_last_was_full = false;
     const std::uint64_t key = key_of(query);
     std::vector<Choice> all = choices(candidates_for(set, query, key), query, key, now);
     if (all.empty()) {
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -228,13 +228,16 @@
     request.non_repeatable_may_have_run |= attempt.non_repeatable;
     request.running.push_back(attempt.id);
     request.tried.push_back(chosen.get());
+    const bool is_placed = !request.prepared_identity.empty()
+        && request.prepared_identity == chosen->identity;
+    const CallCount uncounted = is_placed ? CallCount::Placed : CallCount::Own;
     // A retry or hedge is not bound to the choice made for the first attempt.
     request.prepared_identity.clear();
     request.prepared_is_counted = false;
     const Micros deadline = attempt_deadline(request);
     out->push_back(SendAttempt {request.spec.id, attempt.id, request.stage, chosen,
                                 deadline, !attempt.non_repeatable,
-                                is_counted ? CallCount::Counted : CallCount::Own});
+                                is_counted ? CallCount::Counted : uncounted});
     if (mutated(Mutation::FreeBeforeRead) && request.spec.needs_pieces())
         out->push_back(ReleaseInputs {request.spec.id});
     arm_hedge_timer(request, attempt.id);
--- a/src/libcypressford/self_report.cpp
+++ b/src/libcypressford/self_report.cpp
@@ -8,6 +8,8 @@
 
 #include <cypressford/mutation.h>
 
+#include "mix.h"
+
 namespace cypressford {
 
 namespace {
@@ -69,81 +71,112 @@
         = before.m_backoff_connected_ms.load(std::memory_order_relaxed);
     if (may_belong_to_run(backoff_connected_ms, born))
         record_backoff(before.backoff_until(), backoff_connected_ms);
-    const std::int64_t limit_connected_ms
-        = before.m_limit_connected_ms.load(std::memory_order_relaxed);
-    if (!may_belong_to_run(limit_connected_ms, born))
-        return;
-    m_limit.adopt(before.m_limit);
-    m_limit_connected_ms.store(limit_connected_ms, std::memory_order_relaxed);
+    m_limit.inherit(before.m_limit, born);
+    m_rejections.inherit(before.m_rejections, born);
+}
+
+int
+SelfReport::own_slots(int slots, std::uint64_t key) const
+{
+    if (rejections().has_leader())
+        return 0;
+    return m_sharers ? m_sharers->own_part(slots, key) : slots;
+}
+
+Micros
+SelfReport::rejection_backoff(RatePart part, Micros now) const
+{
+    // Half of the announced rejections is left for calls that are rejected while the first
+    // rejections are on their way.  Two daemons may take themselves for the leader.
+    constexpr double margin = 2;
+    constexpr int leaders = 2;
+    const double allowed = rejections().per_s();
+    if (allowed <= 0)
+        return 0;
+    const int sharers = m_sharers ? m_sharers->get() : 1;
+    const int senders = part == RatePart::Granted ? leaders : sharers;
+    const double shortest = margin * senders / allowed * static_cast<double>(kSecond);
+    // Daemons that are rejected at the same moment come back at different times.
+    const double spread = 1 + uniform_from(m_seed ^ static_cast<std::uint64_t>(now)) / 2;
+    return std::min(static_cast<Micros>(spread * shortest), kMaxRejectionBackoff);
 }
 
 bool
-SelfReport::record_limit(std::optional<double> per_s, Micros sent, Micros now,
-                         std::int64_t connected_ms)
+AnnouncedRate::record(std::optional<double> per_s, Micros sent, Micros now,
+                      std::int64_t connected_ms)
 {
-    const bool is_newer = sent > m_limit_received_at.load(std::memory_order_relaxed);
-    const double before = m_limit.per_s();
-    if (!per_s || *per_s > kMaxLimitPerS) {
+    const bool is_newer = sent > m_received_at.load(std::memory_order_relaxed);
+    const double before = m_rate.per_s();
+    if (!per_s || *per_s > kMaxPerS) {
         if (before > 0 && is_newer)
-            end_limit(sent);
-        return m_limit.per_s() != before;
+            end(sent);
+        return m_rate.per_s() != before;
     }
-    const double announced = std::max(*per_s, kMinLimitPerS);
+    const double announced = std::max(*per_s, kMinPerS);
     if (is_newer)
-        m_limit.set(announced, now);
+        m_rate.set(announced, now);
     else
-        lower_limit(announced, now);
-    m_limit_connected_ms.store(connected_ms, std::memory_order_relaxed);
-    m_limit_received_at.store(now, std::memory_order_relaxed);
-    return m_limit.per_s() != before;
+        lower(announced, now);
+    m_connected_ms.store(connected_ms, std::memory_order_relaxed);
+    m_received_at.store(now, std::memory_order_relaxed);
+    return m_rate.per_s() != before;
 }
 
-/// For answers to concurrent calls the order is unknown, so the lower limit applies.
+/// For answers to concurrent calls the order is unknown, so the lower rate applies.
 void
-SelfReport::lower_limit(double per_s, Micros now)
+AnnouncedRate::lower(double per_s, Micros now)
 {
-    if (!m_limit.is_set() || per_s < m_limit.per_s())
-        m_limit.set(per_s, now);
+    if (!m_rate.is_set() || per_s < m_rate.per_s())
+        m_rate.set(per_s, now);
 }
 
 void
-SelfReport::end_limit(Micros sent)
+AnnouncedRate::end(Micros sent)
 {
     if (mutated(Mutation::LimitStays))
         return;
-    m_limit_ended_at.store(sent, std::memory_order_relaxed);
-    m_limit.clear();
+    m_ended_at.store(sent, std::memory_order_relaxed);
+    m_rate.clear();
 }
 
 bool
-SelfReport::apply_limit_report(const LimitReport& report, Micros now)
+AnnouncedRate::apply(const LimitReport& report, Micros now)
 {
-    const double before = m_limit.per_s();
+    const double before = m_rate.per_s();
     const Micros at = now - report.ago;
-    const Micros received_at = m_limit_received_at.load(std::memory_order_relaxed);
+    const Micros received_at = m_received_at.load(std::memory_order_relaxed);
     if (report.per_s <= 0) {
         if (before > 0 && at - kReportDelay > received_at)
-            end_limit(at - kReportDelay);
-    } else if (at
-               > std::max(received_at, m_limit_ended_at.load(std::memory_order_relaxed))) {
-        m_limit.set(std::max(report.per_s, kMinLimitPerS), now);
-        m_limit_received_at.store(at, std::memory_order_relaxed);
+            end(at - kReportDelay);
+    } else if (at > std::max(received_at, m_ended_at.load(std::memory_order_relaxed))) {
+        m_rate.set(std::max(report.per_s, kMinPerS), now);
+        m_received_at.store(at, std::memory_order_relaxed);
     }
-    return m_limit.per_s() != before;
+    return m_rate.per_s() != before;
 }
 
 std::optional<LimitReport>
-SelfReport::limit_report(const UpstreamRun& run, Micros now) const
+AnnouncedRate::report(const UpstreamRun& run, Micros now) const
 {
-    if (const double per_s = m_limit.per_s(); per_s > 0)
+    if (const double per_s = m_rate.per_s(); per_s > 0)
         return LimitReport {run, per_s,
-                            now - m_limit_received_at.load(std::memory_order_relaxed)};
-    const Micros ended_at = m_limit_ended_at.load(std::memory_order_relaxed);
+                            now - m_received_at.load(std::memory_order_relaxed)};
+    const Micros ended_at = m_ended_at.load(std::memory_order_relaxed);
     if (ended_at != 0 && now - ended_at < kEndReportTime)
         return LimitReport {run, 0, now - ended_at};
     return std::nullopt;
 }
 
+void
+AnnouncedRate::inherit(const AnnouncedRate& before, std::int64_t born)
+{
+    const std::int64_t connected_ms = before.m_connected_ms.load(std::memory_order_relaxed);
+    if (!may_belong_to_run(connected_ms, born))
+        return;
+    m_rate.adopt(before.m_rate);
+    m_connected_ms.store(connected_ms, std::memory_order_relaxed);
+}
+
 std::shared_ptr<SelfReport>
 SelfReports::make_unregistered(std::uint64_t seed) const
 {
--- a/src/libcypressford/shared_rate.cpp
+++ b/src/libcypressford/shared_rate.cpp
@@ -38,6 +38,15 @@
     m_count.store(alive, std::memory_order_relaxed);
 }
 
+int
+SharerCount::own_part(int total, std::uint64_t key) const
+{
+    const int sharers = get();
+    const auto offset = static_cast<int>(key % static_cast<std::uint64_t>(sharers));
+    const int place = (m_index.load(std::memory_order_relaxed) + offset) % sharers;
+    return total / sharers + (place < total % sharers ? 1 : 0);
+}
+
 void
 PartPacer::begin(double interval_us, Micros now)
 {
--- a/src/libcypressford/shared_rate_test.cpp
+++ b/src/libcypressford/shared_rate_test.cpp
@@ -144,9 +144,9 @@
 {
     SelfReport self_report;
     self_report.record_limit(0.0, 1, 2);
-    CHECK(self_report.limit().per_s() == SelfReport::kMinLimitPerS);
+    CHECK(self_report.limit().per_s() == AnnouncedRate::kMinPerS);
     self_report.record_limit(1e-300, 3, 4);
-    CHECK(self_report.limit().per_s() == SelfReport::kMinLimitPerS);
+    CHECK(self_report.limit().per_s() == AnnouncedRate::kMinPerS);
     self_report.record_limit(1e300, 5, 6);
     CHECK_FALSE(self_report.limit().is_set());
     CHECK(self_report.record_unreadable_limit());
@@ -172,23 +172,23 @@
     SelfReport leader;
     SelfReport daemon;
     daemon.record_limit(3.0, 1, kSecond);
-    CHECK(leader.apply_limit_report(*daemon.limit_report(run, kSecond), kSecond));
+    CHECK(leader.announced_limit().apply(*daemon.announced_limit().report(run, kSecond), kSecond));
     CHECK(leader.limit().per_s() == 3);
     // Another daemon finds that the limit has ended.
     SelfReport other;
     other.record_limit(3.0, 1, kSecond);
     other.record_limit({}, 2 * kSecond, 2 * kSecond + 1);
-    CHECK(leader.apply_limit_report(*other.limit_report(run, 3 * kSecond), 3 * kSecond));
+    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 3 * kSecond), 3 * kSecond));
     CHECK_FALSE(leader.limit().is_set());
     // The first daemon has received nothing since.
     CHECK_FALSE(
-        leader.apply_limit_report(*daemon.limit_report(run, 4 * kSecond), 4 * kSecond));
-    CHECK(daemon.apply_limit_report(*leader.limit_report(run, 4 * kSecond), 4 * kSecond));
+        leader.announced_limit().apply(*daemon.announced_limit().report(run, 4 * kSecond), 4 * kSecond));
+    CHECK(daemon.announced_limit().apply(*leader.announced_limit().report(run, 4 * kSecond), 4 * kSecond));
     CHECK_FALSE(daemon.limit().is_set());
-    CHECK_FALSE(leader.limit_report(run, 4 * kSecond + SelfReport::kEndReportTime));
+    CHECK_FALSE(leader.announced_limit().report(run, 4 * kSecond + AnnouncedRate::kEndReportTime));
     // The upstream announces a limit again.
     other.record_limit(2.0, 5 * kSecond, 5 * kSecond);
-    CHECK(leader.apply_limit_report(*other.limit_report(run, 5 * kSecond), 5 * kSecond));
+    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 5 * kSecond), 5 * kSecond));
     CHECK(leader.limit().per_s() == 2);
 }
 
--- a/src/libcypressford/upstream_members.cpp
+++ b/src/libcypressford/upstream_members.cpp
@@ -39,7 +39,9 @@
 UpstreamState::apply_spec(const UpstreamSetSpec& spec)
 {
     cold.set_spec(spec.cold);
+    configured_slots.store(spec.slots, std::memory_order_relaxed);
     self_report->limit().set_has_leader(spec.has_leader());
+    self_report->rejections().set_has_leader(spec.has_leader());
 }
 
 void
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -61,6 +61,7 @@
     m_kernel.daemons_in_hall.store(std::max(1, m_daemons.alive_in(m_kernel.settings.hall)));
     m_kernel.daemons.store(std::max(1, m_daemons.alive()));
     m_kernel.upstreams.set_daemons(m_daemons.alive(), now);
+    m_kernel.upstreams.set_own_index(m_daemons.own_index());
     publish_tunnel_peers();
 }
 
--- a/src/libserve/pieces/piece_job.cpp
+++ b/src/libserve/pieces/piece_job.cpp
@@ -68,15 +68,15 @@
 }
 
 LimitReports
-PieceJob::limit_reports(Micros now) const
+PieceJob::reports_of(AnnouncedKind kind, Micros now) const
 {
-    return cypressford::limit_reports(reader_set(), now);
+    return cypressford::reports_of(reader_set(), kind, now);
 }
 
 void
 PieceJob::receive_limit_reports(const LimitReports& reports, Micros now) const
 {
-    cypressford::receive_limit_reports(reader_set(), reports, now);
+    receive_reports(reader_set(), AnnouncedKind::Limit, reports, now);
 }
 
 SetQueries
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -17,6 +17,7 @@
 
 #include "libserve/pieces/piece_maker.h"
 #include "libutil/boot_clock.h"
+#include "libserve/upstream_says.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
@@ -94,7 +95,7 @@
     std::vector<std::string> unusable_engines(Micros now) const;
 
     /// Limit reports of engines that this daemon has received.
-    LimitReports limit_reports(Micros now) const;
+    LimitReports reports_of(AnnouncedKind kind, Micros now) const;
     /// Takes over limit reports from the leader.
     void receive_limit_reports(const LimitReports& reports, Micros now) const;
 
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -372,7 +372,7 @@
     options.on_answer = [&](const HttpResponse& head, Micros connected) {
         upstream_answer = m_kernel.calls->read_answer(head);
         record_upstream_report(*call.upstream, upstream_answer,
-                               {sent.at, connected, "pieces"});
+                               {sent.at, connected, "pieces", RatePart::Granted});
     };
     const CallResult result = co_await m_client.call(
         call.upstream->address,
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -16,6 +16,7 @@
 
 #include "libserve/entry/problem.h"
 #include "libutil/boot_clock.h"
+#include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -31,9 +32,24 @@
 /// A stage that could be held back for less than this time starts at once: about the time
 /// that the messages for one order take.
 constexpr Micros kMinHold = 20 * kMillisecond;
+/// Interval of queries for a prompt that all upstreams would reject: about the time in which
+/// one of them answers a request.
+constexpr std::chrono::milliseconds kAskAgainInterval {20};
+/// A request whose target latency has passed waits for this time.
+constexpr Micros kMinWaitForRoom = 200 * kMillisecond;
+/// Retry-after time of a request that found no room, and the interval over which it is spread.
+constexpr Micros kFullRetryAfter = 250 * kMillisecond;
+constexpr Micros kFullRetrySpread = 500 * kMillisecond;
 /// Longer than any slack: no stage is held back.
 constexpr Micros kNoHold = std::numeric_limits<Micros>::max();
 
+Micros
+full_retry_after()
+{
+    return kFullRetryAfter
+        + static_cast<Micros>(random_u64() % static_cast<std::uint64_t>(kFullRetrySpread));
+}
+
 } // namespace
 
 PieceService::PieceService(asio::io_context& io, Kernel& kernel,
@@ -139,7 +155,14 @@
                 = result.hall.empty() ? m_kernel.settings.hall : result.hall;
             const auto there = bytes.find(near);
             const std::int64_t near_bytes = there == bytes.end() ? 0 : there->second;
-            const PlaceAnswer reader = co_await place(job, near, near_bytes, true);
+            const PlaceAnswer reader
+                = co_await place_when_there_is_room(job, near, near_bytes);
+            if (reader.is_full) {
+                result.made = false;
+                job->refused_by.push_back(job->wanted.reader_set);
+                job->retry_after = full_retry_after();
+                queue_releases(std::exchange(result.inputs, {}));
+            }
             result.identity = reader.identity;
             result.is_counted = reader.is_counted;
             LogEvent("placed")
@@ -147,6 +170,7 @@
                 .kv("set", job->wanted.reader_set)
                 .kv("near", near)
                 .kv("identity", reader.identity)
+                .kv("full", reader.is_full)
                 .kv("hall", reader.hall);
         }
     } else {
@@ -350,7 +374,8 @@
     PlaceQuery query {job.wanted.reader_set, job.wanted.prompt};
     query.prompt.from = m_kernel.settings.hall;
     query.prompt.avoid = job.unusable_engines(now);
-    query.prompt.limits = job.limit_reports(now);
+    query.prompt.limits = job.reports_of(AnnouncedKind::Limit, now);
+    query.prompt.rejections = job.reports_of(AnnouncedKind::Rejections, now);
     query.prompt.halls = job.wanted.halls;
     if (job.wanted.follows_prompt)
         query.prompt.hall_parts
@@ -380,6 +405,25 @@
     co_return *std::move(answer);
 }
 
+/// Asks again while all upstreams would reject the prompt, as long as the request can still meet
+/// its target latency.
+asio::awaitable<PlaceAnswer>
+PieceService::place_when_there_is_room(JobPtr job, std::string near,
+                                       std::int64_t near_bytes)
+{
+    const Micros until = std::min(
+        job->wanted.deadline,
+        std::max(job->wanted.target_by, monotonic_us() + kMinWaitForRoom));
+    BootTimer timer(m_io);
+    for (;;) {
+        PlaceAnswer answer = co_await place(job, near, near_bytes, true);
+        if (!answer.is_full || job->cancelled || monotonic_us() >= until)
+            co_return answer;
+        timer.expires_after(kAskAgainInterval);
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
 void
 PieceService::record_wait(const PieceJob& job, const std::string& set_name, Micros wait)
 {
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -113,7 +113,7 @@
     options.on_answer = [&](const HttpResponse& head, Micros connected) {
         if (upstream)
             record_upstream_report(*upstream, m_kernel.calls->read_answer(head),
-                                   {sent, connected, "release"});
+                                   {sent, connected, "release", RatePart::Granted});
     };
     const CallResult result = co_await m_client.call(
         holder, m_kernel.calls->free_results(releases.handles), std::move(options));
--- a/src/libserve/pieces/set_leader.cpp
+++ b/src/libserve/pieces/set_leader.cpp
@@ -142,10 +142,12 @@
                   .try_emplace(query.upstream_set, m_kernel.settings.scheduler.switches)
                   .first->second;
         const Micros now = monotonic_us();
-        receive_limit_reports(set, query.prompt.limits, now);
+        receive_reports(set, AnnouncedKind::Limit, query.prompt.limits, now);
+        receive_reports(set, AnnouncedKind::Rejections, query.prompt.rejections, now);
         PlaceAnswer answer;
         answer.limits = newer_limit_reports(set, query.prompt.limits, now);
         const auto upstream = placer.place(set, query.prompt, now);
+        answer.is_full = !upstream && placer.last_was_full();
         if (!upstream)
             return answer;
         answer.identity = upstream->identity;
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -3,6 +3,8 @@
 
 #include "libserve/upstream_says.h"
 
+#include <algorithm>
+
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -21,6 +23,29 @@
             .kv("call", call);
 }
 
+namespace {
+
+/// True if the calls per second that the upstream may reject have changed.
+bool
+record_rejections(SelfReport& self_report, const UpstreamAnswer& answer,
+                  const AnswerOrigin& origin, Micros now, std::int64_t connected_ms)
+{
+    const bool is_readable
+        = answer.rejections_per_s || !answer.rejections_unreadable;
+    const bool changed = is_readable
+        && self_report.record_rejection_limit(answer.rejections_per_s, origin.sent, now,
+                                              connected_ms);
+    const bool is_rejection
+        = answer.not_run && !answer.identity_mismatch && !answer.input_gone;
+    const Micros backoff
+        = is_rejection ? self_report.rejection_backoff(origin.part, now) : 0;
+    if (backoff > 0)
+        self_report.record_backoff(now + backoff, connected_ms);
+    return changed;
+}
+
+} // namespace
+
 void
 record_upstream_report(UpstreamState& upstream, const UpstreamAnswer& answer,
                        const AnswerOrigin& origin)
@@ -42,8 +67,10 @@
         && self_report.record_limit(answer.limit_per_s, origin.sent, now, connected_ms);
     const bool is_new_fault
         = answer.limit_unreadable && self_report.record_unreadable_limit();
+    const bool rejections_changed = record_rejections(self_report, answer, origin, now,
+                                                      connected_ms);
     if (!answer.is_leaving && answer.backoff == 0 && !answer.backoff_unreadable
-        && !limit_changed && !is_new_fault)
+        && !limit_changed && !is_new_fault && !rejections_changed)
         return;
     LogEvent("upstream_says")
         .kv("upstream", upstream.address)
@@ -55,11 +82,22 @@
         .kv("limit_per_s", self_report.limit().per_s())
         .kv("limit_before", limit_before)
         .kv("limit_unread", answer.limit_unreadable)
+        .kv("rejections_per_s", self_report.rejections().per_s())
         .kv("call", origin.call);
 }
 
 namespace {
 
+/// Of several turns of reports that don't fit one message.
+constexpr Micros kReportTurn = 100 * kMillisecond;
+
+AnnouncedRate&
+announced(SelfReport& report, AnnouncedKind kind)
+{
+    return kind == AnnouncedKind::Limit ? report.announced_limit()
+                                        : report.announced_rejections();
+}
+
 template <class Visit>
 void
 for_each_upstream(const UpstreamSet& set, Visit&& visit)
@@ -72,31 +110,41 @@
 } // namespace
 
 LimitReports
-limit_reports(const UpstreamSet& set, Micros now)
+reports_of(const UpstreamSet& set, AnnouncedKind kind, Micros now)
 {
     LimitReports reports;
     for_each_upstream(set, [&](const UpstreamState& upstream) {
-        const auto report = upstream.self_report->limit_report(upstream.run(), now);
-        if (report && reports.size() < kMaxLimitReports)
+        const auto report = announced(*upstream.self_report, kind).report(upstream.run(), now);
+        if (report)
             reports.push_back(*report);
     });
+    if (reports.size() > kMaxLimitReports) {
+        // The other reports have their turn later.
+        const auto turn = static_cast<std::size_t>(now / kReportTurn) * kMaxLimitReports;
+        std::rotate(reports.begin(),
+                    reports.begin() + static_cast<std::ptrdiff_t>(turn % reports.size()),
+                    reports.end());
+        reports.resize(kMaxLimitReports);
+    }
     return reports;
 }
 
 void
-receive_limit_reports(const UpstreamSet& set, const LimitReports& reports, Micros now)
+receive_reports(const UpstreamSet& set, AnnouncedKind kind, const LimitReports& reports,
+                Micros now)
 {
     if (reports.empty())
         return;
     for_each_upstream(set, [&](const UpstreamState& upstream) {
         for (const LimitReport& report : reports) {
             if (report.run != upstream.run()
-                || !upstream.self_report->apply_limit_report(report, now))
+                || !announced(*upstream.self_report, kind).apply(report, now))
                 continue;
             LogEvent("limit_told")
                 .kv("upstream", upstream.address)
                 .kv("identity", upstream.identity)
                 .kv("born", upstream.born)
+                .kv("of", kind == AnnouncedKind::Limit ? "calls" : "rejections")
                 .kv("limit_per_s", report.per_s)
                 .kv("ago_us", report.ago);
         }
@@ -109,7 +157,7 @@
     LimitReports later;
     if (reports.empty())
         return later;
-    for (const LimitReport& own : limit_reports(set, now))
+    for (const LimitReport& own : reports_of(set, AnnouncedKind::Limit, now))
         for (const LimitReport& report : reports)
             if (own.run == report.run && own.per_s != report.per_s)
                 later.push_back(own);
--- a/src/libserve/upstream_says.h
+++ b/src/libserve/upstream_says.h
@@ -18,6 +18,7 @@
     Micros sent = 0; ///< when the call was sent
     Micros connected = 0; ///< when its connection was established
     std::string_view call; ///< name of the call for the log
+    RatePart part = RatePart::Own; ///< that the call was sent with
 };
 
 /// Applies the reports in an upstream's answer to its state.
@@ -28,13 +29,17 @@
 void record_upstream_load(UpstreamState& upstream, const UpstreamAnswer& answer,
                           std::string_view call);
 
-/// Reports for other daemons on the limits that upstreams of the set have reported.
-LimitReports limit_reports(const UpstreamSet& set, Micros now);
+/// What an announced rate counts.
+enum class AnnouncedKind : unsigned char { Limit, Rejections };
 
-/// Applies the limit reports of another daemon.
-void receive_limit_reports(const UpstreamSet& set, const LimitReports& reports, Micros now);
+/// Reports for other daemons on rates that upstreams of the set have announced.
+LimitReports reports_of(const UpstreamSet& set, AnnouncedKind kind, Micros now);
 
-/// This daemon's reports that differ from `reports` for the same run of an upstream.
+/// Applies the reports of another daemon.
+void receive_reports(const UpstreamSet& set, AnnouncedKind kind,
+                     const LimitReports& reports, Micros now);
+
+/// This daemon's limit reports that differ from `reports` for the same run of an upstream.
 LimitReports newer_limit_reports(const UpstreamSet& set, const LimitReports& reports,
                                  Micros now);
 
