The daemon of tests injects link faults itself

Change: cypressfordd_link_faults is the daemon with the replaced socket functions linked in; nothing is preloaded. links.py takes the program from the build's testsuite folder.

--- a/testsuite/common/link_faults.cpp
+++ b/testsuite/common/link_faults.cpp
@@ -2,9 +2,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Library that a test preloads into one daemon to cut its TCP links to certain ports.  A proxy
-/// cannot do this: it sits between a port and all daemons, and it accepts connections that a cut
-/// link would never establish.
+/// Replaces socket functions in a daemon of the tests, to cut its TCP links to certain ports.  A
+/// proxy cannot do this: it sits between a port and all daemons, and it accepts connections that
+/// a cut link would never establish.
 ///
 /// The file named by LINK_FAULTS holds a mode and ports on loopback, separated by blanks, and is
 /// read again every kPollInterval.  Modes: pass; hang (nothing arrives, and connections are not
@@ -124,7 +124,7 @@
     }
 }
 
-/// Started by the first call, since threads of the daemon's own start later than the library.
+/// Called by the first connection.
 void
 start_once()
 {
--- a/testsuite/common/links.py
+++ b/testsuite/common/links.py
@@ -1,8 +1,8 @@
 # Copyright (c) 2026 The cypressford authors.
 # SPDX-License-Identifier: Apache-2.0
 
-"""Faults of the links from single daemons to all replicas, by a library that is preloaded into the
-daemons (testsuite/common/link_faults.cpp)."""
+"""Faults of the links from single daemons to all replicas, which the daemons of a test build inject
+into themselves (testsuite/common/link_faults.cpp)."""
 
 import os
 
@@ -16,7 +16,7 @@
     """The links of each node of a fixture to the fixture's replicas."""
 
     def __init__(self, build, directory, replica_addresses):
-        self.library = build / "testsuite" / "liblink_faults.so"
+        self.program = build / "testsuite" / "cypressfordd_link_faults"
         self.directory = directory
         self.replica_addresses = replica_addresses  # function
         self.modes = {}  # node -> mode
@@ -24,7 +24,7 @@
     def environment(self, node):
         """Environment of the node's daemon."""
         self.set_mode(node, self.modes.get(node, PASS))
-        return {**os.environ, "LD_PRELOAD": str(self.library), "LINK_FAULTS": str(self.path(node))}
+        return {**os.environ, "LINK_FAULTS": str(self.path(node))}
 
     def path(self, node):
         return self.directory / f"{node}.links"
