--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -65,10 +65,14 @@
     it->second.push_back(std::move(run));
 }
 
-/// A port that refuses this daemon is no evidence while the daemon's own links are reset.
+/// `state`: of the port, as this daemon sees it, which is no evidence while its links are cut.
 asio::awaitable<bool>
-EndWatch::has_ended(std::string address)
+EndWatch::has_ended(std::string address, PortState state)
 {
+    const bool may_have_ended = state == PortState::Refused
+        || (state == PortState::Unresponsive && m_kernel.is_cut_off.load());
+    if (!may_have_ended)
+        co_return false;
     const auto peers = m_kernel.tunnel_peers.load();
     TunnelPeerChoice choice;
     std::vector<std::string> asked;
@@ -86,7 +90,7 @@
             co_return false;
         is_confirmed |= answer == TunnelAnswer::UpstreamRefused;
     }
-    co_return is_confirmed || !m_kernel.is_cut_off.load(std::memory_order_relaxed);
+    co_return is_confirmed || !m_kernel.is_cut_off.load();
 }
 
 asio::awaitable<void>
@@ -97,9 +101,7 @@
     co_await timer.async_wait(kToTuple);
     const PortState state
         = co_await probe_port(m_io, address, monotonic_us() + kProbeTimeout);
-    bool ended = false;
-    if (state == PortState::Refused)
-        ended = co_await has_ended(address);
+    const bool ended = co_await has_ended(address, state);
     const std::vector<BrokenRun> broken = std::exchange(m_broken[upstream], {});
     m_broken.erase(upstream);
     LogEvent(ended ? "upstream_ended" : "upstream_not_ended", LogLevel::Warn)
--- a/src/libserve/suspects/end_watch.h
+++ b/src/libserve/suspects/end_watch.h
@@ -14,6 +14,7 @@
 #include <cypressford/suspects.h>
 
 #include "libserve/kernel.h"
+#include "libutil/http_client.h"
 
 namespace cypressford {
 
@@ -52,7 +53,7 @@
 private:
     void add(BrokenRun run);
     boost::asio::awaitable<void> check_ended(UpstreamRun upstream, std::string address);
-    boost::asio::awaitable<bool> has_ended(std::string address);
+    boost::asio::awaitable<bool> has_ended(std::string address, PortState state);
 
     boost::asio::io_context& m_io;
     const Kernel& m_kernel;
--- a/testsuite/common/links.py
+++ b/testsuite/common/links.py
@@ -36,5 +36,7 @@
         new.write_text(f"{mode} {ports}\n")
         new.rename(self.path(node))  # so that the daemon never reads half a file
 
-    def cut_nodes(self):
-        return {node for node, mode in self.modes.items() if mode != PASS}
+    def refresh(self):
+        """Applies the modes to replicas that were added."""
+        for node, mode in list(self.modes.items()):
+            self.set_mode(node, mode)
