--- a/src/include/cypressford/self_report.h
+++ b/src/include/cypressford/self_report.h
@@ -30,9 +30,9 @@
     }
 
     /// An answer announced the rate, or none; its call was sent at `sent`.  Answers may
-    /// overtake each other, so a rate holds until a call that was sent after it was received
-    /// returns none.  `connected_ms`: when the connection was set up that carried the
-    /// answer, by this daemon's wall clock; 0: unknown.  True if the rate changed.
+    /// overtake each other, so a rate holds until a call that was sent after it was
+    /// received returns none.  `connected_ms`: when the connection was set up that carried
+    /// the answer, by this daemon's wall clock; 0: unknown.  True if the rate changed.
     bool record(std::optional<double> per_s, Micros sent, Micros now,
                 std::int64_t connected_ms = 0);
     /// Applies a report of another daemon; `now` is at most kReportDelay after it was sent.
@@ -75,7 +75,7 @@
 class SelfReport {
 public:
     explicit SelfReport(std::uint64_t seed = 0,
-                        std::shared_ptr<const SharerCount> sharers = nullptr)
+                        const std::shared_ptr<const SharerCount>& sharers = nullptr)
         : m_seed(seed)
         , m_sharers(sharers)
         , m_limit(seed, sharers)
--- a/src/include/cypressford/upstream_links.h
+++ b/src/include/cypressford/upstream_links.h
@@ -48,12 +48,12 @@
 
 /// Evidence on the links between this daemon and all upstreams.  Not thread-safe.
 ///
-/// The daemon counts as cut off once direct connections to kCutThreshold different upstreams
-/// have failed and none has been established in between: a single upstream may itself be
-/// down.  Only connections count: an upstream that is slow or silent still accepts them, and
-/// in some cuts open connections stay usable while new ones are refused.  A daemon that is
-/// taken for cut off by mistake still reaches upstreams through peers, and its next tunnel
-/// triggers the probe that ends the state.
+/// The daemon counts as cut off once direct connections to kCutThreshold different
+/// upstreams have failed and none has been established in between: a single upstream may
+/// itself be down.  Only connections count: an upstream that is slow or silent still
+/// accepts them, and in some cuts open connections stay usable while new ones are refused.
+/// A daemon that is taken for cut off by mistake still reaches upstreams through peers, and
+/// its next tunnel triggers the probe that ends the state.
 class UpstreamLinks {
 public:
     static constexpr std::size_t kCutThreshold = 2;
@@ -74,14 +74,13 @@
     bool is_cut_off() const { return m_cut_at.has_value(); }
     /// Start of the cut; only valid while cut off.
     Micros cut_at() const { return m_cut_at.value_or(0); }
-    /// True if a failure of this upstream is, or would be, the one that shows the cut.
-    bool would_be_cut_off(const std::string& address, Micros now) const;
 
     /// True if a probe may start now; the next one may then start after kProbeInterval.
     bool take_probe(Micros now);
     /// True if no upstream has answered or accepted a connection since `since`.
     bool is_silent_since(Micros since) const;
-    /// Another upstream that recently accepted a direct connection and has not failed since.
+    /// Another upstream that recently accepted a direct connection and has not failed
+    /// since.
     std::optional<std::string> other_upstream(const std::string& than) const;
 
 private:
--- a/src/include/cypressford/upstream_use.h
+++ b/src/include/cypressford/upstream_use.h
@@ -21,9 +21,9 @@
 /// To be called right before the first byte of a call: since the upstream was chosen, a
 /// connection may have been opened (up to 250 ms) and answers to other threads' calls may
 /// have changed its state.  False if the upstream is leaving, in an evacuated hall or in
-/// backoff, or if its announced limit allows no call now, or if it might reject the call and
-/// may reject no more; otherwise the call is counted as sent.  Every sender of the daemon calls this, so that retries, hedges and resumed
-/// streams are counted as well.
+/// backoff, or if its announced limit allows no call now, or if it might reject the call
+/// and may reject no more; otherwise the call is counted as sent.  Every sender of the
+/// daemon calls this, so that retries, hedges and resumed streams are counted as well.
 bool begin_call(UpstreamState& upstream, CallCount count, Micros now);
 
 /// True unless the upstream is leaving, in an evacuated hall or ejected after failures.
--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -23,8 +23,8 @@
     return own > 0 ? own : set.spec.slots;
 }
 
-/// True if `in_flight` calls of this daemon, together with the parts of all others, fit into
-/// the upstream's slots.
+/// True if `in_flight` calls of this daemon, together with the parts of all others, fit
+/// into the upstream's slots.
 bool
 fits_own_slots(const UpstreamState& upstream, int in_flight)
 {
@@ -32,7 +32,8 @@
         <= upstream.self_report->own_slots(upstream.slot_count(), upstream.address_hash);
 }
 
-/// `placed`: the leader of the set, which counts the calls of all daemons, chose the upstream.
+/// `placed`: the leader of the set, which counts the calls of all daemons, chose the
+/// upstream.
 bool
 has_slot(const UpstreamState& upstream, int slots, bool placed, const CandidateQuery& query)
 {
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -222,9 +222,8 @@
 DaemonTable::own_index() const
 {
     const auto end = m_daemons.lower_bound(m_own_node);
-    return static_cast<int>(std::count_if(m_daemons.begin(), end, [&](const auto& item) {
-        return is_alive(item.second);
-    }));
+    return static_cast<int>(std::count_if(
+        m_daemons.begin(), end, [&](const auto& item) { return is_alive(item.second); }));
 }
 
 int
@@ -242,8 +241,8 @@
     TunnelPeers peers;
     for (const Known* known : candidates())
         if (known->record.node != m_own_node && !known->record.peers_address.empty())
-            peers.push_back({known->record.peers_address, known->record.hall,
-                             known->record.capacity});
+            peers.push_back(
+                {known->record.peers_address, known->record.hall, known->record.capacity});
     const auto by_address = [](const TunnelPeer& left, const TunnelPeer& right) {
         return left.address < right.address;
     };
--- a/src/libcypressford/daemon_table_test.cpp
+++ b/src/libcypressford/daemon_table_test.cpp
@@ -40,6 +40,45 @@
     CHECK(moved > 5);
 }
 
+TEST_CASE(
+    "peers for tunnels are the other daemons that live, in the order of their addresses")
+{
+    DaemonTable table("b", 5 * kSecond);
+    for (const char* node : {"d", "a", "c", "b"})
+        table.apply(daemon(node, 1), 0);
+    const auto addresses = [&table] {
+        std::string all;
+        for (const TunnelPeer& peer : table.tunnel_peers())
+            all += peer.address + " ";
+        return all;
+    };
+    CHECK(addresses() == "a:1 c:1 d:1 ");
+    const std::uint64_t revision = table.peers_revision();
+    DaemonRecord again = daemon("c", 1);
+    again.sequence += 1;
+    table.apply(again, 1);
+    CHECK(table.peers_revision() == revision);
+    again.sequence += 1;
+    again.stopping = true;
+    table.apply(again, 2);
+    CHECK(table.peers_revision() > revision);
+    CHECK(addresses() == "a:1 d:1 ");
+    table.suspect("a:1");
+    CHECK(addresses() == "d:1 ");
+}
+
+TEST_CASE("daemons that know the same records have different places among them")
+{
+    std::set<int> places;
+    for (const char* own : {"a", "b", "c", "d"}) {
+        DaemonTable table(own, 5 * kSecond);
+        for (const char* node : {"d", "a", "c", "b"})
+            table.apply(daemon(node, 1), 0);
+        places.insert(table.own_index());
+    }
+    CHECK(places == std::set<int> {0, 1, 2, 3});
+}
+
 TEST_CASE("next_leaders() lists the daemons in the order in which they take over a set")
 {
     DaemonTable table("own", 5 * kSecond);
--- a/src/libcypressford/piece_order.cpp
+++ b/src/libcypressford/piece_order.cpp
@@ -240,8 +240,8 @@
     proto::PlaceAnswer in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(ErrorKind::BadRequest, "malformed prompt placement answer");
-    return PlaceAnswer {in.identity(), in.hall(), in.counted(),
-                        read_limits(in.limits()), in.full()};
+    return PlaceAnswer {in.identity(), in.hall(), in.counted(), read_limits(in.limits()),
+                        in.full()};
 }
 
 std::string
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -245,8 +245,9 @@
             && m_reach.should_avoid(query.from, upstream->run(), upstream->hall, now);
         const Engine& engine = examine(upstream, now);
         // It would reject the prompt, and may reject only few.
-        if (upstream->self_report->rejections().is_set()
-            && engine.running >= upstream->slot_count()) {
+        const int slots = upstream->slot_count();
+        if (upstream->self_report->rejections().is_set() && slots > 0
+            && engine.running >= slots) {
             m_last_was_full = true;
             continue;
         }
@@ -300,6 +301,7 @@
     }
     if (all.empty())
         return nullptr;
+    m_last_was_full = false;
     drop_slow(all);
     const auto is_cheaper
         = [](const Choice& a, const Choice& b) { return a.cost < b.cost; };
--- a/src/libcypressford/rejections_test.cpp
+++ b/src/libcypressford/rejections_test.cpp
@@ -3,13 +3,18 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include <doctest/doctest.h>
 
+#include <cypressford/piece_order.h>
+#include <cypressford/prompt_placer.h>
 #include <cypressford/self_report.h>
 #include <cypressford/upstream_use.h>
 
+#include "test_fleet.h"
+
 using namespace cypressford;
 
 namespace {
@@ -25,7 +30,8 @@
         sharers->set_own_index(index);
         upstream = std::make_shared<UpstreamState>(
             "10.0.0.1:1", "a", "i1", 0, 0,
-            std::make_shared<SelfReport>(static_cast<std::uint64_t>(index) * 7919, sharers));
+            std::make_shared<SelfReport>(static_cast<std::uint64_t>(index) * 7919,
+                                         sharers));
     }
 
     std::shared_ptr<SharerCount> sharers;
@@ -104,6 +110,43 @@
     CHECK(rejected.size() > 2 * daemons);
 }
 
+TEST_CASE("the leader of a set places no prompt at an engine whose slots are taken")
+{
+    Fleet fleet;
+    PromptPlacer placer;
+    for (auto* engine : {fleet.ia.get(), fleet.ib.get()}) {
+        engine->slots = 2;
+        engine->self_report->record_rejection_limit(5.0, 1, kNow);
+    }
+    PromptQuery query;
+    query.tokens = 100;
+    query.reserve = true;
+    for (int i = 0; i < 4; ++i) {
+        query.attempt = std::to_string(i);
+        CHECK(placer.place(fleet.snapshot->sets[0], query, kNow));
+    }
+    query.attempt = "5";
+    CHECK_FALSE(placer.place(fleet.snapshot->sets[0], query, kNow));
+    CHECK(placer.last_was_full());
+    placer.record_ended("1");
+    CHECK(placer.place(fleet.snapshot->sets[0], query, kNow));
+    CHECK_FALSE(placer.last_was_full());
+}
+
+TEST_CASE("what daemons tell each other of rejections survives encoding")
+{
+    PlaceQuery query;
+    query.prompt.limits = {{{"i1", 5}, 2.0, 7}};
+    query.prompt.rejections = {{{"i2", 6}, 3.0, 8}};
+    const auto again = decode_place_query(encode(query));
+    CHECK(again->prompt.limits == query.prompt.limits);
+    CHECK(again->prompt.rejections == query.prompt.rejections);
+    PlaceAnswer answer;
+    CHECK_FALSE(decode_place_answer(encode(answer))->is_full);
+    answer.is_full = true;
+    CHECK(decode_place_answer(encode(answer))->is_full);
+}
+
 TEST_CASE("a call to the upstream that the leader of the set chose is not withheld")
 {
     Daemon daemon(0, 100);
--- a/src/libcypressford/shared_rate_test.cpp
+++ b/src/libcypressford/shared_rate_test.cpp
@@ -172,23 +172,28 @@
     SelfReport leader;
     SelfReport daemon;
     daemon.record_limit(3.0, 1, kSecond);
-    CHECK(leader.announced_limit().apply(*daemon.announced_limit().report(run, kSecond), kSecond));
+    CHECK(leader.announced_limit().apply(*daemon.announced_limit().report(run, kSecond),
+                                         kSecond));
     CHECK(leader.limit().per_s() == 3);
     // Another daemon finds that the limit has ended.
     SelfReport other;
     other.record_limit(3.0, 1, kSecond);
     other.record_limit({}, 2 * kSecond, 2 * kSecond + 1);
-    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 3 * kSecond), 3 * kSecond));
+    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 3 * kSecond),
+                                         3 * kSecond));
     CHECK_FALSE(leader.limit().is_set());
     // The first daemon has received nothing since.
-    CHECK_FALSE(
-        leader.announced_limit().apply(*daemon.announced_limit().report(run, 4 * kSecond), 4 * kSecond));
-    CHECK(daemon.announced_limit().apply(*leader.announced_limit().report(run, 4 * kSecond), 4 * kSecond));
+    CHECK_FALSE(leader.announced_limit().apply(
+        *daemon.announced_limit().report(run, 4 * kSecond), 4 * kSecond));
+    CHECK(daemon.announced_limit().apply(*leader.announced_limit().report(run, 4 * kSecond),
+                                         4 * kSecond));
     CHECK_FALSE(daemon.limit().is_set());
-    CHECK_FALSE(leader.announced_limit().report(run, 4 * kSecond + AnnouncedRate::kEndReportTime));
+    CHECK_FALSE(
+        leader.announced_limit().report(run, 4 * kSecond + AnnouncedRate::kEndReportTime));
     // The upstream announces a limit again.
     other.record_limit(2.0, 5 * kSecond, 5 * kSecond);
-    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 5 * kSecond), 5 * kSecond));
+    CHECK(leader.announced_limit().apply(*other.announced_limit().report(run, 5 * kSecond),
+                                         5 * kSecond));
     CHECK(leader.limit().per_s() == 2);
 }
 
--- a/src/libcypressford/upstream_links.cpp
+++ b/src/libcypressford/upstream_links.cpp
@@ -51,18 +51,6 @@
         m_cut_at = now;
 }
 
-bool
-UpstreamLinks::would_be_cut_off(const std::string& address, Micros now) const
-{
-    if (is_cut_off())
-        return true;
-    const auto counts = [&](const auto& item) {
-        return item.first != address && now - item.second <= kFailureLifetime;
-    };
-    const auto others = std::count_if(m_failed.begin(), m_failed.end(), counts);
-    return static_cast<std::size_t>(others) + 1 >= kCutThreshold;
-}
-
 bool
 UpstreamLinks::take_probe(Micros now)
 {
@@ -122,7 +110,8 @@
 TunnelPeerChoice::choose_proven(const Query& query)
 {
     std::erase_if(m_proven, [&](const std::string& address) {
-        return m_known[address].proven_until <= query.now || !find_peer(query.peers, address);
+        return m_known[address].proven_until <= query.now
+            || !find_peer(query.peers, address);
     });
     const TunnelPeer* best = nullptr;
     for (const std::string& address : m_proven) {
--- a/src/libcypressford/upstream_links_test.cpp
+++ b/src/libcypressford/upstream_links_test.cpp
@@ -33,8 +33,8 @@
     for (int i = 0; i < 10; ++i)
         links.record_failure("down", kNow + i);
     CHECK_FALSE(links.is_cut_off());
-    CHECK_FALSE(links.would_be_cut_off("down", kNow + 10));
-    CHECK(links.would_be_cut_off("other", kNow + 10));
+    links.record_failure("other", kNow + 10);
+    CHECK(links.is_cut_off());
 }
 
 TEST_CASE("failures of several upstreams show a lost link, unless one connects in between")
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -53,6 +53,8 @@
     /// This daemon has lost its links to all upstreams, as seen by the thread that last
     /// opened or lost a connection.
     std::atomic<bool> is_cut_off {false};
+    std::atomic<int> open_tunnels {0}; ///< of this daemon, through peers
+    std::atomic<int> served_tunnels {0}; ///< of peers, through this daemon
     RcuCell<TunnelPeers> tunnel_peers; ///< null until the first daemons are known
     AnswerBuffers answers; ///< unread answers, with Mechanism::UnreadBound
     std::atomic<bool> stopping {false};
--- a/src/libserve/links/tunnel_protocol.h
+++ b/src/libserve/links/tunnel_protocol.h
@@ -24,8 +24,8 @@
 /// The answer that says why no tunnel was opened.
 HttpResponse tunnel_failure(TunnelAnswer answer);
 
-/// Asks the peer to connect the socket, which is closed, to the upstream.  `deadline`: point in
-/// time.
+/// Asks the peer to connect the socket, which is closed, to the upstream.  `deadline`:
+/// point in time.
 boost::asio::awaitable<TunnelAnswer> open_tunnel(boost::asio::ip::tcp::socket& socket,
                                                  std::string peer, std::string address,
                                                  Micros deadline);
--- a/src/libserve/links/tunnel_server.cpp
+++ b/src/libserve/links/tunnel_server.cpp
@@ -45,7 +45,9 @@
     }
     const Micros began = monotonic_us();
     if (answer == TunnelAnswer::Opened) {
+        m_kernel.served_tunnels.fetch_add(1, std::memory_order_relaxed);
         co_await exchange.tunnel(std::move(upstream));
+        m_kernel.served_tunnels.fetch_sub(1, std::memory_order_relaxed);
         LogEvent("tunnel_end")
             .kv("upstream", address)
             .kv("open", m_open)
--- a/src/libserve/links/tunnel_server.h
+++ b/src/libserve/links/tunnel_server.h
@@ -12,8 +12,8 @@
 
 namespace cypressford {
 
-/// Opens connections to upstreams for daemons that are cut off from them.  It connects directly
-/// only, so that bytes pass through one daemon at most.  Lives on one thread.
+/// Opens connections to upstreams for daemons that are cut off from them.  It connects
+/// directly only, so that bytes pass through one daemon at most.  Lives on one thread.
 class TunnelServer {
 public:
     TunnelServer(boost::asio::io_context& io, Kernel& kernel, UpstreamConnector& connector)
@@ -29,8 +29,8 @@
     /// Tunnels for other daemons that are open.
     int open() const { return m_open; }
 
-    /// Each takes two descriptors and two buffers of 8 KB; nodes have 4,100 descriptors and 120
-    /// MB or more.
+    /// Each takes two descriptors and two buffers of 8 KB; nodes have 4,100 descriptors and
+    /// 120 MB or more.
     static constexpr int kMaxTunnels = 512;
     /// Time that a connection to the upstream may take.
     static constexpr Micros kConnectTimeout = 150 * kMillisecond;
--- a/src/libserve/links/upstream_connector.cpp
+++ b/src/libserve/links/upstream_connector.cpp
@@ -129,6 +129,7 @@
             .kv("answer", to_string(answer))
             .kv("us", monotonic_us() - now);
         if (answer == TunnelAnswer::Opened) {
+            m_kernel.open_tunnels.fetch_add(1, std::memory_order_relaxed);
             // The peer reaches an upstream that this daemon may reach again as well.
             begin_probe(request.address);
             co_return ConnectResult {true, peer->address, false};
@@ -156,8 +157,15 @@
     m_links.record_answer(monotonic_us());
 }
 
-/// Silence of one upstream is common; if no upstream answers, a new connection shows whether
-/// the link is the cause.
+void
+UpstreamConnector::on_closed(const std::string& via)
+{
+    m_peers.record_closed(via);
+    m_kernel.open_tunnels.fetch_sub(1, std::memory_order_relaxed);
+}
+
+/// Silence of one upstream is common; if no upstream answers, a new connection shows
+/// whether the link is the cause.
 void
 UpstreamConnector::on_silence(const std::string& address)
 {
--- a/src/libserve/links/upstream_connector.h
+++ b/src/libserve/links/upstream_connector.h
@@ -17,9 +17,9 @@
 namespace cypressford {
 
 /// Opens connections to upstreams: directly, or, while this daemon is cut off from them,
-/// through another daemon that reaches them.  Such a tunnel forwards bytes only, so admission,
-/// limits, budgets, deadlines and the number of attempts stay with this daemon, and a call that
-/// may run once is sent once.  Lives on one thread.
+/// through another daemon that reaches them.  Such a tunnel forwards bytes only, so
+/// admission, limits, budgets, deadlines and the number of attempts stay with this daemon,
+/// and a call that may run once is sent once.  Lives on one thread.
 class UpstreamConnector final : public Connector {
 public:
     UpstreamConnector(boost::asio::io_context& io, Kernel& kernel)
@@ -33,7 +33,7 @@
     bool may_reuse(const std::string& via) const override;
     void record_answer() override;
     void on_silence(const std::string& address) override;
-    void on_closed(const std::string& via) override { m_peers.record_closed(via); }
+    void on_closed(const std::string& via) override;
 
     /// Connects the socket directly; a connection shows that this daemon is not cut off.
     /// `deadline`: point in time.
@@ -45,8 +45,6 @@
     void record_failure(const std::string& address, PortState state);
 
     bool is_cut_off() const { return m_links.is_cut_off(); }
-    /// Tunnels of this daemon that are open.
-    int open_tunnels() const { return m_peers.open(); }
 
 private:
     boost::asio::awaitable<ConnectResult>
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -65,7 +65,8 @@
     publish_tunnel_peers();
 }
 
-/// The list is copied only if it may have changed: keepalives arrive several times a second.
+/// The list is copied only if it may have changed: keepalives arrive several times a
+/// second.
 void
 PeerWatch::publish_tunnel_peers()
 {
--- a/src/libserve/pieces/piece_job.h
+++ b/src/libserve/pieces/piece_job.h
@@ -16,8 +16,8 @@
 #include <cypressford/pieces.h>
 
 #include "libserve/pieces/piece_maker.h"
-#include "libutil/boot_clock.h"
 #include "libserve/upstream_says.h"
+#include "libutil/boot_clock.h"
 #include "libutil/http_client.h"
 
 namespace cypressford {
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -32,12 +32,13 @@
 /// A stage that could be held back for less than this time starts at once: about the time
 /// that the messages for one order take.
 constexpr Micros kMinHold = 20 * kMillisecond;
-/// Interval of queries for a prompt that all upstreams would reject: about the time in which
-/// one of them answers a request.
+/// Interval of queries for a prompt that all upstreams would reject: about the time in
+/// which one of them answers a request.
 constexpr std::chrono::milliseconds kAskAgainInterval {20};
 /// A request whose target latency has passed waits for this time.
 constexpr Micros kMinWaitForRoom = 200 * kMillisecond;
-/// Retry-after time of a request that found no room, and the interval over which it is spread.
+/// Retry-after time of a request that found no room, and the interval over which it is
+/// spread.
 constexpr Micros kFullRetryAfter = 250 * kMillisecond;
 constexpr Micros kFullRetrySpread = 500 * kMillisecond;
 /// Longer than any slack: no stage is held back.
@@ -405,15 +406,15 @@
     co_return *std::move(answer);
 }
 
-/// Asks again while all upstreams would reject the prompt, as long as the request can still meet
-/// its target latency.
+/// Asks again while all upstreams would reject the prompt, as long as the request can still
+/// meet its target latency.
 asio::awaitable<PlaceAnswer>
 PieceService::place_when_there_is_room(JobPtr job, std::string near,
                                        std::int64_t near_bytes)
 {
-    const Micros until = std::min(
-        job->wanted.deadline,
-        std::max(job->wanted.target_by, monotonic_us() + kMinWaitForRoom));
+    const Micros until
+        = std::min(job->wanted.deadline,
+                   std::max(job->wanted.target_by, monotonic_us() + kMinWaitForRoom));
     BootTimer timer(m_io);
     for (;;) {
         PlaceAnswer answer = co_await place(job, near, near_bytes, true);
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -75,9 +75,8 @@
     PlaceQuery place_query(const PieceJob& job) const;
     boost::asio::awaitable<PlaceAnswer> place(JobPtr job, std::string near,
                                               std::int64_t near_bytes, bool reserve);
-    boost::asio::awaitable<PlaceAnswer> place_when_there_is_room(JobPtr job,
-                                                                 std::string near,
-                                                                 std::int64_t near_bytes);
+    boost::asio::awaitable<PlaceAnswer>
+    place_when_there_is_room(JobPtr job, std::string near, std::int64_t near_bytes);
     void queue_releases(const std::vector<PieceHandle>& results);
     boost::asio::awaitable<void> send_releases(Releases releases);
     void record_wait(const PieceJob& job, const std::string& set_name, Micros wait);
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -65,7 +65,8 @@
     it->second.push_back(std::move(run));
 }
 
-/// `state`: of the port, as this daemon sees it, which is no evidence while its links are cut.
+/// `state`: of the port, as this daemon sees it, which is no evidence while its links are
+/// cut.
 asio::awaitable<bool>
 EndWatch::has_ended(std::string address, PortState state)
 {
--- a/src/libserve/suspects/end_watch.h
+++ b/src/libserve/suspects/end_watch.h
@@ -27,8 +27,8 @@
 };
 
 /// Determines whether upstreams that interrupted runs have ended or have only closed
-/// connections, by a probe of the port: an upstream that has ended refuses connections, also
-/// those of other daemons.  Lives on the control thread.
+/// connections, by a probe of the port: an upstream that has ended refuses connections,
+/// also those of other daemons.  Lives on the control thread.
 class EndWatch {
 public:
     EndWatch(boost::asio::io_context& io, const Kernel& kernel)
--- a/src/libserve/upstream_says.cpp
+++ b/src/libserve/upstream_says.cpp
@@ -30,8 +30,7 @@
 record_rejections(SelfReport& self_report, const UpstreamAnswer& answer,
                   const AnswerOrigin& origin, Micros now, std::int64_t connected_ms)
 {
-    const bool is_readable
-        = answer.rejections_per_s || !answer.rejections_unreadable;
+    const bool is_readable = answer.rejections_per_s || !answer.rejections_unreadable;
     const bool changed = is_readable
         && self_report.record_rejection_limit(answer.rejections_per_s, origin.sent, now,
                                               connected_ms);
@@ -67,8 +66,8 @@
         && self_report.record_limit(answer.limit_per_s, origin.sent, now, connected_ms);
     const bool is_new_fault
         = answer.limit_unreadable && self_report.record_unreadable_limit();
-    const bool rejections_changed = record_rejections(self_report, answer, origin, now,
-                                                      connected_ms);
+    const bool rejections_changed
+        = record_rejections(self_report, answer, origin, now, connected_ms);
     if (!answer.is_leaving && answer.backoff == 0 && !answer.backoff_unreadable
         && !limit_changed && !is_new_fault && !rejections_changed)
         return;
@@ -114,7 +113,8 @@
 {
     LimitReports reports;
     for_each_upstream(set, [&](const UpstreamState& upstream) {
-        const auto report = announced(*upstream.self_report, kind).report(upstream.run(), now);
+        const auto report
+            = announced(*upstream.self_report, kind).report(upstream.run(), now);
         if (report)
             reports.push_back(*report);
     });
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -172,8 +172,7 @@
             co_return false;
         ConnectRequest request {m_address, direct_deadline, deadline,
                                 [this] { return m_aborted; }};
-        ConnectResult result
-            = co_await m_connector->connect(m_socket, std::move(request));
+        ConnectResult result = co_await m_connector->connect(m_socket, std::move(request));
         if (!result.connected)
             co_return false;
         m_via = std::move(result.via);
@@ -282,8 +281,7 @@
 
     void report_to_connector()
     {
-        const bool waited
-            = monotonic_us() - m_exchange_began_us >= Connector::kSilenceUs;
+        const bool waited = monotonic_us() - m_exchange_began_us >= Connector::kSilenceUs;
         if (m_connector && !is_tunnel() && m_got_bytes)
             m_connector->record_answer();
         else if (is_reused_direct() && waited)
@@ -435,7 +433,8 @@
         return nullptr;
     auto& idle = it->second;
     for (std::size_t at = idle.size(); at-- > 0;) {
-        // A direct connection that may not be used during a cut stays for the time after it.
+        // A direct connection that may not be used during a cut stays for the time after
+        // it.
         if (m_connector && !m_connector->may_reuse(idle[at]->via()))
             continue;
         auto connection = std::move(idle[at]);
@@ -446,8 +445,8 @@
     return nullptr;
 }
 
-/// Closes idle tunnels that may not be used any more, so that the intermediate can stop, and
-/// connections that the remote side has closed.
+/// Closes idle tunnels that may not be used any more, so that the intermediate can stop,
+/// and connections that the remote side has closed.
 void
 HttpClient::close_unusable_idle()
 {
--- a/src/libutil/splice.h
+++ b/src/libutil/splice.h
@@ -8,8 +8,8 @@
 
 namespace cypressford {
 
-/// Forwards bytes between two connections until one of them ends, and then closes both.  Bytes
-/// that one side sent before its end are still delivered to the other.
+/// Forwards bytes between two connections until one of them ends, and then closes both.
+/// Bytes that one side sent before its end are still delivered to the other.
 boost::asio::awaitable<void> splice(boost::asio::ip::tcp::socket& left,
                                     boost::asio::ip::tcp::socket& right);
 
--- a/testsuite/common/link_faults.cpp
+++ b/testsuite/common/link_faults.cpp
@@ -2,14 +2,14 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Replaces socket functions in a daemon of the tests, to cut its TCP links to certain ports.  A
-/// proxy cannot do this: it sits between a port and all daemons, and it accepts connections that
-/// a cut link would never establish.
+/// Replaces socket functions in a daemon of the tests, to cut its TCP links to certain
+/// ports.  A proxy cannot do this: it sits between a port and all daemons, and it accepts
+/// connections that a cut link would never establish.
 ///
-/// The file named by LINK_FAULTS holds a mode and ports on loopback, separated by blanks, and is
-/// read again every kPollInterval.  Modes: pass; hang (nothing arrives, and connections are not
-/// established); reset (connections are reset, also new ones); refuse (open connections stay
-/// usable, new ones are refused).
+/// The file named by LINK_FAULTS holds a mode and ports on loopback, separated by blanks,
+/// and is read again every kPollInterval.  Modes: pass; hang (nothing arrives, and
+/// connections are not established); reset (connections are reset, also new ones); refuse
+/// (open connections stay usable, new ones are refused).
 
 #include <array>
 #include <atomic>
@@ -70,12 +70,13 @@
     s_black_hole.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof s_black_hole;
     auto* address = reinterpret_cast<sockaddr*>(&s_black_hole);
-    bind(listener, address, size);
-    listen(listener, 0);
-    getsockname(listener, address, &size);
+    if (bind(listener, address, size) != 0 || listen(listener, 0) != 0
+        || getsockname(listener, address, &size) != 0)
+        std::abort();
     constexpr int more_than_the_backlog = 3;
     for (int i = 0; i < more_than_the_backlog; ++i)
-        next<Connect>("connect")(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), address, size);
+        next<Connect>("connect")(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0), address,
+                                 size);
 }
 
 Mode
@@ -110,7 +111,7 @@
 }
 
 void
-poll_file(const std::string path)
+poll_file(const std::string& path)
 {
     for (;;) {
         std::ifstream file(path);
--- a/testsuite/wire/check.py
+++ b/testsuite/wire/check.py
@@ -22,6 +22,7 @@
                 "ClaimOutcome": "src/include/cypressford/scheduler.h"}
 #: Files with text constants that other builds or records in the store depend on.
 CONSTANTS = {"src/libserve/peers/peer_link.h": r"k\w*Path = (\"[^\"]+\")",
+             "src/libserve/links/tunnel_protocol.h": r"kTunnel\w+ = (\"[^\"]+\")",
              "src/libserve/directory/directory_feed_server.h": r"k\w*Path = (\"[^\"]+\")",
              "platform/directory.cpp": r"(\"keyed\.cypressford[^\"]+\")"}
 
