--- a/src/libserve/links/tunnel_server.cpp
+++ b/src/libserve/links/tunnel_server.cpp
@@ -45,6 +45,8 @@
     }
     const Micros began = monotonic_us();
     if (answer == TunnelAnswer::Opened) {
+        boost::system::error_code ignored;
+        upstream.set_option(tcp::no_delay(true), ignored);
         m_kernel.served_tunnels.fetch_add(1, std::memory_order_relaxed);
         co_await exchange.tunnel(std::move(upstream));
         m_kernel.served_tunnels.fetch_sub(1, std::memory_order_relaxed);
