--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -330,8 +330,8 @@
     /// The upstream with that address, or null.
     std::shared_ptr<UpstreamState> find(std::string_view address) const;
 
-    /// True if an upstream, of any identity, is known at that address.
-    bool has_address(std::string_view address) const;
+    /// Hall of the upstreams, of any identity, at that address; nothing if there are none.
+    std::optional<std::string> hall_at(std::string_view address) const;
 
     /// All upstreams known to this table.
     std::vector<std::shared_ptr<UpstreamState>> all() const;
--- a/src/include/cypressford/upstream_links.h
+++ b/src/include/cypressford/upstream_links.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -108,11 +109,15 @@
     /// Peers looked at for one choice, so that the cost does not grow with the fleet.
     static constexpr std::size_t kSampleSize = 8;
 
+    /// True for peers that may forward the bytes; empty: all may.
+    using Allowed = std::function<bool(const TunnelPeer&)>;
+
     /// The peer to ask next, none of `tried`; nothing if all are tried or avoided.
     /// `random`: uniform bits.
     std::optional<TunnelPeer> choose(const TunnelPeers& peers,
                                      std::span<const std::string> tried,
-                                     std::uint64_t random, Micros now);
+                                     std::uint64_t random, Micros now,
+                                     const Allowed& allowed = {});
 
     void record(const std::string& peer, TunnelAnswer answer, Micros now);
     void record_closed(const std::string& peer);
@@ -130,6 +135,7 @@
         std::span<const std::string> tried;
         std::uint64_t random;
         Micros now;
+        const Allowed& allowed;
     };
 
     bool may_ask(const TunnelPeer& peer, const Query& query) const;
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -364,13 +364,15 @@
     return it == m_upstreams.end() ? nullptr : it->second;
 }
 
-bool
-UpstreamTable::has_address(std::string_view address) const
+std::optional<std::string>
+UpstreamTable::hall_at(std::string_view address) const
 {
     const std::lock_guard lock(m_mutex);
     // Keys begin with the address; see key_of().
     const auto it = m_upstreams.lower_bound(address);
-    return it != m_upstreams.end() && it->second->address == address;
+    if (it == m_upstreams.end() || it->second->address != address)
+        return std::nullopt;
+    return it->second->hall;
 }
 
 std::vector<std::shared_ptr<UpstreamState>>
--- a/src/libcypressford/upstream_links.cpp
+++ b/src/libcypressford/upstream_links.cpp
@@ -90,6 +90,8 @@
 bool
 TunnelPeerChoice::may_ask(const TunnelPeer& peer, const Query& query) const
 {
+    if (query.allowed && !query.allowed(peer))
+        return false;
     const auto known = m_known.find(peer.address);
     if (known != m_known.end() && known->second.avoid_until > query.now)
         return false;
@@ -142,11 +144,11 @@
 
 std::optional<TunnelPeer>
 TunnelPeerChoice::choose(const TunnelPeers& peers, std::span<const std::string> tried,
-                         std::uint64_t random, Micros now)
+                         std::uint64_t random, Micros now, const Allowed& allowed)
 {
     if (peers.empty())
         return std::nullopt;
-    const Query query {peers, tried, random, now};
+    const Query query {peers, tried, random, now, allowed};
     const TunnelPeer* proven = choose_proven(query);
     const bool wants_another = m_proven.size() < kWantedProven && (random & 1) != 0;
     const TunnelPeer* other = !proven || wants_another ? choose_any(query) : nullptr;
--- a/src/libcypressford/upstream_links_test.cpp
+++ b/src/libcypressford/upstream_links_test.cpp
@@ -171,6 +171,20 @@
     CHECK(choice.open() == 0);
 }
 
+TEST_CASE(
+    "only peers that may forward the bytes are asked, also if others opened tunnels before")
+{
+    TunnelPeerChoice choice;
+    TunnelPeers peers = peers_of(20);
+    peers[7].hall = "b";
+    choice.record(peers[3].address, TunnelAnswer::Opened, kNow);
+    const auto allowed = [](const TunnelPeer& peer) { return peer.hall == "b"; };
+    for (std::uint64_t random = 0; random < 40; ++random)
+        CHECK(choice.choose(peers, {}, random, kNow, allowed)->address == peers[7].address);
+    const std::vector<std::string> tried {peers[7].address};
+    CHECK_FALSE(choice.choose(peers, tried, 1, kNow, allowed));
+}
+
 TEST_CASE("a peer that has left the list is not asked")
 {
     TunnelPeerChoice choice;
--- a/src/libserve/links/tunnel_server.cpp
+++ b/src/libserve/links/tunnel_server.cpp
@@ -19,7 +19,7 @@
 TunnelServer::check(const std::string& address) const
 {
     const bool is_unable = m_kernel.stopping.load() || m_connector.is_cut_off()
-        || m_open >= kMaxTunnels || !m_kernel.upstreams.has_address(address);
+        || m_open >= kMaxTunnels || !m_kernel.upstreams.hall_at(address);
     return is_unable ? TunnelAnswer::PeerUnable : TunnelAnswer::Opened;
 }
 
--- a/src/libserve/links/upstream_connector.cpp
+++ b/src/libserve/links/upstream_connector.cpp
@@ -110,10 +110,11 @@
 UpstreamConnector::connect_through_peers(tcp::socket& socket, const ConnectRequest& request)
 {
     const auto peers = m_kernel.tunnel_peers.load();
+    const auto allowed = peers_allowed_for(request.address);
     std::vector<std::string> tried;
     while (peers && tried.size() < kMaxPeersTried && !request.is_cancelled()) {
         const Micros now = monotonic_us();
-        const auto peer = m_peers.choose(*peers, tried, random_u64(), now);
+        const auto peer = m_peers.choose(*peers, tried, random_u64(), now, allowed);
         if (!peer || now >= request.deadline_us)
             break;
         tried.push_back(peer->address);
@@ -141,6 +142,24 @@
     co_return ConnectResult {};
 }
 
+/// A request that may be processed in some regions only passes through these only: its
+/// upstream is in one of them.
+TunnelPeerChoice::Allowed
+UpstreamConnector::peers_allowed_for(const std::string& address) const
+{
+    const auto& regions = m_kernel.settings.hall_regions;
+    const auto hall = m_kernel.upstreams.hall_at(address);
+    if (regions.empty() || !hall)
+        return {};
+    const auto region_of = [&regions](const std::string& of) {
+        const auto region = regions.find(of);
+        return region == regions.end() ? std::string() : region->second;
+    };
+    return [region_of, region = region_of(*hall)](const TunnelPeer& peer) {
+        return region_of(peer.hall) == region;
+    };
+}
+
 bool
 UpstreamConnector::may_reuse(const std::string& via) const
 {
--- a/src/libserve/links/upstream_connector.h
+++ b/src/libserve/links/upstream_connector.h
@@ -50,6 +50,7 @@
     boost::asio::awaitable<ConnectResult>
     connect_through_peers(boost::asio::ip::tcp::socket& socket,
                           const ConnectRequest& request);
+    TunnelPeerChoice::Allowed peers_allowed_for(const std::string& address) const;
     void record_connected(const std::string& address);
     void begin_probe(std::string address);
     boost::asio::awaitable<void> probe(std::string address);
