The connector outlives the pending calls of its worker

Cause: at the end of a process, coroutines of calls that are still open are destroyed with the io_context, after the connector; a call in a tunnel then reported the tunnel's end to a destroyed object. Found by reading while a test that failed once was looked into; no failure of it was seen. Change: the connector is declared before the io_context.

--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -43,9 +43,9 @@
 Worker::Worker(Kernel& kernel, unsigned index)
     : m_kernel(kernel)
     , m_index(index)
+    , m_connector(m_io, kernel)
     , m_scheduler(kernel.settings.scheduler, *kernel.router, *kernel.admission,
                   random_source())
-    , m_connector(m_io, kernel)
     , m_client(m_io, &m_connector)
     , m_server(
           m_io, kernel.settings.limits,
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -241,10 +241,11 @@
 
     Kernel& m_kernel;
     const unsigned m_index;
+    /// Outlives m_io, whose pending coroutines hold connections that report their end.
+    UpstreamConnector m_connector;
     boost::asio::io_context m_io {1};
     std::thread m_thread;
     Scheduler m_scheduler;
-    UpstreamConnector m_connector;
     HttpClient m_client;
     HttpServer m_server;
     std::unordered_map<RequestId, ContextPtr> m_contexts;
