--- a/testsuite/fuzz/relay_fuzz.cpp
+++ b/testsuite/fuzz/relay_fuzz.cpp
@@ -102,8 +102,8 @@
 
 /// A daemon with calls for one upstream that reports a limit.
 struct LimitedSender {
-    explicit LimitedSender(int number, std::shared_ptr<const SharerCount> sharers)
-        : report(seed_of(number), std::move(sharers))
+    explicit LimitedSender(int number, const std::shared_ptr<const SharerCount>& sharers)
+        : report(seed_of(number), sharers)
     {
         report.limit().set_has_leader(true);
     }
