Log the software version of each attempt and the attempt that a stream resumes

Cause: logs could not tell which version a stream ran at, nor which earlier attempt it continues. Change: the version of entries and the Resumes field of callers are read; attempt_end has software=, request_begin has resumes= and after_event=. An entry that changes its version is another upstream. Routing is as before. Measured: platform_formats; a version that changes under one run keeps the run's self-report.

--- a/src/include/cypressford/call_dialect.h
+++ b/src/include/cypressford/call_dialect.h
@@ -33,6 +33,8 @@
     std::optional<Micros> time_left; ///< how long the caller waits
     std::string credential;
     std::string last_event; ///< id of the event after which the stream is to resume
+    /// Id of the caller's request that brought the first event of the stream to resume.
+    std::string resumes;
     std::vector<PrefixPart> prefix;
     std::int64_t tokens_in = 0;
     std::int64_t tokens_out = 0; ///< upper bound
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -49,11 +49,13 @@
     /// `seed`: random, one per daemon.
     UpstreamState(std::string address_, std::string hall_, std::string identity_ = {},
                   std::uint64_t seed = 0, std::int64_t born_ = 0,
-                  std::shared_ptr<SelfReport> self_report_ = std::make_shared<SelfReport>())
+                  std::shared_ptr<SelfReport> self_report_ = std::make_shared<SelfReport>(),
+                  std::string version_ = {})
         : address(std::move(address_))
         , hall(std::move(hall_))
         , identity(std::move(identity_))
         , born(born_)
+        , version(std::move(version_))
         , self_report(std::move(self_report_))
         , cold(seed ^ address_hash ^ std::hash<std::string> {}(identity))
     {
@@ -63,6 +65,8 @@
     const std::string hall;
     const std::string identity; ///< empty if the platform gives none
     const std::int64_t born; ///< start time of this run; see UpstreamRun
+    /// Software version, by the platform's list; versions have no order.  Empty: not given.
+    const std::string version;
     const std::shared_ptr<SelfReport> self_report; ///< self-report of this run; never null
     const std::uint64_t address_hash = std::hash<std::string> {}(address);
 
@@ -272,6 +276,7 @@
     bool leaving = false;
     Micros cold_until = 0; ///< end of the cold period after its start
     std::int64_t born = 0; ///< start time of this run; see UpstreamRun
+    std::string version {}; ///< of its software; empty: not given
 
     bool operator==(const UpstreamMember&) const = default;
 };
@@ -339,11 +344,17 @@
 private:
     std::shared_ptr<UpstreamState> upstream(const std::string& address,
                                             const std::string& hall,
-                                            const UpstreamRun& run = {});
+                                            const UpstreamRun& run = {},
+                                            const std::string& version = {});
     std::uint32_t id_of(const std::string& name);
-    /// The key includes the run: a reused address with another identity, or a restarted
-    /// upstream, has a state of its own.
-    static std::string key_of(const std::string& address, const UpstreamRun& run);
+    /// The key includes the run and the version: a reused address with another identity, or
+    /// a restarted upstream, has a state of its own.
+    static std::string key_of(const std::string& address, const UpstreamRun& run,
+                              const std::string& version);
+    static std::string key_of(const UpstreamMember& member)
+    {
+        return key_of(member.address, {member.identity, member.born}, member.version);
+    }
     UpstreamSet resolve_set(const UpstreamSetSpec& spec);
     ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
                                       const std::map<std::string, std::size_t>& set_index);
@@ -352,7 +363,7 @@
     void add_member(UpstreamSet& set, const UpstreamMember& member);
     void remove_member(Snapshot& snapshot, const UpstreamMember& member);
     void retire_unlisted(const std::vector<UpstreamMember>& members);
-    void retire(UpstreamState& upstream);
+    void retire(UpstreamState& upstream, bool is_run_listed);
 
     bool is_evacuated(const std::string& hall) const;
 
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -90,11 +90,12 @@
 }
 
 std::string
-UpstreamTable::key_of(const std::string& address, const UpstreamRun& run)
+UpstreamTable::key_of(const std::string& address, const UpstreamRun& run,
+                      const std::string& version)
 {
     if (run.identity.empty())
         return address;
-    return address + "|" + run.identity + "|" + std::to_string(run.born);
+    return address + "|" + run.identity + "|" + std::to_string(run.born) + "|" + version;
 }
 
 namespace {
@@ -305,15 +306,15 @@
 
 std::shared_ptr<UpstreamState>
 UpstreamTable::upstream(const std::string& address, const std::string& hall,
-                        const UpstreamRun& run)
+                        const UpstreamRun& run, const std::string& version)
 {
-    auto& state = m_upstreams[key_of(address, run)];
+    auto& state = m_upstreams[key_of(address, run, version)];
     if (!state) {
         auto self_report = run.identity.empty()
             ? m_reports.make_unregistered(std::hash<std::string> {}(address))
             : m_reports.of(run);
         state = std::make_shared<UpstreamState>(address, hall, run.identity, m_seed,
-                                                run.born, std::move(self_report));
+                                                run.born, std::move(self_report), version);
         state->evacuated.store(is_evacuated(hall), std::memory_order_relaxed);
     }
     return state;
--- a/src/libcypressford/upstream_members.cpp
+++ b/src/libcypressford/upstream_members.cpp
@@ -55,7 +55,8 @@
 void
 UpstreamTable::add_member(UpstreamSet& set, const UpstreamMember& member)
 {
-    auto state = upstream(member.address, member.hall, {member.identity, member.born});
+    auto state = upstream(member.address, member.hall, {member.identity, member.born},
+                          member.version);
     state->slots.store(member.slots, std::memory_order_relaxed);
     if (member.leaving)
         state->mark_leaving();
@@ -97,13 +98,15 @@
                 add_member(*set, *change.now);
         if (!change.before)
             continue;
-        const UpstreamRun run {change.before->identity, change.before->born};
-        const bool is_listed = change.now && change.now->address == change.before->address
-            && UpstreamRun {change.now->identity, change.now->born} == run;
-        const auto known = m_upstreams.find(key_of(change.before->address, run));
+        const std::string key_before = key_of(*change.before);
+        const auto known = m_upstreams.find(key_before);
+        const bool is_listed = change.now && key_of(*change.now) == key_before;
         if (is_listed || known == m_upstreams.end())
             continue;
-        retire(*known->second);
+        const bool is_run_listed = change.now
+            && UpstreamRun {change.now->identity, change.now->born}
+                == known->second->run();
+        retire(*known->second, is_run_listed);
         m_upstreams.erase(known);
     }
     return snapshot;
@@ -114,22 +117,26 @@
 UpstreamTable::retire_unlisted(const std::vector<UpstreamMember>& members)
 {
     std::set<std::string> listed;
-    for (const UpstreamMember& member : members)
-        listed.insert(key_of(member.address, {member.identity, member.born}));
+    std::set<UpstreamRun> listed_runs;
+    for (const UpstreamMember& member : members) {
+        listed.insert(key_of(member));
+        listed_runs.insert({member.identity, member.born});
+    }
     std::erase_if(m_upstreams, [&](const auto& item) {
         const bool unlisted
             = !item.second->identity.empty() && !listed.contains(item.first);
         if (unlisted)
-            retire(*item.second);
+            retire(*item.second, listed_runs.contains(item.second->run()));
         return unlisted;
     });
 }
 
 void
-UpstreamTable::retire(UpstreamState& upstream)
+UpstreamTable::retire(UpstreamState& upstream, bool is_run_listed)
 {
     upstream.mark_leaving();
-    m_reports.unlist(upstream.run());
+    if (!is_run_listed)
+        m_reports.unlist(upstream.run());
 }
 
 } // namespace cypressford
--- a/src/libserve/relay/attempt.cpp
+++ b/src/libserve/relay/attempt.cpp
@@ -106,6 +106,7 @@
         .kv("attempt", send.attempt)
         .kv("upstream", send.upstream->address)
         .kv("identity", send.upstream->identity)
+        .kv("software", send.upstream->version)
         .kv("may_repeat", send.may_repeat)
         .kv("cold", send.upstream->cold.is_cold(started))
         .kv("limit_per_s", send.upstream->self_report->limit().per_s())
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -155,7 +155,9 @@
         .kv("version", context->spec.snapshot->bundle->version)
         .kv("generation", context->spec.snapshot->generation)
         .kv("deadline_us", context->spec.deadline - context->arrived)
-        .kv("needs_pieces", context->spec.needs_pieces());
+        .kv("needs_pieces", context->spec.needs_pieces())
+        .kv("resumes", context->relay->call.resumes)
+        .kv("after_event", context->relay->call.last_event);
     m_contexts.emplace(context->spec.id, context);
     exchange.watch([this, id = context->spec.id, weak = std::weak_ptr(context)] {
         if (const ContextPtr alive = weak.lock()) {
