New prompts leave places of a scarce software version to its streams

Cause: streams can go on at their version only; when it shrinks, new prompts, which may go anywhere, fill its engines. Change: with several versions in a set, new prompts go to engines of a version with a third of the usable upstreams or fewer only while under half of their slots are taken, as long as others have room.

--- a/src/include/cypressford/prompt_placer.h
+++ b/src/include/cypressford/prompt_placer.h
@@ -143,6 +143,7 @@
         bool is_near = false; ///< in the hall of the other inputs, if that matters
         bool is_avoided = false; ///< recently unreachable for other requests
         bool is_slow = false; ///< temporarily
+        bool is_half_full = false; ///< runs requests in half of its slots or more
     };
     std::vector<UpstreamPtr> candidates_for(const UpstreamSet& set,
                                             const PromptQuery& query, std::uint64_t key);
@@ -155,6 +156,7 @@
     void cache_part(Engine& engine, const PrefixPart& part, std::int64_t capacity);
     void evict_part(Engine& engine, std::uint64_t part);
     static void drop_avoided(std::vector<Choice>& choices);
+    static void keep_for_streams(std::vector<Choice>& choices);
     static void drop_slow(std::vector<Choice>& choices);
     static std::int64_t tokens_to_read(const Engine& engine, const PromptQuery& query);
     Engine& examine(const UpstreamPtr& upstream, Micros now);
--- a/src/libcypressford/prompt_placer.cpp
+++ b/src/libcypressford/prompt_placer.cpp
@@ -38,6 +38,9 @@
 /// fraction of the usable upstreams is left; otherwise the fault is assumed to be the
 /// reporter's.  One hall of six is enough.
 constexpr double kMinUnavoidedFraction = 0.16;
+/// A software version with at most this fraction of the usable upstreams keeps places for
+/// the streams that began at it and can go on nowhere else.
+constexpr double kScarceVersionFraction = 0.34;
 /// In a set of at most this many upstreams, all are examined.
 constexpr std::size_t kMaxExaminedWhole = 256;
 /// In a larger set, about this many upstreams that rank first for the prompt are examined.
@@ -254,12 +257,32 @@
         }
         result.push_back({upstream, cost(engine, query),
                           weight_of(*upstream, query, key) * order_factor(engine), is_near,
-                          is_avoided, is_slow(*upstream, engine, now)});
+                          is_avoided, is_slow(*upstream, engine, now),
+                          slots > 0 && 2 * engine.running >= slots});
     }
     drop_avoided(result);
+    if (!query.version && set.versions.size() > 1)
+        keep_for_streams(result);
     return result;
 }
 
+/// New prompts leave half of the slots of a scarce version to streams while others can take
+/// them.
+void
+PromptPlacer::keep_for_streams(std::vector<Choice>& choices)
+{
+    std::map<std::string_view, std::size_t> counts;
+    for (const Choice& choice : choices)
+        ++counts[choice.upstream->version];
+    const double most = kScarceVersionFraction * static_cast<double>(choices.size());
+    const auto is_kept = [&](const Choice& choice) {
+        return choice.is_half_full
+            && static_cast<double>(counts[choice.upstream->version]) <= most;
+    };
+    if (!std::all_of(choices.begin(), choices.end(), is_kept))
+        std::erase_if(choices, is_kept);
+}
+
 void
 PromptPlacer::drop_avoided(std::vector<Choice>& choices)
 {
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -11,7 +11,7 @@
 
 #include <doctest/doctest.h>
 
-#include <cypressford/scheduler.h>
+#include <cypressford/prompt_placer.h>
 
 #include "candidates.h"
 
@@ -217,6 +217,37 @@
     CHECK(missed <= 25);
 }
 
+TEST_CASE("a version that shrinks keeps places for its streams while others have room")
+{
+    constexpr int slots = 8;
+    UpstreamTable table("a");
+    std::vector<UpstreamMember> members;
+    for (int i = 0; i < 8; ++i) {
+        members.push_back(member(std::to_string(i), i < 2 ? "v1" : "v2"));
+        members.back().slots = slots;
+    }
+    const SnapshotPtr snapshot = table.build(bundle(), members);
+    PromptPlacer placer;
+    std::map<std::string, int> placed;
+    const auto place = [&](int number, std::optional<std::string> version) {
+        PromptQuery query;
+        query.attempt = "a" + std::to_string(number);
+        query.parts = {{static_cast<std::uint64_t>(number), 100}};
+        query.tokens = 100;
+        query.version = std::move(version);
+        query.reserve = true;
+        const UpstreamPtr upstream = placer.place(snapshot->sets.front(), query, kSecond);
+        REQUIRE(upstream);
+        ++placed[upstream->version];
+        return upstream;
+    };
+    for (int i = 0; i < 6 * slots; ++i)
+        place(i, std::nullopt);
+    CHECK(placed["v1"] <= slots);
+    for (int i = 0; i < slots; ++i)
+        CHECK(place(1000 + i, "v1")->version == "v1");
+}
+
 TEST_CASE("origins are carried between daemons")
 {
     StreamOriginBatch batch;
