--- a/src/include/cypressford/request_digest.h
+++ b/src/include/cypressford/request_digest.h
@@ -33,18 +33,24 @@
     auto operator<=>(const RequestDigest&) const = default;
 };
 
-/// Hash for tables: the bits of a digest are uniformly distributed already.
+/// Hash for tables: the bits of a digest are uniformly distributed already, apart from those
+/// of prompt parts, which differ in their second half.
 struct RequestDigestHash {
     std::size_t operator()(const RequestDigest& digest) const
     {
-        std::size_t value = 0;
-        std::memcpy(&value, digest.bytes.data(), sizeof value);
-        return value;
+        std::array<std::size_t, RequestDigest::kBytes / sizeof(std::size_t)> halves {};
+        std::memcpy(halves.data(), digest.bytes.data(), sizeof halves);
+        return halves[0] ^ halves[1];
     }
 };
 
 RequestDigest digest_of(const RequestParts& parts);
 
+/// Identifies a part of prompts, by its id, among the requests to one upstream set.
+RequestDigest digest_of_part(std::string_view set_name, std::uint64_t part);
+/// True for the digests that digest_of_part() makes.
+bool is_prompt_part(const RequestDigest& digest);
+
 /// The digest's bytes, as carried in messages.
 std::string to_bytes(const RequestDigest& digest);
 /// All zero if the text is not a digest.
--- a/src/libcypressford/request_digest.cpp
+++ b/src/libcypressford/request_digest.cpp
@@ -23,6 +23,40 @@
     return digest_from(std::string_view(sha256(text)).substr(0, RequestDigest::kBytes));
 }
 
+namespace {
+
+/// Digests of prompt parts begin with these bytes, followed by a hash of the set's name and
+/// the part's id.
+constexpr std::array<std::uint8_t, 4> kPartTag {'p', 'a', 'r', 't'};
+
+/// Appends the lowest `bytes` bytes of a number, the most significant first.
+std::uint8_t*
+write_number(std::uint8_t* out, std::uint64_t number, int bytes)
+{
+    constexpr int byte_bits = 8;
+    for (int i = bytes - 1; i >= 0; --i)
+        *out++ = static_cast<std::uint8_t>(number >> (i * byte_bits));
+    return out;
+}
+
+} // namespace
+
+RequestDigest
+digest_of_part(std::string_view set_name, std::uint64_t part)
+{
+    RequestDigest digest;
+    std::uint8_t* out = std::copy(kPartTag.begin(), kPartTag.end(), digest.bytes.data());
+    out = write_number(out, fast_hash(set_name), sizeof(std::uint32_t));
+    write_number(out, part, sizeof part);
+    return digest;
+}
+
+bool
+is_prompt_part(const RequestDigest& digest)
+{
+    return std::equal(kPartTag.begin(), kPartTag.end(), digest.bytes.begin());
+}
+
 std::string
 to_bytes(const RequestDigest& digest)
 {
--- a/src/libcypressford/request_digest_test.cpp
+++ b/src/libcypressford/request_digest_test.cpp
@@ -26,6 +26,22 @@
     CHECK(digest_of(all[0]) == digest_of({"POST", "h", "/a/1", "desk", "x"}));
 }
 
+TEST_CASE("prompt parts are told apart by their id and their upstream set")
+{
+    const RequestDigest part = digest_of_part("model", 0xdead);
+    CHECK(digest_of_part("model", 0xdead) == part);
+    CHECK(digest_of_part("model", 0xbeef) != part);
+    CHECK(digest_of_part("other", 0xdead) != part);
+    CHECK(is_prompt_part(part));
+    CHECK_FALSE(is_prompt_part(digest_of({"POST", "h", "/a/1", "desk", "x"})));
+    CHECK(to_text(part).ends_with("000000000000dead"));
+    CHECK(digest_from(to_bytes(part)) == part);
+    std::set<std::size_t> hashes;
+    for (std::uint64_t id = 0; id < 100; ++id)
+        hashes.insert(RequestDigestHash {}(digest_of_part("model", id)));
+    CHECK(hashes.size() == 100);
+}
+
 TEST_CASE("a digest is unchanged by a round trip through its message form")
 {
     const RequestDigest digest = digest_of({"POST", "h", "/a/1", "desk", "x"});
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -10,13 +10,16 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <thread>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include <cypressford/claims.h>
+#include <cypressford/request_digest.h>
 #include <cypressford/scheduler.h>
 #include <cypressford/session_token.h>
 
@@ -210,6 +213,9 @@
                                  const std::string& account);
     /// Records that a relayed request was answered completely.
     void record_answer(const RequestContext& context);
+    /// Parts of the prompt that the request shares with others, in its upstream set.
+    static std::vector<RequestDigest> shared_parts(const CallerCall& call,
+                                                   std::string_view set_name);
     /// Hash of a request, seeded with this worker's random seed.
     std::uint64_t hash_of(const HttpRequest& request, const CallerCall& call,
                           const std::string& account) const;
--- a/src/libserve/relay/suspicion.cpp
+++ b/src/libserve/relay/suspicion.cpp
@@ -25,8 +25,27 @@
         {request.method, call.host, request.target, account, request.body});
 }
 
+std::string
+join(const std::vector<RequestDigest>& digests)
+{
+    std::string text;
+    for (const RequestDigest& digest : digests)
+        text += (text.empty() ? "" : ",") + to_text(digest);
+    return text;
+}
+
 } // namespace
 
+/// The last part belongs to the request itself or to its session.
+std::vector<RequestDigest>
+Worker::shared_parts(const CallerCall& call, std::string_view set_name)
+{
+    std::vector<RequestDigest> parts;
+    for (std::size_t i = 0; i + 1 < call.prefix.size(); ++i)
+        parts.push_back(digest_of_part(set_name, call.prefix[i].id));
+    return parts;
+}
+
 Result<void>
 Worker::check_suspicion(const HttpRequest& request, const CallerCall& call,
                         const std::string& account)
@@ -80,6 +99,7 @@
         .kv("request", context.log_id())
         .kv("identity", send.upstream->identity)
         .kv("digest", to_text(digest))
+        .kv("parts", join(shared_parts(relay.call, context.set_name())))
         .kv("closed_there", closed_by_peer)
         .kv("leaving", leaving);
     // The end of an upstream that is leaving is planned and not caused by a request.
