Parts of prompts that end upstreams are quarantined over all daemons

What callers saw: engines ended one after the other, 46 and 40 in two series, under requests that had one part of their prompts in common; streams beside them broke off. Cause: suspects were known by the digest of the whole request, so such requests never met. Change: ends are counted by each shared part as well, by upstream set, in the same records. A part is quarantined at the fifth moment at which an upstream ended under it, if no other part was on all of these, else at the seventh; whole answers acquit, and are reported for parts from the third moment on, by few of many daemons. Ends within 100 ms are one moment, so that a rack that crashes convicts nothing. An end counts for no request if a part has more ends there.

--- a/src/cypressford/quarantine_commands.cpp
+++ b/src/cypressford/quarantine_commands.cpp
@@ -127,12 +127,20 @@
     return record;
 }
 
-/// A record of ends of upstreams that ran only this request, under identities that no
-/// upstream has.
+/// A record of ends of upstreams that ran only this request, or requests with this prompt
+/// part, under identities that no upstream has.
 SuspectRecord
 quarantine_of(const RequestDigest& digest)
 {
     SuspectRecord record;
+    if (is_prompt_part(digest)) {
+        for (int end = 1; end <= SuspectTable::kEndsOfInseparableParts; ++end)
+            record.ends.push_back({{"operator/" + to_text(digest), end},
+                                   {},
+                                   {digest},
+                                   wall_ms() + 2 * SuspectTable::kMomentMs * end});
+        return record;
+    }
     for (int end = 1; end <= SuspectTable::kEndsToQuarantine; ++end)
         record.ends.push_back({{"operator/" + to_text(digest), end}, {digest}});
     return record;
--- a/src/include/cypressford/request_digest.h
+++ b/src/include/cypressford/request_digest.h
@@ -33,8 +33,8 @@
     auto operator<=>(const RequestDigest&) const = default;
 };
 
-/// Hash for tables: the bits of a digest are uniformly distributed already, apart from those
-/// of prompt parts, which differ in their second half.
+/// Hash for tables: the bits of a digest are uniformly distributed already, apart from
+/// those of prompt parts, which differ in their second half.
 struct RequestDigestHash {
     std::size_t operator()(const RequestDigest& digest) const
     {
--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -2,13 +2,16 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Requests that were running on upstreams when these ended, as reported between daemons,
-/// and which of these requests are quarantined (sent to no upstream).  No I/O, no
-/// clock.
+/// Requests that were running on upstreams when these ended, and the parts of their
+/// prompts, as reported between daemons, and which of them are quarantined (sent to no
+/// upstream).  No I/O, no clock.
 ///
 /// A request that ends each upstream that runs it is sent again by its caller, under new
 /// ids and to any daemon: one such request ended 15 engines of a pool of 12 in 15 s.  The
 /// ends are therefore counted by the request's digest, over the reports of all daemons.
+/// A part of a prompt may do the same whatever else the request holds, so ends are counted
+/// by part as well.  Parts that are common to many requests are in all ends, too; they are
+/// acquitted by the full answers to other requests with them.
 
 #pragma once
 
@@ -33,12 +36,16 @@
 struct UpstreamEnd {
     UpstreamRun upstream;
     std::vector<RequestDigest> running;
+    /// Prompt parts that the requests share with others, each once.
+    std::vector<RequestDigest> parts {};
+    WallMs at = 0; ///< by the hybrid clock of the reporting daemon
 };
 
 /// A report of one daemon to all others.
 struct SuspectRecord {
     std::vector<UpstreamEnd> ends;
-    /// Requests that were answered in full: ends reported before no longer count for them.
+    /// Requests that were answered in full, or parts of their prompts: ends reported before
+    /// no longer count for them.
     std::vector<RequestDigest> answered;
     WallMs at = 0; ///< by its writer's clock
 };
@@ -50,7 +57,9 @@
 class SuspectView {
 public:
     struct Suspicion {
-        int ends = 0; ///< upstreams that ended under it since its last full answer
+        /// Upstreams that ended under it since its last full answer; for a prompt part, the
+        /// moments at which some did.
+        int ends = 0;
         bool quarantined = false;
     };
     using Suspicions = std::unordered_map<RequestDigest, Suspicion, RequestDigestHash>;
@@ -62,12 +71,10 @@
 
     bool empty() const { return m_suspicions.empty(); }
     std::size_t size() const { return m_suspicions.size(); }
-    /// True if a full answer to the request has to be reported.
-    bool is_suspect(const RequestDigest& digest) const
-    {
-        return m_suspicions.contains(digest);
-    }
-    /// True if the request is sent to no upstream.
+    /// True if a full answer to the request, or to one with the prompt part, has to be
+    /// reported.
+    bool is_suspect(const RequestDigest& digest) const;
+    /// True if the request, or any request with the prompt part, is sent to no upstream.
     bool is_quarantined(const RequestDigest& digest) const;
     std::size_t count_quarantined() const;
     const Suspicions& suspicions() const { return m_suspicions; }
@@ -90,6 +97,22 @@
     /// have equally many ends and always ran together can't be told apart; all of them are
     /// refused at this number.
     static constexpr int kEndsOfInseparable = 5;
+    /// Ends, at different moments, after which a prompt part is quarantined if no other
+    /// part ran at all of them.
+    static constexpr int kEndsOfPart = 5;
+    /// The same for parts that always ran together: the ones that are common to many
+    /// requests are acquitted by full answers meanwhile.  Three requests may reach
+    /// upstreams after the fifth end.
+    static constexpr int kEndsOfInseparableParts = 7;
+    /// Full answers are reported for parts with this many ends: parts of whole pipelines
+    /// are in every end, and would make every daemon report at each end.
+    static constexpr int kEndsToReportPart = 3;
+    /// Ends within this time are one moment: upstreams of a rack that crash together
+    /// convict no part that was on all of them.  Daemons detect an end within 50 ms of each
+    /// other.
+    static constexpr WallMs kMomentMs = 100;
+    /// Prompt parts in the record of one upstream's end.
+    static constexpr std::size_t kMaxParts = 128;
     /// Requests with fewer ends are not suspects: with 12 engines of which 30 in 100 crash,
     /// all requests on these have one end.
     static constexpr std::size_t kEndsToWatch = 2;
@@ -142,11 +165,14 @@
         bool is_written = false; ///< the log has it, or had it
         bool is_lost = false; ///< the log may have lost it
     };
-    /// The records that name one request.
+    using Ends = std::map<UpstreamRun, WallMs>; ///< time of each end
+    /// The records that name one request or prompt part.
     struct Suspect {
-        std::map<std::string, std::set<UpstreamRun>> ends; ///< by key of the record
+        std::map<std::string, Ends> ends; ///< by key of the record
         std::set<std::string> answered; ///< keys of records
     };
+    struct MaxEnds;
+    using MaxEndsByUpstream = std::unordered_map<UpstreamRun, MaxEnds, UpstreamRunHash>;
 
     void mark_written(Known& known);
     bool put(const std::string& key, const SuspectRecord& record, Offset at);
@@ -154,14 +180,21 @@
     void remove(const std::string& key, const SuspectRecord& record);
     void recount(const RequestDigest& digest);
     void recount(const SuspectRecord& record);
-    std::set<UpstreamRun> ends_of(const Suspect& suspect) const;
+    Ends ends_of(const Suspect& suspect) const;
+    static int count_moments(const Ends& ends);
+    static int count_ends(const RequestDigest& digest, const Ends& ends);
+    MaxEndsByUpstream max_ends(bool of_parts) const;
+    static bool is_quarantined(const Ends& ends, const MaxEndsByUpstream& requests,
+                               const MaxEndsByUpstream& parts);
+    static bool is_part_quarantined(const Ends& ends, const MaxEndsByUpstream& parts);
+    template <class F> static void for_each_digest(const UpstreamEnd& end, F&& action);
     bool has_quarantined(const SuspectRecord& record) const;
     void enforce_bounds();
 
     std::map<std::string, Known> m_records;
     std::unordered_map<RequestDigest, Suspect, RequestDigestHash> m_suspects;
     /// Ends of the requests with kEndsToWatch or more.
-    std::unordered_map<RequestDigest, std::set<UpstreamRun>, RequestDigestHash> m_watched;
+    std::unordered_map<RequestDigest, Ends, RequestDigestHash> m_watched;
     std::set<std::string> m_evicted; ///< evicted keys that may still be in the log
     std::size_t m_lost = 0; ///< records
     Offset m_unwritten = 0; ///< records added by apply_unwritten()
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -36,6 +36,9 @@
         item->set_born(end.upstream.born);
         for (const RequestDigest& digest : end.running)
             item->add_running(to_bytes(digest));
+        for (const RequestDigest& digest : end.parts)
+            item->add_parts(to_bytes(digest));
+        item->set_at_ms(end.at);
     }
     for (const RequestDigest& digest : record.answered)
         out.add_answered(to_bytes(digest));
@@ -58,6 +61,10 @@
         for (const std::string& digest : item.running())
             if (is_digest(digest) && end.running.size() < SuspectTable::kMaxRunningRequests)
                 end.running.push_back(digest_from(digest));
+        for (const std::string& digest : item.parts())
+            if (is_digest(digest) && end.parts.size() < SuspectTable::kMaxParts)
+                end.parts.push_back(digest_from(digest));
+        end.at = item.at_ms();
         record.ends.push_back(std::move(end));
     }
     for (const std::string& digest : in.answered())
@@ -68,6 +75,15 @@
 
 // --------------------------------------------------------------------- view
 
+bool
+SuspectView::is_suspect(const RequestDigest& digest) const
+{
+    const auto it = m_suspicions.find(digest);
+    if (it == m_suspicions.end())
+        return false;
+    return !is_prompt_part(digest) || it->second.ends >= SuspectTable::kEndsToReportPart;
+}
+
 bool
 SuspectView::is_quarantined(const RequestDigest& digest) const
 {
@@ -83,69 +99,128 @@
                       [](const auto& item) { return item.second.quarantined; }));
 }
 
-namespace {
-
-/// The highest number of ends among the requests that ran on one upstream when it ended.
-struct MaxEnds {
+/// The highest number of ends among the requests, or prompt parts, that ran on one upstream
+/// when it ended.
+struct SuspectTable::MaxEnds {
     std::size_t ends = 0;
-    int requests = 0; ///< that have this number of ends
+    int suspects = 0; ///< that have this number of ends
 };
 
-using MaxEndsByUpstream = std::unordered_map<UpstreamRun, MaxEnds, UpstreamRunHash>;
+SuspectTable::MaxEndsByUpstream
+SuspectTable::max_ends(bool of_parts) const
+{
+    MaxEndsByUpstream most;
+    for (const auto& [digest, ends] : m_watched) {
+        if (is_prompt_part(digest) != of_parts)
+            continue;
+        for (const auto& [upstream, at] : ends) {
+            MaxEnds& there = most[upstream];
+            if (ends.size() > there.ends)
+                there = {ends.size(), 1};
+            else if (ends.size() == there.ends)
+                ++there.suspects;
+        }
+    }
+    return most;
+}
 
+/// An end does not count for a request if another request that ran there, or a part of some
+/// prompt there, has more ends.
 bool
-is_quarantined(const std::set<UpstreamRun>& ends, const MaxEndsByUpstream& most)
+SuspectTable::is_quarantined(const Ends& ends, const MaxEndsByUpstream& requests,
+                             const MaxEndsByUpstream& parts)
 {
-    int own = 0; // ends at which no other request has more ends than this one
+    int own = 0; // ends that count for this request
     bool alone = false; // at one of these, each other request has fewer ends
-    for (const UpstreamRun& upstream : ends) {
-        const MaxEnds& there = most.at(upstream);
-        if (there.ends > ends.size())
+    for (const auto& [upstream, at] : ends) {
+        const MaxEnds& there = requests.at(upstream);
+        const auto part = parts.find(upstream);
+        const bool is_of_part = part != parts.end() && part->second.ends > ends.size();
+        if (there.ends > ends.size() || is_of_part)
             continue;
         ++own;
-        alone = alone || there.requests == 1;
+        alone = alone || there.suspects == 1;
     }
-    return own >= SuspectTable::kEndsOfInseparable
-        || (own >= SuspectTable::kEndsToQuarantine && alone);
+    return own >= kEndsOfInseparable || (own >= kEndsToQuarantine && alone);
 }
 
-} // namespace
+bool
+SuspectTable::is_part_quarantined(const Ends& ends, const MaxEndsByUpstream& parts)
+{
+    Ends own;
+    bool alone = false;
+    for (const auto& [upstream, at] : ends) {
+        const MaxEnds& there = parts.at(upstream);
+        if (there.ends > ends.size())
+            continue;
+        own.emplace(upstream, at);
+        alone = alone || there.suspects == 1;
+    }
+    const int moments = count_moments(own);
+    return moments >= kEndsOfInseparableParts || (moments >= kEndsOfPart && alone);
+}
 
 SuspectViewPtr
 SuspectTable::view() const
 {
-    MaxEndsByUpstream most;
-    for (const auto& [digest, ends] : m_watched)
-        for (const UpstreamRun& upstream : ends) {
-            MaxEnds& there = most[upstream];
-            if (ends.size() > there.ends)
-                there = {ends.size(), 1};
-            else if (ends.size() == there.ends)
-                ++there.requests;
-        }
+    const MaxEndsByUpstream requests = max_ends(false);
+    const MaxEndsByUpstream parts = max_ends(true);
     SuspectView::Suspicions suspicions;
-    for (const auto& [digest, ends] : m_watched)
-        suspicions[digest]
-            = {static_cast<int>(ends.size()), cypressford::is_quarantined(ends, most)};
+    for (const auto& [digest, ends] : m_watched) {
+        const bool quarantined = is_prompt_part(digest)
+            ? is_part_quarantined(ends, parts)
+            : is_quarantined(ends, requests, parts);
+        suspicions[digest] = {count_ends(digest, ends), quarantined};
+    }
     return std::make_shared<const SuspectView>(std::move(suspicions));
 }
 
 /// Upstreams that ended since the request was last answered in full.  Several daemons may
 /// report the same end.
-std::set<UpstreamRun>
+SuspectTable::Ends
 SuspectTable::ends_of(const Suspect& suspect) const
 {
     Offset answered_at = kBeforeAllOffsets;
     if (!mutated(Mutation::IgnoreWholeAnswers))
         for (const std::string& key : suspect.answered)
             answered_at = std::max(answered_at, m_records.at(key).at);
-    std::set<UpstreamRun> upstreams;
-    for (const auto& [key, ends] : suspect.ends)
-        if (m_records.at(key).at > answered_at)
-            upstreams.insert(ends.begin(), ends.end());
+    Ends upstreams;
+    for (const auto& [key, ends] : suspect.ends) {
+        if (m_records.at(key).at <= answered_at)
+            continue;
+        for (const auto& [upstream, at] : ends) {
+            const auto [it, is_first] = upstreams.try_emplace(upstream, at);
+            it->second = std::min(it->second, at);
+        }
+    }
     return upstreams;
 }
 
+int
+SuspectTable::count_moments(const Ends& ends)
+{
+    std::vector<WallMs> times;
+    times.reserve(ends.size());
+    for (const auto& [upstream, at] : ends)
+        times.push_back(at);
+    std::sort(times.begin(), times.end());
+    int moments = 0;
+    WallMs began = 0;
+    for (const WallMs at : times) {
+        if (moments > 0 && at - began <= kMomentMs)
+            continue;
+        ++moments;
+        began = at;
+    }
+    return moments;
+}
+
+int
+SuspectTable::count_ends(const RequestDigest& digest, const Ends& ends)
+{
+    return is_prompt_part(digest) ? count_moments(ends) : static_cast<int>(ends.size());
+}
+
 // ------------------------------------------------------------------ records
 
 bool
@@ -244,12 +319,25 @@
     return true;
 }
 
+template <class F>
+void
+SuspectTable::for_each_digest(const UpstreamEnd& end, F&& action)
+{
+    for (const auto* digests : {&end.running, &end.parts})
+        for (const RequestDigest& digest : *digests)
+            action(digest);
+}
+
 void
 SuspectTable::add(const std::string& key, const SuspectRecord& record)
 {
-    for (const UpstreamEnd& end : record.ends)
-        for (const RequestDigest& digest : end.running)
-            m_suspects[digest].ends[key].insert(end.upstream);
+    for (const UpstreamEnd& end : record.ends) {
+        // Builds without the time of each end report that of the record.
+        const WallMs at = end.at != 0 ? end.at : record.at;
+        for_each_digest(end, [&](const RequestDigest& digest) {
+            m_suspects[digest].ends[key].try_emplace(end.upstream, at);
+        });
+    }
     for (const RequestDigest& digest : record.answered)
         m_suspects[digest].answered.insert(key);
 }
@@ -258,8 +346,8 @@
 SuspectTable::remove(const std::string& key, const SuspectRecord& record)
 {
     for (const UpstreamEnd& end : record.ends)
-        for (const RequestDigest& digest : end.running)
-            m_suspects[digest].ends.erase(key);
+        for_each_digest(
+            end, [&](const RequestDigest& digest) { m_suspects[digest].ends.erase(key); });
     for (const RequestDigest& digest : record.answered)
         m_suspects[digest].answered.erase(key);
 }
@@ -268,8 +356,7 @@
 SuspectTable::recount(const SuspectRecord& record)
 {
     for (const UpstreamEnd& end : record.ends)
-        for (const RequestDigest& digest : end.running)
-            recount(digest);
+        for_each_digest(end, [this](const RequestDigest& digest) { recount(digest); });
     for (const RequestDigest& digest : record.answered)
         recount(digest);
 }
@@ -280,14 +367,14 @@
     const auto it = m_suspects.find(digest);
     if (it == m_suspects.end())
         return;
-    std::set<UpstreamRun> ends = ends_of(it->second);
+    Ends ends = ends_of(it->second);
     if (it->second.ends.empty() && it->second.answered.empty())
         m_suspects.erase(it);
-    if (ends.size() < kEndsToWatch) {
+    if (count_ends(digest, ends) < static_cast<int>(kEndsToWatch)) {
         m_revision += m_watched.erase(digest);
         return;
     }
-    std::set<UpstreamRun>& known = m_watched[digest];
+    Ends& known = m_watched[digest];
     if (ends == known)
         return;
     known = std::move(ends);
@@ -330,13 +417,16 @@
 bool
 SuspectTable::has_quarantined(const SuspectRecord& record) const
 {
-    const auto is_quarantined = [this](const RequestDigest& digest) {
+    bool found = false;
+    const auto check = [&](const RequestDigest& digest) {
         const auto it = m_watched.find(digest);
-        return it != m_watched.end() && it->second.size() >= kEndsToQuarantine;
+        const int needed = is_prompt_part(digest) ? kEndsOfPart : kEndsToQuarantine;
+        found
+            = found || (it != m_watched.end() && count_ends(digest, it->second) >= needed);
     };
-    return std::any_of(record.ends.begin(), record.ends.end(), [&](const UpstreamEnd& end) {
-        return std::any_of(end.running.begin(), end.running.end(), is_quarantined);
-    });
+    for (const UpstreamEnd& end : record.ends)
+        for_each_digest(end, check);
+    return found;
 }
 
 void
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -206,11 +206,11 @@
                                  const RequestContext& context) const;
 
     // suspicion.cpp: relayed requests suspected of ending upstreams.
-    /// Returns an error for a quarantined request, so that no upstream receives it.  If
-    /// this worker has recently recorded a complete answer to the request, it reports that
-    /// answer and returns no error.
+    /// Returns an error for a quarantined request, or one with a quarantined prompt part,
+    /// so that no upstream receives it.  If this worker has recently recorded a complete
+    /// answer to the request, it reports that answer and returns no error.
     Result<void> check_suspicion(const HttpRequest& request, const CallerCall& call,
-                                 const std::string& account);
+                                 const RequestContext& context);
     /// Records that a relayed request was answered completely.
     void record_answer(const RequestContext& context);
     /// Parts of the prompt that the request shares with others, in its upstream set.
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -197,7 +197,7 @@
         return tl::unexpected(account.error());
     spec.account = *account;
     context->account = context->resolved_account().spec.name;
-    if (auto allowed = check_suspicion(request, *call, context->account); !allowed)
+    if (auto allowed = check_suspicion(request, *call, *context); !allowed)
         return tl::unexpected(allowed.error());
     spec.halls = context->resolved().halls & context->resolved_account().halls;
     context->pipeline = of.name;
@@ -318,7 +318,7 @@
 Worker::is_quarantined(const RelayedCall& call)
 {
     const Relay& relay = call.relay();
-    return !check_suspicion(relay.request, relay.call, call.context->account);
+    return !check_suspicion(relay.request, relay.call, *call.context);
 }
 
 void
--- a/src/libserve/relay/suspicion.cpp
+++ b/src/libserve/relay/suspicion.cpp
@@ -48,11 +48,15 @@
 
 Result<void>
 Worker::check_suspicion(const HttpRequest& request, const CallerCall& call,
-                        const std::string& account)
+                        const RequestContext& context)
 {
+    const std::string& account = context.account;
     const SuspectViewPtr suspects = m_kernel.suspects.load();
     if (!suspects || suspects->empty())
         return {};
+    for (const RequestDigest& part : shared_parts(call, context.set_name()))
+        if (suspects->is_quarantined(part))
+            return fail(ErrorKind::Quarantined, to_text(part));
     const RequestDigest digest = digest_of(request, call, account);
     if (!suspects->is_quarantined(digest))
         return {};
@@ -73,6 +77,9 @@
     const RequestDigest digest = digest_of(relay.request, relay.call, context.account);
     if (suspects->is_suspect(digest))
         m_kernel.ends->record_answer(digest);
+    for (const RequestDigest& part : shared_parts(relay.call, context.set_name()))
+        if (suspects->is_suspect(part))
+            m_kernel.ends->record_answer(part);
 }
 
 std::uint64_t
@@ -94,12 +101,13 @@
 {
     const Relay& relay = *context.relay;
     const RequestDigest digest = digest_of(relay.request, relay.call, context.account);
+    std::vector<RequestDigest> parts = shared_parts(relay.call, context.set_name());
     const bool leaving = send.upstream->is_leaving(monotonic_us());
     LogEvent("run_broken")
         .kv("request", context.log_id())
         .kv("identity", send.upstream->identity)
         .kv("digest", to_text(digest))
-        .kv("parts", join(shared_parts(relay.call, context.set_name())))
+        .kv("parts", join(parts))
         .kv("closed_there", closed_by_peer)
         .kv("leaving", leaving);
     // The end of an upstream that is leaving is planned and not caused by a request.
@@ -107,7 +115,8 @@
         m_kernel.ends->record_broken_run({{send.upstream->identity, send.upstream->born},
                                           send.upstream->address,
                                           context.log_id(),
-                                          digest});
+                                          digest,
+                                          std::move(parts)});
 }
 
 } // namespace cypressford
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -4,6 +4,7 @@
 #include "libserve/suspects/end_watch.h"
 
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -115,8 +116,14 @@
         co_return;
     UpstreamEnd end;
     end.upstream = upstream;
-    for (const BrokenRun& run : broken)
+    end.at
+        = static_cast<WallMs>(HybridClock::instance().tick() >> HybridClock::kCounterBits);
+    std::set<RequestDigest> parts;
+    for (const BrokenRun& run : broken) {
         end.running.push_back(run.digest);
+        parts.insert(run.parts.begin(), run.parts.end());
+    }
+    end.parts.assign(parts.begin(), parts.end());
     m_on_end(std::move(end));
 }
 
--- a/src/libserve/suspects/end_watch.h
+++ b/src/libserve/suspects/end_watch.h
@@ -24,6 +24,7 @@
     std::string address; ///< of the upstream, "ip:port"
     std::string request; ///< id in logs
     RequestDigest digest;
+    std::vector<RequestDigest> parts; ///< of its prompt, shared with other requests
 };
 
 /// Determines whether upstreams that interrupted runs have ended or have only closed
@@ -39,7 +40,7 @@
 
     /// Called for each upstream that ended.
     void on_end(std::function<void(UpstreamEnd)> action) { m_on_end = std::move(action); }
-    /// Called for each suspect that was answered in full.
+    /// Called for each suspect request or prompt part that was answered in full.
     void on_answered(std::function<void(RequestDigest)> action)
     {
         m_on_answered = std::move(action);
--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libutil/boot_clock.h"
+#include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
 
@@ -34,12 +36,17 @@
 /// are deleted after one search.
 constexpr Micros kCleanupInterval = 10 * kSecond;
 constexpr std::size_t kMaxDeletionsPerCleanup = 20;
+/// Longest delay, in microseconds, of the report on an answered prompt part: by the number
+/// of daemons, and at most.  A third of the time after which quarantines must be in force.
+constexpr double kDelayPerDoubling = 100.0 * kMillisecond;
+constexpr double kMaxPartDelay = 1.0 * kSecond;
 
 } // namespace
 
 SuspectWriter::SuspectWriter(asio::io_context& io, const Kernel& kernel,
                              DirectoryWatch& directory)
     : m_io(io)
+    , m_kernel(kernel)
     , m_directory(directory)
     // Keys are unique in a fleet: the incarnation is drawn at random.
     , m_prefix(kernel.settings.node + "." + format_stamp(kernel.incarnation) + ".")
@@ -73,6 +80,40 @@
 
 void
 SuspectWriter::report_answered(const RequestDigest& digest)
+{
+    if (!is_prompt_part(digest))
+        write_answered(digest);
+    else if (m_parts_to_report.insert(digest).second)
+        asio::co_spawn(m_io, report_part_later(digest), asio::detached);
+}
+
+/// Many daemons answer requests with a common part.  One report is enough, so each daemon
+/// waits for a random time and reports only if no other has done so.
+asio::awaitable<void>
+SuspectWriter::report_part_later(RequestDigest part)
+{
+    co_await pause(part_delay());
+    m_parts_to_report.erase(part);
+    const SuspectViewPtr suspects = m_kernel.suspects.load();
+    if (suspects && suspects->is_suspect(part))
+        write_answered(part);
+}
+
+/// Distributed exponentially towards the longest delay, so that few of many daemons report
+/// within the time that a report takes to reach the others.
+Micros
+SuspectWriter::part_delay() const
+{
+    constexpr double range = 18446744073709551616.0; // 2^64
+    const double daemons = std::max(2, m_kernel.daemons.load());
+    const double longest = std::min(kDelayPerDoubling * std::log2(daemons), kMaxPartDelay);
+    const double uniform = (static_cast<double>(random_u64()) + 1) / range;
+    const double part = 1 + std::log(uniform) / std::log(daemons);
+    return static_cast<Micros>(longest * std::max(0.0, part));
+}
+
+void
+SuspectWriter::write_answered(const RequestDigest& digest)
 {
     SuspectOutbox::Entry& open = m_outbox.open(wall_ms());
     open.record.answered.push_back(digest);
--- a/src/libserve/suspects/suspect_writer.h
+++ b/src/libserve/suspects/suspect_writer.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <set>
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
@@ -29,6 +31,9 @@
     void report_answered(const RequestDigest& digest);
 
 private:
+    void write_answered(const RequestDigest& digest);
+    boost::asio::awaitable<void> report_part_later(RequestDigest part);
+    Micros part_delay() const;
     void begin_writing();
     boost::asio::awaitable<void> write_all();
     /// False if a call failed; the records after the failed one are then not written.
@@ -37,7 +42,9 @@
     boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
+    const Kernel& m_kernel;
     DirectoryWatch& m_directory;
+    std::set<RequestDigest> m_parts_to_report; ///< answered; waiting for their delay
     const std::string m_prefix; ///< of this daemon's keys
     SuspectOutbox m_outbox;
     bool m_writing = false; ///< write_all() is running
