Answers that end with their connection hide no end of an upstream

What callers would see: upstreams whose answers have neither a length nor chunks go on ending under a prompt part. Cause: such a stream that broke off inside an event, or before its first one, counted as read to its end; the run was retried but not reported as broken, and without any event it counted as whole and acquitted the part. Change: both are broken runs.

--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -201,6 +201,7 @@
     CallOptions options_of(RelayedCall& call);
     bool is_quarantined(const RelayedCall& call);
     void begin_relayed_stream(RelayedCall& call, const HttpResponse& head);
+    static bool is_broken_off(const RelayedCall& call, const HttpResponse& response);
     AttemptStatus take_answer(const RelayedCall& call, CallResult result);
     ForwardedCall forwarded_call(const SendAttempt& send,
                                  const RequestContext& context) const;
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -384,7 +384,8 @@
         Relay& relay = call.relay();
         const std::size_t before = relay.unsent_events.size();
         call.stream_valid = relay.events.feed(piece, relay.unsent_events);
-        if (!relay.has_events && relay.unsent_events.size() > before)
+        call.has_events = call.has_events || relay.unsent_events.size() > before;
+        if (!relay.has_events && call.has_events)
             begin_stream(call);
         on_arrived(relay, relay.unsent_events.size() - before);
         call.context->changed.cancel();
@@ -392,6 +393,16 @@
     return options;
 }
 
+/// True if a stream that arrived to its end was broken off by its upstream: inside an
+/// event, or, where only the end of the connection ends it, before the first one.
+bool
+Worker::is_broken_off(const RelayedCall& call, const HttpResponse& response)
+{
+    const bool ends_with_connection = response.headers.get("Content-Length").empty()
+        && response.headers.get("Transfer-Encoding").empty();
+    return call.relay().events.has_partial() || (ends_with_connection && !call.has_events);
+}
+
 /// Determines the status of a call that has ended, and stores the answer for the caller.
 AttemptStatus
 Worker::take_answer(const RelayedCall& call, CallResult result)
@@ -419,8 +430,10 @@
         return AttemptStatus::Lost;
     if (is_success(response.status)) {
         if (call.streams() && response.status == kFirstSuccess) {
-            const bool complete
-                = call.stream_valid && relay.head && !relay.events.has_partial();
+            const bool broken_off = is_broken_off(call, response);
+            if (broken_off)
+                record_broken_run(call.send, *call.context, true);
+            const bool complete = call.stream_valid && relay.head && !broken_off;
             return complete ? AttemptStatus::Ok : AttemptStatus::Lost;
         }
         if (!answer.is_signed || answer.is_encoded)
--- a/src/libserve/relay/relayed_call.h
+++ b/src/libserve/relay/relayed_call.h
@@ -25,6 +25,7 @@
     UpstreamAnswer answer; ///< read from the head; empty before it arrives
     HttpResponse head; ///< of a valid stream, as it is sent to the caller
     HeldBytes body; ///< of the request, until the upstream starts to answer
+    bool has_events = false; ///< a complete event has arrived with this call
     bool stream_valid = true; ///< signed, not encoded, with increasing event ids so far
 
     Relay& relay() const { return *context->relay; }
