Streams wait up to a second for an upstream of their version that rests

What callers saw (soak): streams that were taken up were refused as no_upstream while the upstreams of their version were at their limit, in backoff or ejected for a moment. Cause: only upstreams that were usable at once counted. Change: time_to_continue over the upstreams of the version; the stream waits if one is usable within 1 s and before its deadline, and is refused at once otherwise.

--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -354,20 +354,22 @@
     return upstream.version == version && (!version.empty() || !set.names_versions());
 }
 
-ContinuationCount
-count_continuing(const UpstreamSet& set, const std::string& version, Micros now,
-                 const HallLimit& halls)
+std::optional<Micros>
+time_to_continue(const UpstreamSet& set, const std::string& version, Micros now,
+                 const HallLimit& halls, RatePart part)
 {
-    ContinuationCount count;
+    std::optional<Micros> shortest;
     for (const auto* side : {&set.own, &set.remote})
         for (const auto& upstream : *side) {
             if (is_closed(*upstream, now) || !halls.allows(upstream->hall)
                 || !may_continue(set, *upstream, version))
                 continue;
-            ++count.listed;
-            count.usable += is_usable(*upstream, now) ? 1 : 0;
+            const Micros ejected = upstream->ejected_until.load(std::memory_order_relaxed);
+            const Micros usable_at = std::max(ejected, unavailable_until(*upstream, part));
+            const Micros wait = std::max<Micros>(0, usable_at - now);
+            shortest = std::min(wait, shortest.value_or(wait));
         }
-    return count;
+    return shortest;
 }
 
 int
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -6,6 +6,8 @@
 
 #pragma once
 
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -84,13 +86,12 @@
 bool may_continue(const UpstreamSet& set, const UpstreamState& upstream,
                   const std::string& version);
 
-/// Number of upstreams, in these halls, that may continue a stream of that version.
-struct ContinuationCount {
-    int listed = 0; ///< neither leaving nor in an evacuated hall
-    int usable = 0; ///< of these, those that are usable now
-};
-ContinuationCount count_continuing(const UpstreamSet& set, const std::string& version,
-                                   Micros now, const HallLimit& halls);
+/// Time until an upstream in these halls that may continue a stream of that version is
+/// usable, after an ejection, a backoff or by its limit; 0: now.  Nothing if all such
+/// upstreams are leaving or in evacuated halls, or there are none.
+std::optional<Micros> time_to_continue(const UpstreamSet& set, const std::string& version,
+                                       Micros now, const HallLimit& halls,
+                                       RatePart part = RatePart::Own);
 
 /// Upstreams of all halls that are not evacuated.
 int count_in_service(const UpstreamSet& set);
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -77,18 +77,20 @@
     return std::all_of(pipeline.sets.begin(), pipeline.sets.end(), is_usable_there);
 }
 
-/// The error for a stream that no upstream can continue now.  It does not wait: upstreams
-/// of a version that has ended may never come back.
+/// The error for a stream that no upstream can continue soon.  Upstreams of a version that
+/// has ended may never come back.
 std::optional<ErrorKind>
 Scheduler::Impl::continuation_error(const Request& request) const
 {
     if (!request.spec.version)
         return std::nullopt;
-    const ContinuationCount count
-        = count_continuing(request.set(), *request.spec.version, now, request.spec.halls);
-    if (count.listed == 0)
+    const UpstreamSet& set = request.set();
+    const RatePart part = set.spec.has_leader() ? RatePart::Granted : RatePart::Own;
+    const auto wait
+        = time_to_continue(set, *request.spec.version, now, request.spec.halls, part);
+    if (!wait)
         return ErrorKind::VersionGone;
-    if (count.usable == 0)
+    if (*wait > kMaxContinuationWait || now + *wait >= request.spec.deadline)
         return ErrorKind::NoUpstream;
     return std::nullopt;
 }
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -60,6 +60,10 @@
 /// Keeps divisions finite when no upstream is usable.
 inline constexpr double kMinDrainShare = 0.1;
 
+/// Longest time that a stream waits for an upstream of its software version that is
+/// ejected, in backoff or at its limit.
+inline constexpr Micros kMaxContinuationWait = kSecond;
+
 struct Scheduler::Impl {
     enum class TimerKind : unsigned char { Deadline, Hedge, Unresponsive };
 
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -84,17 +84,24 @@
     REQUIRE(candidates.states.size() == 2);
     for (const auto* state : candidates.states)
         CHECK((*state)->version == "v1");
-    CHECK(count_continuing(set, "v1", 0, {}).usable == 2);
-    CHECK(count_continuing(set, "v3", 0, {}).listed == 0);
+    CHECK(time_to_continue(set, "v1", 0, {}) == 0);
+    CHECK_FALSE(time_to_continue(set, "v3", 0, {}));
     // Without a version, upstreams beside versioned ones may differ from each other.
-    CHECK(count_continuing(set, "", 0, {}).listed == 0);
+    CHECK_FALSE(time_to_continue(set, "", 0, {}));
+    // Of its two upstreams, one is ejected and one asks for a rest.
+    (*candidates.states[0])->ejected_until.store(3 * kSecond);
+    (*candidates.states[1])->self_report->record_backoff(2 * kSecond);
+    CHECK(time_to_continue(set, "v1", kSecond, {}) == kSecond);
+    for (const auto* state : candidates.states)
+        (*state)->mark_leaving();
+    CHECK_FALSE(time_to_continue(set, "v1", kSecond, {}));
 }
 
 TEST_CASE("streams go on anywhere where no upstream has a version")
 {
     UpstreamTable table("a");
     const SnapshotPtr snapshot = snapshot_of(table, {"", ""});
-    CHECK(count_continuing(snapshot->sets.front(), "", 0, {}).usable == 2);
+    CHECK(time_to_continue(snapshot->sets.front(), "", 0, {}) == 0);
     const ResumeVerdict verdict = decide_resume({snapshot->sets.front(), {}, kLongest});
     CHECK(verdict.decision == ResumeDecision::Anywhere);
 }
