Estimates of slow calls expire although no later call is admitted

What callers saw (soak): one daemon refused every request of a route as deadline_unreachable for 15 s and more after all faults had ended. Cause: the 95th percentile of a few calls that had waited for a cut link was over the budget; it aged only with new samples, and there were none, since each request was refused by it. Change: estimates count for 15 s after the last sample, as long as a generation of the histogram.

--- a/src/include/cypressford/latency.h
+++ b/src/include/cypressford/latency.h
@@ -18,6 +18,10 @@
 public:
     /// A sample counts for between one and two generations.
     static constexpr Micros kGeneration = 15 * kSecond;
+    /// Without a new sample for this time nothing is known: estimates of a time at which
+    /// calls were slow would refuse all requests of a pipeline, and thereby all new
+    /// samples.
+    static constexpr Micros kLifetime = kGeneration;
     /// Minimum number of samples for quantiles and mean.
     static constexpr int kMinSamples = 8;
 
@@ -28,15 +32,15 @@
 
     void record(StageId stage, Micros service_time, Micros now);
 
-    /// Nothing while there are fewer than kMinSamples.
-    std::optional<Micros> p50(StageId stage) const;
-    std::optional<Micros> p95(StageId stage) const;
-    std::optional<Micros> mean(StageId stage) const;
+    /// Nothing while there are fewer than kMinSamples, or after kLifetime.
+    std::optional<Micros> p50(StageId stage, Micros now) const;
+    std::optional<Micros> p95(StageId stage, Micros now) const;
+    std::optional<Micros> mean(StageId stage, Micros now) const;
 
 private:
     struct Entry;
     Entry& entry(StageId stage);
-    const Entry* find(StageId stage) const;
+    const Entry* find(StageId stage, Micros now) const;
 
     std::vector<std::unique_ptr<Entry>> m_entries;
 };
--- a/src/libcypressford/latency.cpp
+++ b/src/libcypressford/latency.cpp
@@ -51,6 +51,7 @@
     Histogram current = make();
     Histogram previous = make();
     Micros started = 0;
+    Micros sampled_at = 0; ///< time of the last sample
     int samples = 0; ///< in both generations
     int current_samples = 0;
     int until_refresh = 0;
@@ -93,6 +94,7 @@
 {
     Entry& e = entry(stage);
     e.age(now);
+    e.sampled_at = now;
     const auto value = static_cast<double>(service_time);
     e.current(value);
     e.samples += 1;
@@ -104,23 +106,23 @@
 }
 
 std::optional<Micros>
-LatencyModel::p50(StageId stage) const
+LatencyModel::p50(StageId stage, Micros now) const
 {
-    const Entry* e = find(stage);
+    const Entry* e = find(stage, now);
     return e ? std::optional(e->p50) : std::nullopt;
 }
 
 std::optional<Micros>
-LatencyModel::p95(StageId stage) const
+LatencyModel::p95(StageId stage, Micros now) const
 {
-    const Entry* e = find(stage);
+    const Entry* e = find(stage, now);
     return e ? std::optional(e->p95) : std::nullopt;
 }
 
 std::optional<Micros>
-LatencyModel::mean(StageId stage) const
+LatencyModel::mean(StageId stage, Micros now) const
 {
-    const Entry* e = find(stage);
+    const Entry* e = find(stage, now);
     return e ? std::optional(static_cast<Micros>(e->sum / e->samples)) : std::nullopt;
 }
 
@@ -135,12 +137,13 @@
 }
 
 const LatencyModel::Entry*
-LatencyModel::find(StageId stage) const
+LatencyModel::find(StageId stage, Micros now) const
 {
     if (stage >= m_entries.size() || !m_entries[stage])
         return nullptr;
     const Entry& e = *m_entries[stage];
-    return e.samples >= kMinSamples ? &e : nullptr;
+    const bool is_current = now - e.sampled_at < kLifetime;
+    return e.samples >= kMinSamples && is_current ? &e : nullptr;
 }
 
 } // namespace cypressford
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -190,7 +190,7 @@
     const ResolvedPipeline& pipeline = request.pipeline();
     if (pipeline.spec.relayed && pipeline.spec.stream)
         return pipeline.state->first_byte.load(std::memory_order_relaxed);
-    return model.p50(pipeline.stage_ids[at]).value_or(0);
+    return model.p50(pipeline.stage_ids[at], now).value_or(0);
 }
 
 StageEstimate
@@ -199,7 +199,7 @@
     const StageId id = request.pipeline().stage_ids[at];
     StageEstimate result;
     result.typical = typical_time(request, at);
-    result.tail = std::max(result.typical, model.p95(id).value_or(result.typical));
+    result.tail = std::max(result.typical, model.p95(id, now).value_or(result.typical));
     const StageQueue::Capacity& capacity = capacity_of(request, at);
     result.usable = capacity.usable;
     const StageQueue& queue = queue_of(request.set_of(at).id);
@@ -278,7 +278,7 @@
                     generation,
                     count_usable(set, then, {}, part),
                     share_of_slots(set, {options.daemons_in_hall, daemons},
-                                   model.mean(request.pipeline().stage_ids[at])
+                                   model.mean(request.pipeline().stage_ids[at], now)
                                        .value_or(typical_time(request, at)),
                                    then),
                     backoff,
@@ -292,7 +292,7 @@
 {
     const ResolvedPipeline& pipeline = request.pipeline();
     for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at) {
-        const Micros work = model.mean(pipeline.stage_ids[at]).value_or(0);
+        const Micros work = model.mean(pipeline.stage_ids[at], now).value_or(0);
         request.committed.at(at) = work;
         StageQueue& queue = queue_of(request.set_of(at).id);
         queue.committed.at(priority_index(request)) += work;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -257,7 +257,7 @@
 Scheduler::Impl::attempt_deadline(const Request& request) const
 {
     const Micros last = request.spec.deadline;
-    const auto tail = model.p95(request.pipeline().stage_ids[request.stage]);
+    const auto tail = model.p95(request.pipeline().stage_ids[request.stage], now);
     // The duration of a relayed stream depends on its text; its rate is monitored instead.
     const bool is_stream = request.is_relayed() && request.pipeline().spec.stream;
     if (!request.stage_spec().repeatable || is_stream || !tail || !admission.drops_late())
@@ -269,7 +269,7 @@
 Scheduler::Impl::arm_hedge_timer(const Request& request, AttemptId attempt)
 {
     const StageSpec& stage = request.stage_spec();
-    const auto tail = model.p95(request.pipeline().stage_ids[request.stage]);
+    const auto tail = model.p95(request.pipeline().stage_ids[request.stage], now);
     const bool may_hedge = options.hedging && admission.queues_in_daemon()
         && stage.repeatable && stage.kind != StageKind::Generate
         && request.running.size() == 1 && tail;
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -68,7 +68,8 @@
     if (status != AttemptStatus::Lost || it == entries.end()
         || now < it->second->request.spec.deadline)
         return true;
-    const auto tail = model.p95(it->second->request.pipeline().stage_ids[attempt.stage]);
+    const auto tail
+        = model.p95(it->second->request.pipeline().stage_ids[attempt.stage], now);
     return !tail || now - attempt.sent_at > 2 * *tail;
 }
 
