--- a/testsuite/fuzz/relay_upstreams.cpp
+++ b/testsuite/fuzz/relay_upstreams.cpp
@@ -129,6 +129,19 @@
     }
 }
 
+/// Some streams send their first event; the stream then goes on at the same version only.
+void
+RelayWorld::begin_stream(RequestId request, AttemptId id, std::size_t number)
+{
+    const auto it = m_attempts.find({request % kSchedulers, id});
+    if (number % 2 == 0 || it == m_attempts.end() || it->second.cancelled)
+        return;
+    std::optional<std::string>& version = m_requests.at(request).version;
+    if (!version)
+        version = it->second.upstream->version;
+    handle(request, StreamBegan {id});
+}
+
 /// The call respects the reports of the upstream's present run, whichever thread received
 /// them, the operators' evacuations and the platform's list.
 void
--- a/testsuite/fuzz/relay_world.cpp
+++ b/testsuite/fuzz/relay_world.cpp
@@ -409,19 +409,6 @@
     begin_stream(request, id, number);
 }
 
-/// Some streams send their first event; the stream then goes on at the same version only.
-void
-RelayWorld::begin_stream(RequestId request, AttemptId id, std::size_t number)
-{
-    const auto it = m_attempts.find({request % kSchedulers, id});
-    if (number % 2 == 0 || it == m_attempts.end() || it->second.cancelled)
-        return;
-    std::optional<std::string>& version = m_requests.at(request).version;
-    if (!version)
-        version = it->second.upstream->version;
-    handle(request, StreamBegan {id});
-}
-
 void
 RelayWorld::end_attempt(std::size_t number, AttemptStatus status)
 {
