Streams of the only version go on while the store is away

What callers would see: a stream whose note is lost was refused while the store was away, on every daemon, although the set has had one version only. Cause: only a daemon whose directory was current counted as knowing all versions. Change: two other daemons that have seen the same make up for that; a version that no daemon can learn of begins no stream.

--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -129,6 +129,7 @@
 struct StreamHistory {
     std::optional<StreamOrigin> origin;
     std::optional<SoleVersion> sole; ///< of the set, as far as it is agreed
+    std::size_t witnesses = 0; ///< other daemons that were asked and agree
 };
 
 struct ResumeQuery {
@@ -138,6 +139,10 @@
     Micros longest_stream = 0;
     bool is_directory_current = false; ///< upstreams that started lately are known here
     Micros now = 0;
+
+    /// Other daemons that make up for a directory that is not current.  While the log is
+    /// away for all, no daemon learns of a new version, and none begins a stream there.
+    static constexpr std::size_t kNeededWitnesses = 2;
 };
 
 ResumeVerdict decide_resume(const ResumeQuery& query);
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -196,8 +196,10 @@
     if (!query.set.names_versions())
         return {ResumeDecision::Anywhere, {}};
     const std::optional<SoleVersion>& sole = query.history.sole;
-    const bool is_sole = sole && query.is_directory_current
-        && query.now - sole->since >= query.longest_stream;
+    const bool is_known_to_all = query.is_directory_current
+        || query.history.witnesses >= ResumeQuery::kNeededWitnesses;
+    const bool is_sole
+        = sole && is_known_to_all && query.now - sole->since >= query.longest_stream;
     if (!is_sole)
         return {ResumeDecision::Unknown, {}};
     return {ResumeDecision::AtVersion, sole->version};
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -141,6 +141,11 @@
     CHECK(decide(one).decision == ResumeDecision::AtVersion);
     CHECK(decide(one).version == "v1");
     CHECK(decide(one, false).decision == ResumeDecision::Unknown);
+    // The log is away; others that were asked have seen the same.
+    history.witnesses = ResumeQuery::kNeededWitnesses - 1;
+    CHECK(decide(one, false).decision == ResumeDecision::Unknown);
+    history.witnesses = ResumeQuery::kNeededWitnesses;
+    CHECK(decide(one, false).decision == ResumeDecision::AtVersion);
     history = {StreamOrigin {"model", "v2"}, std::nullopt};
     CHECK(decide(two).version == "v2");
     CHECK(decide(two, false).decision == ResumeDecision::AtVersion);
--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -60,6 +60,7 @@
         .kv("resumes", began_as)
         .kv("after_event", context->relay->call.last_event)
         .kv("origin_known", history.origin.has_value())
+        .kv("witnesses", history.witnesses)
         .kv("decision", to_string(verdict.decision))
         .kv("software", verdict.version)
         .kv("us", now - context->arrived);
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -169,7 +169,8 @@
         co_await inquiry->changed.async_wait(kToTuple);
     if (inquiry->found)
         m_origins.record(request, *inquiry->found, false, monotonic_us());
-    co_return StreamHistory {inquiry->found, agreed_version(inquiry->seen)};
+    co_return StreamHistory {inquiry->found, agreed_version(inquiry->seen),
+                             inquiry->seen.size() - 1};
 }
 
 asio::awaitable<void>
