One look-up of the request of an attempt; plainer words

Cause: two handlers of the scheduler held the same nine lines; two comments told what had been before.

--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -44,8 +44,8 @@
 /// A report of one daemon to all others.
 struct SuspectRecord {
     std::vector<UpstreamEnd> ends;
-    /// Requests that were answered in full, or parts of their prompts: ends reported before
-    /// no longer count for them.
+    /// Requests that were answered in full, or parts of their prompts: only ends reported
+    /// afterwards count for them.
     std::vector<RequestDigest> answered;
     WallMs at = 0; ///< by its writer's clock
 };
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -144,13 +144,10 @@
 void
 Scheduler::Impl::on(const InputsRead& event)
 {
-    const auto attempt = attempts.find(event.attempt);
-    if (attempt == attempts.end())
+    Request* const found = request_of(event.attempt);
+    if (!found)
         return;
-    const auto entry = entries.find(attempt->second.request);
-    if (entry == entries.end())
-        return;
-    Request& request = entry->second->request;
+    Request& request = *found;
     if (request.preparation != PreparationState::Made || !request.spec.needs_pieces()
         || !options.switches.uses(Mechanism::EarlyRelease))
         return;
@@ -162,15 +159,20 @@
 void
 Scheduler::Impl::on(const StreamBegan& event)
 {
-    const auto attempt = attempts.find(event.attempt);
-    if (attempt == attempts.end())
-        return;
-    const auto entry = entries.find(attempt->second.request);
-    if (entry == entries.end())
-        return;
-    std::optional<std::string>& version = entry->second->request.spec.version;
-    if (!version)
-        version = attempt->second.upstream->version;
+    Request* const request = request_of(event.attempt);
+    if (request && !request->spec.version)
+        request->spec.version = attempts.at(event.attempt).upstream->version;
+}
+
+/// The request of an attempt that has not ended; null if the request was dropped.
+Request*
+Scheduler::Impl::request_of(AttemptId attempt)
+{
+    const auto at = attempts.find(attempt);
+    if (at == attempts.end())
+        return nullptr;
+    const auto entry = entries.find(at->second.request);
+    return entry == entries.end() ? nullptr : &entry->second->request;
 }
 
 /// Without an answer, a caller whose connection closes when the process exits has neither
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -214,6 +214,7 @@
     void on(const InputsRead& event);
     void on(const StreamBegan& event);
     void on(const ShutdownImminent& event);
+    Request* request_of(AttemptId attempt);
     void on(const Tick& event);
 
     AdmissionVerdict check_admission(const Request& request);
--- a/src/libserve/streams/stream_origins.h
+++ b/src/libserve/streams/stream_origins.h
@@ -35,7 +35,7 @@
 
     /// A stream of this daemon began.  Any thread may call this.
     void record(std::string request, StreamOrigin origin);
-    /// The upstreams of a set are no longer all of one version.  Any thread may call this.
+    /// From now on the upstreams of a set differ in version.  Any thread may call this.
     void on_versions_differ(std::string set_name);
     /// What is known of a stream of that set here and at the daemons that keep its origin.
     /// May be awaited on any thread.
