Streams of callers that name no request go on where there is one version

What callers saw: for twice a route's deadline after all daemons had started, streams taken up without Resumes were refused as version_unknown, on fleets that have never had a second version. Cause: the time since which a version was the only one was asked of callers, too, whose streams no note can name. Change: without a named request the present upstreams decide; with several versions the stream is refused as before.

--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -52,9 +52,11 @@
     const Micros now = monotonic_us();
     const bool is_current = now - m_kernel.directory_as_of.load(std::memory_order_relaxed)
         <= m_kernel.settings.max_change_delay;
-    const ResumeVerdict verdict = decide_resume(
-        {set, history, kLongestStreamFactor * context->resolved().spec.deadline, is_current,
-         now});
+    // Nothing can be learned of the stream of a caller that names no request.  Where the
+    // present upstreams are all of one version, it goes on as it would without versions.
+    const Micros longest
+        = began_as.empty() ? 0 : kLongestStreamFactor * context->resolved().spec.deadline;
+    const ResumeVerdict verdict = decide_resume({set, history, longest, is_current, now});
     LogEvent("stream_resumed")
         .kv("request", context->log_id())
         .kv("resumes", began_as)
