--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -248,7 +248,7 @@
         query.tokens = 100;
         query.version = std::move(version);
         query.reserve = true;
-        const UpstreamPtr upstream = placer.place(snapshot->sets.front(), query, kSecond);
+        UpstreamPtr upstream = placer.place(snapshot->sets.front(), query, kSecond);
         REQUIRE(upstream);
         ++placed[upstream->version];
         return upstream;
