A part of repeated requests is not convicted for an end of another part's requests

Cause: of each request two ends count for a part. An end is taken for that of the request with the most ends there, and those were counted over all upstreams. A request with the deadly part had as many ends as the repeated one that it once ran beside, so the fifth end counted for the sound part. Change: the request that ran at most of this part's ends is taken for the cause. Parts with too few moments are passed over before requests are compared.

--- a/src/libcypressford/prompt_part_test.cpp
+++ b/src/libcypressford/prompt_part_test.cpp
@@ -96,6 +96,34 @@
     CHECK(table.view()->is_quarantined(part(1)));
 }
 
+TEST_CASE("ends of a repeated request are told from those of a part on the same upstreams")
+{
+    SuspectTable table;
+    int number = 0;
+    const auto add
+        = [&](std::vector<RequestDigest> running, std::vector<RequestDigest> parts) {
+              SuspectRecord record = end_under(number, std::move(parts), number * 200);
+              record.ends.front().running = std::move(running);
+              table.apply(std::to_string(number), record, number);
+              ++number;
+          };
+    // Two repeated requests have part 1.  Request 2 has part 2, which ends upstreams, and
+    // ran beside one of them once.
+    for (int i = 0; i < 3; ++i)
+        add({digest(0)}, {part(1)});
+    add({digest(0), digest(2)}, {part(1), part(2)});
+    for (int i = 0; i < 7; ++i)
+        add({digest(1)}, {part(1)});
+    for (int i = 0; i < 4; ++i)
+        add({digest(2)}, {part(2)});
+    for (int i = 0; i < 3; ++i)
+        add({digest(10 + i)}, {part(2)});
+    CHECK(table.view()->is_quarantined(part(2)));
+    CHECK_FALSE(table.view()->is_quarantined(part(1)));
+    CHECK(table.view()->is_quarantined(digest(0)));
+    CHECK(table.view()->is_quarantined(digest(1)));
+}
+
 TEST_CASE("upstreams that end at one moment convict no part that was on them")
 {
     SuspectTable table;
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -155,20 +155,28 @@
 }
 
 /// The ends without those beyond kCountedEndsOfRequest of the same request.  Where several
-/// requests ran, the one with the most ends is taken for the cause.
+/// requests ran, the one that ran at most of these ends is taken for the cause: others may
+/// have more ends, under parts of their own.
 SuspectTable::Ends
 SuspectTable::without_repeated(const Ends& ends, const RequestsByUpstream& requests) const
 {
-    Ends counted;
-    std::unordered_map<RequestDigest, int, RequestDigestHash> counts;
-    const auto has_fewer = [this](const RequestDigest& a, const RequestDigest& b) {
-        return m_watched.at(a).size() < m_watched.at(b).size();
+    using Counts = std::unordered_map<RequestDigest, int, RequestDigestHash>;
+    Counts shared;
+    for (const auto& [upstream, at] : ends)
+        if (const auto there = requests.find(upstream); there != requests.end())
+            for (const RequestDigest& request : there->second)
+                ++shared[request];
+    const auto is_less_likely = [&](const RequestDigest& a, const RequestDigest& b) {
+        return std::tuple(shared.at(a), m_watched.at(a).size(), a.bytes)
+            < std::tuple(shared.at(b), m_watched.at(b).size(), b.bytes);
     };
+    Ends counted;
+    Counts counts;
     for (const auto& [upstream, at] : ends) {
         const auto there = requests.find(upstream);
         const bool repeats = there != requests.end()
             && ++counts[*std::max_element(there->second.begin(), there->second.end(),
-                                          has_fewer)]
+                                          is_less_likely)]
                 > kCountedEndsOfRequest;
         if (!repeats)
             counted.emplace(upstream, at);
@@ -189,6 +197,8 @@
         own.emplace(upstream, at);
         alone = alone || there.suspects == 1;
     }
+    if (count_moments(own) < kEndsOfPart)
+        return false;
     const int moments = count_moments(without_repeated(own, requests));
     return moments >= kEndsOfInseparableParts || (moments >= kEndsOfPart && alone);
 }
