Tests keep the logs of a cluster when they fail

Cause: the folder of the test demo was deleted with the log that would have told why a daemon did not exit. Change: a cluster's folder stays, and is printed, when its test ends with an error or, for demo, with a bad result.

--- a/testsuite/common/cluster.py
+++ b/testsuite/common/cluster.py
@@ -106,14 +106,16 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, error, *_):
         for process in self.processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        if not self.keep:
+        if self.keep or error is not None:
+            print(f"logs: {self.dir}")
+        else:
             shutil.rmtree(self.dir, ignore_errors=True)
 
     def address(self):
--- a/testsuite/demo/run.py
+++ b/testsuite/demo/run.py
@@ -41,6 +41,7 @@
         stopped = cluster.processes["n2"].wait(timeout=40)
         if stopped != 0:
             print(f"n2 exited with code {stopped}")
+        cluster.keep = bool(load.returncode or stopped)
         return load.returncode or stopped
 
 
