Split the tests of retries from those of relayed requests

Change: the fixture is in relay_fixture.h, the tests of retries are in relay_retry_test.cpp; nothing else is changed.

--- /dev/null
+++ b/src/libcypressford/relay_retry_test.cpp
@@ -0,0 +1,182 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Guards against retries of relayed requests that run a request twice, exceed the limits
+/// of retries, or give up too early.
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "relay_fixture.h"
+
+namespace cypressford {
+namespace {
+
+TEST_CASE("a request that is proven not to have run is sent to another upstream")
+{
+    for (const AttemptStatus status :
+         {AttemptStatus::NotSent, AttemptStatus::Overloaded, AttemptStatus::Leaving}) {
+        RelayFixture fixture;
+        fixture.publish(pipeline(false));
+        fixture.arrive(1, kSecond);
+        const auto first = *fixture.find<SendAttempt>();
+        fixture.handle(AttemptEnded {first.attempt, status});
+        const auto* second = fixture.find<SendAttempt>();
+        REQUIRE(second);
+        CHECK(second->upstream != first.upstream);
+    }
+}
+
+TEST_CASE("a repeatable request is retried at most as often as its pipeline allows")
+{
+    PipelineSpec spec = pipeline(true);
+    spec.max_attempts = 2;
+    RelayFixture fixture;
+    fixture.publish(spec);
+    fixture.arrive(1, kSecond);
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    REQUIRE(fixture.find<SendAttempt>());
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Failed});
+    CHECK_FALSE(fixture.find<SendAttempt>());
+    CHECK(*fixture.find<Reply>()->error == ErrorKind::UpstreamFailed);
+}
+
+TEST_CASE("an unreachable upstream is reported to the leader that chose it")
+{
+    const auto begin = [](RelayFixture& fixture, Micros deadline) {
+        PipelineSpec spec = pipeline(true);
+        spec.stages[0].kind = StageKind::Generate;
+        fixture.publish(spec);
+        fixture.arrive(1, deadline, {}, true);
+        fixture.handle(PreparationEnded {1, true, "a", "i2"});
+        REQUIRE(fixture.find<SendAttempt>());
+        REQUIRE(fixture.find<SendAttempt>()->upstream->identity == "i2");
+    };
+    RelayFixture fixture;
+    begin(fixture, 10 * kSecond);
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    CHECK(fixture.find<ReportUnreachable>());
+    // The second upstream was chosen by the router.
+    const auto* second = fixture.find<SendAttempt>();
+    REQUIRE(second);
+    CHECK(second->upstream->identity == "i1");
+    fixture.handle(AttemptEnded {second->attempt, AttemptStatus::NotSent});
+    CHECK_FALSE(fixture.find<ReportUnreachable>());
+
+    RelayFixture refused;
+    begin(refused, 10 * kSecond);
+    refused.handle(
+        AttemptEnded {refused.find<SendAttempt>()->attempt, AttemptStatus::Overloaded});
+    CHECK_FALSE(refused.find<ReportUnreachable>());
+
+    // With too little time left to connect, a failure is no evidence of unreachability.
+    RelayFixture late;
+    begin(late, 100 * kMillisecond);
+    late.handle(AttemptEnded {late.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    CHECK_FALSE(late.find<ReportUnreachable>());
+
+    RelayFixture unresponsive;
+    begin(unresponsive, 20 * kSecond);
+    unresponsive.now = 10 * kSecond;
+    unresponsive.handle(Tick {});
+    CHECK(unresponsive.find<ReportUnreachable>());
+}
+
+TEST_CASE("only attempts that reached an upstream are charged to the retry budget")
+{
+    SchedulerOptions options;
+    options.retry_ratio = 0;
+    options.retry_burst = 0;
+    RelayFixture fixture(options);
+    fixture.publish(pipeline(true));
+    fixture.arrive(1, kSecond);
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    REQUIRE(fixture.find<SendAttempt>());
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Overloaded});
+    CHECK_FALSE(fixture.find<SendAttempt>());
+    REQUIRE(fixture.find<Reply>());
+    CHECK(fixture.find<Reply>()->ran == Ran::NotRun);
+}
+
+/// Counts events in a sliding window.
+class Window {
+public:
+    void add(int at) { m_times.push_back(at); }
+    int count(int now, int length)
+    {
+        while (!m_times.empty() && m_times.front() <= now - length)
+            m_times.pop_front();
+        return static_cast<int>(m_times.size());
+    }
+
+private:
+    std::deque<int> m_times;
+};
+
+TEST_CASE(
+    "retries of all daemons stay under the limit, also while many daemons are restarted")
+{
+    constexpr int daemons = 9;
+    constexpr int window = 10'000; // ms
+    RetryLimit limit;
+    limit.ratio = 0.2;
+    limit.extra = 58;
+    for (unsigned seed = 1; seed <= 30; ++seed) {
+        std::mt19937 random(seed);
+        const auto fresh = [&] {
+            return RetryBudget(RetryLimit::kForRetries * limit.ratio,
+                               limit.burst(RetryLimit::kForRetries, daemons),
+                               limit.initial_tokens(daemons));
+        };
+        std::vector<RetryBudget> budgets(daemons, fresh());
+        Window first;
+        Window again;
+        const int rate = 1 + static_cast<int>(random() % 40); // ms between requests
+        int worst = 0;
+        for (int now = 0; now < 60'000; ++now) {
+            if (now % rate == 0) {
+                RetryBudget& budget = budgets[random() % daemons];
+                budget.earn();
+                first.add(now);
+                // Every attempt fails and is retried as often as the budget allows.
+                while (budget.spend())
+                    again.add(now);
+            }
+            if (random() % 2000 == 0)
+                for (RetryBudget& budget : budgets)
+                    if (random() % 2 == 0)
+                        budget = fresh();
+            const double allowed = limit.ratio * first.count(now, window) + limit.extra;
+            worst = std::max(worst, static_cast<int>(again.count(now, window) - allowed));
+        }
+        CHECK(worst <= 0);
+    }
+}
+
+TEST_CASE("a daemon's share of the retry limit shrinks when daemons are added")
+{
+    RetryLimit limit;
+    limit.ratio = 0.2;
+    limit.extra = 58;
+    CHECK(limit.burst(RetryLimit::kForRetries, 1) > 30);
+    CHECK(limit.burst(RetryLimit::kForRetries, 9) < 4);
+    CHECK(limit.burst(RetryLimit::kForRetries, 700) == 1);
+    RetryBudget budget(0.1, 30, 30);
+    budget.set_burst(2);
+    CHECK(budget.spend());
+    CHECK(budget.spend());
+    CHECK_FALSE(budget.spend());
+}
+
+} // namespace
+} // namespace cypressford
