Streams pause between attempts that reach no upstream of their version

Cause: an upstream that refuses connections stays in service while it is half of what is left, and attempts that were never sent follow each other at once, seven of them. Change: a stream that is bound to a version waits for 150 ms before it tries the same upstreams again. Requests that may run anywhere are as before. Evidence: relay_retry_test; "a stream waits for the only upstream ..." fails on the code before.

--- a/src/libcypressford/relay_fixture.h
+++ b/src/libcypressford/relay_fixture.h
@@ -3,7 +3,10 @@
 
 #pragma once
 
+#include <array>
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,8 +26,10 @@
     {
     }
 
-    /// A bundle with one relayed pipeline.
-    void publish(PipelineSpec pipeline, bool with_pieces = false)
+    /// A bundle with one relayed pipeline.  `versions`: software versions of its two
+    /// upstreams.
+    void publish(PipelineSpec pipeline, const std::array<std::string, 2>& versions,
+                 bool with_pieces = false)
     {
         Bundle bundle;
         bundle.name = "b";
@@ -46,14 +51,21 @@
         if (with_pieces)
             pipeline.piece_stages.push_back({"pool", {}, 100});
         bundle.pipelines.push_back(pipeline);
-        snapshot = m_table.build(bundle,
-                                 {{"i1", "set", "10.0.0.1:1", "a", 0, false},
-                                  {"i2", "set", "10.0.0.2:1", "a", 0, false},
-                                  {"s1", "pool", "10.0.0.3:1", "a", 0, false}});
+        snapshot
+            = m_table.build(bundle,
+                            {{"i1", "set", "10.0.0.1:1", "a", 0, false, 0, 0, versions[0]},
+                             {"i2", "set", "10.0.0.2:1", "a", 0, false, 0, 0, versions[1]},
+                             {"s1", "pool", "10.0.0.3:1", "a", 0, false}});
+    }
+
+    void publish(PipelineSpec pipeline, bool with_pieces = false)
+    {
+        publish(std::move(pipeline), {}, with_pieces);
     }
 
+    /// `version`: of the stream that the request continues, if it does.
     void arrive(RequestId id, Micros deadline, std::vector<int> pieces = {},
-                bool asks_leader = false)
+                bool asks_leader = false, std::optional<std::string> version = std::nullopt)
     {
         RequestSpec spec;
         spec.id = id;
@@ -62,6 +74,7 @@
         spec.deadline = deadline;
         spec.pieces = std::move(pieces);
         spec.asks_leader = asks_leader;
+        spec.version = std::move(version);
         handle(RequestArrived {std::move(spec)});
     }
 
--- a/src/libcypressford/relay_retry_test.cpp
+++ b/src/libcypressford/relay_retry_test.cpp
@@ -108,6 +108,76 @@
     CHECK(fixture.find<Reply>()->ran == Ran::NotRun);
 }
 
+/// Continues a stream at the first upstream, the only one of its software version.  The
+/// second one is ejected, so that the first stays in service whatever happens.
+void
+begin_continuation(RelayFixture& fixture)
+{
+    PipelineSpec spec = pipeline(true);
+    spec.stream = true;
+    fixture.publish(spec, {"v1", "v2"});
+    for (const UpstreamSet& set : fixture.snapshot->sets)
+        for (const auto& upstream : set.own)
+            if (upstream->identity == "i2")
+                upstream->ejected_until.store(10 * kSecond);
+    fixture.arrive(1, 3 * kSecond, {}, false, "v1");
+    REQUIRE(fixture.find<SendAttempt>());
+    REQUIRE(fixture.find<SendAttempt>()->upstream->identity == "i1");
+}
+
+TEST_CASE("a stream waits for the only upstream of its version that refuses connections")
+{
+    RelayFixture fixture;
+    begin_continuation(fixture);
+    // The upstream accepts connections again after 0.4 s.
+    while (fixture.now < 400 * kMillisecond) {
+        while (const auto* send = fixture.find<SendAttempt>())
+            fixture.handle(AttemptEnded {send->attempt, AttemptStatus::NotSent});
+        REQUIRE_FALSE(fixture.find<Reply>());
+        fixture.now += kMillisecond;
+        fixture.handle(Tick {});
+    }
+    while (!fixture.find<SendAttempt>() && fixture.now < kSecond) {
+        fixture.now += kMillisecond;
+        fixture.handle(Tick {});
+    }
+    const auto* send = fixture.find<SendAttempt>();
+    REQUIRE(send);
+    CHECK(send->upstream->identity == "i1");
+    fixture.handle(AttemptEnded {send->attempt, AttemptStatus::Ok});
+    CHECK_FALSE(fixture.find<Reply>()->error);
+}
+
+TEST_CASE("a stream whose version accepts no connection is refused within a second")
+{
+    RelayFixture fixture;
+    begin_continuation(fixture);
+    int attempts = 0;
+    while (!fixture.find<Reply>() && fixture.now < 2 * kSecond) {
+        if (const auto* send = fixture.find<SendAttempt>()) {
+            ++attempts;
+            fixture.handle(AttemptEnded {send->attempt, AttemptStatus::NotSent});
+            continue;
+        }
+        fixture.now += kMillisecond;
+        fixture.handle(Tick {});
+    }
+    REQUIRE(fixture.find<Reply>());
+    CHECK(fixture.find<Reply>()->ran == Ran::NotRun);
+    CHECK(attempts > 1);
+    CHECK(fixture.now <= kSecond);
+}
+
+TEST_CASE("a request that may run at any version does not wait between unreached attempts")
+{
+    RelayFixture fixture;
+    fixture.publish(pipeline(true), {"v1", "v2"});
+    fixture.arrive(1, 3 * kSecond);
+    while (const auto* send = fixture.find<SendAttempt>())
+        fixture.handle(AttemptEnded {send->attempt, AttemptStatus::NotSent});
+    CHECK(fixture.find<Reply>());
+}
+
 /// Counts events in a sliding window.
 class Window {
 public:
--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -56,6 +56,7 @@
     int attempts_of_stage = 0;
     int unreached = 0; ///< attempts of the current stage that were never sent
     bool last_unreached = false; ///< the last attempt was never sent
+    Micros unreached_at = 0; ///< when such an attempt last ended
     ErrorKind last_failure = ErrorKind::UpstreamFailed;
     Micros retry_after = 0; ///< sent to the caller if the request is refused; 0: unknown
     std::vector<AttemptId> running; ///< attempts in flight, without cancelled ones
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -52,6 +52,11 @@
 inline constexpr Micros kMaxConnectTime = 250 * kMillisecond;
 /// Attempts of one stage that may fail to reach an upstream before the stage fails.
 inline constexpr int kMaxUnreached = 6;
+/// Time between the end of an attempt that failed to reach an upstream and the next one,
+/// for streams whose version has no other upstream: a process that restarts refuses
+/// connections for some 0.4 s, and kMaxUnreached attempts without a pause took a
+/// millisecond.
+inline constexpr Micros kUnreachedPause = 150 * kMillisecond;
 /// Send slots of rate-limited upstreams come at uneven intervals: the wait is estimated as
 /// this multiple of the mean.
 inline constexpr double kPacedWaitFactor = 1.5;
@@ -243,6 +248,7 @@
     bool try_start(Entry& entry);
     bool has_share_left(const Request& request);
     bool choose_upstream(const Request& request);
+    bool pauses_before_retry(const Request& request) const;
     BeginPreparation begin_preparation(const Request& request);
     void send(Request& request);
     Micros attempt_deadline(const Request& request) const;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -130,6 +130,14 @@
     return running < kMinConcurrentCalls || running < kShareSlack * share;
 }
 
+/// True for a stream that failed a moment ago to reach the last upstream of its version.
+bool
+Scheduler::Impl::pauses_before_retry(const Request& request) const
+{
+    return request.spec.version && request.last_unreached
+        && now - request.unreached_at < kUnreachedPause;
+}
+
 /// Stores the choice in `chosen`, and in `chosen_is_counted` whether the leader of the set
 /// has counted the call.
 bool
@@ -162,6 +170,8 @@
         query.halls = &request.spec.halls;
     collect_candidates(set, query, candidates);
     if (candidates.empty() && !request.tried.empty()) {
+        if (pauses_before_retry(request))
+            return false;
         query.tried = {};
         collect_candidates(set, query, candidates);
     }
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -99,6 +99,7 @@
     request.last_unreached = unreached;
     if (request.last_unreached) {
         ++request.unreached;
+        request.unreached_at = now;
         --request.attempts_of_stage;
     }
     if (status == AttemptStatus::InputGone)
