--- a/src/libcypressford/prompt_part_test.cpp
+++ b/src/libcypressford/prompt_part_test.cpp
@@ -16,21 +16,11 @@
 
 #include <doctest/doctest.h>
 
+#include "suspect_fixture.h"
+
 namespace cypressford {
 namespace {
 
-RequestDigest
-digest(int number)
-{
-    return digest_of({"POST", "h", "/" + std::to_string(number), "desk", "x"});
-}
-
-SuspectRecord
-answer_to(const RequestDigest& request)
-{
-    return {{}, {request}, 0};
-}
-
 RequestDigest
 part(int number)
 {
@@ -163,7 +153,6 @@
 public:
     static constexpr int kEngines = 12;
     static constexpr int kStep = 10; ///< ms
-    static constexpr int kPropagationDelay = 500; ///< ms
     static constexpr int kRestartTime = 3000; ///< ms
     static constexpr int kRunTime = 1200; ///< ms
     static constexpr int kDeadly = 99; ///< number of the part
@@ -191,7 +180,7 @@
                 arrive(kDeadly);
             for (Engine& engine : m_engines)
                 finish_runs(engine);
-            propagate();
+            m_in_transit.deliver(m_table, m_now);
             for (int subject = 0; subject < kSubjects; ++subject)
                 convicted += m_table.view()->is_quarantined(part(subject)) ? 1 : 0;
             convicted += m_table.view()->is_quarantined(part(kCommon)) ? 1 : 0;
@@ -246,9 +235,8 @@
             parts.clear();
         engine.runs.clear();
         const std::string name = "e" + std::to_string(engine.number);
-        m_in_transit.push_back(
-            {m_now + kPropagationDelay,
-             {{{{name, engine.born}, running, parts, m_now}}, {}, m_now}});
+        m_in_transit.write({{{{name, engine.born}, running, parts, m_now}}, {}, m_now},
+                           m_now);
         ++engine.born;
         engine.restarted_at = m_now + kRestartTime;
     }
@@ -267,19 +255,7 @@
                 return false;
             for (const RequestDigest& answered : {part(kCommon), part(run.subject)})
                 if (m_table.view()->is_suspect(answered))
-                    m_in_transit.push_back(
-                        {m_now + kPropagationDelay, answer_to(answered)});
-            return true;
-        });
-    }
-
-    void propagate()
-    {
-        std::erase_if(m_in_transit, [&](const auto& item) {
-            if (item.first > m_now)
-                return false;
-            m_table.apply("r" + std::to_string(m_written), item.second, m_written);
-            ++m_written;
+                    m_in_transit.write(answer_to(answered), m_now);
             return true;
         });
     }
@@ -296,10 +272,9 @@
     int m_now = 0;
     int m_fifth_at = 0;
     int m_made = 0;
-    Offset m_written = 0;
     SuspectTable m_table;
     std::array<Engine, kEngines> m_engines = engines();
-    std::vector<std::pair<int, SuspectRecord>> m_in_transit;
+    RecordsInTransit m_in_transit;
 };
 
 TEST_CASE("a prompt part that ends engines is found out, and no harmless part is convicted")
--- a/src/libcypressford/suspects_test.cpp
+++ b/src/libcypressford/suspects_test.cpp
@@ -12,17 +12,12 @@
 
 #include <cypressford/directory_view.h>
 
+#include "suspect_fixture.h"
 #include "text_dialect.h"
 
 namespace cypressford {
 namespace {
 
-RequestDigest
-digest(int number)
-{
-    return digest_of({"POST", "h", "/" + std::to_string(number), "desk", "x"});
-}
-
 SuspectRecord
 end_of(const std::string& upstream, std::vector<RequestDigest> running,
        std::int64_t born = 1, WallMs at = 0)
@@ -30,12 +25,6 @@
     return {{{{upstream, born}, std::move(running)}}, {}, at};
 }
 
-SuspectRecord
-answer_to(const RequestDigest& request)
-{
-    return {{}, {request}, 0};
-}
-
 TEST_CASE(
     "a request under which three upstreams ended is refused, whichever daemons report")
 {
@@ -265,12 +254,11 @@
 
 /// Simulates engines under load, some of which crash by themselves, and a request that ends
 /// each engine that runs it and is sent again.  Steps of 10 ms; reports reach all daemons
-/// after `kPropagationDelay`.
+/// after `RecordsInTransit::kDelay`.
 class Load {
 public:
     static constexpr int kEngines = 12;
     static constexpr int kStep = 10; ///< ms
-    static constexpr int kPropagationDelay = 500; ///< ms
     static constexpr int kRestartTime = 3000; ///< ms
     static constexpr int kRunTime = 1000; ///< ms, of a harmless request
 
@@ -300,7 +288,7 @@
                 arrive(digest(0), true);
             for (int engine = 0; engine < kEngines; ++engine)
                 finish_runs(engine);
-            propagate();
+            m_in_transit.deliver(m_table, m_now);
         }
     }
 
@@ -349,9 +337,8 @@
         running.reserve(cut.size());
         for (const Run& run : cut)
             running.push_back(run.digest);
-        m_in_transit.push_back(
-            {m_now + kPropagationDelay,
-             end_of("e" + std::to_string(number), running, engine.born)});
+        m_in_transit.write(end_of("e" + std::to_string(number), running, engine.born),
+                           m_now);
         ++engine.born;
         engine.restarted_at = m_now + kRestartTime;
         // Callers retry once.
@@ -375,18 +362,7 @@
             if (run.ends_at > m_now)
                 return false;
             if (m_table.view()->is_suspect(run.digest))
-                m_in_transit.push_back({m_now + kPropagationDelay, answer_to(run.digest)});
-            return true;
-        });
-    }
-
-    void propagate()
-    {
-        std::erase_if(m_in_transit, [&](const auto& item) {
-            if (item.first > m_now)
-                return false;
-            m_table.apply("r" + std::to_string(m_written), item.second, m_written);
-            ++m_written;
+                m_in_transit.write(answer_to(run.digest), m_now);
             return true;
         });
     }
@@ -394,10 +370,9 @@
     std::mt19937 m_random;
     const bool m_quarantines;
     int m_now = 0;
-    Offset m_written = 0;
     SuspectTable m_table;
     std::array<Engine, kEngines> m_engines;
-    std::vector<std::pair<int, SuspectRecord>> m_in_transit;
+    RecordsInTransit m_in_transit;
 };
 
 /// A request that ends its engine arrives once a second amid 46 others a second, and
