The release of a request covers the parts of its prompt

Cause: the release takes the request's ends away, as a whole answer does, but the ends of its parts stayed, and no request explained them any more. Ruled out: counting released ends as explained; a request that is often answered would then hide a part that ends upstreams. Change: the operator's record names the parts that were at all ends of the request, too.

--- a/src/cypressford/quarantine_commands.cpp
+++ b/src/cypressford/quarantine_commands.cpp
@@ -117,14 +117,15 @@
     return kExitOk;
 }
 
-/// A record of a complete answer to the request: daemons send the request to upstreams
-/// again, until three more ends of upstreams quarantine it again.
-SuspectRecord
-release_of(const RequestDigest& digest)
+/// Until three more ends of upstreams quarantine the request again, daemons send it to
+/// upstreams.
+Result<void>
+release(SuspectLog& log, const RequestDigest& digest)
 {
-    SuspectRecord record;
-    record.answered.push_back(digest);
-    return record;
+    const auto table = log.read_all();
+    if (!table)
+        return tl::unexpected(table.error());
+    return log.append(table->release_of(digest));
 }
 
 /// A record of ends of upstreams that ran only this request, or requests with this prompt
@@ -146,8 +147,15 @@
     return record;
 }
 
+Result<void>
+add(SuspectLog& log, const RequestDigest& digest)
+{
+    return log.append(quarantine_of(digest));
+}
+
 int
-append(const std::string& text, SuspectRecord (*record_of)(const RequestDigest&),
+change(const std::string& text,
+       Result<void> (*change_of)(SuspectLog&, const RequestDigest&),
        const CommandOptions& options)
 {
     const std::string bytes = from_hex(text);
@@ -156,7 +164,8 @@
                   << "' is not a request digest; see the event run_broken in the logs\n";
         return kExitUsage;
     }
-    const auto done = SuspectLog(options.platform).append(record_of(digest_from(bytes)));
+    SuspectLog log(options.platform);
+    const auto done = change_of(log, digest_from(bytes));
     if (!done)
         return report_unavailable(done.error());
     std::cout << text << ": recorded\n";
@@ -173,9 +182,9 @@
     if (verb == "list" && count == 1)
         return list(options);
     if (verb == "release" && count == 2)
-        return append(arguments[1], release_of, options);
+        return change(arguments[1], release, options);
     if (verb == "add" && count == 2)
-        return append(arguments[1], quarantine_of, options);
+        return change(arguments[1], add, options);
     std::cerr << "usage: cypressford quarantine list|release|add ...\n";
     return kExitUsage;
 }
--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -157,6 +157,11 @@
     /// deleted from the log.
     std::vector<std::string> outdated(WallMs now, std::size_t most) const;
 
+    /// The record with which an operator releases a request or prompt part: it counts as
+    /// answered in full, and so do the parts that were at all ends of the request.  Without
+    /// its own ends the request no longer explains those of its parts.
+    SuspectRecord release_of(const RequestDigest& digest) const;
+
     SuspectViewPtr view() const;
     /// Number of changes of the result of view().
     std::uint64_t revision() const { return m_revision; }
--- a/src/libcypressford/prompt_part_test.cpp
+++ b/src/libcypressford/prompt_part_test.cpp
@@ -114,6 +114,28 @@
     CHECK(table.view()->is_quarantined(digest(1)));
 }
 
+TEST_CASE("the release of a request does not convict a part of its prompt")
+{
+    SuspectTable table;
+    int number = 0;
+    for (; number < 8; ++number) {
+        SuspectRecord record
+            = end_under(number, {part(1), part(10 + number)}, number * 200);
+        record.ends.front().running = {digest(0), digest(20 + number)};
+        table.apply(std::to_string(number), record, number);
+    }
+    // An operator has added the request, too.
+    table.apply("operator.1", {{{{"operator/x", 1}, {digest(0)}}}, {}, 0}, number++);
+    CHECK(table.view()->is_quarantined(digest(0)));
+    CHECK(table.view()->count_quarantined() == 1);
+    table.apply("operator.2", table.release_of(digest(0)), number++);
+    CHECK(table.view()->count_quarantined() == 0);
+    CHECK_FALSE(table.view()->is_suspect(part(1)));
+    // Parts of other requests on these upstreams are not released.
+    CHECK(table.release_of(digest(0)).answered == std::vector {digest(0), part(1)});
+    CHECK(table.release_of(part(1)).answered == std::vector {part(1)});
+}
+
 TEST_CASE("upstreams that end at one moment convict no part that was on them")
 {
     SuspectTable table;
--- a/src/libcypressford/suspects.cpp
+++ b/src/libcypressford/suspects.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -273,6 +275,31 @@
     return is_prompt_part(digest) ? count_moments(ends) : static_cast<int>(ends.size());
 }
 
+/// Ends that name no parts were added by operators or reported by earlier builds.
+SuspectRecord
+SuspectTable::release_of(const RequestDigest& digest) const
+{
+    std::optional<std::set<RequestDigest>> shared;
+    for (const auto& [key, known] : m_records)
+        for (const UpstreamEnd& end : known.record.ends) {
+            const bool ran_there = std::find(end.running.begin(), end.running.end(), digest)
+                != end.running.end();
+            if (!ran_there || end.parts.empty())
+                continue;
+            const std::set<RequestDigest> parts(end.parts.begin(), end.parts.end());
+            if (!shared)
+                shared = parts;
+            else
+                std::erase_if(*shared,
+                              [&](const auto& part) { return !parts.contains(part); });
+        }
+    SuspectRecord release;
+    release.answered.push_back(digest);
+    if (shared)
+        release.answered.insert(release.answered.end(), shared->begin(), shared->end());
+    return release;
+}
+
 // ------------------------------------------------------------------ records
 
 bool
