A daemon exits although an exchange of a peer waits for its answer

What was seen: the test demo once failed, a daemon had not exited 45 s after SIGTERM (stop limit 30 s). Cause: gRPC's server waits, after the deadline of its shutdown too, for each exchange that has reached it. The control thread answers these, and its loop has ended by then, so one that comes in during the last milliseconds holds the process for ever. That the play of demo was this is suspected: its log was deleted.

--- a/src/libserve/hall/peer_transport.cpp
+++ b/src/libserve/hall/peer_transport.cpp
@@ -4,9 +4,11 @@
 #include "libserve/hall/peer_transport.h"
 
 #include <chrono>
+#include <cstdint>
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <sstream>
 
 #include <grpcpp/grpcpp.h>
@@ -33,6 +35,57 @@
     return text.str();
 }
 
+/// Exchanges of peers that wait for their answers.  gRPC's server ends only after all of
+/// them, whatever the deadline of its shutdown; the thread that would answer them may have
+/// ended before.
+class OpenExchanges {
+public:
+    /// Number for answer(); nothing once closed.
+    std::optional<std::uint64_t> add(grpc::ServerUnaryReactor* reactor,
+                                     proto::PeerState* response)
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closed)
+            return std::nullopt;
+        m_open.emplace(++m_last, Exchange {reactor, response});
+        return m_last;
+    }
+
+    /// Without effect if the exchange has ended.
+    void answer(std::uint64_t number, const proto::PeerState& state)
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_open.find(number);
+        if (it == m_open.end())
+            return;
+        *it->second.response = state;
+        it->second.reactor->Finish(grpc::Status::OK);
+        m_open.erase(it);
+    }
+
+    void close()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed = true;
+        for (const auto& [number, exchange] : m_open)
+            exchange.reactor->Finish(stopping());
+        m_open.clear();
+    }
+
+    static grpc::Status stopping() { return {grpc::StatusCode::UNAVAILABLE, "stopping"}; }
+
+private:
+    struct Exchange {
+        grpc::ServerUnaryReactor* reactor = nullptr;
+        proto::PeerState* response = nullptr;
+    };
+
+    std::mutex m_mutex;
+    std::map<std::uint64_t, Exchange> m_open;
+    std::uint64_t m_last = 0;
+    bool m_closed = false;
+};
+
 class PeerServer final : public proto::Peer::CallbackService {
 public:
     explicit PeerServer(PeerTransport::Handler handler)
@@ -45,15 +98,23 @@
                                        proto::PeerState* response) override
     {
         auto* reactor = context->DefaultReactor();
-        m_handler(*request, [reactor, response](const proto::PeerState& state) {
-            *response = state;
-            reactor->Finish(grpc::Status::OK);
-        });
+        if (const auto number = m_exchanges->add(reactor, response))
+            m_handler(
+                *request,
+                [exchanges = m_exchanges, number = *number](const proto::PeerState& state) {
+                    exchanges->answer(number, state);
+                });
+        else
+            reactor->Finish(OpenExchanges::stopping());
         return reactor;
     }
 
+    void close() { m_exchanges->close(); }
+
 private:
     PeerTransport::Handler m_handler;
+    /// Shared with the answers, which may outlive the server.
+    std::shared_ptr<OpenExchanges> m_exchanges = std::make_shared<OpenExchanges>();
 };
 
 /// State of a call in progress.
@@ -115,6 +176,7 @@
 
 PeerTransport::~PeerTransport()
 {
+    m_impl->service.close();
     if (m_impl->server)
         m_impl->server->Shutdown(std::chrono::system_clock::now() + kExchangeTimeout);
 }
