--- a/src/include/cypressford/suspects.h
+++ b/src/include/cypressford/suspects.h
@@ -159,7 +159,7 @@
 
     /// The record with which an operator releases a request or prompt part: it counts as
     /// answered in full, and so do the parts that were at all ends of the request.  Without
-    /// its own ends the request no longer explains those of its parts.
+    /// its own ends the request does not explain those of its parts.
     SuspectRecord release_of(const RequestDigest& digest) const;
 
     SuspectViewPtr view() const;
