A version of the configuration costs what it changes

What callers saw: on weak nodes, a change of one time-out among thousands of routes came into force seconds after the first daemon; meanwhile requests ran under the old time-out, longer than the new one and 0.5 s, and the threads that serve requests had half of the processor. Cause: each version was decoded, checked, resolved and indexed whole. Change: the text of the routes is cut without being parsed; a route whose text is known shares its pipeline with the version before. Only new pipelines are checked and resolved, under numbers that stay; the indexes by path and by name are hash tables of shared parts, of which a change copies one. A part proportional to all routes is left (hashes of their texts, pointers).

--- a/src/bench/bench_directory.cpp
+++ b/src/bench/bench_directory.cpp
@@ -57,7 +57,7 @@
 make_single_set_bundle()
 {
     const TextDialect dialect;
-    return *dialect.decode_configuration({"config", "1"});
+    return *dialect.decode_configuration({"config", "1"}, nullptr);
 }
 
 /// Builds an object and reports its memory in bytes, in total and per upstream.
--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -8,12 +8,16 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <boost/iterator/indirect_iterator.hpp>
+
 #include <cypressford/error.h>
 
 namespace cypressford {
@@ -79,6 +83,52 @@
     bool repeatable() const;
 };
 
+using PipelineSpecPtr = std::shared_ptr<const PipelineSpec>;
+
+/// The pipelines of a bundle, in order.  Bundles share the pipelines that they have in
+/// common, so that a new version costs what it changes.
+class PipelineList {
+public:
+    using Items = std::vector<PipelineSpecPtr>;
+    using const_iterator = boost::indirect_iterator<Items::const_iterator>;
+
+    PipelineList() = default;
+    PipelineList(std::initializer_list<PipelineSpec> specs)
+    {
+        for (const PipelineSpec& spec : specs)
+            push_back(spec);
+    }
+
+    void push_back(PipelineSpec spec)
+    {
+        m_items.push_back(std::make_shared<const PipelineSpec>(std::move(spec)));
+    }
+    void push_back(PipelineSpecPtr spec) { m_items.push_back(std::move(spec)); }
+    void replace(std::size_t at, PipelineSpec spec)
+    {
+        m_items.at(at) = std::make_shared<const PipelineSpec>(std::move(spec));
+    }
+    void reserve(std::size_t count) { m_items.reserve(count); }
+
+    std::size_t size() const { return m_items.size(); }
+    bool empty() const { return m_items.empty(); }
+    const PipelineSpec& operator[](std::size_t at) const { return *m_items[at]; }
+    const PipelineSpec& back() const { return *m_items.back(); }
+    const_iterator begin() const { return m_items.begin(); }
+    const_iterator end() const { return m_items.end(); }
+    const Items& items() const { return m_items; }
+
+private:
+    Items m_items;
+};
+
+/// Text from which consecutive pipelines of a bundle were decoded.
+struct PipelineSource {
+    std::uint64_t hash = 0; ///< of the text
+    std::uint32_t bytes = 0; ///< length of the text
+    std::uint32_t pipelines = 0; ///< number of pipelines
+};
+
 /// How the upstreams of a set batch pieces of several requests into one call.
 struct BatchSpec {
     int items = 1; ///< maximum number of pieces in one call
@@ -135,6 +185,8 @@
 struct ModelSpec {
     std::string name;
     std::vector<std::string> adapters;
+
+    bool operator==(const ModelSpec&) const = default;
 };
 
 /// Limits on a caller's requests, as operators set them; 0: the value in the settings.
@@ -152,7 +204,9 @@
     std::uint64_t builds_on = 0; ///< version that this one replaces; 0 for the first
     std::vector<ModelSpec> models;
     std::vector<UpstreamSetSpec> upstream_sets;
-    std::vector<PipelineSpec> pipelines;
+    PipelineList pipelines;
+    /// Sources of all pipelines, in order; empty if they were not decoded one by one.
+    std::vector<PipelineSource> sources;
     std::vector<AccountSpec> accounts;
     CallerLimits limits;
 };
@@ -167,7 +221,12 @@
 /// bundles give equal bytes; the signature covers these.
 std::string canonical_json(const Bundle& bundle);
 
-/// Checks that the parts of a bundle are consistent with each other.
-std::vector<Fault> check_bundle(const Bundle& bundle);
+/// Checks that the parts of a bundle are consistent with each other.  `checked`: a bundle
+/// without faults, whose pipelines are not checked again; null: none.
+std::vector<Fault> check_bundle(const Bundle& bundle, const Bundle* checked = nullptr);
+
+/// Positions of the pipelines in `now` that are not shared with `before`, in order.
+std::vector<std::size_t> positions_of_new(const PipelineList& now,
+                                          const PipelineList& before);
 
 } // namespace cypressford
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -89,8 +89,11 @@
     virtual Result<DirectoryPage> decode_newest(const HttpResponse& response) const = 0;
     virtual Result<DirectoryPage> decode_read(const HttpResponse& response) const = 0;
 
-    /// An error: the record is not a configuration.
-    virtual Result<Bundle> decode_configuration(const DirectoryRecord& record) const = 0;
+    /// An error: the record is not a configuration.  `known`: a configuration with which
+    /// unchanged pipelines are shared; null: none.
+    virtual Result<Bundle> decode_configuration(const DirectoryRecord& record,
+                                                const Bundle* known) const
+        = 0;
     /// Nothing: the record is not about an evacuation.  Evacuation records are in the
     /// configuration's topic, under keys of their own.
     virtual std::optional<EvacuationRecord>
--- a/src/include/cypressford/path_index.h
+++ b/src/include/cypressford/path_index.h
@@ -4,34 +4,51 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
-#include <string>
 #include <string_view>
-#include <vector>
 
-namespace cypressford {
+#include <cypressford/shared_index.h>
 
-/// Pipelines that share a host and a path prefix.
-struct PathMatch {
-    std::vector<std::size_t> pipelines; ///< indices into ResolvedBundle::pipelines
-    double total_weight = 0;
-};
+namespace cypressford {
 
-/// The relayed pipelines of one host, found by the longest path prefix.
+/// The relayed pipelines by host and path prefix.  Copies share what they have in common.
 class PathIndex {
 public:
-    void add(const std::string& path_prefix, std::size_t pipeline, double weight);
-
-    /// The match of the longest prefix of the path; null if no prefix matches.
-    const PathMatch* find(std::string_view path) const;
+    /// The caller numbers the pipelines.
+    using Pipeline = SharedIndex::Value;
+
+    void add(std::string_view host, std::string_view path_prefix, Pipeline pipeline);
+    void remove(std::string_view host, std::string_view path_prefix, Pipeline pipeline);
+
+    /// Calls `visit` with each pipeline that may be of that host and of a prefix of the
+    /// path, longest prefix first, until it returns true.  Arguments: the pipeline and the
+    /// length of the prefix.  The caller compares host and prefix, whose hashes may
+    /// collide.
+    template <class F>
+    void visit(std::string_view host, std::string_view path, F&& visit) const
+    {
+        for (auto length = m_lengths.lower_bound(path.size()); length != m_lengths.end();
+             ++length) {
+            bool is_done = false;
+            m_pipelines.visit(hash_of(host, path.substr(0, length->first)),
+                              [&](Pipeline pipeline) {
+                                  is_done = visit(pipeline, length->first);
+                                  return is_done;
+                              });
+            if (is_done)
+                return;
+        }
+    }
 
 private:
-    using ByPrefix = std::map<std::string, PathMatch, std::less<>>;
+    static std::uint64_t hash_of(std::string_view host, std::string_view path_prefix);
 
-    /// By length of the prefix: a configuration has thousands of prefixes but few
-    /// different lengths.
-    std::map<std::size_t, ByPrefix, std::greater<>> m_by_length;
+    SharedIndex m_pipelines;
+    /// Number of pipelines by length of their prefix: a configuration has thousands of
+    /// prefixes but few different lengths.
+    std::map<std::size_t, std::size_t, std::greater<>> m_lengths;
 };
 
 } // namespace cypressford
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -214,7 +214,14 @@
 
 /// One pipeline with its stages resolved.
 struct ResolvedPipeline {
-    PipelineSpec spec;
+    explicit ResolvedPipeline(PipelineSpecPtr spec_)
+        : source(std::move(spec_))
+        , spec(*source)
+    {
+    }
+
+    const PipelineSpecPtr source;
+    const PipelineSpec& spec; ///< part of `source`
     std::shared_ptr<PipelineState> state;
     bool repeatable = true;
     std::vector<std::size_t> sets; ///< per stage: index into Snapshot::sets
@@ -222,7 +229,28 @@
     std::vector<std::size_t> piece_sets; ///< per piece stage: index into Snapshot::sets
     std::vector<StageId> piece_stage_ids; ///< per piece stage
     HallLimit halls; ///< halls of its regions
-    int rank_offset = 0; ///< see ResolvedBundle::rank_of()
+};
+
+using ResolvedPipelinePtr = std::shared_ptr<const ResolvedPipeline>;
+
+/// Pipelines by numbers that stay the same from one version of a bundle to the next.
+class PipelineSlots {
+public:
+    using Number = PathIndex::Pipeline;
+
+    Number add(ResolvedPipelinePtr pipeline);
+    void remove(Number number);
+
+    const ResolvedPipeline& operator[](std::size_t number) const
+    {
+        return *m_slots[number];
+    }
+    /// Number of pipelines.
+    std::size_t size() const { return m_slots.size() - m_free.size(); }
+
+private:
+    std::vector<ResolvedPipelinePtr> m_slots; ///< null: free
+    std::vector<Number> m_free;
 };
 
 /// One account with its live state.
@@ -239,15 +267,21 @@
     std::string name;
     std::uint64_t version = 0;
     std::vector<UpstreamSetSpec> sets; ///< in the order of Snapshot::sets
-    std::vector<ResolvedPipeline> pipelines;
+    PipelineSlots pipelines;
+    std::vector<PipelineSlots::Number> order; ///< of the pipelines in the bundle
     std::vector<ResolvedAccount> accounts;
-    std::unordered_map<std::string, std::size_t> pipeline_by_name;
+    SharedIndex pipelines_by_name; ///< by hash; see find_pipeline()
     std::unordered_map<std::string, std::size_t> account_by_digest;
-    std::unordered_map<std::string, PathIndex> paths_by_host; ///< of relayed pipelines
+    PathIndex paths; ///< of relayed pipelines
+    std::map<int, std::size_t> pipelines_by_priority; ///< number of pipelines
+    std::map<int, int> rank_offsets; ///< by priority of pipelines; see rank_of()
     std::size_t anonymous_account
         = 0; ///< index of the account of callers without a credential
     CallerLimits limits;
 
+    /// The pipeline with that name.
+    std::optional<std::size_t> find_pipeline(std::string_view pipeline_name) const;
+
     /// Among the pipelines that share the longest prefix, the one whose first set has that
     /// name.
     std::optional<std::size_t> match_set(std::string_view host, std::string_view path,
@@ -268,6 +302,10 @@
     /// rank_of() with Mechanism::AccountPrecedence, otherwise the pipeline's own.
     int priority_of(std::size_t account, std::size_t pipeline,
                     const PolicySwitches& switches) const;
+
+private:
+    /// The pipelines of that host with the longest prefix of the path.
+    std::vector<std::size_t> match_all(std::string_view host, std::string_view path) const;
 };
 
 using ResolvedBundlePtr = std::shared_ptr<const ResolvedBundle>;
@@ -323,8 +361,10 @@
     /// Sets this daemon's place in the list of live daemons, from 0.
     void set_own_index(int index) { m_sharers->set_own_index(index); }
 
-    /// Resolves a bundle.  Like all functions here, not on the request path.
-    ResolvedBundlePtr resolve(const Bundle& bundle);
+    /// Resolves a bundle.  Like all functions here, not on the request path.  `before`: the
+    /// version before, with which pipelines are shared; null: none.
+    ResolvedBundlePtr resolve(const Bundle& bundle,
+                              const ResolvedBundlePtr& before = nullptr);
 
     /// A snapshot of the bundle with the upstreams that it names and those that the
     /// platform lists.  An upstream that is no longer listed gets no new work, not even
@@ -369,8 +409,10 @@
         return key_of(member.address, {member.identity, member.born}, member.version);
     }
     UpstreamSet resolve_set(const UpstreamSetSpec& spec);
-    ResolvedPipeline resolve_pipeline(const PipelineSpec& spec,
-                                      const std::map<std::string, std::size_t>& set_index);
+    ResolvedPipelinePtr
+    resolve_pipeline(const PipelineSpecPtr& source,
+                     const std::map<std::string, std::size_t>& set_index);
+    void resolve_pipelines(ResolvedBundle& resolved, const PipelineList& pipelines);
     void add_accounts(ResolvedBundle& resolved, const std::vector<AccountSpec>& accounts);
     void add_members(Snapshot& snapshot, const std::vector<UpstreamMember>& members);
     void add_member(UpstreamSet& set, const UpstreamMember& member);
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -6,11 +6,14 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 #include <optional>
 #include <set>
+#include <unordered_set>
 
 #include <boost/json.hpp>
 
+#include "libutil/crypto.h"
 #include "libutil/yaml_reader.h"
 
 namespace cypressford {
@@ -153,9 +156,9 @@
     return it == items.end() ? nullptr : &*it;
 }
 
-template <class T>
+template <class List>
 void
-check_unique(const std::vector<T>& items, const char* what, std::vector<Fault>& faults)
+check_unique(const List& items, const char* what, std::vector<Fault>& faults)
 {
     std::set<std::string> seen;
     for (const auto& item : items) {
@@ -167,6 +170,33 @@
     }
 }
 
+/// False if a name at the `added` positions, which are in order, is empty or may occur
+/// twice.  Among thousands of pipelines with few new ones, this takes a small part of the
+/// time of check_unique().
+bool
+has_unique_names(const PipelineList& pipelines, const std::vector<std::size_t>& added)
+{
+    std::vector<std::uint64_t> hashes;
+    hashes.reserve(added.size());
+    for (const std::size_t at : added) {
+        if (pipelines[at].name.empty())
+            return false;
+        hashes.push_back(fast_hash(pipelines[at].name));
+    }
+    std::sort(hashes.begin(), hashes.end());
+    if (std::adjacent_find(hashes.begin(), hashes.end()) != hashes.end())
+        return false;
+    auto next_added = added.begin();
+    for (std::size_t at = 0; at < pipelines.size() && !hashes.empty(); ++at) {
+        if (next_added != added.end() && *next_added == at)
+            ++next_added;
+        else if (std::binary_search(hashes.begin(), hashes.end(),
+                                    fast_hash(pipelines[at].name)))
+            return false;
+    }
+    return true;
+}
+
 void
 check_generate(const Bundle& bundle, const PipelineSpec& pipeline, const StageSpec& stage,
                std::vector<Fault>& faults)
@@ -327,8 +357,27 @@
                        [](const StageSpec& stage) { return stage.repeatable; });
 }
 
+std::vector<std::size_t>
+positions_of_new(const PipelineList& now, const PipelineList& before)
+{
+    const PipelineList::Items& items = now.items();
+    const PipelineList::Items& known = before.items();
+    // Most versions change few pipelines, between two long runs of shared ones.
+    const auto first
+        = std::mismatch(items.begin(), items.end(), known.begin(), known.end());
+    const auto last
+        = std::mismatch(items.rbegin(), std::make_reverse_iterator(first.first),
+                        known.rbegin(), std::make_reverse_iterator(first.second));
+    const std::unordered_set<PipelineSpecPtr> between(first.second, last.second.base());
+    std::vector<std::size_t> positions;
+    for (auto at = first.first; at != last.first.base(); ++at)
+        if (!between.contains(*at))
+            positions.push_back(static_cast<std::size_t>(at - items.begin()));
+    return positions;
+}
+
 std::vector<Fault>
-check_bundle(const Bundle& bundle)
+check_bundle(const Bundle& bundle, const Bundle* checked)
 {
     std::vector<Fault> faults;
     if (bundle.name.empty())
@@ -339,10 +388,16 @@
         faults.push_back({0, "bundle has no pipeline"});
     check_unique(bundle.models, "model", faults);
     check_unique(bundle.upstream_sets, "upstream set", faults);
-    check_unique(bundle.pipelines, "pipeline", faults);
+    // Pipelines refer to upstream sets and models.
+    const bool may_share = checked && checked->models == bundle.models
+        && checked->upstream_sets == bundle.upstream_sets;
+    const std::vector<std::size_t> added = positions_of_new(
+        bundle.pipelines, may_share ? checked->pipelines : PipelineList {});
+    if (!has_unique_names(bundle.pipelines, added))
+        check_unique(bundle.pipelines, "pipeline", faults);
     check_unique(bundle.accounts, "account", faults);
-    for (const auto& pipeline : bundle.pipelines)
-        check_pipeline(bundle, pipeline, faults);
+    for (const std::size_t at : added)
+        check_pipeline(bundle, bundle.pipelines[at], faults);
     for (const auto& set : bundle.upstream_sets) {
         const std::string where = "upstream set '" + set.name + "': ";
         if (set.slots < 1 || set.slots > kMaxSlots)
--- a/src/libcypressford/bundle_test.cpp
+++ b/src/libcypressford/bundle_test.cpp
@@ -69,7 +69,7 @@
     const auto again = parse_bundle_json(text);
     REQUIRE(again);
     CHECK(canonical_json(*again) == text);
-    CHECK(again->pipelines.at(0).deadline == 500 * kMillisecond);
+    CHECK(again->pipelines[0].deadline == 500 * kMillisecond);
 }
 
 TEST_CASE("all faults of a bundle are reported at once, with their lines")
@@ -97,7 +97,7 @@
     CHECK(fold.apply(7, op.roll(1)) == FoldResult::Conflict);
     REQUIRE(fold.in_force());
     CHECK(fold.in_force()->version == 2);
-    CHECK(fold.in_force()->pipelines.at(0).priority == 2);
+    CHECK(fold.in_force()->pipelines[0].priority == 2);
 }
 
 TEST_CASE("records that are not signed by a known operator change nothing")
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -350,13 +350,14 @@
 {
     if (const auto evacuation = m_dialect.decode_evacuation(record))
         return apply_evacuation(*evacuation, at);
-    auto bundle = m_dialect.decode_configuration(record);
+    const Bundle* const known = m_fold.configuration();
+    auto bundle = m_dialect.decode_configuration(record, known);
     if (!bundle) {
         change.invalid.push_back(
             {DirectoryTopic::Configuration, record.key, bundle.error().detail});
         return false;
     }
-    const auto faults = check_bundle(*bundle);
+    const auto faults = check_bundle(*bundle, known);
     if (!faults.empty()) {
         change.invalid.push_back(
             {DirectoryTopic::Configuration, record.key, faults.front().message});
--- a/src/libcypressford/path_index.cpp
+++ b/src/libcypressford/path_index.cpp
@@ -3,27 +3,30 @@
 
 #include <cypressford/path_index.h>
 
+#include "libutil/crypto.h"
+
 namespace cypressford {
 
 void
-PathIndex::add(const std::string& path_prefix, std::size_t pipeline, double weight)
+PathIndex::add(std::string_view host, std::string_view path_prefix, Pipeline pipeline)
+{
+    m_pipelines.add(hash_of(host, path_prefix), pipeline);
+    ++m_lengths[path_prefix.size()];
+}
+
+void
+PathIndex::remove(std::string_view host, std::string_view path_prefix, Pipeline pipeline)
 {
-    PathMatch& match = m_by_length[path_prefix.size()][path_prefix];
-    match.pipelines.push_back(pipeline);
-    match.total_weight += weight;
+    m_pipelines.remove(hash_of(host, path_prefix), pipeline);
+    const auto length = m_lengths.find(path_prefix.size());
+    if (length != m_lengths.end() && --length->second == 0)
+        m_lengths.erase(length);
 }
 
-const PathMatch*
-PathIndex::find(std::string_view path) const
+std::uint64_t
+PathIndex::hash_of(std::string_view host, std::string_view path_prefix)
 {
-    for (auto same_length = m_by_length.lower_bound(path.size());
-         same_length != m_by_length.end(); ++same_length) {
-        const auto& [length, by_prefix] = *same_length;
-        const auto match = by_prefix.find(path.substr(0, length));
-        if (match != by_prefix.end())
-            return &match->second;
-    }
-    return nullptr;
+    return fast_hash(path_prefix, fast_hash(host));
 }
 
 } // namespace cypressford
--- a/src/libcypressford/path_index_load_test.cpp
+++ b/src/libcypressford/path_index_load_test.cpp
@@ -16,13 +16,14 @@
     Bundle bundle;
     bundle.upstream_sets.emplace_back().name = "plain";
     for (std::size_t i = 0; i < count; ++i) {
-        PipelineSpec& spec = bundle.pipelines.emplace_back();
+        PipelineSpec spec;
         spec.name = "added-" + std::to_string(i);
         spec.relayed = true;
         spec.host = "h.example";
         spec.path_prefix = "/" + spec.name + "/";
         spec.weight = 1;
         spec.stages.emplace_back().upstream_set = "plain";
+        bundle.pipelines.push_back(std::move(spec));
     }
     return bundle;
 }
@@ -61,7 +62,9 @@
 TEST_CASE("among thousands of routes the one with the longest prefix is matched")
 {
     Bundle bundle = routes_of_one_host(5000);
-    bundle.pipelines[7].path_prefix = "/added-8/deeper/";
+    PipelineSpec deeper = bundle.pipelines[7];
+    deeper.path_prefix = "/added-8/deeper/";
+    bundle.pipelines.replace(7, deeper);
     UpstreamTable table("hall", 1, {});
     const ResolvedBundlePtr resolved = table.resolve(bundle);
     CHECK(resolved->match("h.example", "/added-4999/x", 0) == 4999);
--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -24,7 +24,8 @@
     Result<DirectoryPage> decode_newest(const HttpResponse&) const override { return {}; }
     Result<DirectoryPage> decode_read(const HttpResponse&) const override { return {}; }
 
-    Result<Bundle> decode_configuration(const DirectoryRecord& record) const override
+    Result<Bundle> decode_configuration(const DirectoryRecord& record,
+                                        const Bundle*) const override
     {
         Bundle bundle;
         bundle.name = "text";
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -4,7 +4,11 @@
 #include <cypressford/upstream.h>
 
 #include <algorithm>
+#include <iterator>
 #include <set>
+#include <unordered_map>
+
+#include "libutil/crypto.h"
 
 namespace cypressford {
 
@@ -117,16 +121,20 @@
 
 /// Chooses by weight; `pick` is uniform over the whole range of its type.
 std::size_t
-choose_by_weight(const ResolvedBundle& bundle, const PathMatch& path, std::uint64_t pick)
+choose_by_weight(const ResolvedBundle& bundle, const std::vector<std::size_t>& pipelines,
+                 std::uint64_t pick)
 {
     constexpr double range = 18446744073709551616.0; // 2^64
-    double left = static_cast<double>(pick) / range * path.total_weight;
-    for (const std::size_t index : path.pipelines) {
+    double total = 0;
+    for (const std::size_t index : pipelines)
+        total += bundle.pipelines[index].spec.weight;
+    double left = static_cast<double>(pick) / range * total;
+    for (const std::size_t index : pipelines) {
         left -= bundle.pipelines[index].spec.weight;
         if (left < 0)
             return index;
     }
-    return path.pipelines.back();
+    return pipelines.back();
 }
 
 } // namespace
@@ -135,34 +143,58 @@
 ResolvedBundle::match(std::string_view host, std::string_view path,
                       std::uint64_t pick) const
 {
-    const auto it = paths_by_host.find(std::string(host));
-    if (it == paths_by_host.end())
-        return std::nullopt;
-    const PathMatch* found = it->second.find(path);
-    if (!found)
+    const std::vector<std::size_t> found = match_all(host, path);
+    if (found.empty())
         return std::nullopt;
-    return choose_by_weight(*this, *found, pick);
+    return choose_by_weight(*this, found, pick);
 }
 
 std::optional<std::size_t>
 ResolvedBundle::match_set(std::string_view host, std::string_view path,
                           std::string_view set_name) const
 {
-    const auto it = paths_by_host.find(std::string(host));
-    const PathMatch* found = it == paths_by_host.end() ? nullptr : it->second.find(path);
-    if (!found)
-        return std::nullopt;
-    for (const std::size_t index : found->pipelines)
+    for (const std::size_t index : match_all(host, path))
         if (sets[pipelines[index].sets.front()].name == set_name)
             return index;
     return std::nullopt;
 }
 
+std::vector<std::size_t>
+ResolvedBundle::match_all(std::string_view host, std::string_view path) const
+{
+    std::vector<std::size_t> found;
+    std::size_t found_length = 0;
+    paths.visit(host, path, [&](std::size_t number, std::size_t length) {
+        if (!found.empty() && length != found_length)
+            return true;
+        const PipelineSpec& spec = pipelines[number].spec;
+        if (spec.host == host && path.starts_with(spec.path_prefix)
+            && spec.path_prefix.size() == length) {
+            found.push_back(number);
+            found_length = length;
+        }
+        return false;
+    });
+    return found;
+}
+
+std::optional<std::size_t>
+ResolvedBundle::find_pipeline(std::string_view pipeline_name) const
+{
+    std::optional<std::size_t> found;
+    pipelines_by_name.visit(fast_hash(pipeline_name), [&](std::size_t number) {
+        if (pipelines[number].spec.name == pipeline_name)
+            found = number;
+        return found.has_value();
+    });
+    return found;
+}
+
 int
 ResolvedBundle::rank_of(std::size_t account, std::size_t pipeline) const
 {
-    return std::min(accounts[account].first_rank + pipelines[pipeline].rank_offset,
-                    kLowestPriority);
+    const int offset = rank_offsets.at(pipelines[pipeline].spec.priority);
+    return std::min(accounts[account].first_rank + offset, kLowestPriority);
 }
 
 int
@@ -194,13 +226,11 @@
     std::set<int> of_pipelines;
     for (const ResolvedAccount& account : bundle.accounts)
         of_accounts.insert(account.spec.priority);
-    for (const ResolvedPipeline& pipeline : bundle.pipelines)
-        of_pipelines.insert(pipeline.spec.priority);
+    for (const auto& [priority, count] : bundle.pipelines_by_priority)
+        of_pipelines.insert(priority);
     const auto account_position = positions_of(of_accounts);
-    const auto pipeline_position = positions_of(of_pipelines);
-    for (ResolvedPipeline& pipeline : bundle.pipelines)
-        pipeline.rank_offset = pipeline_position.at(pipeline.spec.priority);
-    const int pipeline_priorities = static_cast<int>(pipeline_position.size());
+    bundle.rank_offsets = positions_of(of_pipelines);
+    const int pipeline_priorities = static_cast<int>(bundle.rank_offsets.size());
     for (ResolvedAccount& account : bundle.accounts)
         account.first_rank
             = account_position.at(account.spec.priority) * pipeline_priorities;
@@ -217,6 +247,26 @@
 
 } // namespace
 
+PipelineSlots::Number
+PipelineSlots::add(ResolvedPipelinePtr pipeline)
+{
+    if (m_free.empty()) {
+        m_slots.push_back(std::move(pipeline));
+        return static_cast<Number>(m_slots.size() - 1);
+    }
+    const Number number = m_free.back();
+    m_free.pop_back();
+    m_slots[number] = std::move(pipeline);
+    return number;
+}
+
+void
+PipelineSlots::remove(Number number)
+{
+    m_slots[number] = nullptr;
+    m_free.push_back(number);
+}
+
 SnapshotPtr
 UpstreamTable::build(const Bundle& bundle, const std::vector<UpstreamMember>& members)
 {
@@ -240,7 +290,7 @@
 }
 
 ResolvedBundlePtr
-UpstreamTable::resolve(const Bundle& bundle)
+UpstreamTable::resolve(const Bundle& bundle, const ResolvedBundlePtr& before)
 {
     const std::lock_guard lock(m_mutex);
     auto resolved = std::make_shared<ResolvedBundle>();
@@ -248,27 +298,92 @@
     resolved->version = bundle.version;
     resolved->sets = bundle.upstream_sets;
     resolved->limits = bundle.limits;
-    const auto set_index = index_sets(bundle.upstream_sets);
-    resolved->pipelines.reserve(bundle.pipelines.size());
-    for (const PipelineSpec& spec : bundle.pipelines) {
-        const std::size_t index = resolved->pipelines.size();
-        resolved->pipeline_by_name[spec.name] = index;
-        resolved->pipelines.push_back(resolve_pipeline(spec, set_index));
-        if (spec.relayed)
-            resolved->paths_by_host[spec.host].add(spec.path_prefix, index, spec.weight);
+    // Resolved pipelines refer to sets by their positions.
+    if (before && before->sets == bundle.upstream_sets) {
+        resolved->pipelines = before->pipelines;
+        resolved->order = before->order;
+        resolved->pipelines_by_name = before->pipelines_by_name;
+        resolved->paths = before->paths;
+        resolved->pipelines_by_priority = before->pipelines_by_priority;
     }
+    resolve_pipelines(*resolved, bundle.pipelines);
     add_accounts(*resolved, bundle.accounts);
     add_anonymous_account(*resolved);
     assign_ranks(*resolved);
     return resolved;
 }
 
-ResolvedPipeline
-UpstreamTable::resolve_pipeline(const PipelineSpec& spec,
+namespace {
+
+void
+add_pipeline(ResolvedBundle& bundle, PipelineSlots::Number number)
+{
+    const PipelineSpec& spec = bundle.pipelines[number].spec;
+    bundle.pipelines_by_name.add(fast_hash(spec.name), number);
+    ++bundle.pipelines_by_priority[spec.priority];
+    if (spec.relayed)
+        bundle.paths.add(spec.host, spec.path_prefix, number);
+}
+
+void
+remove_pipeline(ResolvedBundle& bundle, PipelineSlots::Number number)
+{
+    const PipelineSpec& spec = bundle.pipelines[number].spec;
+    bundle.pipelines_by_name.remove(fast_hash(spec.name), number);
+    const auto count = bundle.pipelines_by_priority.find(spec.priority);
+    if (--count->second == 0)
+        bundle.pipelines_by_priority.erase(count);
+    if (spec.relayed)
+        bundle.paths.remove(spec.host, spec.path_prefix, number);
+    bundle.pipelines.remove(number);
+}
+
+} // namespace
+
+/// Replaces the pipelines of `resolved`, which are those of the version before, in time
+/// proportional to what differs and a small part that is proportional to all.
+void
+UpstreamTable::resolve_pipelines(ResolvedBundle& resolved, const PipelineList& pipelines)
+{
+    const PipelineList::Items& items = pipelines.items();
+    const std::vector<PipelineSlots::Number> before = std::move(resolved.order);
+    const auto is_same = [&](const PipelineSpecPtr& item, PipelineSlots::Number number) {
+        return resolved.pipelines[number].source == item;
+    };
+    const auto first
+        = std::mismatch(items.begin(), items.end(), before.begin(), before.end(), is_same);
+    const auto last
+        = std::mismatch(items.rbegin(), std::make_reverse_iterator(first.first),
+                        before.rbegin(), std::make_reverse_iterator(first.second), is_same);
+    std::unordered_map<PipelineSpecPtr, PipelineSlots::Number> between;
+    for (auto at = first.second; at != last.second.base(); ++at)
+        between.emplace(resolved.pipelines[*at].source, *at);
+    resolved.order.assign(before.begin(), first.second);
+    resolved.order.reserve(items.size());
+    const auto set_index = index_sets(resolved.sets);
+    for (auto at = first.first; at != last.first.base(); ++at) {
+        const auto known = between.find(*at);
+        if (known != between.end()) {
+            resolved.order.push_back(known->second);
+            between.erase(known);
+            continue;
+        }
+        const auto number = resolved.pipelines.add(resolve_pipeline(*at, set_index));
+        add_pipeline(resolved, number);
+        resolved.order.push_back(number);
+    }
+    resolved.order.insert(resolved.order.end(), last.second.base(), before.end());
+    for (const auto& [source, number] : between)
+        remove_pipeline(resolved, number);
+}
+
+ResolvedPipelinePtr
+UpstreamTable::resolve_pipeline(const PipelineSpecPtr& source,
                                 const std::map<std::string, std::size_t>& set_index)
 {
-    ResolvedPipeline pipeline;
-    pipeline.spec = spec;
+    const PipelineSpec& spec = *source;
+    auto resolved = std::make_shared<ResolvedPipeline>(source);
+    ResolvedPipeline& pipeline = *resolved;
     pipeline.repeatable = spec.repeatable();
     pipeline.halls = halls_of(spec.regions);
     auto& learned = m_pipelines[spec.name];
@@ -284,7 +399,7 @@
         pipeline.piece_stage_ids.push_back(
             id_of("piece/" + spec.name + "/" + std::to_string(at)));
     }
-    return pipeline;
+    return resolved;
 }
 
 void
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -51,7 +51,7 @@
     const std::uint64_t version_before = m_applied ? m_applied->version : 0;
     const Micros resolve_started_at = monotonic_us();
     if (is_new)
-        m_applied = m_kernel.upstreams.resolve(*bundle);
+        m_applied = m_kernel.upstreams.resolve(*bundle, m_applied);
     const Micros build_started_at = monotonic_us();
     m_applied_revision = fold.revision();
     const std::vector<MemberChange> changes = fold.take_changes();
--- a/src/libserve/entry/front_door.cpp
+++ b/src/libserve/entry/front_door.cpp
@@ -119,14 +119,14 @@
     const auto account = find_account(request, *spec.snapshot);
     if (!account)
         return tl::unexpected(account.error());
-    const auto pipeline = spec.snapshot->bundle->pipeline_by_name.find(name);
-    if (pipeline == spec.snapshot->bundle->pipeline_by_name.end())
+    const auto pipeline = spec.snapshot->bundle->find_pipeline(name);
+    if (!pipeline)
         return fail(ErrorKind::NotFound);
     if (request.body.empty())
         return fail(ErrorKind::BadRequest, "empty body");
     spec.id = m_next_request++;
     spec.account = *account;
-    spec.pipeline = pipeline->second;
+    spec.pipeline = *pipeline;
     spec.halls = context->resolved().halls & context->resolved_account().halls;
     context->account = context->resolved_account().spec.name;
     context->pipeline = name;
--- a/src/libserve/hall/placement_service.cpp
+++ b/src/libserve/hall/placement_service.cpp
@@ -132,7 +132,8 @@
 PlacementService::required_models(const Snapshot& snapshot) const
 {
     std::vector<RequiredModel> result;
-    for (const ResolvedPipeline& pipeline : snapshot.bundle->pipelines) {
+    for (const PipelineSlots::Number number : snapshot.bundle->order) {
+        const ResolvedPipeline& pipeline = snapshot.bundle->pipelines[number];
         for (std::size_t at = 0; at < pipeline.spec.stages.size(); ++at) {
             const StageSpec& stage = pipeline.spec.stages[at];
             const UpstreamSet& set = snapshot.sets[pipeline.sets[at]];
