An answer of the directory that is cut does not confirm its topic

What callers saw: nothing so far; found by reading. A daemon on a thin link with large configurations counted as current while records followed that it had not read, and could refuse new routes as not found for one more read. Cause: a read that the directory cuts at its limit was taken for all there is. Change: the end of the topic, which the directory gives with each page, decides; until it is reached the topic is not confirmed and is read on at once. Evidence: directory_view_test fails where the end is not passed on (the time of confirmation is then that of the first page).

--- a/src/include/cypressford/directory_view.h
+++ b/src/include/cypressford/directory_view.h
@@ -46,6 +46,7 @@
     bool is_pending = false; ///< the reader has not listed the topic yet, either
     bool reader_lacks_records
         = false; ///< the reader of the hall lacks records that are missing here
+    bool is_cut = false; ///< the directory's last answer did not hold all records
     bool just_changed = false; ///< the directory's last answer contained a change
     int misses = 0; ///< consecutive misses of the hall's reader, see record_reader_miss()
     int failures = 0; ///< consecutive failures of the directory itself
@@ -107,10 +108,12 @@
                                  const std::vector<DirectoryRecord>& records, Micros now);
     /// `end`: end of the topic when the listing started.
     void end_listing(DirectoryTopic topic, Offset end, Micros requested_at, Micros now);
-    /// Applies records from `from` on; `waited`: how long the request waited for the first.
+    /// Applies records from `from` on; `waited`: how long the request waited for the first;
+    /// `end`: of the topic as the directory gives it, nothing: of the records.
     DirectoryChange apply_page(DirectoryTopic topic, Offset from,
                                const std::vector<DirectoryRecord>& records,
-                               Micros requested_at, Micros waited, Micros now);
+                               Micros requested_at, Micros waited, Micros now,
+                               std::optional<Offset> end = std::nullopt);
     /// The directory no longer stores the records that follow; the topic must be listed
     /// again.
     void on_history_lost(DirectoryTopic topic, Micros now);
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -156,7 +156,7 @@
 DirectoryChange
 DirectoryView::apply_page(DirectoryTopic topic, Offset from,
                           const std::vector<DirectoryRecord>& records, Micros requested_at,
-                          Micros waited, Micros now)
+                          Micros waited, Micros now, std::optional<Offset> end)
 {
     TopicView& view = of(topic);
     const bool after_outage = is_after_outage(topic, now);
@@ -184,6 +184,11 @@
     view.known_end = std::max(view.known_end, *view.next);
     view.history.advance(offset);
     view.just_changed = !records.empty();
+    // The directory cuts an answer that is too long.  Until the rest is read, nothing newer
+    // is known of the topic as a whole.
+    view.is_cut = end && *view.next < *end;
+    if (view.is_cut)
+        return change;
     // An empty answer confirms that no record was written while the request waited.
     confirm(topic, requested_at + (records.empty() ? waited : 0), now);
     return change;
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -172,6 +172,33 @@
     CHECK(fresh.fold().configuration()->version == 7);
 }
 
+/// Guards against a daemon that counts as current while records follow that it has not
+/// read.
+TEST_CASE("an answer of the directory that is cut does not confirm the topic")
+{
+    TextDialect dialect;
+    const DirectoryTiming timing(2 * kSecond, 1200 * kMillisecond);
+    DirectoryView view(dialect, timing, 0, "own", "hall", 400, 0);
+    const DirectoryTopic topic = DirectoryTopic::Configuration;
+    view.begin_listing(topic, 0);
+    view.apply_listed(topic, {{"config", "7"}}, 0);
+    view.end_listing(topic, 1, 0, 0);
+
+    const Micros first = 20 * kSecond;
+    view.apply_page(topic, 1, {{"config", "11"}}, first, 0, first, 3);
+    CHECK(view.fold().configuration()->version == 11);
+    CHECK(view.of(topic).as_of == 0);
+    CHECK(view.time_until_read(topic, first) <= 0);
+
+    const Micros second = first + kSecond;
+    view.apply_page(topic, 2, {{"config", "15"}}, second, 0, second, 3);
+    CHECK(view.fold().configuration()->version == 15);
+    CHECK(view.of(topic).as_of == second);
+    // A record that was written after the answer began to wait.
+    view.apply_page(topic, 3, {}, second, 0, second + kSecond, 3);
+    CHECK(view.of(topic).as_of == second);
+}
+
 /// Guards against a daemon on a thin link reading a large configuration twice, because it
 /// ignored the first one after a listing by another daemon.
 TEST_CASE(
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -175,6 +175,8 @@
     const TopicView& view = of(topic);
     if (!view.next)
         return time_until_listed(topic, now);
+    if (view.is_cut)
+        return 0;
     const bool is_daemons = topic == DirectoryTopic::Daemons;
     const DirectorySource from = source();
     const DirectoryRole role = from.role;
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -265,7 +265,7 @@
 {
     const Micros now = monotonic_us();
     const DirectoryChange change
-        = m_view.apply_page(topic, from, page.records, requested_at, waited, now);
+        = m_view.apply_page(topic, from, page.records, requested_at, waited, now, page.end);
     m_decode_us = monotonic_us() - now;
     process_change(change);
 }
