--- a/src/libcypressford/text_dialect.h
+++ b/src/libcypressford/text_dialect.h
@@ -15,7 +15,7 @@
 /// Records as plain text: a version, or "sequence" with "!" for an upstream that is leaving
 /// and "@BORN" for its start; under "evacuation/HALL" any text while the hall is evacuated.
 /// A value that begins with "?" can't be parsed.
-class TextDialect final : public DirectoryDialect {
+class TextDialect : public DirectoryDialect {
 public:
     HttpRequest newest(DirectoryTopic, std::string_view) const override { return {}; }
     HttpRequest read(DirectoryTopic, Offset, Micros) const override { return {}; }
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -310,10 +310,11 @@
     if (m_on_daemons && read_at > m_daemons_passed_at)
         m_on_daemons(m_view.take_new_daemons());
     m_daemons_passed_at = read_at;
+    bring_into_force();
+    // Requests that wait for this time then load the snapshot.
     m_kernel.directory_as_of.store(std::min(m_view.of(DirectoryTopic::Configuration).as_of,
                                             m_view.of(DirectoryTopic::Upstreams).as_of),
-                                   std::memory_order_relaxed);
-    bring_into_force();
+                                   std::memory_order_release);
     if (const TopicView& view = m_view.of(DirectoryTopic::Configuration); view.was_listed)
         m_kernel.configuration_as_of.store(view.as_of, std::memory_order_release);
     bring_suspects_into_force();
--- a/src/libserve/hall/peer_transport_test.cpp
+++ b/src/libserve/hall/peer_transport_test.cpp
@@ -13,26 +13,16 @@
 #include <string>
 #include <utility>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include "cypressford.pb.h"
+#include "libserve/test_address.h"
 
 namespace cypressford {
 namespace {
 
 constexpr std::chrono::seconds kLimit {5};
 
-std::string
-free_address()
-{
-    namespace asio = boost::asio;
-    asio::io_context io;
-    const asio::ip::tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
-    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-}
-
 TEST_CASE("a transport ends while an exchange waits for its answer")
 {
     const std::string address = free_address();
--- a/src/libserve/kernel.cpp
+++ b/src/libserve/kernel.cpp
@@ -35,7 +35,7 @@
     const Micros resumed_at = last_resumed_at.load(std::memory_order_relaxed);
     if (now - resumed_at > kCatchUpLimit || !settings.uses_directory)
         return false;
-    const Micros as_of = directory_as_of.load(std::memory_order_relaxed);
+    const Micros as_of = directory_as_of.load(std::memory_order_acquire);
     // State younger than the bound for changes is as fresh as without a suspension.
     return as_of < resumed_at - settings.max_change_delay;
 }
@@ -58,7 +58,7 @@
 bool
 Kernel::knows_directory(Micros now) const
 {
-    const Micros as_of = directory_as_of.load(std::memory_order_relaxed);
+    const Micros as_of = directory_as_of.load(std::memory_order_acquire);
     return contains_changes_in_force(now - as_of, settings.max_change_delay);
 }
 
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -72,7 +72,8 @@
     /// When a worker thread last detected that it had been suspended; the initial value
     /// lies far in the past.
     std::atomic<Micros> last_resumed_at {-3600 * kSecond};
-    /// Changes of configuration and upstreams in the directory up to this time were read.
+    /// The snapshot contains the changes of configuration and upstreams in the directory up
+    /// to this time.
     std::atomic<Micros> directory_as_of {0};
     /// The snapshot contains the configurations that were in the directory at this time; 0:
     /// none was read yet.  Stored after the snapshot, so it must be loaded before it.
