A request's time counts from the first byte that the system received

Cause: the deadline began with the work on a request. A body that is late is refused at the time-out of its route, the wait for the directory ends there, and a request that is read too late is refused as not run. A thread without a tick for 20 ms ends what is overdue before it admits a request. request_begin says waited_us.

--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -27,6 +27,8 @@
 /// Interval between checks of timers and queues, with and without requests in progress.
 constexpr std::chrono::milliseconds kBusyTick {2};
 constexpr std::chrono::milliseconds kIdleTick {50};
+/// Without a tick for this time a busy thread is late.
+constexpr Micros kLateTick = 20 * kMillisecond;
 /// Shortest gap between ticks that counts as a suspension: ten ticks of an idle thread.
 constexpr Micros kMinSuspension = 500 * kMillisecond;
 /// Request ids of a worker start at its index shifted left by this many bits.
@@ -54,8 +56,13 @@
     , m_next_request((static_cast<RequestId>(index) << kIndexShift) + 1)
     , m_hash_seed(random_u64())
     , m_tick(m_io)
+    , m_ticked_at(monotonic_us())
     , m_progress_at(monotonic_us())
 {
+    if (m_kernel.calls)
+        m_server.set_body_deadline([this](const HttpRequest& head, Micros received_at) {
+            return deadline_of(head, received_at);
+        });
 }
 
 Worker::~Worker()
@@ -97,9 +104,20 @@
         m_scheduler.set_daemons_in_hall(m_kernel.daemons_in_hall.load());
         m_scheduler.set_daemons(m_kernel.daemons.load(), m_kernel.knows_all_daemons.load());
         feed(Tick {});
+        m_ticked_at = monotonic_us();
     }
 }
 
+asio::awaitable<void>
+Worker::let_overdue_end()
+{
+    // The tick is queued behind what arrived while the thread was late, so that answers
+    // that are ready are still passed on.
+    const Micros called_at = monotonic_us();
+    while (m_scheduler.live() > 0 && m_ticked_at < called_at - kLateTick)
+        co_await asio::post(m_io, asio::use_awaitable);
+}
+
 /// A thread without progress for at least kMinSuspension was suspended or stopped with its
 /// node; its view of the directory is at least as old as the gap.
 void
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -162,9 +162,22 @@
     // relay.cpp: relayed requests.
     struct RelayedCall;
     boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
+    /// `received_at`: first byte of the request, from which its deadline counts.
     /// `set_name`: of the pipeline's first set, if the request is bound to one; empty: any.
-    Result<ContextPtr> make_relay(const HttpRequest& request,
+    Result<ContextPtr> make_relay(const HttpRequest& request, Micros received_at,
                                   const std::string& set_name = {});
+    /// The context of a request for which there is time left, or an error.
+    boost::asio::awaitable<Result<ContextPtr>> admit_relayed(const HttpRequest& request,
+                                                             Micros received_at);
+    void log_refusal(const HttpRequest& request, const Error& error) const;
+    void log_begin(const RequestContext& context) const;
+    /// Deadline of a request with this head; nothing if no pipeline matches it.
+    std::optional<Micros> deadline_of(const HttpRequest& head, Micros received_at) const;
+    /// Waits until a thread that is late has ended the requests that are overdue.
+    boost::asio::awaitable<void> let_overdue_end();
+    /// Waits, after a suspension, until the directory's changes were read, but not beyond
+    /// the request's deadline.
+    boost::asio::awaitable<void> catch_up(const HttpRequest& request, Micros received_at);
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
     /// `arrived` is the time of the request's arrival.
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
@@ -276,6 +289,7 @@
     AnsweredRequests m_answered;
     const std::uint64_t m_hash_seed;
     BootTimer m_tick;
+    Micros m_ticked_at; ///< when overdue requests were last ended
     Micros m_progress_at; ///< when this thread last made progress
 };
 
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -131,41 +131,17 @@
 Worker::serve_relayed(HttpExchange& exchange)
 {
     detect_suspension();
-    while (m_kernel.is_catching_up(monotonic_us())) {
-        BootTimer timer(m_io);
-        timer.expires_after(kCatchUpInterval);
-        co_await timer.async_wait(kToTuple);
-    }
-    auto created = make_relay(exchange.request());
-    if (created && !(*created)->relay->call.last_event.empty())
-        created = co_await bind_version(exchange.request(), *created);
+    co_await let_overdue_end();
+    co_await catch_up(exchange.request(), exchange.received_at());
+    const auto created = co_await admit_relayed(exchange.request(), exchange.received_at());
     if (!created) {
         ++m_metrics.requests[{"-", std::string(error_row(created.error().kind).name)}];
-        const auto call = m_kernel.calls->read_call(exchange.request());
-        const SnapshotPtr snapshot = m_kernel.snapshot.load();
-        const auto age = m_kernel.configuration_age(monotonic_us());
-        LogEvent("request_refused")
-            .kv("request", call ? call->attempt : "")
-            .kv("version", snapshot ? snapshot->bundle->version : 0)
-            .kv("configuration_age_ms", age ? *age / kMillisecond : kNeverConfirmed)
-            .kv("target", exchange.request().path())
-            .kv("kind", error_row(created.error().kind).name)
-            .kv("why", created.error().detail);
+        log_refusal(exchange.request(), created.error());
         co_await exchange.respond(refusal(created.error()));
         co_return;
     }
     const ContextPtr context = *created;
-    LogEvent("request_begin")
-        .kv("request", context->log_id())
-        .kv("pipeline", context->pipeline)
-        .kv("account", context->account)
-        .kv("priority", context->priority(m_kernel.settings.scheduler.switches))
-        .kv("version", context->spec.snapshot->bundle->version)
-        .kv("generation", context->spec.snapshot->generation)
-        .kv("deadline_us", context->spec.deadline - context->arrived)
-        .kv("needs_pieces", context->spec.needs_pieces())
-        .kv("resumes", context->relay->call.resumes)
-        .kv("after_event", context->relay->call.last_event);
+    log_begin(*context);
     m_contexts.emplace(context->spec.id, context);
     exchange.watch([this, id = context->spec.id, weak = std::weak_ptr(context)] {
         if (const ContextPtr alive = weak.lock()) {
@@ -177,14 +153,87 @@
     co_await answer_relayed(exchange, context);
 }
 
+void
+Worker::log_refusal(const HttpRequest& request, const Error& error) const
+{
+    const auto call = m_kernel.calls->read_call(request);
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    const auto age = m_kernel.configuration_age(monotonic_us());
+    LogEvent("request_refused")
+        .kv("request", call ? call->attempt : "")
+        .kv("version", snapshot ? snapshot->bundle->version : 0)
+        .kv("configuration_age_ms", age ? *age / kMillisecond : kNeverConfirmed)
+        .kv("target", request.path())
+        .kv("kind", error_row(error.kind).name)
+        .kv("why", error.detail);
+}
+
+void
+Worker::log_begin(const RequestContext& context) const
+{
+    LogEvent("request_begin")
+        .kv("request", context.log_id())
+        .kv("pipeline", context.pipeline)
+        .kv("account", context.account)
+        .kv("priority", context.priority(m_kernel.settings.scheduler.switches))
+        .kv("version", context.spec.snapshot->bundle->version)
+        .kv("generation", context.spec.snapshot->generation)
+        .kv("deadline_us", context.spec.deadline - context.arrived)
+        .kv("waited_us", monotonic_us() - context.arrived)
+        .kv("needs_pieces", context.spec.needs_pieces())
+        .kv("resumes", context.relay->call.resumes)
+        .kv("after_event", context.relay->call.last_event);
+}
+
+std::optional<Micros>
+Worker::deadline_of(const HttpRequest& head, Micros received_at) const
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    const auto call = m_kernel.calls->read_call(head);
+    if (!snapshot || !call)
+        return std::nullopt;
+    const ResolvedBundle& bundle = *snapshot->bundle;
+    const auto pipeline = bundle.match(call->host, head.path(), 0);
+    if (!pipeline)
+        return std::nullopt;
+    const Micros limit = bundle.pipelines[*pipeline].spec.deadline;
+    return received_at + std::min(call->time_left.value_or(limit), limit);
+}
+
+asio::awaitable<void>
+Worker::catch_up(const HttpRequest& request, Micros received_at)
+{
+    if (!m_kernel.is_catching_up(monotonic_us()))
+        co_return;
+    const auto deadline = deadline_of(request, received_at);
+    while (m_kernel.is_catching_up(monotonic_us())
+           && (!deadline || monotonic_us() < *deadline)) {
+        BootTimer timer(m_io);
+        timer.expires_after(kCatchUpInterval);
+        co_await timer.async_wait(kToTuple);
+    }
+}
+
+asio::awaitable<Result<ContextPtr>>
+Worker::admit_relayed(const HttpRequest& request, Micros received_at)
+{
+    auto created = make_relay(request, received_at);
+    if (created && !(*created)->relay->call.last_event.empty())
+        created = co_await bind_version(request, *created);
+    if (created && monotonic_us() >= (*created)->spec.deadline)
+        co_return fail(ErrorKind::DeadlineUnreachable, "read after its deadline");
+    co_return created;
+}
+
 Result<ContextPtr>
-Worker::make_relay(const HttpRequest& request, const std::string& set_name)
+Worker::make_relay(const HttpRequest& request, Micros received_at,
+                   const std::string& set_name)
 {
     auto context = std::make_shared<RequestContext>(m_io);
-    context->arrived = monotonic_us();
+    context->arrived = received_at;
     RequestSpec& spec = context->spec;
     // A configuration that is confirmed from now on may not be in the snapshot.
-    const bool is_current = m_kernel.knows_configuration(context->arrived);
+    const bool is_current = m_kernel.knows_configuration(monotonic_us());
     spec.snapshot = m_kernel.snapshot.load();
     if (!spec.snapshot)
         return fail(ErrorKind::NotReady);
--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -70,13 +70,10 @@
     if (verdict.decision == ResumeDecision::OtherSet) {
         // Shares of one path may go to several sets.
         const std::string origin_set = history.origin->upstream_set;
-        const Micros arrived = context->arrived;
-        auto moved = make_relay(request, origin_set);
+        auto moved = make_relay(request, context->arrived, origin_set);
         if (!moved)
             co_return fail(ErrorKind::VersionGone, origin_set);
         context = *moved;
-        context->spec.deadline += arrived - context->arrived;
-        context->arrived = arrived;
     }
     if (verdict.decision != ResumeDecision::Anywhere)
         context->spec.version = verdict.version;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -3,8 +3,14 @@
 
 #include "http_server.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <set>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,6 +20,7 @@
 #include <boost/beast/http.hpp>
 
 #include "boot_clock.h"
+#include "hybrid_clock.h"
 #include "socket_watchdog.h"
 #include "splice.h"
 
@@ -37,28 +44,60 @@
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+/// The request without its body.
 HttpRequest
-to_plain(http::request<http::string_body>&& message)
+head_of(const http::request<http::string_body>& message)
 {
     HttpRequest request;
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     for (const auto& field : message)
         request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    return request;
+}
+
+HttpRequest
+to_plain(http::request<http::string_body>&& message)
+{
+    HttpRequest request = head_of(message);
     request.body = std::move(message.body());
     return request;
 }
 
+BootClock::time_point
+time_point_of(std::int64_t monotonic)
+{
+    return BootClock::time_point(std::chrono::microseconds(monotonic));
+}
+
+/// Time for which the newest bytes that arrived on a connection have been waiting, as far
+/// as the system tells.
+std::int64_t
+unread_for_us(tcp::socket& socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+        || size
+            < offsetof(tcp_info, tcpi_last_data_recv) + sizeof(info.tcpi_last_data_recv))
+        return 0;
+    constexpr std::int64_t micros_per_ms = 1000;
+    return info.tcpi_last_data_recv * micros_per_ms;
+}
+
 /// One connection with the request that is being handled on it.
 class Connection final : public HttpExchange {
 public:
-    Connection(tcp::socket socket, const HttpLimits& limits)
+    Connection(tcp::socket socket, const HttpLimits& limits,
+               const HttpServer::BodyDeadline& body_deadline)
         : m_socket(std::move(socket))
         , m_limits(limits)
+        , m_body_deadline(body_deadline)
     {
     }
 
     const HttpRequest& request() const override { return m_request; }
+    std::int64_t received_at() const override { return m_received_at; }
 
     asio::awaitable<bool> respond(HttpResponse response) override
     {
@@ -201,11 +240,14 @@
             if (ec)
                 co_return ReadResult::Closed;
         }
-        watchdog.arm(m_limits.header_time);
+        m_received_at = monotonic_us();
+        if (m_buffer.size() == 0)
+            m_received_at -= unread_for_us(m_socket);
+        watchdog.arm(time_point_of(m_received_at) + m_limits.header_time);
         auto [ec, size]
             = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
-        if (!ec) {
-            watchdog.arm(m_limits.body_time);
+        if (!ec && !parser.is_done()) {
+            watchdog.arm(body_limit(parser));
             std::tie(ec, size)
                 = co_await http::async_read(m_socket, m_buffer, parser, kToTuple);
         }
@@ -230,6 +272,18 @@
     }
 
 private:
+    /// When a body that is not complete is refused.
+    template <class Parser> BootClock::time_point body_limit(const Parser& parser) const
+    {
+        const BootClock::time_point limit = BootClock::now() + m_limits.body_time;
+        const auto left = parser.content_length_remaining();
+        if (!m_body_deadline || (left && *left <= m_buffer.size()))
+            return limit;
+        const auto deadline = m_body_deadline(head_of(parser.get()), m_received_at);
+        return deadline ? std::min<BootClock::time_point>(limit, time_point_of(*deadline))
+                        : limit;
+    }
+
     template <class Chunk> asio::awaitable<bool> write_with_progress(const Chunk& chunk)
     {
         beast::buffers_suffix<Chunk> rest(chunk);
@@ -280,6 +334,8 @@
 
     tcp::socket m_socket;
     const HttpLimits& m_limits; ///< owned by the server, which may change them
+    const HttpServer::BodyDeadline& m_body_deadline; ///< owned by the server; may be empty
+    std::int64_t m_received_at = 0;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     ErrorKind m_refusal = ErrorKind::BadRequest;
@@ -327,7 +383,7 @@
     asio::awaitable<void> serve(tcp::socket socket)
     {
         auto self = shared_from_this();
-        Connection connection(std::move(socket), limits);
+        Connection connection(std::move(socket), limits, body_deadline);
         connections.insert(&connection);
         if (static_cast<int>(connections.size()) > limits.connections) {
             connection.set_close();
@@ -362,6 +418,7 @@
     HttpLimits limits;
     Handler handler;
     Refusal refusal;
+    BodyDeadline body_deadline;
     std::set<Connection*> connections;
     bool closing = false;
 };
@@ -426,6 +483,12 @@
         connection->close_if_idle();
 }
 
+void
+HttpServer::set_body_deadline(BodyDeadline body_deadline)
+{
+    m_impl->body_deadline = std::move(body_deadline);
+}
+
 void
 HttpServer::set_limits(const HttpLimits& limits)
 {
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -8,8 +8,10 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -41,6 +43,10 @@
 
     virtual const HttpRequest& request() const = 0;
 
+    /// When the system received the first byte of the request, in microseconds of
+    /// monotonic_us().  A thread that was busy or suspended may read it much later.
+    virtual std::int64_t received_at() const = 0;
+
     /// Sends the whole answer; false if the connection fails or makes no progress.
     virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
 
@@ -78,6 +84,11 @@
     using Handler = std::function<boost::asio::awaitable<void>(HttpExchange&)>;
     /// Creates the answer to a request that is refused before it reaches the handler.
     using Refusal = std::function<HttpResponse(ErrorKind)>;
+    /// Latest time at which the body of a request must be complete, in microseconds of
+    /// monotonic_us(), given its head and when its first byte was received; nothing: no
+    /// limit but HttpLimits::body_time.
+    using BodyDeadline
+        = std::function<std::optional<std::int64_t>(const HttpRequest&, std::int64_t)>;
 
     HttpServer(boost::asio::io_context& io, HttpLimits limits, Handler handler,
                Refusal refusal);
@@ -96,6 +107,9 @@
     /// Closes connections that are between requests.
     void close_idle();
 
+    /// Must be called before listen().
+    void set_body_deadline(BodyDeadline body_deadline);
+
     /// Sets the limits for requests that arrive from now on.
     void set_limits(const HttpLimits& limits);
 
