An answer that its caller does not take ends at the deadline

Cause: the reply of the scheduler was looked at between writes only, and heads and ends of streams were written without a limit. Change: each write has a limit on the time without progress, which is 0.25 s from the deadline on; the connection is then reset. A ready answer goes on as long as its caller reads it. A stream that can't become complete is cut at its deadline.

--- a/src/libserve/entry/worker.cpp
+++ b/src/libserve/entry/worker.cpp
@@ -299,6 +299,7 @@
     const ContextPtr context = m_contexts.at(action.request);
     context->reply = action;
     context->changed.cancel();
+    cut_overdue_stream(*context);
 }
 
 void
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -54,7 +54,7 @@
     /// and after the answer.
     AnswerBufferPtr unread;
     std::int64_t writing = 0; ///< bytes passed to the connection and not accepted by it
-    HttpExchange* exchange = nullptr; ///< valid while `unread` is not null
+    HttpExchange* exchange = nullptr; ///< while the answer is sent; null before and after
 };
 
 /// Data of a request for its worker only; the scheduler does not use these data.
@@ -180,6 +180,8 @@
     boost::asio::awaitable<void> catch_up(const HttpRequest& request, Micros received_at);
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
     /// `arrived` is the time of the request's arrival.
+    static bool is_overdue(const RequestContext& context);
+    void cut_overdue_stream(const RequestContext& context);
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
                                               Micros arrived, bool& begun);
     // resume.cpp: streams go on at the software version that began them.
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -142,6 +142,7 @@
     }
     const ContextPtr context = *created;
     log_begin(*context);
+    exchange.set_write_deadline(context->spec.deadline);
     m_contexts.emplace(context->spec.id, context);
     exchange.watch([this, id = context->spec.id, weak = std::weak_ptr(context)] {
         if (const ContextPtr alive = weak.lock()) {
@@ -150,7 +151,9 @@
         }
     });
     feed(RequestArrived {context->spec});
+    context->relay->exchange = &exchange;
     co_await answer_relayed(exchange, context);
+    context->relay->exchange = nullptr;
 }
 
 void
@@ -314,10 +317,11 @@
     bool begun = false;
     if (bounds_unread() && context->resolved().spec.stream)
         open_unread(exchange, context);
-    while (!context->reply || !relay.unsent_events.empty()) {
+    while (!context->reply || (!relay.unsent_events.empty() && !is_overdue(*context))) {
         if (relay.unsent_events.empty()) {
             co_await context->changed.async_wait(kToTuple);
-        } else if (!co_await write_events(exchange, relay, context->arrived, begun)) {
+        } else if (!co_await write_events(exchange, relay, context->arrived, begun)
+                   && !is_overdue(*context)) {
             context->caller_disconnected = true;
             feed(CallerClosed {context->spec.id});
             break;
@@ -346,6 +350,26 @@
     }
 }
 
+/// True for a stream that can't become complete because its deadline has passed.
+bool
+Worker::is_overdue(const RequestContext& context)
+{
+    return context.reply && context.reply->error && monotonic_us() >= context.spec.deadline;
+}
+
+/// A write to a caller that reads slowly may take longer than the stream may.
+void
+Worker::cut_overdue_stream(const RequestContext& context)
+{
+    if (!context.relay || !context.relay->exchange || context.relay->writing == 0
+        || !is_overdue(context))
+        return;
+    LogEvent("stream_cut", LogLevel::Warn)
+        .kv("request", context.log_id())
+        .kv("unsent_bytes", context.relay->writing);
+    context.relay->exchange->abort();
+}
+
 asio::awaitable<bool>
 Worker::write_events(HttpExchange& exchange, Relay& relay, Micros arrived, bool& begun)
 {
@@ -360,6 +384,7 @@
     const bool written = co_await exchange.write(text);
     if (written)
         on_accepted(relay, text.size());
+    relay.writing = 0;
     co_return written;
 }
 
--- a/src/libserve/relay/unread.cpp
+++ b/src/libserve/relay/unread.cpp
@@ -21,7 +21,6 @@
 Worker::open_unread(HttpExchange& exchange, const ContextPtr& context)
 {
     Relay& relay = *context->relay;
-    relay.exchange = &exchange;
     relay.unread = m_kernel.answers.open([this, weak = std::weak_ptr(context)] {
         asio::post(m_io, [this, weak] {
             if (const ContextPtr alive = weak.lock())
@@ -37,7 +36,6 @@
 {
     if (relay.unread)
         m_kernel.answers.close(std::exchange(relay.unread, nullptr));
-    relay.exchange = nullptr;
 }
 
 /// The failed write then ends the request, which cancels its upstream call.
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -98,6 +98,7 @@
 
     const HttpRequest& request() const override { return m_request; }
     std::int64_t received_at() const override { return m_received_at; }
+    void set_write_deadline(std::int64_t at) override { m_write_deadline = at; }
 
     asio::awaitable<bool> respond(HttpResponse response) override
     {
@@ -111,7 +112,7 @@
         boost::system::error_code ec;
         // The limit applies to progress: a large answer may take longer on a slow link.
         while (!ec && !serializer.is_done()) {
-            watchdog.arm(m_limits.write_time);
+            watchdog.arm(write_limit());
             std::size_t size = 0;
             std::tie(ec, size)
                 = co_await http::async_write_some(m_socket, serializer, kToTuple);
@@ -138,27 +139,22 @@
         head.keep_alive(m_keep_alive);
         head.chunked(true);
         http::response_serializer<http::empty_body> serializer(head);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
+        watchdog.arm(write_limit());
         auto [ec, size] = co_await http::async_write_header(m_socket, serializer, kToTuple);
+        watchdog.disarm();
         co_return finish_write(ec);
     }
 
     asio::awaitable<bool> write(std::string_view text) override
     {
         const auto chunk = http::make_chunk(asio::const_buffer(text.data(), text.size()));
-        if (m_on_progress)
-            co_return co_await write_with_progress(chunk);
-        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
-        watchdog.arm(m_limits.write_time);
-        auto [ec, size] = co_await asio::async_write(m_socket, chunk, kToTuple);
-        watchdog.disarm();
-        co_return finish_write(ec);
+        co_return co_await write_all(chunk);
     }
 
     asio::awaitable<bool> end() override
     {
-        auto [ec, size]
-            = co_await asio::async_write(m_socket, http::make_chunk_last(), kToTuple);
-        co_return finish_write(ec);
+        co_return co_await write_all(http::make_chunk_last());
     }
 
     void watch_progress(std::function<void(std::size_t)> on_progress) override
@@ -211,10 +207,11 @@
             });
     }
 
-    /// Stops watching for a disconnect and progress once the handler has returned.
+    /// Ends what applies to one request only, once the handler has returned.
     void stop_watching()
     {
         m_on_progress = nullptr;
+        m_write_deadline.reset();
         if (!m_on_disconnect)
             return;
         *m_on_disconnect = nullptr;
@@ -272,6 +269,20 @@
     }
 
 private:
+    /// When a write that makes no progress is cancelled.
+    BootClock::time_point write_limit() const
+    {
+        const BootClock::time_point now = BootClock::now();
+        const BootClock::time_point limit = now + m_limits.write_time;
+        if (!m_write_deadline)
+            return limit;
+        const BootClock::time_point deadline = time_point_of(*m_write_deadline);
+        const BootClock::time_point overdue
+            = std::max<BootClock::time_point>(deadline, now + kOverdueWriteTime);
+        return std::min<BootClock::time_point>(
+            {limit, overdue, deadline + m_limits.write_time});
+    }
+
     /// When a body that is not complete is refused.
     template <class Parser> BootClock::time_point body_limit(const Parser& parser) const
     {
@@ -284,17 +295,18 @@
                         : limit;
     }
 
-    template <class Chunk> asio::awaitable<bool> write_with_progress(const Chunk& chunk)
+    /// Writes with a limit on the time without progress.
+    template <class Buffers> asio::awaitable<bool> write_all(Buffers buffers)
     {
-        beast::buffers_suffix<Chunk> rest(chunk);
+        beast::buffers_suffix<Buffers> rest(buffers);
         SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         boost::system::error_code ec;
         while (!ec && beast::buffer_bytes(rest) > 0) {
-            watchdog.arm(m_limits.write_time);
+            watchdog.arm(write_limit());
             std::size_t size = 0;
             std::tie(ec, size) = co_await m_socket.async_write_some(rest, kToTuple);
             rest.consume(size);
-            if (size > 0)
+            if (m_on_progress && size > 0)
                 m_on_progress(size);
         }
         watchdog.disarm();
@@ -314,6 +326,10 @@
     {
         if (ec)
             m_keep_alive = false;
+        // The system would keep the unsent bytes, and the connection, until the caller
+        // reads.
+        if (ec && m_write_deadline && monotonic_us() >= *m_write_deadline)
+            abort();
         return !ec;
     }
 
@@ -336,6 +352,7 @@
     const HttpLimits& m_limits; ///< owned by the server, which may change them
     const HttpServer::BodyDeadline& m_body_deadline; ///< owned by the server; may be empty
     std::int64_t m_received_at = 0;
+    std::optional<std::int64_t> m_write_deadline;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     ErrorKind m_refusal = ErrorKind::BadRequest;
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -31,10 +31,12 @@
     std::chrono::milliseconds header_time {5000}; ///< from first to last byte of a header
     std::chrono::milliseconds body_time {10000};
     std::chrono::milliseconds idle_time {60000};
-    /// Without progress of a whole answer, and for each chunk of a stream.
-    std::chrono::milliseconds write_time {10000};
+    std::chrono::milliseconds write_time {10000}; ///< without progress of an answer
 };
 
+/// Longest pause of a caller that takes an answer after its write deadline.
+inline constexpr std::chrono::milliseconds kOverdueWriteTime {250};
+
 /// One request and the functions that answer it.  A handler calls exactly one of respond(),
 /// begin_stream() and tunnel().
 class HttpExchange {
@@ -47,6 +49,11 @@
     /// monotonic_us().  A thread that was busy or suspended may read it much later.
     virtual std::int64_t received_at() const = 0;
 
+    /// From `at` on (microseconds of monotonic_us()), an answer that makes no progress is
+    /// cut off after kOverdueWriteTime in place of HttpLimits::write_time, and any answer
+    /// after HttpLimits::write_time in all.  Applies to this request only.
+    virtual void set_write_deadline(std::int64_t at) = 0;
+
     /// Sends the whole answer; false if the connection fails or makes no progress.
     virtual boost::asio::awaitable<bool> respond(HttpResponse response) = 0;
 
@@ -62,9 +69,8 @@
     virtual boost::asio::awaitable<bool> end() = 0;
 
     /// Calls `on_progress` with the number of bytes, including framing, that the socket has
-    /// accepted, until the handler returns.  The limit on each chunk of a stream then
-    /// applies to progress, so that a large chunk may take longer on a slow link.  The
-    /// system's send buffer is limited, so that accepted bytes are about to be read.
+    /// accepted, until the handler returns.  The system's send buffer is limited, so that
+    /// accepted bytes are about to be read.
     virtual void watch_progress(std::function<void(std::size_t)> on_progress) = 0;
 
     /// Answers a CONNECT request with 200 and forwards bytes between the caller and
--- a/src/libutil/http_server_deadline_test.cpp
+++ b/src/libutil/http_server_deadline_test.cpp
@@ -143,5 +143,53 @@
     CHECK(elapsed_since(start) < deadline + milliseconds(500));
 }
 
+/// Sends a stream that is larger than the system's buffers, with a deadline for writes.
+asio::awaitable<void>
+stream_much(HttpExchange& exchange, milliseconds deadline, std::promise<bool>& written)
+{
+    exchange.set_write_deadline(monotonic_us() + deadline.count() * kMicrosPerMs);
+    co_await exchange.begin_stream("text/plain");
+    const bool is_written = co_await exchange.write(std::string(32 * 1024 * 1024, 'x'));
+    const bool is_complete = is_written && co_await exchange.end();
+    written.set_value(is_complete);
+}
+
+TEST_CASE("a caller that reads nothing is disconnected at the write deadline")
+{
+    const milliseconds deadline(400);
+    std::promise<bool> written;
+    std::future<bool> is_complete = written.get_future();
+    ServerThread server(
+        [&](HttpExchange& exchange) { return stream_much(exchange, deadline, written); });
+    const auto start = BootClock::now();
+    tcp::socket caller = server.send(kGet);
+    constexpr int longest_ms = 3000;
+    pollfd closed {caller.native_handle(), 0, 0};
+    CHECK(::poll(&closed, 1, longest_ms) == 1);
+    CHECK(elapsed_since(start) >= deadline);
+    CHECK(elapsed_since(start) < deadline + milliseconds(500));
+    REQUIRE(is_complete.wait_for(milliseconds(longest_ms)) == std::future_status::ready);
+    CHECK_FALSE(is_complete.get());
+}
+
+TEST_CASE("a caller that goes on reading receives an answer past its write deadline")
+{
+    std::promise<bool> written;
+    std::future<bool> is_complete = written.get_future();
+    ServerThread server([&](HttpExchange& exchange) {
+        return stream_much(exchange, milliseconds(50), written);
+    });
+    tcp::socket caller = server.send(kGet);
+    std::vector<char> chunk(1024 * 1024);
+    boost::system::error_code ec;
+    std::size_t bytes = 0;
+    while (!ec) {
+        std::this_thread::sleep_for(milliseconds(10));
+        bytes += caller.read_some(asio::buffer(chunk), ec);
+    }
+    CHECK(bytes > 32 * 1024 * 1024);
+    CHECK(is_complete.get());
+}
+
 } // namespace
 } // namespace cypressford
