Arrival of relayed requests has a file of its own; own pipelines keep the deadline, too

Cause of the second part: requests of the product's own interface counted their deadline from the end of reading, as relayed ones did, and their writes had none. Change: the same first byte and the same limit on writes; no test of its own yet.

--- a/src/libserve/entry/front_door.cpp
+++ b/src/libserve/entry/front_door.cpp
@@ -89,7 +89,7 @@
 asio::awaitable<void>
 Worker::serve_pipeline(HttpExchange& exchange, std::string name)
 {
-    auto created = make_context(exchange.request(), name);
+    auto created = make_context(exchange.request(), exchange.received_at(), name);
     if (!created) {
         ++m_metrics.requests[{"-", std::string(error_row(created.error().kind).name)}];
         co_await exchange.respond(
@@ -97,6 +97,7 @@
         co_return;
     }
     const ContextPtr context = *created;
+    exchange.set_write_deadline(context->spec.deadline);
     const bool streams = context->resolved().spec.stream;
     if (context->tokens_to_skip > 0 && co_await resume_at_engine(exchange, context))
         co_return;
@@ -109,7 +110,8 @@
 }
 
 Result<ContextPtr>
-Worker::make_context(const HttpRequest& request, const std::string& name)
+Worker::make_context(const HttpRequest& request, Micros received_at,
+                     const std::string& name)
 {
     auto context = std::make_shared<RequestContext>(m_io);
     RequestSpec& spec = context->spec;
@@ -132,11 +134,13 @@
     context->pipeline = name;
     context->body = request.body;
     context->input = request.body;
-    context->arrived = monotonic_us();
+    context->arrived = received_at;
     const auto budget = read_budget(request, context->resolved().spec);
     if (!budget)
         return tl::unexpected(budget.error());
     spec.deadline = context->arrived + *budget;
+    if (monotonic_us() >= spec.deadline)
+        return fail(ErrorKind::DeadlineUnreachable, kReadTooLate);
     if (const auto session = request.headers.get("X-Session"); !session.empty())
         spec.affinity = fast_hash(session, session_hash(context->account));
     if (auto key = read_key(request, *context); !key)
--- a/src/libserve/entry/problem.h
+++ b/src/libserve/entry/problem.h
@@ -9,6 +9,9 @@
 
 namespace cypressford {
 
+/// Detail of the refusal of a request whose deadline had passed when it was read.
+inline constexpr const char* kReadTooLate = "read after its deadline";
+
 /// Content of an error answer.
 struct Problem {
     ErrorKind kind = ErrorKind::Internal;
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -146,7 +146,7 @@
     // front_door.cpp: from the caller to the scheduler and back.
     boost::asio::awaitable<void> serve(HttpExchange& exchange);
     boost::asio::awaitable<void> serve_pipeline(HttpExchange& exchange, std::string name);
-    Result<ContextPtr> make_context(const HttpRequest& request,
+    Result<ContextPtr> make_context(const HttpRequest& request, Micros received_at,
                                     const std::string& pipeline);
     Result<void> read_key(const HttpRequest& request, RequestContext& context);
     Result<void> read_session(const HttpRequest& request, RequestContext& context);
@@ -159,8 +159,8 @@
                                                   ContextPtr context);
     void finish_metrics(const RequestContext& context, std::string_view outcome);
 
-    // relay.cpp: relayed requests.
     struct RelayedCall;
+    // arrival.cpp: from a relayed request's first byte to the scheduler.
     boost::asio::awaitable<void> serve_relayed(HttpExchange& exchange);
     /// `received_at`: first byte of the request, from which its deadline counts.
     /// `set_name`: of the pipeline's first set, if the request is bound to one; empty: any.
@@ -178,10 +178,11 @@
     /// Waits, after a suspension, until the directory's changes were read, but not beyond
     /// the request's deadline.
     boost::asio::awaitable<void> catch_up(const HttpRequest& request, Micros received_at);
+    // relay.cpp: calls to upstreams for relayed requests, and their answers.
     boost::asio::awaitable<void> answer_relayed(HttpExchange& exchange, ContextPtr context);
-    /// `arrived` is the time of the request's arrival.
     static bool is_overdue(const RequestContext& context);
     void cut_overdue_stream(const RequestContext& context);
+    /// `arrived` is the time of the request's arrival.
     boost::asio::awaitable<bool> write_events(HttpExchange& exchange, Relay& relay,
                                               Micros arrived, bool& begun);
     // resume.cpp: streams go on at the software version that began them.
