--- a/src/libserve/relay/arrival.cpp
+++ b/src/libserve/relay/arrival.cpp
@@ -95,7 +95,7 @@
         co_await exchange.respond(refusal(created.error()));
         co_return;
     }
-    const ContextPtr context = *created;
+    const ContextPtr& context = *created;
     log_begin(*context);
     exchange.set_write_deadline(context->spec.deadline);
     m_contexts.emplace(context->spec.id, context);
--- a/src/libutil/http_server_deadline_test.cpp
+++ b/src/libutil/http_server_deadline_test.cpp
@@ -17,7 +17,6 @@
 
 #include <doctest/doctest.h>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
@@ -38,7 +37,6 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::int64_t kMicrosPerMs = 1000;
 
 /// A server on a thread of its own, and callers that block.
@@ -210,11 +208,13 @@
         co_await exchange.respond(std::move(response));
     });
     std::vector<tcp::socket> busy;
+    busy.reserve(busy_requests);
     for (int i = 0; i < busy_requests; ++i)
         busy.push_back(server.send("GET /busy HTTP/1.1\r\nHost: h\r\n\r\n"));
     std::this_thread::sleep_for(limit);
     const auto sent_at = BootClock::now();
     std::vector<tcp::socket> callers;
+    callers.reserve(new_requests);
     for (int i = 0; i < new_requests; ++i)
         callers.push_back(server.send(kGet));
     for (tcp::socket& caller : callers)
