Decoding a configuration lets the threads of requests run between routes

Hypothesis: the threads of requests wait for the end of the control thread's time slice, which is long where a node has a hundredth of a core. Change: the processor is offered to other threads after each 128 routes that are decoded, checked or resolved.

--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -14,6 +14,7 @@
 #include <boost/json.hpp>
 
 #include "libutil/crypto.h"
+#include "libutil/turn_giver.h"
 #include "libutil/yaml_reader.h"
 
 namespace cypressford {
@@ -396,8 +397,11 @@
     if (!has_unique_names(bundle.pipelines, added))
         check_unique(bundle.pipelines, "pipeline", faults);
     check_unique(bundle.accounts, "account", faults);
-    for (const std::size_t at : added)
+    TurnGiver turn_giver;
+    for (const std::size_t at : added) {
+        turn_giver.on_step();
         check_pipeline(bundle, bundle.pipelines[at], faults);
+    }
     for (const auto& set : bundle.upstream_sets) {
         const std::string where = "upstream set '" + set.name + "': ";
         if (set.slots < 1 || set.slots > kMaxSlots)
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "libutil/crypto.h"
+#include "libutil/turn_giver.h"
 
 namespace cypressford {
 
@@ -361,6 +362,7 @@
     resolved.order.assign(before.begin(), first.second);
     resolved.order.reserve(items.size());
     const auto set_index = index_sets(resolved.sets);
+    TurnGiver turn_giver;
     for (auto at = first.first; at != last.first.base(); ++at) {
         const auto known = between.find(*at);
         if (known != between.end()) {
@@ -368,6 +370,7 @@
             between.erase(known);
             continue;
         }
+        turn_giver.on_step();
         const auto number = resolved.pipelines.add(resolve_pipeline(*at, set_index));
         add_pipeline(resolved, number);
         resolved.order.push_back(number);
