Threads of requests no longer wait while a configuration is resolved

A thread that opens a connection by way of another node asks in which hall the upstream is, and stood still with all its requests until a bundle was resolved: seconds, on a weak node with thousands of routes. Cause: one lock for the upstreams and for the state that resolving keeps.

--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -430,14 +430,18 @@
     const Regions m_regions;
     const std::shared_ptr<SharerCount> m_sharers = std::make_shared<SharerCount>();
     std::vector<std::string> m_evacuated; ///< halls
+    /// Held while a bundle is resolved; locked before m_mutex.
+    std::mutex m_resolve_mutex;
+    /// Threads of requests wait for it, so it is not held while a bundle is resolved.
     mutable std::mutex m_mutex;
     std::map<std::string, std::shared_ptr<UpstreamState>, std::less<>> m_upstreams;
     SelfReports m_reports; ///< of upstreams with an identity
+    std::uint64_t m_generation = 0;
+    // Guarded by m_resolve_mutex.
     std::map<std::string, std::shared_ptr<AccountState>> m_accounts;
     std::map<std::string, std::uint32_t> m_ids;
     std::map<SetId, std::shared_ptr<SetLoad>> m_loads;
     std::map<std::string, std::shared_ptr<PipelineState>> m_pipelines;
-    std::uint64_t m_generation = 0;
 };
 
 } // namespace cypressford
--- a/src/libcypressford/path_index_load_test.cpp
+++ b/src/libcypressford/path_index_load_test.cpp
@@ -1,7 +1,11 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
 
+#include <algorithm>
+#include <atomic>
+#include <chrono>
 #include <ctime>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -59,6 +63,30 @@
     CHECK(large < 3 * factor * small);
 }
 
+/// Guards against threads of requests that stand still while a configuration is resolved,
+/// which takes weak nodes seconds.
+TEST_CASE("a lookup of an upstream's hall does not wait while a bundle is resolved")
+{
+    using Clock = std::chrono::steady_clock;
+    UpstreamTable table("hall", 1, {});
+    const Bundle bundle = routes_of_one_host(100'000);
+    std::atomic<bool> is_resolved {false};
+    const auto started_at = Clock::now();
+    std::thread control([&] {
+        table.resolve(bundle);
+        is_resolved = true;
+    });
+    Clock::duration longest {};
+    while (!is_resolved) {
+        const auto called_at = Clock::now();
+        CHECK_FALSE(table.hall_at("127.0.0.1:1"));
+        longest = std::max(longest, Clock::now() - called_at);
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    control.join();
+    CHECK(longest < (Clock::now() - started_at) / 2);
+}
+
 TEST_CASE("among thousands of routes the one with the longest prefix is matched")
 {
     Bundle bundle = routes_of_one_host(5000);
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -277,7 +277,7 @@
 SnapshotPtr
 UpstreamTable::build(ResolvedBundlePtr bundle, const std::vector<UpstreamMember>& members)
 {
-    const std::lock_guard lock(m_mutex);
+    const std::scoped_lock lock(m_resolve_mutex, m_mutex);
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->bundle = std::move(bundle);
     snapshot->generation = ++m_generation;
@@ -293,7 +293,7 @@
 ResolvedBundlePtr
 UpstreamTable::resolve(const Bundle& bundle, const ResolvedBundlePtr& before)
 {
-    const std::lock_guard lock(m_mutex);
+    const std::lock_guard lock(m_resolve_mutex);
     auto resolved = std::make_shared<ResolvedBundle>();
     resolved->name = bundle.name;
     resolved->version = bundle.version;
