--- a/src/libcypressford/candidates.cpp
+++ b/src/libcypressford/candidates.cpp
@@ -339,15 +339,19 @@
         / kSecond;
 }
 
-int
-total_slots(const UpstreamSet& set, Micros now)
+UsableUpstreams
+usable_upstreams(const UpstreamSet& set, Micros now, RatePart part)
 {
-    int total = 0;
+    UsableUpstreams usable;
     for (const auto* side : {&set.own, &set.remote})
-        for (const auto& upstream : *side)
-            if (is_usable(*upstream, now) && !is_paced(*upstream, now))
-                total += slots_of(*upstream, set);
-    return total;
+        for (const auto& upstream : *side) {
+            if (!is_usable(*upstream, now, part))
+                continue;
+            ++usable.count;
+            if (!is_paced(*upstream, now))
+                usable.slots += slots_of(*upstream, set);
+        }
+    return usable;
 }
 
 namespace {
--- a/src/libcypressford/candidates.h
+++ b/src/libcypressford/candidates.h
@@ -83,8 +83,14 @@
 /// `typical`: duration of a call, used to convert a rate to slots.
 double share_of_slots(const UpstreamSet& set, Sharers sharers, Micros typical, Micros now);
 
-/// Concurrent calls that all usable upstreams without a rate limit serve.
-int total_slots(const UpstreamSet& set, Micros now);
+/// Upstreams of a set that can take calls.
+struct UsableUpstreams {
+    int count = 0;
+    int slots = 0; ///< concurrent calls of those without a rate limit
+};
+
+/// The usable upstreams of all halls.
+UsableUpstreams usable_upstreams(const UpstreamSet& set, Micros now, RatePart part);
 
 /// Calls per second that this daemon, one of `daemons`, may send to rate-limited upstreams
 /// if no other upstream is usable; else 0.
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -343,25 +343,33 @@
         const RatePart part = set.spec.has_leader() ? RatePart::Granted : RatePart::Own;
         const Micros backoff = time_to_first_usable(set, now, {}, part);
         const Micros then = now + backoff;
+        const UsableUpstreams usable = usable_upstreams(set, then, part);
         capacity = {now,
                     generation,
-                    count_usable(set, then, {}, part),
+                    usable.count,
                     share_of_slots(set, {options.daemons_in_hall, daemons},
                                    model.mean(request.pipeline().stage_ids[at], now)
                                        .value_or(typical_time(request, at)),
                                    then),
                     backoff,
                     calls_per_s_if_paced(set, daemons, then)};
-        const int schedulers = std::max(1, options.schedulers);
-        const double even = kShareSlack * capacity.share / schedulers;
-        const double all = static_cast<double>(total_slots(set, then)) / schedulers;
-        queue.limit.set_bounds(even,
-                               options.switches.uses(Mechanism::DemandLimit) ? all : even);
-        queue.limit.age(now);
+        update_limit(queue, usable.slots);
     }
     return capacity;
 }
 
+/// `slots`: concurrent calls that the usable upstreams of the set serve.
+void
+Scheduler::Impl::update_limit(StageQueue& queue, int slots)
+{
+    const int schedulers = std::max(1, options.schedulers);
+    const double even = kShareSlack * queue.capacity.share / schedulers;
+    const double all = static_cast<double>(slots) / schedulers;
+    queue.limit.set_bounds(even,
+                           options.switches.uses(Mechanism::DemandLimit) ? all : even);
+    queue.limit.age(now);
+}
+
 void
 Scheduler::Impl::commit(Request& request)
 {
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -244,6 +244,7 @@
     StageEstimate estimate_pieces(const Request& request);
     bool has_slots_by_leader(const Request& request, const StageQueue& queue) const;
     const StageQueue::Capacity& capacity_of(const Request& request, std::size_t at);
+    void update_limit(StageQueue& queue, int slots);
     void commit(Request& request);
     void release_commitment(Request& request, std::size_t at);
 
