Waiting requests take over the slots that a leader granted to calls that have ended

Change: a granted call that ends while requests wait leaves its slot to one of them. The leader's count then is what runs and waits, as before.

--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -4,6 +4,7 @@
 /// \file
 /// Relayed requests in the scheduler.
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 #include "relay_fixture.h"
@@ -82,6 +83,40 @@
     CHECK(fixture.find<SendAttempt>()->upstream->identity == "i2");
 }
 
+TEST_CASE("a request that waits takes over the slot that a leader granted to another")
+{
+    // Guards against requests that wait although granted calls have ended: their leader
+    // counts them, so it grants no further slot while they wait.
+    SchedulerOptions options;
+    options.daemons_in_hall = 80;
+    RelayFixture fixture(options);
+    fixture.publish(pipeline(true));
+    const auto prepare = [&fixture](RequestId id, bool has_slot) {
+        fixture.arrive(id, 10 * kSecond, {}, true);
+        fixture.handle(PreparationEnded {.request = id,
+                                         .made = true,
+                                         .hall = "a",
+                                         .identity = "i2",
+                                         .has_slot = has_slot});
+        return fixture.find<SendAttempt>() ? fixture.find<SendAttempt>()->attempt : 0;
+    };
+    std::vector<AttemptId> granted;
+    for (const RequestId id : {1, 2, 3, 4})
+        granted.push_back(prepare(id, true));
+    CHECK(std::count(granted.begin(), granted.end(), 0) == 0);
+    // Two more calls are always allowed to the set.
+    RequestId id = 5;
+    while (id < 10 && prepare(id, false) != 0)
+        ++id;
+    REQUIRE(id < 10);
+    for (const AttemptId attempt : granted) {
+        fixture.handle(AttemptEnded {attempt, AttemptStatus::Ok});
+        REQUIRE(fixture.find<SendAttempt>());
+        CHECK(fixture.find<SendAttempt>()->request == id);
+        REQUIRE(prepare(++id, false) == 0);
+    }
+}
+
 TEST_CASE("pieces that can't be made end the request as not run")
 {
     RelayFixture fixture;
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -73,7 +73,10 @@
     record_load(entry.request, attempt, event.status);
     StageQueue& queue = queue_of(set);
     --queue.running;
-    queue.granted -= attempt.has_granted_slot ? 1 : 0;
+    if (attempt.has_granted_slot) {
+        --queue.granted;
+        queue.freed_grants += queue.waiting.empty() ? 0 : 1;
+    }
     mark_dirty(set);
     settle_attempt(entry, attempt, event.status);
     advance(entry);
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -255,6 +255,7 @@
     bool cannot_meet_deadline(const Request& request) const;
     bool try_start(Entry& entry);
     bool has_share_left(const Request& request);
+    bool has_granted_slot(const Request& request);
     bool choose_upstream(const Request& request);
     bool pauses_before_retry(const Request& request) const;
     BeginPreparation begin_preparation(const Request& request);
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -72,6 +72,8 @@
         if (!try_start(entry))
             ++passed_over;
     }
+    if (queue_of(id).waiting.empty())
+        queue_of(id).freed_grants = 0;
 }
 
 bool
@@ -126,7 +128,7 @@
 {
     if (!admission.queues_in_daemon())
         return true;
-    if (request.prepared_has_slot)
+    if (has_granted_slot(request))
         return true;
     capacity_of(request, request.stage); // updates the limit
     const StageQueue& queue = queue_of(request.set().id);
@@ -134,6 +136,16 @@
     return running < kMinConcurrentCalls || running < queue.limit.calls();
 }
 
+/// True if the leader of the set has counted a slot for the call at the upstream that it
+/// chose, or another call has left it one.
+bool
+Scheduler::Impl::has_granted_slot(const Request& request)
+{
+    return request.prepared_has_slot
+        || (!request.prepared_identity.empty()
+            && queue_of(request.set().id).freed_grants > 0);
+}
+
 /// True for a stream that failed a moment ago to reach the last upstream of its version.
 bool
 Scheduler::Impl::pauses_before_retry(const Request& request) const
@@ -165,7 +177,7 @@
         query.near = request.prepared_hall;
     query.granted = request.prepared_identity;
     query.is_counted = request.prepared_is_counted;
-    query.has_granted_slot = request.prepared_has_slot;
+    query.has_granted_slot = has_granted_slot(request);
     query.usable_fraction = queue_of(set.id).limit.fraction();
     query.daemons = daemons;
     query.use_speeds = options.switches.uses(Mechanism::UpstreamSpeeds);
@@ -249,10 +261,12 @@
         budgets_of(request).earn();
     const bool is_placed = !request.prepared_identity.empty()
         && request.prepared_identity == chosen->identity;
-    attempt.has_granted_slot = is_placed && request.prepared_has_slot;
+    attempt.has_granted_slot = is_placed && has_granted_slot(request);
     StageQueue& queue = queue_of(request.set().id);
     ++queue.running;
     queue.granted += attempt.has_granted_slot ? 1 : 0;
+    if (attempt.has_granted_slot && !request.prepared_has_slot)
+        --queue.freed_grants;
     ++request.may_have_run;
     ++request.open_attempts;
     request.non_repeatable_may_have_run |= attempt.non_repeatable;
--- a/src/libcypressford/stage_queue.h
+++ b/src/libcypressford/stage_queue.h
@@ -30,6 +30,9 @@
     std::array<Micros, kLowestPriority + 1> committed {};
     int running = 0; ///< calls in flight
     int granted = 0; ///< of these, calls for which the leader of the set granted a slot
+    /// Slots of granted calls that have ended while requests waited.  The leader counts the
+    /// waiting requests already, so they take over these slots.
+    int freed_grants = 0;
     std::uint64_t decisions = 0; ///< routing decisions made for this set
 
     /// Cached result of a scan over all upstreams of the set.
