--- a/src/libutil/http_server_deadline_test.cpp
+++ b/src/libutil/http_server_deadline_test.cpp
@@ -97,8 +97,8 @@
 
 constexpr std::string_view kGet = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
 
-/// The system tells when data arrived in ticks of its clock, so a time counted from then may
-/// seem longer by one tick than it is.
+/// The system tells when data arrived in ticks of its clock, so a time counted from then
+/// may seem longer by one tick than it is.
 constexpr milliseconds kKernelTick {4};
 
 milliseconds
