--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""One replica of a service with resumable streams turns slow.
+"""Replicas of a service with resumable streams turn slow, one at a time.
 
 Each event that a client gets must be one whole event of one run: its id, and the data that
 the replica made for this request and this id.
@@ -19,9 +19,12 @@
 REPLICAS = 7  # one slow replica is a share of 0.143
 SLOW_X = 5  # work takes so many times as long
 SLOW_FOR_S = 6.5
+TIMES = 3  # how often the disruption comes, each time at another replica
+PAUSE_S = 2.0  # between two of them
+CALM_S = 8.0  # before the first
 EVENTS = 8
 TOKENS = 5  # of one event
-TOKEN_S = 0.010
+TOKEN_S = 0.020
 
 
 def configuration(version):
@@ -114,7 +117,7 @@
         while time.monotonic() < until:
             attempt = f"n{id(self) % 997:03d}{len(tasks):05d}"
             tasks.append(asyncio.create_task(self.stream(attempt)))
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.06)
         await asyncio.gather(*tasks)
 
 
@@ -138,13 +141,17 @@
                 for n in range(REPLICAS)]
     await fixture.start(configuration(7), replicas, zones=("riga-a",))
     client = Client(fixture.daemons[0].front, record)
-    traffic = asyncio.create_task(client.press(time.monotonic() + 8 + SLOW_FOR_S + 2))
-    await asyncio.sleep(8)
-    if TROUBLE:
-        replicas[0].x = SLOW_X
-        record(f"{replicas[0].id} turns slow, x = {SLOW_X}")
-    await asyncio.sleep(SLOW_FOR_S)
-    replicas[0].x = 1
+    end = time.monotonic() + CALM_S + TIMES * (SLOW_FOR_S + PAUSE_S)
+    traffic = asyncio.create_task(client.press(end))
+    await asyncio.sleep(CALM_S)
+    for slow in replicas[:TIMES]:
+        if TROUBLE:
+            slow.x = SLOW_X
+            record(f"{slow.id} turns slow, x = {SLOW_X}")
+        await asyncio.sleep(SLOW_FOR_S)
+        slow.x = 1
+        record(f"{slow.id} is as before")
+        await asyncio.sleep(PAUSE_S)
     await traffic
     served = sum(1 for _, _, complete in client.streams.values() if complete)
     if served < 50:
