--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 python3 -c 'import asyncio, tomllib' || exit 2
-exec python3 "$(dirname "$0")/case.py"
+exec python3 -B "$(dirname "$0")/case.py"
