Streams that two upstreams run hold events of one run each

Callers of resumable streams without session affinity got events joined from two runs, in complete answers with status 200: a hedge was sent while the first call still streamed, both calls fed the one EventSplitter of the request, and nothing ended either. Ruled out: late chunks of a cancelled call, since no attempt was cancelled before the join; they are the same fault in a shorter window.

The splitter now belongs to the call. The first complete event chooses the call whose events are passed on; the scheduler cancels the others, and what they still send is dropped. A stream is hedged while its first event is late, by the learned time to the first event, and not after it.

--- a/src/libcypressford/request.h
+++ b/src/libcypressford/request.h
@@ -24,6 +24,7 @@
     Micros sent_at = 0;
     Micros stalled_before = 0; ///< Scheduler::Impl::stalled when it was sent
     bool response_started = false; ///< the upstream has started to answer
+    bool stream_began = false; ///< a complete event of its stream has arrived
     bool probe = false; ///< the single trial call of an ejected upstream
     bool cancelled = false; ///< the outcome no longer affects the request
     bool non_repeatable = false; ///< must not run twice
--- a/src/libcypressford/scheduler.cpp
+++ b/src/libcypressford/scheduler.cpp
@@ -173,8 +173,16 @@
 Scheduler::Impl::on(const StreamBegan& event)
 {
     Request* const request = request_of(event.attempt);
-    if (request && !request->spec.version)
-        request->spec.version = attempts.at(event.attempt).upstream->version;
+    if (!request)
+        return;
+    Attempt& attempt = attempts.at(event.attempt);
+    attempt.stream_began = true;
+    if (!request->spec.version)
+        request->spec.version = attempt.upstream->version;
+    if (may_hedge(request->stage_spec()))
+        first_events.record(request->pipeline().stage_ids[attempt.stage],
+                            now - attempt.sent_at, now);
+    cancel_running(*request, event.attempt);
 }
 
 /// The request of an attempt that has not ended; null if the request was dropped.
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -274,7 +274,8 @@
     void settle_attempt(Entry& entry, const Attempt& attempt, AttemptStatus status);
     static ErrorKind failure_of(AttemptStatus status, bool non_repeatable);
     static ErrorKind claim_error(ClaimResult result);
-    void cancel_running(Request& request);
+    /// Cancels the request's attempts in flight, but for one.
+    void cancel_running(Request& request, std::optional<AttemptId> except = std::nullopt);
     void end_claim(Request& request, ClaimOutcome outcome);
     void answer(Request& request, Reply reply);
     void reply_replayed(Entry& entry);
@@ -309,6 +310,15 @@
         return request.stage_spec().kind == StageKind::Generate && spec.affinity != 0
             && !(is_short && spec.needs_pieces());
     }
+    /// A generated answer is not hedged: the other upstream has not cached its prompt.
+    static bool may_hedge(const StageSpec& stage)
+    {
+        return stage.repeatable && stage.kind != StageKind::Generate;
+    }
+    static bool is_relayed_stream(const Request& request)
+    {
+        return request.is_relayed() && request.pipeline().spec.stream;
+    }
     static std::size_t priority_index(const Request& request)
     {
         return static_cast<std::size_t>(request.priority());
@@ -339,6 +349,7 @@
     RandomBits random;
     SchedulerStats counters;
     LatencyModel model;
+    LatencyModel first_events; ///< of relayed streams, from sending to the first event
     UsualTimes usual_times;
 
     std::unordered_map<RequestId, std::unique_ptr<Entry>> entries;
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -296,21 +296,23 @@
     const Micros last = request.spec.deadline;
     const auto tail = model.p95(request.pipeline().stage_ids[request.stage], now);
     // The duration of a relayed stream depends on its text; its rate is monitored instead.
-    const bool is_stream = request.is_relayed() && request.pipeline().spec.stream;
-    if (!request.stage_spec().repeatable || is_stream || !tail || !admission.drops_late())
+    if (!request.stage_spec().repeatable || is_relayed_stream(request) || !tail
+        || !admission.drops_late())
         return last;
     return std::min(last, now + kAttemptTimeoutFactor * *tail + kAttemptTimeoutMargin);
 }
 
+/// A relayed stream is hedged only while its first event is late: events of a second call
+/// would repeat those of the first one, or be joined to them.
 void
 Scheduler::Impl::arm_hedge_timer(const Request& request, AttemptId attempt)
 {
     const StageSpec& stage = request.stage_spec();
-    const auto tail = model.p95(request.pipeline().stage_ids[request.stage], now);
-    const bool may_hedge = options.hedging && admission.queues_in_daemon()
-        && stage.repeatable && stage.kind != StageKind::Generate
-        && request.running.size() == 1 && tail;
-    if (may_hedge)
+    const LatencyModel& times = is_relayed_stream(request) ? first_events : model;
+    const auto tail = times.p95(request.pipeline().stage_ids[request.stage], now);
+    const bool is_armed = options.hedging && admission.queues_in_daemon()
+        && may_hedge(stage) && request.running.size() == 1 && tail;
+    if (is_armed)
         timers.push({now + *tail + *tail / 2, TimerKind::Hedge, request.spec.id, attempt});
 }
 
@@ -352,7 +354,8 @@
     Request& request = entry.request;
     const bool is_only_attempt = entry.machine.state() == RequestState::Running
         && request.running.size() == 1 && request.running.front() == attempt;
-    if (!is_only_attempt || request.attempts_of_stage >= max_attempts(request))
+    if (!is_only_attempt || request.attempts_of_stage >= max_attempts(request)
+        || attempts.at(attempt).stream_began)
         return;
     // The results that a hedge needs have already been read and released.
     if (request.lacks_preparation())
--- a/src/libcypressford/scheduler_settling.cpp
+++ b/src/libcypressford/scheduler_settling.cpp
@@ -187,14 +187,16 @@
 }
 
 void
-Scheduler::Impl::cancel_running(Request& request)
+Scheduler::Impl::cancel_running(Request& request, std::optional<AttemptId> except)
 {
-    for (const AttemptId id : request.running) {
+    std::erase_if(request.running, [&](AttemptId id) {
+        if (id == except)
+            return false;
         attempts.at(id).cancelled = true;
         ++counters.cancelled;
         out->push_back(CancelAttempt {id});
-    }
-    request.running.clear();
+        return true;
+    });
 }
 
 void
--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -43,7 +43,10 @@
     std::optional<HttpResponse> answer; ///< complete, to be passed on
     std::optional<HttpResponse> failure; ///< passed on unless a later attempt succeeds
     std::optional<HttpResponse> head; ///< of the stream, from its first upstream
-    EventSplitter events;
+    StreamPosition position;
+    /// The attempt whose events are passed on; 0: none.  Others may still run for a moment
+    /// after it was chosen.
+    AttemptId streaming = 0;
     bool has_events = false; ///< a complete event has arrived
     Micros first_byte
         = 0; ///< from sending the last attempt to the first byte of its stream
@@ -190,9 +193,13 @@
     /// error if it can't be bound to the one that began the stream.
     boost::asio::awaitable<Result<ContextPtr>> bind_version(const HttpRequest& request,
                                                             ContextPtr context);
+    /// Passes on the events that the chunk completes; false if the call may not continue.
+    bool take_events(RelayedCall& call, std::string_view chunk);
+    /// Makes a call with a complete event the one whose events are passed on.
+    void choose_stream(RelayedCall& call);
     /// Called with the first event of a stream.
     void begin_stream(RelayedCall& call);
-    /// False if the upstream is of another version than the events sent to the caller.
+    /// False if the events of another call, or of another version, are sent to the caller.
     static bool may_send_events(const RelayedCall& call);
     // unread.cpp: answers that callers read slowly.
     bool bounds_unread() const
--- a/src/libserve/relay/event_splitter.h
+++ b/src/libserve/relay/event_splitter.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -11,71 +10,34 @@
 
 namespace cypressford {
 
-/// Splits a stream of server-sent events, so that only complete events are passed on and
-/// the stream can resume after the last of them at another upstream.
+/// Splits the server-sent events of one call, so that only complete events are passed on.
 class EventSplitter {
 public:
-    /// Appends the events that this chunk completes to `out`; false if their ids do not
-    /// increase.
-    bool feed(std::string_view piece, std::string& out)
-    {
-        m_partial += piece;
-        for (;;) {
-            const std::size_t end = m_partial.find("\n\n");
-            if (end == std::string::npos)
-                return true;
-            const std::string_view event = std::string_view(m_partial).substr(0, end + 2);
-            if (!take_id(event))
-                return false;
-            out += event;
-            m_partial.erase(0, end + 2);
-        }
-    }
+    /// Returns the events that this chunk completes, in order; empty if there are none.
+    std::string feed(std::string_view chunk);
 
-    /// Drops an incomplete event.
-    void drop_partial() { m_partial.clear(); }
+    /// True if the last event is incomplete.
     bool has_partial() const { return !m_partial.empty(); }
 
-    /// Id of the last complete event; empty before the first.
+private:
+    std::string m_partial;
+};
+
+/// How far the caller's stream has come, over all calls that contribute to it.
+class StreamPosition {
+public:
+    /// Appends complete events to `out`, up to the first one whose id does not increase;
+    /// returns false if there is one.
+    bool advance(std::string_view events, std::string& out);
+
+    /// Id of the last event; empty before the first.
     const std::string& last_id() const { return m_last_id; }
 
 private:
-    static std::optional<std::string_view> id_of(std::string_view event)
-    {
-        constexpr std::string_view field = "id:";
-        while (!event.empty()) {
-            std::string_view line = event.substr(0, event.find('\n'));
-            event.remove_prefix(std::min(event.size(), line.size() + 1));
-            if (!line.starts_with(field))
-                continue;
-            line.remove_prefix(field.size());
-            if (line.starts_with(' '))
-                line.remove_prefix(1);
-            return line;
-        }
-        return std::nullopt;
-    }
+    bool take_id(std::string_view event);
 
-    bool take_id(std::string_view event)
-    {
-        const auto id = id_of(event);
-        if (!id)
-            return true;
-        std::int64_t number = 0;
-        const auto [end, error]
-            = std::from_chars(id->data(), id->data() + id->size(), number);
-        const bool is_number = error == std::errc {} && end == id->data() + id->size();
-        if (is_number && m_last_number && number <= *m_last_number)
-            return false;
-        if (is_number)
-            m_last_number = number;
-        m_last_id = *id;
-        return true;
-    }
-
-    std::string m_partial;
     std::string m_last_id;
-    std::optional<std::int64_t> m_last_number;
+    std::optional<std::int64_t> m_last_number; ///< of ids that are numbers
 };
 
 } // namespace cypressford
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -172,7 +172,7 @@
     call.priority = context.priority(m_kernel.settings.scheduler.switches);
     for (const PieceHandle& input : context.relay->inputs)
         call.inputs.push_back(input.handle);
-    call.last_event = context.relay->events.last_id();
+    call.last_event = context.relay->position.last_id();
     return call;
 }
 
@@ -191,15 +191,12 @@
 {
     Relay& relay = call.relay();
     call.stream_valid = call.answer.is_signed && !call.answer.is_encoded;
-    relay.events.drop_partial();
     if (!call.stream_valid || call.handle->cancelled())
         return;
     call.stream_valid = may_send_events(call);
     if (!call.stream_valid)
         return;
     call.head = relayed_response(head);
-    if (!relay.head)
-        relay.head = call.head;
     relay.first_byte = monotonic_us() - call.sent_at;
     call.context->resolved().state->record_first_byte(relay.first_byte);
     if (call.context->spec.asks_leader)
@@ -242,22 +239,31 @@
         call.handle->pause_unless([this, &call] { return may_read_more(call); });
     options.on_head
         = [this, &call](const HttpResponse& head) { begin_relayed_stream(call, head); };
-    options.on_chunk = [this, &call](std::string_view piece) {
+    options.on_chunk = [this, &call](std::string_view chunk) {
         call.stream_valid = call.stream_valid && may_send_events(call);
-        if (!call.stream_valid || call.handle->cancelled())
-            return;
-        Relay& relay = call.relay();
-        const std::size_t before = relay.unsent_events.size();
-        call.stream_valid = relay.events.feed(piece, relay.unsent_events);
-        call.has_events = call.has_events || relay.unsent_events.size() > before;
-        if (!relay.has_events && call.has_events)
-            begin_stream(call);
-        on_arrived(relay, relay.unsent_events.size() - before);
-        call.context->changed.cancel();
+        if (call.stream_valid && !call.handle->cancelled())
+            call.stream_valid = take_events(call, chunk);
     };
     return options;
 }
 
+bool
+Worker::take_events(RelayedCall& call, std::string_view chunk)
+{
+    Relay& relay = call.relay();
+    const std::string events = call.events.feed(chunk);
+    if (events.empty())
+        return true;
+    const std::size_t before = relay.unsent_events.size();
+    const bool in_order = relay.position.advance(events, relay.unsent_events);
+    const std::size_t taken = relay.unsent_events.size() - before;
+    if (taken > 0)
+        choose_stream(call);
+    on_arrived(relay, taken);
+    call.context->changed.cancel();
+    return in_order;
+}
+
 /// True if a stream that arrived to its end was broken off by its upstream: inside an
 /// event, or, where only the end of the connection ends it, before the first one.
 bool
@@ -265,7 +271,7 @@
 {
     const bool ends_with_connection = response.headers.get("Content-Length").empty()
         && response.headers.get("Transfer-Encoding").empty();
-    return call.relay().events.has_partial() || (ends_with_connection && !call.has_events);
+    return call.events.has_partial() || (ends_with_connection && !call.has_events);
 }
 
 /// Determines the status of a call that has ended, and stores the answer for the caller.
@@ -298,8 +304,11 @@
             const bool broken_off = is_broken_off(call, response);
             if (broken_off)
                 record_broken_run(call.send, *call.context, true);
-            const bool complete = call.stream_valid && relay.head && !broken_off;
-            return complete ? AttemptStatus::Ok : AttemptStatus::Lost;
+            if (!call.stream_valid || broken_off || !call.may_stream())
+                return AttemptStatus::Lost;
+            if (!relay.has_events)
+                relay.head = call.head;
+            return AttemptStatus::Ok;
         }
         if (!answer.is_signed || answer.is_encoded)
             return AttemptStatus::Lost;
@@ -328,7 +337,10 @@
     HttpRequest request = m_kernel.calls->forward(context->relay->request, forwarded);
     CallResult result = co_await m_client.call(send.upstream->address, std::move(request),
                                                options_of(call));
-    co_return take_answer(call, std::move(result));
+    const AttemptStatus status = take_answer(call, std::move(result));
+    if (context->relay->streaming == send.attempt)
+        context->relay->streaming = 0;
+    co_return status;
 }
 
 } // namespace cypressford
--- a/src/libserve/relay/relayed_call.h
+++ b/src/libserve/relay/relayed_call.h
@@ -24,11 +24,17 @@
     const Micros sent_at = monotonic_us();
     UpstreamAnswer answer; ///< read from the head; empty before it arrives
     HttpResponse head; ///< of a valid stream, as it is sent to the caller
+    EventSplitter events;
     HeldBytes body; ///< of the request, until the upstream starts to answer
     bool has_events = false; ///< a complete event has arrived with this call
     bool stream_valid = true; ///< signed, not encoded, with increasing event ids so far
 
     Relay& relay() const { return *context->relay; }
+    /// True unless the events of another call are passed on.
+    bool may_stream() const
+    {
+        return relay().streaming == 0 || relay().streaming == send.attempt;
+    }
     bool streams() const { return context->resolved().spec.stream; }
 };
 
--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -80,29 +80,42 @@
     co_return context;
 }
 
+void
+Worker::choose_stream(RelayedCall& call)
+{
+    Relay& relay = call.relay();
+    if (call.has_events)
+        return;
+    call.has_events = true;
+    relay.streaming = call.send.attempt;
+    if (!relay.has_events)
+        begin_stream(call);
+    // Cancels the request's other attempts.
+    feed(StreamBegan {call.send.attempt});
+}
+
 void
 Worker::begin_stream(RelayedCall& call)
 {
     Relay& relay = call.relay();
     relay.has_events = true;
-    // Nothing of an earlier attempt's answer has been sent.
     relay.head = call.head;
     RequestSpec& spec = call.context->spec;
     if (!spec.version)
         spec.version = call.send.upstream->version;
-    feed(StreamBegan {call.send.attempt});
     const bool may_resume = call.context->resolved().spec.resumable;
     if (may_resume && relay.call.last_event.empty() && m_kernel.streams)
         m_kernel.streams->record(relay.call.attempt,
                                  {call.context->set_name(), *spec.version});
 }
 
-/// Hedges and upstreams that were chosen before the first event may be of another version.
+/// Another call may have become the one whose events are passed on, and upstreams that were
+/// chosen before the first event may be of another version.
 bool
 Worker::may_send_events(const RelayedCall& call)
 {
     const std::optional<std::string>& version = call.context->spec.version;
-    return !version || *version == call.send.upstream->version;
+    return call.may_stream() && (!version || *version == call.send.upstream->version);
 }
 
 } // namespace cypressford
