A configuration with tenants requires a key, also once none of them has one

Once the last key of all tenants was taken away, every request on routes that are not anonymous ran and got 200: with a key taken away, a foreign one, or none. Tenants without a key are left out when a configuration is decoded, and a bundle without accounts was taken for one of a configuration without tenants. Ruled out: a version that is dropped on the way (request_begin names the new one) and a difference between versions (a daemon that starts on it does the same).

Bundle::requires_credential now says whether the configuration holds tenants.

--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -208,6 +208,9 @@
     /// Sources of all pipelines, in order; empty if they were not decoded one by one.
     std::vector<PipelineSource> sources;
     std::vector<AccountSpec> accounts;
+    /// Relayed requests need the credential of an account, also where no account has one;
+    /// pipelines for anonymous callers don't.
+    bool requires_credential = false;
     CallerLimits limits;
 };
 
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -277,6 +277,7 @@
     std::map<int, int> rank_offsets; ///< by priority of pipelines; see rank_of()
     std::size_t anonymous_account
         = 0; ///< index of the account of callers without a credential
+    bool requires_credential = false; ///< see Bundle::requires_credential
     CallerLimits limits;
 
     /// The pipeline with that name.
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -299,6 +299,7 @@
     resolved->version = bundle.version;
     resolved->sets = bundle.upstream_sets;
     resolved->limits = bundle.limits;
+    resolved->requires_credential = bundle.requires_credential;
     // Resolved pipelines refer to sets by their positions.
     if (before && before->sets == bundle.upstream_sets) {
         resolved->pipelines = before->pipelines;
--- a/src/libserve/relay/arrival.cpp
+++ b/src/libserve/relay/arrival.cpp
@@ -55,8 +55,7 @@
         if (it != snapshot.bundle->account_by_digest.end())
             return it->second;
     }
-    // If no accounts are configured, there are no credentials to require.
-    if (spec.anonymous || snapshot.bundle->accounts.size() == 1)
+    if (spec.anonymous || !snapshot.bundle->requires_credential)
         return snapshot.bundle->anonymous_account;
     return fail(ErrorKind::Unauthorized);
 }
