An empty list of allowed regions allows none

A route or tenant whose allowed_regions had become empty ran in every region, since an empty list and a missing one gave the same value.

--- a/src/include/cypressford/bundle.h
+++ b/src/include/cypressford/bundle.h
@@ -76,8 +76,8 @@
     int max_attempts = 0; ///< upstreams per request; 0: the scheduler's limit
     Micros target_latency = 0; ///< answers within this time count as prompt; 0: no target
     std::vector<PieceStageSpec> piece_stages;
-    /// Regions in which requests may be processed; empty: all.
-    std::vector<std::string> regions;
+    /// Regions in which requests may be processed; nothing: all; an empty list: none.
+    std::optional<std::vector<std::string>> regions;
 
     /// True if every stage may be repeated.
     bool repeatable() const;
@@ -176,9 +176,9 @@
     double burst = 100; ///< requests that may arrive at once
     std::vector<std::string> additional_credentials {}; ///< hex digests, also accepted
     int priority = 0; ///< takes precedence over the pipeline's priority
-    /// Regions in which requests may be processed; empty: all.  The pipeline's regions
-    /// apply as well.
-    std::vector<std::string> regions {};
+    /// Regions in which requests may be processed; nothing: all; an empty list: none.  The
+    /// pipeline's regions apply as well.
+    std::optional<std::vector<std::string>> regions {};
 };
 
 /// A model and the adapters that may be loaded with it.
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -423,8 +423,8 @@
 
     bool is_evacuated(const std::string& hall) const;
 
-    /// Halls of these regions; all halls if there are no regions.
-    HallLimit halls_of(const std::vector<std::string>& regions) const;
+    /// Halls of these regions; all halls if no regions are configured.
+    HallLimit halls_of(const std::optional<std::vector<std::string>>& regions) const;
 
     const std::string m_hall;
     const std::uint64_t m_seed;
--- a/src/libcypressford/bundle.cpp
+++ b/src/libcypressford/bundle.cpp
@@ -306,8 +306,8 @@
                          {"deadline_ms", pipeline.deadline / kMillisecond},
                          {"stream", pipeline.stream},
                          {"stages", std::move(stages)}};
-    if (!pipeline.regions.empty())
-        object["regions"] = to_json(pipeline.regions);
+    if (pipeline.regions)
+        object["regions"] = to_json(*pipeline.regions);
     return object;
 }
 
@@ -338,8 +338,8 @@
                          {"credential_sha256", account.credential_sha256},
                          {"rate", account.rate},
                          {"burst", account.burst}};
-    if (!account.regions.empty())
-        object["regions"] = to_json(account.regions);
+    if (account.regions)
+        object["regions"] = to_json(*account.regions);
     return object;
 }
 
--- a/src/libcypressford/test_fleet.h
+++ b/src/libcypressford/test_fleet.h
@@ -98,7 +98,8 @@
         pipeline.path_prefix = "/";
         pipeline.max_attempts = 3;
         pipeline.target_latency = spec.target_latency;
-        pipeline.regions = std::move(spec.pipeline_regions);
+        if (!spec.pipeline_regions.empty())
+            pipeline.regions = std::move(spec.pipeline_regions);
         pipeline.stages.emplace_back();
         pipeline.stages[0].upstream_set = "set";
         bundle.pipelines.push_back(pipeline);
@@ -106,7 +107,8 @@
         account.name = "account";
         account.credential_sha256 = std::string(64, 'a');
         account.rate = account.burst = 1e9; // unlimited: other tests cover account limits
-        account.regions = std::move(spec.account_regions);
+        if (!spec.account_regions.empty())
+            account.regions = std::move(spec.account_regions);
         bundle.accounts.push_back(account);
         return bundle;
     }
--- a/src/libcypressford/upstream.cpp
+++ b/src/libcypressford/upstream.cpp
@@ -454,13 +454,13 @@
 }
 
 HallLimit
-UpstreamTable::halls_of(const std::vector<std::string>& regions) const
+UpstreamTable::halls_of(const std::optional<std::vector<std::string>>& regions) const
 {
-    if (regions.empty())
+    if (!regions)
         return {};
     std::vector<std::string> halls;
     for (const auto& [hall, region] : m_regions)
-        if (std::find(regions.begin(), regions.end(), region) != regions.end())
+        if (std::find(regions->begin(), regions->end(), region) != regions->end())
             halls.push_back(hall);
     return HallLimit(std::move(halls));
 }
--- a/src/libutil/yaml_reader.h
+++ b/src/libutil/yaml_reader.h
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Nothing is read if the key is missing, which differs from an empty value.
+    template <class T> void read(const char* key, std::optional<T>& out)
+    {
+        if (!child(key))
+            return;
+        T value {};
+        read(key, value);
+        out = std::move(value);
+    }
+
     template <class F> void each(const char* key, F&& visit)
     {
         m_known.insert(key);
