Idle connections get the limits in force when their request arrives

The parser got its limits before the wait for a request, so a connection that was idle while a version raised max_body_bytes answered 413 to a body that it allows. The parser is now set up when the first byte has arrived.

http_limits_test failed before and passes now.

--- /dev/null
+++ b/src/libutil/http_limits_test.cpp
@@ -0,0 +1,149 @@
+// Copyright (c) 2026 The cypressford authors.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file
+/// Limits on messages.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <string_view>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http_client.h"
+#include "http_server.h"
+#include "hybrid_clock.h"
+
+namespace cypressford {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::int64_t kUsPerMs = 1000;
+constexpr std::int64_t kDeadlineUs = 3000 * kUsPerMs;
+/// A message that is bounded ends long before its deadline.
+constexpr std::int64_t kSoonUs = kDeadlineUs / 2;
+/// More than the sockets' buffers hold.
+constexpr std::size_t kMaxSent = 64 * 1024 * 1024;
+/// What the sockets' buffers hold, and more than the bound on any part of a message.
+constexpr std::size_t kFewBytes = 16 * 1024 * 1024;
+constexpr std::size_t kBlockBytes = 64 * 1024;
+
+/// Repeats a text to about kBlockBytes bytes.
+std::string
+block_of(std::string_view text)
+{
+    std::string block;
+    while (block.size() < kBlockBytes)
+        block += text;
+    return block;
+}
+
+/// Sends `head`, then `block` again and again until the other side closes.
+asio::awaitable<std::size_t>
+send_without_end(tcp::socket& socket, std::string head, std::string block)
+{
+    std::size_t sent = 0;
+    auto [head_error, head_size]
+        = co_await asio::async_write(socket, asio::buffer(head), kToTuple);
+    while (!head_error && !block.empty() && sent < kMaxSent) {
+        auto [ec, size] = co_await asio::async_write(socket, asio::buffer(block), kToTuple);
+        sent += size;
+        if (ec)
+            break;
+    }
+    co_return sent;
+}
+
+/// A server with one caller, whose connection stays open between steps.
+class CallerAndServer {
+public:
+    explicit CallerAndServer(const HttpLimits& limits)
+        : m_server(
+            m_io, limits,
+            [this](HttpExchange& exchange) -> asio::awaitable<void> {
+                ++handled;
+                body = exchange.request().body;
+                HttpResponse response;
+                co_await exchange.respond(std::move(response));
+            },
+            [](ErrorKind kind) {
+                HttpResponse response;
+                response.status = kind == ErrorKind::TooLarge ? 413 : 400;
+                return response;
+            })
+        , m_socket(m_io)
+    {
+        const auto port = m_server.listen({"127.0.0.1", 0});
+        REQUIRE(port);
+        const tcp::endpoint server(asio::ip::make_address("127.0.0.1"), *port);
+        run([this, server]() -> asio::awaitable<void> {
+            co_await m_socket.async_connect(server, asio::use_awaitable);
+        });
+    }
+
+    /// Sends bytes and returns the head of the answer; empty if there is none.
+    std::string send(const std::string& head, const std::string& block = {})
+    {
+        std::string answer;
+        const std::int64_t began = monotonic_us();
+        run([&]() -> asio::awaitable<void> {
+            sent = co_await send_without_end(m_socket, head, block);
+            co_await asio::async_read_until(m_socket, asio::dynamic_buffer(answer),
+                                            "\r\n\r\n", kToTuple);
+        });
+        took_us = monotonic_us() - began;
+        return answer;
+    }
+
+    HttpServer& server() { return m_server; }
+
+    int handled = 0; ///< requests
+    std::string body; ///< of the last one
+    std::size_t sent = 0; ///< bytes of blocks
+    std::int64_t took_us = 0;
+
+private:
+    template <class F> void run(F step)
+    {
+        m_io.restart();
+        asio::co_spawn(
+            m_io,
+            [&]() -> asio::awaitable<void> {
+                co_await step();
+                m_io.stop();
+            },
+            asio::detached);
+        m_io.run();
+    }
+
+    asio::io_context m_io;
+    HttpServer m_server;
+    tcp::socket m_socket;
+};
+
+TEST_CASE("an idle connection gets the limits that are in force when its request arrives")
+{
+    HttpLimits limits;
+    limits.body_bytes = 4;
+    CallerAndServer both(limits);
+    CHECK(both.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 200"));
+    limits.body_bytes = 8;
+    both.server().set_limits(limits);
+    CHECK(both.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n12345678")
+              .starts_with("HTTP/1.1 200"));
+    CHECK(both.body == "12345678");
+}
+
+} // namespace
+} // namespace cypressford
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -230,9 +230,6 @@
     /// Reads the next request.  For Refused, refusal() returns the kind of error.
     asio::awaitable<ReadResult> read()
     {
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
-        parser.body_limit(m_limits.body_bytes);
         SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Cancel);
         if (m_buffer.size() == 0) {
             m_idle = true;
@@ -242,6 +239,10 @@
             if (ec)
                 co_return ReadResult::Closed;
         }
+        // The limits may have changed while the connection was idle.
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
+        parser.body_limit(m_limits.body_bytes);
         m_received_at = monotonic_us();
         if (m_buffer.size() == 0)
             m_received_at -= unread_for_us(m_socket);
