Interim answers of upstreams are dropped

An upstream that sent 100 or 103 before its answer left its caller with the 1xx and nothing more, past its deadline; 101 was passed on although nobody asks for it. The parser ends at an interim head, and the client took it for the answer. It now reads on to the final one, 16 interim answers at most; 101, and statuses below 100 or above 599, end the call as lost.

http_limits_test failed before (103 and 100 in place of 200, 101 answered) and passes now.

--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <optional>
 
 #include <netinet/tcp.h>
 
@@ -32,6 +33,8 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdlePerAddress = 64; ///< connections
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+/// Interim answers of one call.
+constexpr int kMaxInterimAnswers = 16;
 constexpr std::size_t kChunkBytes = 8 * 1024;
 /// Interval of the checks whether a paused body may be read on; see
 /// CallHandle::pause_unless(). A pause serves to keep tens of kilobytes from growing, which
@@ -94,6 +97,8 @@
         || ec == http::error::end_of_stream || ec == http::error::partial_message;
 }
 
+using AnswerParser = http::response_parser<http::buffer_body>;
+
 CallResult
 lost(const boost::system::error_code& ec, HttpResponse response = {})
 {
@@ -224,29 +229,23 @@
             = co_await http::async_write(m_socket, message, kToTuple);
         if (write_error)
             co_return lost(write_error);
-        http::response_parser<http::buffer_body> parser;
-        parser.body_limit(kMaxAnswerBytes);
-        watch_silence();
-        auto [ec, read]
-            = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
-        m_silence.cancel();
-        m_got_bytes = m_buffer.size() > 0 || parser.got_some();
-        report_to_connector();
-        if (ec)
-            co_return lost(ec);
-        CallResult result = lost({}, head_of(parser.get()));
+        std::optional<AnswerParser> parser;
+        const auto head_error = co_await read_head(parser);
+        if (head_error)
+            co_return lost(head_error);
+        CallResult result = lost({}, head_of(parser->get()));
         if (options.on_answer)
             options.on_answer(result.response, m_connected_us);
         if (options.accepts_answer && !options.accepts_answer(result.response))
             co_return result;
         if (options.on_head && result.response.status == 200)
             options.on_head(result.response);
-        const auto body_error = co_await read_body(parser, options, result.response);
+        const auto body_error = co_await read_body(*parser, options, result.response);
         result.closed_by_peer = is_close(body_error);
         if (!body_error) {
             result.status = CallStatus::Answered;
             // Bytes after a complete answer belong to no request of this client.
-            m_reusable = parser.keep_alive() && m_buffer.size() == 0;
+            m_reusable = parser->keep_alive() && m_buffer.size() == 0;
             m_keep_until_us = keep_until(result.response);
         }
         co_return result;
@@ -301,9 +300,50 @@
         return monotonic_us() + seconds * kMicrosPerSecond * 4 / 5;
     }
 
+    /// Reads the head of the final answer.  Interim answers are dropped (RFC 9110, 15.2).
+    asio::awaitable<boost::system::error_code>
+    read_head(std::optional<AnswerParser>& parser)
+    {
+        watch_silence();
+        boost::system::error_code error = http::error::bad_status;
+        for (int interim = 0; interim <= kMaxInterimAnswers; ++interim) {
+            parser.emplace();
+            parser->body_limit(kMaxAnswerBytes);
+            auto [ec, read]
+                = co_await http::async_read_header(m_socket, m_buffer, *parser, kToTuple);
+            error = ec;
+            if (interim == 0) {
+                m_silence.cancel();
+                m_got_bytes = m_buffer.size() > 0 || parser->got_some();
+                report_to_connector();
+            }
+            if (ec || !is_interim(parser->get().result_int()))
+                break;
+            error = http::error::bad_status;
+        }
+        if (!error && !is_final(parser->get().result_int()))
+            error = http::error::bad_status;
+        co_return error;
+    }
+
+    /// No request asks for another protocol, so 101 is no interim answer.
+    static bool is_interim(unsigned status)
+    {
+        constexpr unsigned first = 100;
+        constexpr unsigned switching_protocols = 101;
+        constexpr unsigned last = 199;
+        return status >= first && status <= last && status != switching_protocols;
+    }
+
+    static bool is_final(unsigned status)
+    {
+        constexpr unsigned first = 200;
+        constexpr unsigned last = 599;
+        return status >= first && status <= last;
+    }
+
     asio::awaitable<boost::system::error_code>
-    read_body(http::response_parser<http::buffer_body>& parser, const CallOptions& options,
-              HttpResponse& response)
+    read_body(AnswerParser& parser, const CallOptions& options, HttpResponse& response)
     {
         std::array<char, kChunkBytes> chunk {};
         const std::int64_t until = monotonic_us() + options.body.limit_us;
--- a/src/libutil/http_limits_test.cpp
+++ b/src/libutil/http_limits_test.cpp
@@ -2,7 +2,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Limits on messages.
+/// Limits on messages, and interim answers.
+///
+/// Failure guarded against: an interim answer is taken for the final one.
 
 #include <doctest/doctest.h>
 
@@ -65,6 +67,72 @@
     co_return sent;
 }
 
+struct AnswerEnd {
+    CallResult result;
+    std::size_t sent = 0;
+    std::int64_t took_us = 0;
+};
+
+/// Calls an upstream that answers with `head` and then `block` without end.
+AnswerEnd
+call_upstream(const std::string& head, const std::string& block = {})
+{
+    asio::io_context io;
+    tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+    AnswerEnd end;
+    tcp::socket socket(io);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            socket = co_await acceptor.async_accept(asio::use_awaitable);
+            std::string request;
+            co_await asio::async_read_until(socket, asio::dynamic_buffer(request),
+                                            "\r\n\r\n", asio::use_awaitable);
+            end.sent = co_await send_without_end(socket, head, block);
+        },
+        asio::detached);
+    HttpClient client(io);
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            const std::int64_t began = monotonic_us();
+            CallOptions options;
+            options.deadline_us = began + kDeadlineUs;
+            const std::string address
+                = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+            HttpRequest request;
+            end.result
+                = co_await client.call(address, std::move(request), std::move(options));
+            end.took_us = monotonic_us() - began;
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    return end;
+}
+
+TEST_CASE("interim answers are dropped, and the final answer counts")
+{
+    const std::string last = "HTTP/1.1 200 OK\r\nX: final\r\nContent-Length: 2\r\n\r\nok";
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nX: interim\r\n\r\n";
+    const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string& interim : {hints, go_on, go_on + hints + hints}) {
+        const AnswerEnd end = call_upstream(interim + last);
+        CHECK(end.result.status == CallStatus::Answered);
+        CHECK(end.result.response.status == 200);
+        CHECK(end.result.response.headers.get("X") == "final");
+        CHECK(end.result.response.body == "ok");
+    }
+}
+
+TEST_CASE("an answer that switches protocols ends the call")
+{
+    const AnswerEnd end
+        = call_upstream("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+    CHECK(end.result.status == CallStatus::Lost);
+    CHECK(end.took_us < kSoonUs);
+}
+
 /// A server with one caller, whose connection stays open between steps.
 class CallerAndServer {
 public:
