Parts of messages that never end are bounded on both sides

A chunk's extension, zeros before its size or trailers without end were buffered without a limit until the deadline, from upstreams and from callers: some such messages a second end a daemon by its memory. The parser needs these parts as a whole and has no limit of its own for them. The buffers now have one (64 KiB, and the header's limit in the server); what passes it ends the call as lost, or is refused with 413 and a close. The server also checks a body's time limit between reads, since a cancellation has no effect there, and reads on for a moment after a refusal, so that a caller that still sends receives it.

--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -18,6 +18,7 @@
 #include <boost/beast/http.hpp>
 
 #include "boot_clock.h"
+#include "event_log.h"
 #include "hybrid_clock.h"
 #include "socket_watchdog.h"
 
@@ -33,6 +34,10 @@
 constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxIdlePerAddress = 64; ///< connections
 constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+/// Bytes of an answer that are buffered until they are parsed.  Bounds what has to arrive
+/// as a whole and has no limit of its own: a chunk's size with its extensions, and
+/// trailers.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 /// Interim answers of one call.
 constexpr int kMaxInterimAnswers = 16;
 constexpr std::size_t kChunkBytes = 8 * 1024;
@@ -97,6 +102,17 @@
         || ec == http::error::end_of_stream || ec == http::error::partial_message;
 }
 
+/// Name of the bound that a message has passed; empty for any other error.
+std::string_view
+bound_of(const boost::system::error_code& ec)
+{
+    if (ec == http::error::header_limit)
+        return "header";
+    if (ec == http::error::body_limit)
+        return "body";
+    return ec == http::error::buffer_overflow ? "unparsed" : "";
+}
+
 using AnswerParser = http::response_parser<http::buffer_body>;
 
 CallResult
@@ -323,6 +339,7 @@
         }
         if (!error && !is_final(parser->get().result_int()))
             error = http::error::bad_status;
+        log_bound(error);
         co_return error;
     }
 
@@ -342,6 +359,17 @@
         return status >= first && status <= last;
     }
 
+    void log_bound(const boost::system::error_code& ec) const
+    {
+        const std::string_view bound = bound_of(ec);
+        if (bound.empty())
+            return;
+        LogEvent("answer_too_large", LogLevel::Warn)
+            .kv("upstream", m_address)
+            .kv("bound", bound)
+            .kv("buffered_bytes", m_buffer.size());
+    }
+
     asio::awaitable<boost::system::error_code>
     read_body(AnswerParser& parser, const CallOptions& options, HttpResponse& response)
     {
@@ -364,8 +392,10 @@
                 options.on_chunk(text);
             else
                 response.body += text;
-            if (ec && ec != http::error::need_buffer)
+            if (ec && ec != http::error::need_buffer) {
+                log_bound(ec);
                 co_return ec;
+            }
         }
         co_return boost::system::error_code {};
     }
@@ -373,7 +403,7 @@
     tcp::socket m_socket;
     SocketWatchdog m_watchdog;
     BootTimer m_silence; ///< until the first byte of an answer is overdue
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer {kMaxUnparsedBytes};
     std::string m_address;
     Connector* const m_connector; ///< null: direct connections only
     std::string m_via; ///< address of the intermediate; empty: none
--- a/src/libutil/http_limits_test.cpp
+++ b/src/libutil/http_limits_test.cpp
@@ -2,9 +2,11 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file
-/// Limits on messages, and interim answers.
+/// Messages that never end, and interim answers.
 ///
-/// Failure guarded against: an interim answer is taken for the final one.
+/// Failures guarded against: a message part without a bound, such as a chunk's extension or
+/// a trailer, takes all memory of the process; an interim answer is taken for the final
+/// one.
 
 #include <doctest/doctest.h>
 
@@ -111,6 +113,32 @@
     return end;
 }
 
+const std::string kChunkedAnswer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST_CASE("a part of an answer that never ends ends the call")
+{
+    struct Shape {
+        std::string head;
+        std::string block;
+    };
+    for (const Shape& shape :
+         {Shape {"HTTP/1.1 200 OK\r\nA: ", "x"}, Shape {"HTTP/1.1 200 OK\r\n", "A: x\r\n"},
+          Shape {kChunkedAnswer + "4;x=", "y"}, Shape {kChunkedAnswer, "0"},
+          Shape {kChunkedAnswer + "0\r\n", "T: x\r\n"},
+          Shape {kChunkedAnswer + "0\r\nT: ", "x"},
+          Shape {kChunkedAnswer + "4\r\nbody\r\n5;x=", "y"},
+          Shape {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+          Shape {"HTTP/1.1 103 Early Hints\r\nA: ", "x"}}) {
+        CAPTURE(shape.head);
+        CAPTURE(shape.block);
+        const AnswerEnd end = call_upstream(shape.head, block_of(shape.block));
+        CHECK(end.result.status == CallStatus::Lost);
+        CHECK_FALSE(end.result.closed_by_peer);
+        CHECK(end.took_us < kSoonUs);
+        CHECK(end.sent < kFewBytes);
+    }
+}
+
 TEST_CASE("interim answers are dropped, and the final answer counts")
 {
     const std::string last = "HTTP/1.1 200 OK\r\nX: final\r\nContent-Length: 2\r\n\r\nok";
@@ -200,6 +228,45 @@
     tcp::socket m_socket;
 };
 
+const std::string kChunkedRequest
+    = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+TEST_CASE("a part of a request that never ends is refused")
+{
+    for (const auto& [head, text] :
+         {std::pair(kChunkedRequest + "4;x=", "y"), std::pair(kChunkedRequest, "0"),
+          std::pair(kChunkedRequest + "0\r\n", "T: x\r\n"),
+          std::pair(kChunkedRequest + "0\r\nT: ", "x"),
+          std::pair(std::string("POST / HTTP/1.1\r\nA: "), "x")}) {
+        CAPTURE(head);
+        CAPTURE(text);
+        CallerAndServer both(HttpLimits {});
+        const std::string answer = both.send(head, block_of(text));
+        CHECK(both.handled == 0);
+        CHECK(both.took_us < kSoonUs);
+        CHECK(both.sent < kFewBytes);
+    }
+}
+
+TEST_CASE("a refused caller that has stopped sending receives the refusal")
+{
+    CallerAndServer both(HttpLimits {});
+    const std::string answer
+        = both.send(kChunkedRequest + "4;x=" + std::string(256 * 1024, 'y'));
+    CHECK(answer.starts_with("HTTP/1.1 413"));
+    CHECK(both.handled == 0);
+}
+
+TEST_CASE("a body whose bytes never pause is refused at its time limit")
+{
+    HttpLimits limits;
+    limits.body_time = std::chrono::milliseconds(300);
+    CallerAndServer both(limits);
+    both.send(kChunkedRequest, block_of("1;" + std::string(8000, 'y') + "\r\nx\r\n"));
+    CHECK(both.handled == 0);
+    CHECK(both.took_us < kSoonUs);
+}
+
 TEST_CASE("an idle connection gets the limits that are in force when its request arrives")
 {
     HttpLimits limits;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -4,6 +4,7 @@
 #include "http_server.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
 #include <limits>
 #include <set>
@@ -21,6 +22,7 @@
 #include <boost/beast/http.hpp>
 
 #include "boot_clock.h"
+#include "event_log.h"
 #include "hybrid_clock.h"
 #include "socket_watchdog.h"
 #include "splice.h"
@@ -44,6 +46,14 @@
 /// has handled everything else; without a bound, requests in progress wait for all new
 /// ones.
 constexpr int kAcceptBatch = 16;
+/// Bytes of a request that are buffered, beyond its header, until they are parsed.  Bounds
+/// what has to arrive as a whole and has no limit of its own: a chunk's size with its
+/// extensions, and trailers.
+constexpr std::size_t kReadAheadBytes = 64 * 1024;
+/// How long, and for how many bytes, a caller may go on sending after a refusal.
+constexpr std::chrono::milliseconds kLingerTime {250};
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+constexpr std::size_t kLingerReadBytes = 8 * 1024;
 /// Delay before accepting again after a failure such as too many open files.
 constexpr std::chrono::milliseconds kAcceptRetryDelay {10};
 
@@ -243,6 +253,8 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.header_bytes));
         parser.body_limit(m_limits.body_bytes);
+        m_buffer.max_size(
+            std::max(m_limits.header_bytes + kReadAheadBytes, m_buffer.size()));
         m_received_at = monotonic_us();
         if (m_buffer.size() == 0)
             m_received_at -= unread_for_us(m_socket);
@@ -251,17 +263,37 @@
             = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
         if (!ec && !parser.is_done()) {
             watchdog.arm(body_limit(parser));
-            std::tie(ec, size)
-                = co_await http::async_read(m_socket, m_buffer, parser, kToTuple);
+            // A cancellation has no effect between two reads, so the limit is also checked.
+            while (!ec && !parser.is_done() && !watchdog.fired())
+                std::tie(ec, size)
+                    = co_await http::async_read_some(m_socket, m_buffer, parser, kToTuple);
         }
         watchdog.disarm();
-        if (ec)
+        if (ec || !parser.is_done())
             co_return refuse(ec, watchdog.fired());
         m_keep_alive = parser.get().keep_alive();
         m_request = to_plain(parser.release());
         co_return ReadResult::Ok;
     }
 
+    /// Reads on for a moment after a refusal, because closing a connection with unread
+    /// bytes resets it, and then the caller may lose the refusal (RFC 9112, 9.6).
+    asio::awaitable<void> linger()
+    {
+        boost::system::error_code ec;
+        m_socket.shutdown(tcp::socket::shutdown_send, ec);
+        SocketWatchdog watchdog(m_socket, SocketWatchdog::Action::Close);
+        watchdog.arm(kLingerTime);
+        std::array<char, kLingerReadBytes> bytes {};
+        std::size_t total = 0;
+        while (!ec && total < kLingerBytes) {
+            std::size_t size = 0;
+            std::tie(ec, size)
+                = co_await m_socket.async_read_some(asio::buffer(bytes), kToTuple);
+            total += size;
+        }
+    }
+
     ErrorKind refusal() const { return m_refusal; }
     bool keep_alive() const { return m_keep_alive; }
     void set_close() { m_keep_alive = false; }
@@ -344,16 +376,28 @@
         m_keep_alive = false;
         if (timed_out)
             m_refusal = ErrorKind::SlowRequest;
-        else if (ec == http::error::header_limit || ec == http::error::body_limit)
+        else if (ec == http::error::header_limit || ec == http::error::body_limit
+                 || ec == http::error::buffer_overflow)
             m_refusal = ErrorKind::TooLarge;
         else if (ec.category() == make_error_code(http::error::bad_method).category()
                  && ec != http::error::end_of_stream && ec != http::error::partial_message)
             m_refusal = ErrorKind::BadRequest;
         else
             return ReadResult::Closed;
+        log_refusal(ec);
         return ReadResult::Refused;
     }
 
+    void log_refusal(const boost::system::error_code& ec) const
+    {
+        boost::system::error_code ignored;
+        LogEvent("request_unread")
+            .kv("caller", m_socket.remote_endpoint(ignored).address().to_string())
+            .kv("kind", error_row(m_refusal).name)
+            .kv("why", ec.message())
+            .kv("buffered_bytes", m_buffer.size());
+    }
+
     tcp::socket m_socket;
     const HttpLimits& m_limits; ///< owned by the server, which may change them
     const HttpServer::BodyDeadline& m_body_deadline; ///< owned by the server; may be empty
@@ -438,6 +482,7 @@
                 break;
             if (result == Connection::ReadResult::Refused) {
                 co_await connection.respond(refusal(connection.refusal()));
+                co_await connection.linger();
                 break;
             }
             if (closing)
