A caller that waits for 100 Continue gets it

A caller that sends Expect: 100-continue and holds back its body got no interim answer, and 408 at the limit on bodies.

--- a/src/libutil/http_limits_test.cpp
+++ b/src/libutil/http_limits_test.cpp
@@ -267,6 +267,16 @@
     CHECK(both.took_us < kSoonUs);
 }
 
+TEST_CASE("a caller that waits for 100 Continue gets it before it sends the body")
+{
+    CallerAndServer both(HttpLimits {});
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n";
+    CHECK(both.send(head + "Expect: 100-Continue\r\n\r\n")
+          == "HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(both.send("body").starts_with("HTTP/1.1 200"));
+    CHECK(both.body == "body");
+}
+
 TEST_CASE("an idle connection gets the limits that are in force when its request arrives")
 {
     HttpLimits limits;
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -54,6 +54,7 @@
 constexpr std::chrono::milliseconds kLingerTime {250};
 constexpr std::size_t kLingerBytes = 1024 * 1024;
 constexpr std::size_t kLingerReadBytes = 8 * 1024;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 /// Delay before accepting again after a failure such as too many open files.
 constexpr std::chrono::milliseconds kAcceptRetryDelay {10};
 
@@ -263,6 +264,9 @@
             = co_await http::async_read_header(m_socket, m_buffer, parser, kToTuple);
         if (!ec && !parser.is_done()) {
             watchdog.arm(body_limit(parser));
+            if (waits_for_continue(parser.get()))
+                std::tie(ec, size) = co_await asio::async_write(
+                    m_socket, asio::buffer(kContinue), kToTuple);
             // A cancellation has no effect between two reads, so the limit is also checked.
             while (!ec && !parser.is_done() && !watchdog.fired())
                 std::tie(ec, size)
@@ -321,6 +325,13 @@
             {limit, overdue, deadline + m_limits.write_time});
     }
 
+    /// True if the caller sends the body only once it is told to (RFC 9110, 10.1.1).
+    template <class Message> bool waits_for_continue(const Message& head) const
+    {
+        return m_buffer.size() == 0 && head.version() >= 11
+            && beast::iequals(head[http::field::expect], "100-continue");
+    }
+
     /// When a body that is not complete is refused.
     template <class Parser> BootClock::time_point body_limit(const Parser& parser) const
     {
