A second answer to a call for pieces is not taken for the next call's

A request ran with the inputs of other requests and its caller got a complete 200: an upstream sent an answer once more in place of the next one, and an answer to a call for pieces was taken if the number of results fitted. It carries no id, and the check of idle connections sees only bytes that came before the call.

A result is given out once, so one that is known for another piece shows an earlier answer: it is skipped, the call's own answer is awaited, and the connection is not used again. After an answer that could not be recognized, such as one without a result, the connection is closed.

--- a/src/libserve/directory/reader_watch.cpp
+++ b/src/libserve/directory/reader_watch.cpp
@@ -90,6 +90,15 @@
     asio::co_spawn(m_io, query_feed_address(until), asio::detached);
 }
 
+asio::awaitable<bool>
+ReaderWatch::is_answered(const std::string& address, HttpRequest request,
+                         CallOptions options)
+{
+    const CallResult result
+        = co_await m_client.call(address, std::move(request), std::move(options));
+    co_return result.status == CallStatus::Answered;
+}
+
 asio::awaitable<void>
 ReaderWatch::query_peers_address(Micros until)
 {
@@ -98,9 +107,9 @@
     request.target = PeerLink::kAlivePath;
     CallOptions options;
     options.deadline_us = until;
-    const CallResult result
-        = co_await m_client.call(m_reader.peers_address, std::move(request), options);
-    if (result.status != CallStatus::Answered)
+    const bool answered = co_await is_answered(m_reader.peers_address, std::move(request),
+                                               std::move(options));
+    if (!answered)
         co_return;
     m_peers_answers = true;
     m_timer.cancel();
@@ -115,9 +124,9 @@
     options.deadline_us = until;
     options.fresh_connection = true;
     options.send_clock = false;
-    const CallResult result
-        = co_await m_client.call(m_reader.feed_address, std::move(request), options);
-    if (result.status != CallStatus::Answered)
+    const bool answered = co_await is_answered(m_reader.feed_address, std::move(request),
+                                               std::move(options));
+    if (!answered)
         co_return;
     m_feed_answers = true;
     m_timer.cancel();
--- a/src/libserve/directory/reader_watch.h
+++ b/src/libserve/directory/reader_watch.h
@@ -49,6 +49,8 @@
     bool is_finished() const { return m_answer_started || m_ended; }
     bool has_keepalive() const { return m_peers_answers || m_feed_answers; }
     void request_keepalives(Micros until);
+    boost::asio::awaitable<bool> is_answered(const std::string& address,
+                                             HttpRequest request, CallOptions options);
     boost::asio::awaitable<void> query_peers_address(Micros until);
     boost::asio::awaitable<void> query_feed_address(Micros until);
     /// Returns earlier if an answer arrives or the watch ends.
--- a/src/libserve/pieces/piece_calls.cpp
+++ b/src/libserve/pieces/piece_calls.cpp
@@ -33,6 +33,9 @@
 /// further results are likely to have been released: calls of a set take 200 ms and more,
 /// and several of its upstreams finish a call in this time.
 constexpr Micros kBackOffWhenNoMemory = 30 * kMillisecond;
+/// Connections that were idle for longer are not used: a second answer to their last call
+/// would no longer be recognized.
+constexpr Micros kMaxIdle = ResultOrigins::kGeneration;
 constexpr int kOk = 200;
 constexpr std::int64_t kBytesPerKb = 1000;
 
@@ -77,6 +80,7 @@
         = std::min(last_deadline, now + kTimeoutFactor * typical + kTimeoutMargin);
     options.connect_deadline_us = now + kConnectTimeout;
     options.resend_if_stale = false;
+    options.max_idle_us = kMaxIdle;
     options.send_clock = false;
     options.may_send = [upstream = call.upstream] {
         return begin_call(*upstream, CallCount::Granted, monotonic_us());
@@ -84,6 +88,42 @@
     return options;
 }
 
+AnswerUse
+PieceMaker::judge_answer(const HttpResponse& response, const PieceCall& call,
+                         const std::vector<PieceItem>& items) const
+{
+    std::vector<PieceResult> results;
+    if (response.status == kOk)
+        results = m_kernel.calls->decode_piece_call(response).value_or(results);
+    switch (match_piece_answer(results, items, m_origins)) {
+    case PieceAnswerMatch::Own:
+        return AnswerUse::Take;
+    case PieceAnswerMatch::Unrecognizable:
+        return AnswerUse::TakeAndClose;
+    case PieceAnswerMatch::Earlier:
+        break;
+    }
+    LogEvent("piece_answer_skipped", LogLevel::Warn)
+        .kv("upstream", call.upstream->address)
+        .kv("identity", call.upstream->identity)
+        .kv("results", results.size())
+        .kv("pieces", items.size())
+        .kv("requests", distinct_requests(items))
+        .kv("why", "earlier_call");
+    return AnswerUse::Skip;
+}
+
+void
+PieceMaker::record_origins(const std::vector<PieceResult>& results,
+                           const std::vector<PieceItem>& items)
+{
+    const Micros now = monotonic_us();
+    const std::size_t count = std::min(results.size(), items.size());
+    for (std::size_t i = 0; i < count; ++i)
+        if (results[i].outcome == PieceOutcome::Made)
+            m_origins.record(results[i].handle, items[i], now);
+}
+
 std::vector<PieceResult>
 PieceMaker::results_of(const CallResult& result) const
 {
@@ -109,11 +149,15 @@
         record_upstream_report(*call.upstream, upstream_answer,
                                {sent.at, connected, "pieces", RatePart::Granted});
     };
+    options.judge_answer = [&](const HttpResponse& response) {
+        return judge_answer(response, call, sent.items);
+    };
     const CallResult result = co_await m_client.call(
         call.upstream->address,
         m_kernel.calls->piece_call(call.upstream->identity, sent.items), options);
     call.upstream->in_flight.fetch_sub(1, std::memory_order_relaxed);
     const std::vector<PieceResult> results = results_of(result);
+    record_origins(results, sent.items);
     log_call(set, call, sent, result, results);
     if (results.size() == call.pieces.size())
         settle_call(set, call, results, sent.memory_left);
--- a/src/libserve/pieces/piece_maker.h
+++ b/src/libserve/pieces/piece_maker.h
@@ -15,6 +15,7 @@
 #include <cypressford/leader_retries.h>
 #include <cypressford/piece_order.h>
 #include <cypressford/pieces.h>
+#include <cypressford/result_origins.h>
 
 #include "libserve/kernel.h"
 #include "libutil/http_client.h"
@@ -111,6 +112,11 @@
                                           PieceCall call);
     std::vector<PieceItem> items_of(const PieceCall& call, Micros now) const;
     CallOptions options_of(const UpstreamSet& set, const PieceCall& call, Micros now) const;
+    /// Recognizes an answer to an earlier call on the same connection.
+    AnswerUse judge_answer(const HttpResponse& response, const PieceCall& call,
+                           const std::vector<PieceItem>& items) const;
+    void record_origins(const std::vector<PieceResult>& results,
+                        const std::vector<PieceItem>& items);
     /// Empty unless the call was answered with status 200 and a valid body.
     std::vector<PieceResult> results_of(const CallResult& result) const;
     std::int64_t free_bytes(const UpstreamSet& set, const PieceCall& call);
@@ -133,6 +139,7 @@
     HttpClient m_client;
     std::map<std::string, SetQueue> m_set_queues;
     std::unordered_map<PieceId, Piece> m_pieces;
+    ResultOrigins m_origins;
     PieceId m_next = 1;
 };
 
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 /// Interim answers of one call.
 constexpr int kMaxInterimAnswers = 16;
+/// Answers to earlier calls that one call may get before its own.
+constexpr int kMaxSkippedAnswers = 1;
 constexpr std::size_t kChunkBytes = 8 * 1024;
 /// Interval of the checks whether a paused body may be read on; see
 /// CallHandle::pause_unless(). A pause serves to keep tens of kilobytes from growing, which
@@ -245,26 +247,16 @@
             = co_await http::async_write(m_socket, message, kToTuple);
         if (write_error)
             co_return lost(write_error);
-        std::optional<AnswerParser> parser;
-        const auto head_error = co_await read_head(parser);
-        if (head_error)
-            co_return lost(head_error);
-        CallResult result = lost({}, head_of(parser->get()));
-        if (options.on_answer)
-            options.on_answer(result.response, m_connected_us);
-        if (options.accepts_answer && !options.accepts_answer(result.response))
+        CallResult result;
+        for (int skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
+            const AnswerUse use = co_await read_answer(options, result);
+            if (use == AnswerUse::Skip)
+                continue;
+            m_reusable = m_reusable && use == AnswerUse::Take && skipped == 0;
             co_return result;
-        if (options.on_head && result.response.status == 200)
-            options.on_head(result.response);
-        const auto body_error = co_await read_body(*parser, options, result.response);
-        result.closed_by_peer = is_close(body_error);
-        if (!body_error) {
-            result.status = CallStatus::Answered;
-            // Bytes after a complete answer belong to no request of this client.
-            m_reusable = parser->keep_alive() && m_buffer.size() == 0;
-            m_keep_until_us = keep_until(result.response);
         }
-        co_return result;
+        m_reusable = false;
+        co_return lost({}, std::move(result.response));
     }
 
 private:
@@ -316,6 +308,34 @@
         return monotonic_us() + seconds * kMicrosPerSecond * 4 / 5;
     }
 
+    /// Reads one answer.  Anything but Skip ends the call.
+    asio::awaitable<AnswerUse> read_answer(const CallOptions& options, CallResult& result)
+    {
+        std::optional<AnswerParser> parser;
+        const auto head_error = co_await read_head(parser);
+        if (head_error) {
+            result = lost(head_error);
+            co_return AnswerUse::Take;
+        }
+        result = lost({}, head_of(parser->get()));
+        if (options.on_answer)
+            options.on_answer(result.response, m_connected_us);
+        if (options.accepts_answer && !options.accepts_answer(result.response))
+            co_return AnswerUse::Take;
+        if (options.on_head && result.response.status == 200)
+            options.on_head(result.response);
+        const auto body_error = co_await read_body(*parser, options, result.response);
+        result.closed_by_peer = is_close(body_error);
+        if (body_error)
+            co_return AnswerUse::Take;
+        result.status = CallStatus::Answered;
+        // Bytes after a complete answer belong to no request of this client.
+        m_reusable = parser->keep_alive() && m_buffer.size() == 0;
+        m_keep_until_us = keep_until(result.response);
+        co_return options.judge_answer ? options.judge_answer(result.response)
+                                       : AnswerUse::Take;
+    }
+
     /// Reads the head of the final answer.  Interim answers are dropped (RFC 9110, 15.2).
     asio::awaitable<boost::system::error_code>
     read_head(std::optional<AnswerParser>& parser)
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -125,6 +125,15 @@
 /// are retransmitted after 0.2 and 0.4 s.
 constexpr BodyTimeouts kLargeBodyTimeouts {800'000, 10'000'000};
 
+/// What becomes of a complete answer and of its connection.
+enum class AnswerUse : unsigned char {
+    Take,
+    TakeAndClose, ///< the connection is not used again
+    /// It answers an earlier call: the next answer is awaited, and the connection is not
+    /// used again.
+    Skip
+};
+
 struct CallOptions {
     std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
     BodyTimeouts body;
@@ -145,6 +154,8 @@
     std::function<void(const HttpResponse&, std::int64_t connected_us)> on_answer;
     /// Returns false for an answer that belongs to another call; the call is then lost.
     std::function<bool(const HttpResponse&)> accepts_answer;
+    /// Judges a complete answer, for answers without an id of their call; empty: Take.
+    std::function<AnswerUse(const HttpResponse&)> judge_answer;
     /// Receives the status and header fields of a 200 before the first chunk of its body.
     std::function<void(const HttpResponse&)> on_head;
     /// Receives the body chunk by chunk if the status is 200; `body` then stays empty.
