Messages with a transfer coding that is not decoded are not passed on

A request with Transfer-Encoding: xchunked ran with an empty body, one with "gzip, chunked" with the coded body; an answer with xchunked came as a 200 whose body was its framing. The parser knows only chunked, and the field is removed on the way. http_rules now judges each parsed head on both sides: 400 and not run, or lost.

--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -19,6 +19,7 @@
 
 #include "boot_clock.h"
 #include "event_log.h"
+#include "http_rules.h"
 #include "hybrid_clock.h"
 #include "socket_watchdog.h"
 
@@ -318,6 +319,12 @@
             co_return AnswerUse::Take;
         }
         result = lost({}, head_of(parser->get()));
+        if (const std::string_view fault = answer_fault(result.response); !fault.empty()) {
+            LogEvent("answer_refused", LogLevel::Warn)
+                .kv("upstream", m_address)
+                .kv("fault", fault);
+            co_return AnswerUse::Take;
+        }
         if (options.on_answer)
             options.on_answer(result.response, m_connected_us);
         if (options.accepts_answer && !options.accepts_answer(result.response))
--- a/src/libutil/http_limits_test.cpp
+++ b/src/libutil/http_limits_test.cpp
@@ -267,6 +267,20 @@
     CHECK(both.took_us < kSoonUs);
 }
 
+TEST_CASE("a message with a transfer coding that is not decoded is not passed on")
+{
+    const AnswerEnd end
+        = call_upstream("HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n"
+                        "4\r\nmade\r\n0\r\n\r\n");
+    CHECK(end.result.status == CallStatus::Lost);
+    CHECK(end.took_us < kSoonUs);
+    CallerAndServer both(HttpLimits {});
+    CHECK(both.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"
+                    "4\r\nbody\r\n0\r\n\r\n")
+              .starts_with("HTTP/1.1 400"));
+    CHECK(both.handled == 0);
+}
+
 TEST_CASE("a caller that waits for 100 Continue gets it before it sends the body")
 {
     CallerAndServer both(HttpLimits {});
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -23,6 +23,7 @@
 
 #include "boot_clock.h"
 #include "event_log.h"
+#include "http_rules.h"
 #include "hybrid_clock.h"
 #include "socket_watchdog.h"
 #include "splice.h"
@@ -277,6 +278,8 @@
             co_return refuse(ec, watchdog.fired());
         m_keep_alive = parser.get().keep_alive();
         m_request = to_plain(parser.release());
+        if (const std::string_view fault = request_fault(m_request); !fault.empty())
+            co_return refuse(ErrorKind::BadRequest, fault);
         co_return ReadResult::Ok;
     }
 
@@ -395,18 +398,20 @@
             m_refusal = ErrorKind::BadRequest;
         else
             return ReadResult::Closed;
-        log_refusal(ec);
-        return ReadResult::Refused;
+        return refuse(m_refusal, ec.message());
     }
 
-    void log_refusal(const boost::system::error_code& ec) const
+    ReadResult refuse(ErrorKind kind, std::string_view why)
     {
+        m_keep_alive = false;
+        m_refusal = kind;
         boost::system::error_code ignored;
         LogEvent("request_unread")
             .kv("caller", m_socket.remote_endpoint(ignored).address().to_string())
-            .kv("kind", error_row(m_refusal).name)
-            .kv("why", ec.message())
+            .kv("kind", error_row(kind).name)
+            .kv("why", why)
             .kv("buffered_bytes", m_buffer.size());
+        return ReadResult::Refused;
     }
 
     tcp::socket m_socket;
