--- a/src/libutil/http.cpp
+++ b/src/libutil/http.cpp
@@ -6,9 +6,9 @@
 #include <charconv>
 
 #include <boost/algorithm/string/classification.hpp>
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace cypressford {
 
@@ -16,7 +16,7 @@
 HttpHeaders::get(std::string_view name) const
 {
     for (const auto& [key, value] : m_fields)
-        if (boost::algorithm::iequals(key, name))
+        if (boost::beast::iequals(key, name))
             return value;
     return {};
 }
@@ -26,7 +26,7 @@
 {
     std::vector<std::string_view> values;
     for (const auto& [key, value] : m_fields)
-        if (boost::algorithm::iequals(key, name))
+        if (boost::beast::iequals(key, name))
             values.emplace_back(value);
     return values;
 }
@@ -35,7 +35,7 @@
 HttpHeaders::remove(std::string_view name)
 {
     std::erase_if(m_fields, [name](const auto& field) {
-        return boost::algorithm::iequals(field.first, name);
+        return boost::beast::iequals(field.first, name);
     });
 }
 
--- a/src/libutil/http_rules.cpp
+++ b/src/libutil/http_rules.cpp
@@ -3,7 +3,7 @@
 
 #include "http_rules.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 namespace cypressford {
 
@@ -16,7 +16,7 @@
 {
     const auto codings = headers.all("Transfer-Encoding");
     return !codings.empty()
-        && (codings.size() > 1 || !boost::algorithm::iequals(codings.front(), "chunked"));
+        && (codings.size() > 1 || !boost::beast::iequals(codings.front(), "chunked"));
 }
 
 } // namespace
