A tunnel tells how the upstream's side ended

Callers at a node that reaches upstreams through another daemon got parts of answers as complete 200s, streams as well as whole answers.

Cause: the daemon between forwarded bytes and closed both connections whatever had ended one of them. An answer without length or chunks ends with its connection, so a reset at the upstream, and the end of the daemon between (killed, or at the limit of a planned stop), looked like the upstream's orderly end. A close alone can't tell these apart, since the system closes the connections of a killed process in order.

The daemon that is served now asks for frames (Tunnel-Form: frames) in its CONNECT request, and the answer confirms them. The upstream's bytes come as data frames, followed by a frame for an orderly end or for a reset. A connection that ends without either is cut: the call is lost, and its request is not counted as one under which the upstream ended. A peer of an older build confirms nothing; no end through it counts as the upstream's end, so an answer that only its connection ends is lost there, and answers with a length or chunks are taken as before. Bytes towards the upstream stay unframed: their end ends the tunnel at once. A failed write to the upstream takes the connection's error from the system, after which a read returns an orderly end, so the write's error is kept for the frame.

--- a/src/libserve/links/tunnel_protocol.cpp
+++ b/src/libserve/links/tunnel_protocol.cpp
@@ -62,7 +62,13 @@
     return response;
 }
 
-asio::awaitable<TunnelAnswer>
+TunnelForm
+tunnel_form(std::string_view field)
+{
+    return field == kTunnelFrames ? TunnelForm::Frames : TunnelForm::Bytes;
+}
+
+asio::awaitable<TunnelResult>
 open_tunnel(tcp::socket& socket, std::string peer, std::string address, Micros deadline)
 {
     const Address parsed = parse_address(peer);
@@ -71,23 +77,27 @@
     watchdog.arm(time_point_of(std::min(deadline, monotonic_us() + kPeerConnectTimeout)));
     auto [connect_error] = co_await socket.async_connect(endpoint, kToTuple);
     if (connect_error)
-        co_return TunnelAnswer::NoAnswer;
+        co_return TunnelResult {};
     watchdog.arm(time_point_of(deadline));
     http::request<http::empty_body> request(http::verb::connect, address, 11);
     request.set(http::field::host, address);
+    request.set(kTunnelFormField, kTunnelFrames);
     auto [write_error, written] = co_await http::async_write(socket, request, kToTuple);
     if (write_error)
-        co_return TunnelAnswer::NoAnswer;
-    // The upstream sends nothing before it has received a request, so that no byte of its
-    // answers can be read here.
+        co_return TunnelResult {};
     beast::flat_buffer buffer;
     http::response_parser<http::empty_body> parser;
     parser.skip(true);
     auto [ec, read] = co_await http::async_read_header(socket, buffer, parser, kToTuple);
     if (ec)
-        co_return TunnelAnswer::NoAnswer;
+        co_return TunnelResult {};
     const auto& answer = parser.get();
-    co_return answer_of(answer.result_int(), answer[kReasonField]);
+    TunnelResult result {answer_of(answer.result_int(), answer[kReasonField]),
+                         tunnel_form(answer[kTunnelFormField])};
+    // Before a request, an upstream only sends the end of its connection.
+    if (result.answer == TunnelAnswer::Opened && buffer.size() > 0)
+        result.answer = TunnelAnswer::UpstreamUnresponsive;
+    co_return result;
 }
 
 } // namespace cypressford
--- a/src/libserve/links/tunnel_server.cpp
+++ b/src/libserve/links/tunnel_server.cpp
@@ -27,6 +27,7 @@
 TunnelServer::serve(HttpExchange& exchange)
 {
     const std::string address = exchange.request().target;
+    const TunnelForm form = tunnel_form(exchange.request().headers.get(kTunnelFormField));
     TunnelAnswer answer = check(address);
     tcp::socket upstream(m_io);
     ++m_open;
@@ -48,7 +49,7 @@
         boost::system::error_code ignored;
         upstream.set_option(tcp::no_delay(true), ignored);
         m_kernel.served_tunnels.fetch_add(1, std::memory_order_relaxed);
-        co_await exchange.tunnel(std::move(upstream));
+        co_await exchange.tunnel(std::move(upstream), form);
         m_kernel.served_tunnels.fetch_sub(1, std::memory_order_relaxed);
         LogEvent("tunnel_end")
             .kv("upstream", address)
--- a/src/libserve/links/upstream_connector.cpp
+++ b/src/libserve/links/upstream_connector.cpp
@@ -118,7 +118,7 @@
         if (!peer || now >= request.deadline_us)
             break;
         tried.push_back(peer->address);
-        const TunnelAnswer answer
+        const auto [answer, form]
             = co_await open_tunnel(socket, peer->address, request.address,
                                    std::min(request.deadline_us, now + kPeerTimeout));
         const bool is_cancelled = request.is_cancelled();
@@ -133,7 +133,7 @@
             m_kernel.open_tunnels.fetch_add(1, std::memory_order_relaxed);
             // The peer reaches an upstream that this daemon may reach again as well.
             begin_probe(request.address);
-            co_return ConnectResult {true, peer->address, false};
+            co_return ConnectResult {true, peer->address, false, form};
         }
         close(socket);
         if (shows_upstream_down(answer))
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -87,7 +87,8 @@
         asked.push_back(peer->address);
         boost::asio::ip::tcp::socket socket(m_io);
         const TunnelAnswer answer
-            = co_await open_tunnel(socket, peer->address, address, now + kPeerTimeout);
+            = (co_await open_tunnel(socket, peer->address, address, now + kPeerTimeout))
+                  .answer;
         if (answer == TunnelAnswer::Opened)
             co_return false;
         is_confirmed |= answer == TunnelAnswer::UpstreamRefused;
--- a/src/libutil/connector_test.cpp
+++ b/src/libutil/connector_test.cpp
@@ -135,7 +135,7 @@
         co_await socket.async_connect(endpoint_of(exchange.request().target),
                                       asio::use_awaitable);
         ++tunnels;
-        co_await exchange.tunnel(std::move(socket));
+        co_await exchange.tunnel(std::move(socket), TunnelForm::Bytes);
         --tunnels;
     }
 
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -188,6 +188,7 @@
 public:
     Connection(asio::io_context& io, std::string address, Connector* connector)
         : m_socket(io)
+        , m_stream(m_socket)
         , m_watchdog(m_socket, SocketWatchdog::Action::Close)
         , m_silence(io)
         , m_address(std::move(address))
@@ -226,6 +227,8 @@
         if (!result.connected)
             co_return false;
         m_via = std::move(result.via);
+        if (is_tunnel())
+            m_stream.set_tunnel(result.form);
         on_connected();
         co_return true;
     }
@@ -272,8 +275,11 @@
         const auto message = to_beast(m_address, request);
         auto [write_error, written]
             = co_await http::async_write(m_socket, message, kToTuple);
+        // The bytes towards the upstream have no frames, so that such an error does not
+        // tell which of the two connections has failed.
         if (write_error)
-            co_return lost(write_error);
+            co_return lost(is_tunnel() ? TunnelDecoder::error_of(write_error)
+                                       : write_error);
         CallResult result;
         for (int skipped = 0; skipped <= kMaxSkippedAnswers; ++skipped) {
             const AnswerUse use = co_await read_answer(options, result);
@@ -365,7 +371,8 @@
             co_return AnswerUse::Take;
         result.status = CallStatus::Answered;
         // Bytes after a complete answer belong to no request of this client.
-        m_reusable = parser->keep_alive() && m_buffer.size() == 0;
+        m_reusable
+            = parser->keep_alive() && m_buffer.size() == 0 && m_stream.is_between_frames();
         m_keep_until_us = keep_until(result.response);
         co_return options.judge_answer ? options.judge_answer(result.response)
                                        : AnswerUse::Take;
@@ -381,7 +388,7 @@
             parser.emplace();
             parser->body_limit(kMaxAnswerBytes);
             auto [ec, read]
-                = co_await http::async_read_header(m_socket, m_buffer, *parser, kToTuple);
+                = co_await http::async_read_header(m_stream, m_buffer, *parser, kToTuple);
             error = ec;
             if (interim == 0) {
                 m_silence.cancel();
@@ -440,7 +447,7 @@
             parser.get().body().data = chunk.data();
             parser.get().body().size = chunk.size();
             auto [ec, size]
-                = co_await http::async_read_some(m_socket, m_buffer, parser, kToTuple);
+                = co_await http::async_read_some(m_stream, m_buffer, parser, kToTuple);
             const std::size_t got = chunk.size() - parser.get().body().size;
             const std::string_view text(chunk.data(), got);
             if (options.on_chunk && response.status == 200)
@@ -456,6 +463,7 @@
     }
 
     tcp::socket m_socket;
+    UpstreamStream m_stream; ///< reads from the socket
     SocketWatchdog m_watchdog;
     BootTimer m_silence; ///< until the first byte of an answer is overdue
     beast::flat_buffer m_buffer {kMaxUnparsedBytes};
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -19,6 +19,7 @@
 #include <boost/system/error_code.hpp>
 
 #include "http.h"
+#include "tunnel_stream.h"
 
 namespace cypressford {
 
@@ -44,7 +45,7 @@
     CallStatus status = CallStatus::NotSent;
     HttpResponse response;
     /// Lost because the remote side closed or reset the connection, and not because of a
-    /// limit, a cancellation or a malformed answer.
+    /// limit, a cancellation, a malformed answer or the end of an intermediate.
     bool closed_by_peer = false;
     BodyFraming framing = BodyFraming::Unknown;
     boost::system::error_code error {}; ///< that ended a lost call, if one did
@@ -77,6 +78,7 @@
     bool connected = false;
     std::string via; ///< address of the intermediate; empty: a direct connection
     bool is_target_down = false; ///< an intermediate found that no way leads to the address
+    TunnelForm form = TunnelForm::Bytes; ///< of a connection through an intermediate
 };
 
 /// Opens the connections of an HttpClient, for callers that can reach an address in several
--- a/src/libutil/http_server.cpp
+++ b/src/libutil/http_server.cpp
@@ -182,9 +182,12 @@
                             ignored);
     }
 
-    asio::awaitable<void> tunnel(tcp::socket target) override
+    asio::awaitable<void> tunnel(tcp::socket target, TunnelForm form) override
     {
-        static constexpr std::string_view head = "HTTP/1.1 200 Connected\r\n\r\n";
+        std::string head = "HTTP/1.1 200 Connected\r\n";
+        if (form == TunnelForm::Frames)
+            head.append(kTunnelFormField).append(": ").append(kTunnelFrames).append("\r\n");
+        head += "\r\n";
         m_keep_alive = false;
         auto [head_error, head_size]
             = co_await asio::async_write(m_socket, asio::buffer(head), kToTuple);
@@ -192,7 +195,7 @@
         auto [error, size] = co_await asio::async_write(target, m_buffer.data(), kToTuple);
         m_buffer.consume(size);
         if (!head_error && !error)
-            co_await splice(m_socket, target);
+            co_await splice(m_socket, target, form);
     }
 
     void drop() override { m_keep_alive = false; }
--- a/src/libutil/http_server.h
+++ b/src/libutil/http_server.h
@@ -20,6 +20,7 @@
 #include <cypressford/error.h>
 
 #include "http.h"
+#include "tunnel_stream.h"
 
 namespace cypressford {
 
@@ -75,7 +76,9 @@
 
     /// Answers a CONNECT request with 200 and forwards bytes between the caller and
     /// `target` until one of them ends; then both are closed.
-    virtual boost::asio::awaitable<void> tunnel(boost::asio::ip::tcp::socket target) = 0;
+    virtual boost::asio::awaitable<void> tunnel(boost::asio::ip::tcp::socket target,
+                                                TunnelForm form)
+        = 0;
 
     /// Closes the connection after the handler has returned, without a complete answer.
     virtual void drop() = 0;
--- a/src/libutil/splice.h
+++ b/src/libutil/splice.h
@@ -6,11 +6,15 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include "tunnel_stream.h"
+
 namespace cypressford {
 
-/// Forwards bytes between two connections until one of them ends, and then closes both.
-/// Bytes that one side sent before its end are still delivered to the other.
-boost::asio::awaitable<void> splice(boost::asio::ip::tcp::socket& left,
-                                    boost::asio::ip::tcp::socket& right);
+/// Forwards bytes between a peer and an upstream until one of them ends, and then closes
+/// both.  Bytes that one side sent before its end are still delivered to the other.
+/// `form`: of the upstream's bytes.
+boost::asio::awaitable<void> splice(boost::asio::ip::tcp::socket& peer,
+                                    boost::asio::ip::tcp::socket& upstream,
+                                    TunnelForm form);
 
 } // namespace cypressford
--- a/testsuite/wire/check.py
+++ b/testsuite/wire/check.py
@@ -19,10 +19,12 @@
 #: Enumerations whose values cross the wire as numbers, with the header that defines each.
 ENUMERATIONS = {"DirectoryTopic": "src/include/cypressford/directory.h",
                 "PieceOutcome": "src/include/cypressford/call_dialect.h",
-                "ClaimOutcome": "src/include/cypressford/scheduler.h"}
+                "ClaimOutcome": "src/include/cypressford/scheduler.h",
+                "TunnelFrame": "src/libutil/tunnel_stream.h"}
 #: Files with text constants that other builds or records in the store depend on.
 CONSTANTS = {"src/libserve/peers/peer_link.h": r"k\w*Path = (\"[^\"]+\")",
              "src/libserve/links/tunnel_protocol.h": r"kTunnel\w+ = (\"[^\"]+\")",
+             "src/libutil/tunnel_stream.h": r"kTunnel\w+ = (\"[^\"]+\")",
              "src/libserve/directory/directory_feed_server.h": r"k\w*Path = (\"[^\"]+\")",
              "platform/directory.cpp": r"(\"keyed\.cypressford[^\"]+\")"}
 
