Ejected upstreams return to service without repeatable requests

Callers saw a daemon that made no attempt any more after its links had been cut twice: streams and unsafe requests waited for their whole deadline and were refused as deadline_unreachable.

An upstream that was ejected gets one trial call, and only repeatable requests could be that trial. In a set that gets none, each ejected upstream stayed out for good. Once all had been ejected, they counted as usable again when the ejections had ended, so requests waited for a slot that nothing could grant.

A request that may run once is now the trial if no other upstream can take it: the alternative is a refusal. While another upstream has a slot, it is not.

--- a/src/libcypressford/relay_retry_test.cpp
+++ b/src/libcypressford/relay_retry_test.cpp
@@ -111,6 +111,93 @@
     CHECK(fixture.find<Reply>()->ran == Ran::NotRun);
 }
 
+/// Ejects both upstreams, one after the other, and lets both ejections end.
+void
+eject_both(RelayFixture& fixture)
+{
+    fixture.arrive(1, kSecond);
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    fixture.handle(AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Ok});
+    fixture.now += 2 * kSecond;
+    fixture.arrive(2, fixture.now + kSecond);
+    while (const auto* send = fixture.find<SendAttempt>())
+        fixture.handle(AttemptEnded {send->attempt, AttemptStatus::NotSent});
+    fixture.now += 2 * kSecond;
+    fixture.handle(Tick {});
+}
+
+TEST_CASE("upstreams that were ejected return to service without repeatable requests")
+{
+    RelayFixture fixture;
+    fixture.publish(pipeline(false));
+    eject_both(fixture);
+    for (const UpstreamSet& set : fixture.snapshot->sets)
+        if (set.spec.name == "set")
+            for (const auto& upstream : set.own)
+                REQUIRE(upstream->ejections.load() > 0);
+    fixture.arrive(3, fixture.now + 3 * kSecond);
+    const auto* trial = fixture.find<SendAttempt>();
+    REQUIRE(trial);
+    const AttemptId attempt = trial->attempt;
+    const UpstreamPtr upstream = trial->upstream;
+    fixture.handle(AttemptEnded {attempt, AttemptStatus::Ok});
+    CHECK(upstream->ejections.load() == 0);
+}
+
+TEST_CASE("a request that may run once is no trial while another upstream serves")
+{
+    RelayFixture fixture;
+    fixture.publish(pipeline(false));
+    fixture.arrive(1, kSecond);
+    const UpstreamPtr ejected = fixture.find<SendAttempt>()->upstream;
+    fixture.handle(
+        AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::NotSent});
+    fixture.handle(AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Ok});
+    fixture.now += 2 * kSecond;
+    REQUIRE(ejected->ejections.load() > 0);
+    for (RequestId id = 2; id < 10; ++id) {
+        fixture.arrive(id, fixture.now + kSecond);
+        REQUIRE(fixture.find<SendAttempt>());
+        CHECK(fixture.find<SendAttempt>()->upstream != ejected);
+        fixture.handle(
+            AttemptEnded {fixture.find<SendAttempt>()->attempt, AttemptStatus::Ok});
+    }
+}
+
+TEST_CASE("a failed trial of the last upstream rejects the requests that wait for it")
+{
+    RelayFixture fixture;
+    fixture.publish(pipeline(false));
+    eject_both(fixture);
+    constexpr int requests = 5;
+    constexpr int max_unreached = 7; // attempts of a request that no upstream received
+    int sent = 0;
+    int answered = 0;
+    std::deque<AttemptId> open;
+    const auto collect = [&] {
+        for (const Action& action : fixture.actions) {
+            if (const auto* send = std::get_if<SendAttempt>(&action)) {
+                ++sent;
+                open.push_back(send->attempt);
+            }
+            answered += std::get_if<Reply>(&action) ? 1 : 0;
+        }
+    };
+    for (RequestId id = 3; id < 3 + requests; ++id) {
+        fixture.arrive(id, fixture.now + 3 * kSecond);
+        collect();
+    }
+    CHECK(sent == 2); // one trial at each upstream
+    while (!open.empty()) {
+        fixture.handle(AttemptEnded {open.front(), AttemptStatus::NotSent});
+        open.pop_front();
+        collect();
+        REQUIRE(sent <= requests * max_unreached);
+    }
+    CHECK(answered == requests);
+}
+
 /// Continues a stream at the first upstream, the only one of its software version.  The
 /// second one is ejected, so that the first stays in service whatever happens.
 void
--- a/src/libcypressford/scheduler_routing.cpp
+++ b/src/libcypressford/scheduler_routing.cpp
@@ -199,6 +199,12 @@
         query.allow_cold = true;
         collect_candidates(set, query, candidates);
     }
+    // Without repeatable requests, no other call shows that an ejected upstream serves
+    // again.
+    if (candidates.empty() && !query.allow_probe) {
+        query.allow_probe = true;
+        collect_candidates(set, query, candidates);
+    }
     if (candidates.empty())
         return false;
     for (const auto* state : candidates.states)
