Since when a set has one software version lasts in the platform's store

A small keyed topic now holds one record for each set: its only version and since when, or that there are several. The three daemons that rank first for the set's name keep it: they list the topic after a start and after a change of the set's versions, and write only if the record differs. Whoever takes a stream up also asks these three. A recorded time counts only if the version is the one that has been present, alone, since the keeper's start, if it was written in the present generation of the log, and if two daemons know it; of several the shortest counts, since clocks may jump.

Earlier builds ignore the topic and the added field of their answers.

Engines of the product's own platform name no versions, so nothing is written there.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -29,7 +29,13 @@
 using LogGeneration = std::uint64_t;
 
 /// Kinds of records kept under keys.
-enum class DirectoryTopic : unsigned char { Configuration, Upstreams, Daemons, Suspects };
+enum class DirectoryTopic : unsigned char {
+    Configuration,
+    Upstreams,
+    Daemons,
+    Suspects,
+    Versions ///< read by the daemons that write it; not passed on to others
+};
 
 /// The topic's name in logs.
 std::string_view to_string(DirectoryTopic topic);
--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -67,7 +67,9 @@
 /// The only software version that a set has had since a point in time.
 struct SoleVersion {
     std::string version;
-    Micros since = 0;
+    Micros since = 0; ///< as observed by the daemon that reports it
+    /// By the record in the platform's store.
+    std::optional<Micros> recorded_since = std::nullopt;
 
     bool operator==(const SoleVersion&) const = default;
 };
@@ -77,7 +79,7 @@
     std::map<StreamOrigin, std::vector<std::string>> known; ///< requests by origin
     std::vector<std::string> wanted; ///< requests whose origins the answer must name
     std::string upstream_set; ///< of the wanted requests
-    /// In an answer: of that set; `since` is the time that has passed.
+    /// In an answer: of that set; its times are those that have passed.
     std::optional<SoleVersion> sole;
 };
 
@@ -99,6 +101,10 @@
                                         std::string_view request, std::size_t count,
                                         std::size_t count_in_hall);
 
+/// Number of `others` that rank before `own` for that key.
+std::size_t holder_rank(const TunnelPeers& others, const TunnelPeer& own,
+                        std::string_view key);
+
 /// By set.  Sets with several versions are left out.
 using SoleVersions = std::map<std::string, SoleVersion>;
 
@@ -120,10 +126,15 @@
     std::string version; ///< for AtVersion
 };
 
+/// Daemons whose recorded times must be known: the clock of one may have jumped.
+inline constexpr std::size_t kNeededRecords = 2;
+
 /// Merges what several daemons have seen of one set: nothing unless all have seen the same
-/// single version; otherwise the longest time.
+/// single version; otherwise the longest time that one has observed, or the shortest one
+/// that at least `needed_records` know from records, whichever is longer.
 std::optional<SoleVersion>
-agreed_version(const std::vector<std::optional<SoleVersion>>& seen);
+agreed_version(const std::vector<std::optional<SoleVersion>>& seen,
+               std::size_t needed_records = kNeededRecords);
 
 /// What this daemon and others know of a stream that is to be resumed.
 struct StreamHistory {
@@ -135,7 +146,7 @@
 struct ResumeQuery {
     const UpstreamSet& set;
     StreamHistory history;
-    /// A stream may have begun this long ago and still be resumed.
+    /// A stream may have begun this long ago and still be resumed: see longest_stream().
     Micros longest_stream = 0;
     bool is_directory_current = false; ///< upstreams that started lately are known here
     Micros now = 0;
@@ -145,6 +156,14 @@
     static constexpr std::size_t kNeededWitnesses = 2;
 };
 
+/// A caller may resume a stream until its deadline, which may be later than that of the
+/// request that began it.  The same holds if it does not name that request.
+constexpr Micros
+longest_stream(Micros deadline)
+{
+    return 2 * deadline;
+}
+
 ResumeVerdict decide_resume(const ResumeQuery& query);
 
 } // namespace cypressford
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -47,9 +47,11 @@
     case DirectoryTopic::Daemons:
         return "daemons";
     case DirectoryTopic::Suspects:
+        return "suspects";
+    case DirectoryTopic::Versions:
         break;
     }
-    return "suspects";
+    return "versions";
 }
 
 bool
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -342,6 +342,8 @@
         return apply_upstream(record, at, after_outage, now, change);
     case DirectoryTopic::Suspects:
         return apply_suspects(record, at, change);
+    case DirectoryTopic::Versions:
+        return false;
     case DirectoryTopic::Daemons:
         break;
     }
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -31,10 +31,24 @@
         out.mutable_sole()->set_version(batch.sole->version);
         out.mutable_sole()->set_age_ms(
             static_cast<std::uint64_t>(batch.sole->since / kMillisecond));
+        if (batch.sole->recorded_since)
+            out.mutable_sole()->set_recorded_age_ms(
+                static_cast<std::uint64_t>(*batch.sole->recorded_since / kMillisecond));
     }
     return out.SerializeAsString();
 }
 
+namespace {
+
+Micros
+age_from(std::uint64_t ms)
+{
+    constexpr std::uint64_t longest_ms = 1'000'000'000;
+    return static_cast<Micros>(std::min(ms, longest_ms)) * kMillisecond;
+}
+
+} // namespace
+
 Result<StreamOriginBatch>
 decode_stream_origins(std::string_view bytes)
 {
@@ -48,11 +62,12 @@
     }
     batch.wanted.assign(in.wanted().begin(), in.wanted().end());
     batch.upstream_set = in.upstream_set();
-    constexpr std::uint64_t longest_ms = 1'000'000'000;
-    if (in.has_sole())
-        batch.sole = SoleVersion {
-            in.sole().version(),
-            static_cast<Micros>(std::min(in.sole().age_ms(), longest_ms)) * kMillisecond};
+    if (in.has_sole()) {
+        batch.sole
+            = SoleVersion {in.sole().version(), age_from(in.sole().age_ms()), std::nullopt};
+        if (in.sole().has_recorded_age_ms())
+            batch.sole->recorded_since = age_from(in.sole().recorded_age_ms());
+    }
     return batch;
 }
 
@@ -107,6 +122,12 @@
 
 namespace {
 
+std::uint64_t
+weight_of(const TunnelPeer& daemon, std::uint64_t key)
+{
+    return mix(fast_hash(daemon.address) ^ key);
+}
+
 struct Ranked {
     std::uint64_t weight = 0;
     const TunnelPeer* daemon = nullptr;
@@ -139,7 +160,7 @@
 {
     const std::uint64_t key = fast_hash(request);
     const auto rank = [key](const TunnelPeer& daemon) {
-        return Ranked {mix(fast_hash(daemon.address) ^ key), &daemon};
+        return Ranked {weight_of(daemon, key), &daemon};
     };
     std::vector<Ranked> ranked {rank(own)};
     ranked.reserve(others.size() + 1);
@@ -152,6 +173,17 @@
     return addresses;
 }
 
+std::size_t
+holder_rank(const TunnelPeers& others, const TunnelPeer& own, std::string_view key)
+{
+    const std::uint64_t hash = fast_hash(key);
+    const std::uint64_t own_weight = weight_of(own, hash);
+    return static_cast<std::size_t>(
+        std::count_if(others.begin(), others.end(), [&](const TunnelPeer& daemon) {
+            return weight_of(daemon, hash) > own_weight;
+        }));
+}
+
 SoleVersions
 sole_versions(const SoleVersions& before, const Snapshot& snapshot, Micros now)
 {
@@ -167,21 +199,31 @@
         }
         const std::string& version = set.versions.begin()->first;
         const bool is_same = known != before.end() && known->second.version == version;
-        result[set.spec.name] = {version, is_same ? known->second.since : now};
+        result[set.spec.name]
+            = {version, is_same ? known->second.since : now, std::nullopt};
     }
     return result;
 }
 
 std::optional<SoleVersion>
-agreed_version(const std::vector<std::optional<SoleVersion>>& seen)
+agreed_version(const std::vector<std::optional<SoleVersion>>& seen,
+               std::size_t needed_records)
 {
     std::optional<SoleVersion> agreed;
+    std::optional<Micros> recorded;
+    std::size_t records = 0;
     for (const std::optional<SoleVersion>& one : seen) {
         if (!one || (agreed && agreed->version != one->version))
             return std::nullopt;
         if (!agreed || one->since < agreed->since)
-            agreed = one;
+            agreed = SoleVersion {one->version, one->since, std::nullopt};
+        if (!one->recorded_since)
+            continue;
+        ++records;
+        recorded = std::max(recorded.value_or(*one->recorded_since), *one->recorded_since);
     }
+    if (agreed && recorded && records >= needed_records)
+        agreed->since = std::min(agreed->since, *recorded);
     return agreed;
 }
 
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -182,6 +182,30 @@
     CHECK_FALSE(agreed_version({}));
 }
 
+TEST_CASE("recorded times count if two daemons know them, the shortest one first")
+{
+    const auto seen = [](Micros since, std::optional<Micros> recorded_since) {
+        return std::optional(SoleVersion {"v1", since, recorded_since});
+    };
+    CHECK(agreed_version({seen(90, 10), seen(95, std::nullopt)})->since == 90);
+    CHECK(agreed_version({seen(90, 10)}, 1)->since == 10);
+    // The clock of one daemon has jumped.
+    CHECK(agreed_version({seen(90, 10), seen(95, 40), seen(96, 20)})->since == 40);
+    CHECK(agreed_version({seen(30, 40), seen(95, 40)})->since == 30);
+    const std::optional<SoleVersion> other = SoleVersion {"v2", 90, 10};
+    CHECK_FALSE(agreed_version({seen(90, 10), seen(90, 10), other}));
+}
+
+TEST_CASE("the daemons that are asked for a key are those that rank first for it")
+{
+    const TunnelPeers all = daemons(40);
+    for (const TunnelPeer& own : all) {
+        const TunnelPeers others = without(all, own);
+        const auto first = origin_holders(others, own, "model", 3, 0);
+        CHECK((holder_rank(others, own, "model") < 3) == (first.size() < 3));
+    }
+}
+
 TEST_CASE("origins of streams are kept for their lifetime, within bounds")
 {
     StreamOriginTable table;
@@ -267,7 +291,7 @@
     batch.known[{"model", ""}] = {"r3"};
     batch.wanted = {"r4"};
     batch.upstream_set = "model";
-    batch.sole = SoleVersion {"v1", 3 * kSecond};
+    batch.sole = SoleVersion {"v1", 3 * kSecond, 9 * kSecond};
     const auto copy = decode_stream_origins(encode(batch));
     REQUIRE(copy);
     CHECK(copy->known == batch.known);
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -27,6 +27,7 @@
 #include "libserve/operator/operator_pages.h"
 #include "libserve/pieces/piece_service.h"
 #include "libserve/streams/stream_origins.h"
+#include "libserve/streams/version_writer.h"
 #include "libserve/suspects/end_watch.h"
 #include "libserve/suspects/suspect_writer.h"
 #include "libutil/boot_clock.h"
@@ -109,6 +110,7 @@
         kernel.pieces = pieces.get();
         streams = std::make_unique<StreamOrigins>(workers.front()->io(), kernel);
         kernel.streams = streams.get();
+        versions = std::make_unique<VersionWriter>(control, kernel, *directory);
         kernel.on_suspension_detected
             = [this] { asio::post(control, [this] { directory->on_resumed(); }); };
         kernel.on_peer_unreachable = [this](std::string address) {
@@ -261,6 +263,7 @@
     std::unique_ptr<DirectoryWatch> directory;
     std::unique_ptr<EndWatch> ends;
     std::unique_ptr<SuspectWriter> suspects;
+    std::unique_ptr<VersionWriter> versions;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metrics;
     ReadSettings read_settings;
@@ -299,6 +302,7 @@
         if (auto started = impl.directory->start(); !started)
             return started;
         impl.suspects->start();
+        impl.versions->start();
     } else if (auto started = impl.log->start(); !started) {
         return started;
     }
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -172,6 +172,24 @@
     co_return written;
 }
 
+asio::awaitable<Result<std::vector<DirectoryRecord>>>
+DirectoryWatch::list(DirectoryTopic topic)
+{
+    std::vector<DirectoryRecord> records;
+    std::string after;
+    for (;;) {
+        auto page = co_await m_store.newest(topic, after);
+        if (!page)
+            co_return tl::unexpected(page.error());
+        const bool is_last = !page->more || page->records.empty();
+        for (DirectoryRecord& record : page->records)
+            records.push_back(std::move(record));
+        if (is_last)
+            co_return records;
+        after = records.back().key;
+    }
+}
+
 // --------------------------------------------------------- from the directory
 
 DirectorySource
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -41,6 +41,12 @@
     /// Called after each change of the snapshot.
     void on_change(std::function<void()> action) { m_on_change = std::move(action); }
 
+    /// Called with each new snapshot, before streams are resumed by its versions.
+    void on_versions(std::function<void(const Snapshot&)> action)
+    {
+        m_on_versions = std::move(action);
+    }
+
     /// Called after each read of the daemons' records, with the new records, if any.
     void on_daemons(std::function<void(std::vector<DaemonRecord>)> action)
     {
@@ -72,6 +78,10 @@
 
     boost::asio::awaitable<Result<void>> write(DirectoryTopic topic,
                                                DirectoryRecord record);
+    /// The newest record of each key of a topic that this class does not follow.
+    boost::asio::awaitable<Result<std::vector<DirectoryRecord>>> list(DirectoryTopic topic);
+    /// Of the directory's log, as far as it is known here.
+    LogGeneration generation() const { return m_view.generation(); }
 
     /// Applies, on this daemon and at once, this daemon's own record of requests that were
     /// running when upstreams ended.  A later record under the same key extends the earlier
@@ -181,6 +191,7 @@
     std::uint64_t m_unreachable_revision = 0; ///< of the list from the queried daemon
     std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
+    std::function<void(const Snapshot&)> m_on_versions;
     std::function<void()> m_on_suspects_lost;
     std::function<void(std::vector<DaemonRecord>)> m_on_daemons;
 };
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -90,6 +90,8 @@
 void
 DirectoryWatch::update_sole_versions(const Snapshot& snapshot)
 {
+    if (m_on_versions)
+        m_on_versions(snapshot);
     const auto before = m_kernel.sole_versions.load();
     SoleVersions now
         = sole_versions(before ? *before : SoleVersions {}, snapshot, monotonic_us());
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -23,6 +23,7 @@
 #include <cypressford/upstream.h>
 #include <cypressford/upstream_kind.h>
 #include <cypressford/upstream_links.h>
+#include <cypressford/version_records.h>
 
 #include "libserve/settings.h"
 #include "libutil/rcu_cell.h"
@@ -54,6 +55,7 @@
     RcuCell<Snapshot> snapshot;
     RcuCell<SuspectView> suspects; ///< null until the first view is stored
     RcuCell<SoleVersions> sole_versions; ///< null until the first snapshot
+    RcuCell<RecordedVersions> recorded_versions; ///< null until the first snapshot
     /// This daemon has lost its links to all upstreams, as seen by the thread that last
     /// opened or lost a connection.
     std::atomic<bool> is_cut_off {false};
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -3,6 +3,7 @@
 
 #include "libserve/streams/stream_origins.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -51,7 +52,25 @@
     if (!sole)
         return std::nullopt;
     const auto it = sole->find(set_name);
-    return it == sole->end() ? std::nullopt : std::optional(it->second);
+    if (it == sole->end())
+        return std::nullopt;
+    SoleVersion result = it->second;
+    result.recorded_since = recorded_since(set_name, result.version);
+    return result;
+}
+
+std::optional<Micros>
+StreamOrigins::recorded_since(const std::string& set_name, const std::string& version) const
+{
+    const auto recorded = m_kernel.recorded_versions.load();
+    if (!recorded)
+        return std::nullopt;
+    const auto it = recorded->find(set_name);
+    if (it == recorded->end() || it->second.version != version)
+        return std::nullopt;
+    // Wall clocks may be set back.
+    const std::int64_t age_ms = std::max<std::int64_t>(0, wall_ms() - it->second.since_ms);
+    return monotonic_us() - age_ms * kMillisecond;
 }
 
 /// A version that was the only one for a while needs no origins, but the daemons that
@@ -160,8 +179,12 @@
     if (!request.empty() && request.size() <= StreamOriginTable::kMaxIdChars)
         question.wanted.push_back(request);
     question.upstream_set = set_name;
-    for (const std::string& address :
-         holders(request, kAskedOriginHolders, kAskedOriginHoldersInHall)) {
+    std::vector<std::string> asked
+        = holders(request, kAskedOriginHolders, kAskedOriginHoldersInHall);
+    for (const std::string& keeper : holders(set_name, kVersionKeepers, 0))
+        if (std::find(asked.begin(), asked.end(), keeper) == asked.end())
+            asked.push_back(keeper);
+    for (const std::string& address : asked) {
         ++inquiry->open;
         asio::co_spawn(m_io, ask(address, question, inquiry), asio::detached);
     }
@@ -169,7 +192,8 @@
         co_await inquiry->changed.async_wait(kToTuple);
     if (inquiry->found)
         m_origins.record(request, *inquiry->found, false, monotonic_us());
-    co_return StreamHistory {inquiry->found, agreed_version(inquiry->seen),
+    const std::size_t needed_records = std::min(kNeededRecords, 1 + asked.size());
+    co_return StreamHistory {inquiry->found, agreed_version(inquiry->seen, needed_records),
                              inquiry->seen.size() - 1};
 }
 
@@ -182,8 +206,11 @@
         inquiry->found = answer->known.begin()->first;
     if (answer) {
         std::optional<SoleVersion> sole = answer->sole;
+        const Micros now = monotonic_us();
         if (sole)
-            sole->since = monotonic_us() - sole->since;
+            sole->since = now - sole->since;
+        if (sole && sole->recorded_since)
+            sole->recorded_since = now - *sole->recorded_since;
         inquiry->seen.push_back(std::move(sole));
     }
     --inquiry->open;
@@ -206,6 +233,10 @@
         answer.sole = sole_version(batch->upstream_set);
         if (answer.sole)
             answer.sole->since = now - answer.sole->since;
+        // The record's age was computed after `now`.
+        if (answer.sole && answer.sole->recorded_since)
+            answer.sole->recorded_since
+                = std::max<Micros>(0, now - *answer.sole->recorded_since);
     }
     HttpResponse response;
     response.content_type = "application/x-protobuf";
--- a/src/libserve/streams/stream_origins.h
+++ b/src/libserve/streams/stream_origins.h
@@ -48,6 +48,9 @@
     struct Inquiry;
 
     std::optional<SoleVersion> sole_version(const std::string& set_name) const;
+    /// When the record in the platform's store says that this became the only version.
+    std::optional<Micros> recorded_since(const std::string& set_name,
+                                         const std::string& version) const;
     bool is_only_version(const std::string& set_name) const;
     void send_later(const std::string& request, const StreamOrigin& origin);
     boost::asio::awaitable<void> flush();
