A call that goes on within a stream can bring events only

Callers whose stream broke off at one upstream and went on at another got a whole second answer, head included, in the middle of their chunks when the second upstream answered with a 2xx other than 200.

Cause: such an answer was taken for the whole answer of the request, although events of the first upstream had been sent.

Such a call is lost now, so that the stream goes on elsewhere or is broken off. early_stream_ends failed before for 204, 202 and 206 (a head within a stream) and passes now.

--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -310,7 +310,8 @@
                 relay.head = call.head;
             return AttemptStatus::Ok;
         }
-        if (!answer.is_signed || answer.is_encoded)
+        // Nothing but events can follow events.
+        if (!answer.is_signed || answer.is_encoded || relay.has_events)
             return AttemptStatus::Lost;
         relay.answer = relayed_response(std::move(result.response));
         return AttemptStatus::Ok;
