Streams of callers that name no request go on only at a version that has been the only one

Callers that took a stream up with Last-Event-Id and without Resumes got 200 and a text joined from two software versions, where the version that began the stream had just left, with and without a restart of the daemons. Their streams went on at the only version present, however short it had been the only one: no past was asked for, so the absence of another version counted as knowledge.

longest_stream() now holds for all callers: without a known origin a stream goes on only at a version that has been the only one for twice the route's deadline.

--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -18,10 +18,6 @@
 
 namespace {
 
-/// A caller may resume a stream until its deadline, which may be later than that of the
-/// request that began it.
-constexpr Micros kLongestStreamFactor = 2;
-
 std::string_view
 to_string(ResumeDecision decision)
 {
@@ -51,10 +47,7 @@
     StreamHistory history = co_await m_kernel.streams->find(began_as, set.spec.name);
     const Micros now = monotonic_us();
     const bool is_current = m_kernel.knows_directory(now);
-    // Nothing can be learned of the stream of a caller that names no request.  Where the
-    // present upstreams are all of one version, it goes on as it would without versions.
-    const Micros longest
-        = began_as.empty() ? 0 : kLongestStreamFactor * context->resolved().spec.deadline;
+    const Micros longest = longest_stream(context->resolved().spec.deadline);
     const ResumeVerdict verdict = decide_resume({set, history, longest, is_current, now});
     LogEvent("stream_resumed")
         .kv("request", context->log_id())
