A stream whose version is gone is refused with a Retry-After past its deadline

A caller whose stream's software version had left was told to come back after 1 s and was refused again each time, eight times in a deadline. The scheduler named one second for each refusal, also for one that rarely ends soon.

version_gone now names 60 s, as quarantined does. Callers keep to it up to a third of the time they have left, so a few tries remain for a version that comes back.

Test: stream_versions, restarted_under_another_version; before, each of 12 refusals named 1 s.

--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -71,7 +71,7 @@
     if (!is_allowed_anywhere(request))
         return {false, ErrorKind::NoAllowedHall, kSecond, 0};
     if (const auto error = continuation_error(request))
-        return {false, *error, kSecond, 0};
+        return {false, *error, *error == ErrorKind::VersionGone ? 0 : kSecond, 0};
     AdmissionQuery query;
     query.now = now;
     query.deadline = request.spec.deadline;
--- a/src/libcypressford/scheduler_impl.h
+++ b/src/libcypressford/scheduler_impl.h
@@ -146,8 +146,9 @@
         void abort(ErrorKind kind) override
         {
             const ErrorKind settled = settle_kind(kind, request);
-            const Micros after
-                = request.retry_after > 0 ? request.retry_after : kRetryAfterAbort;
+            Micros after = request.retry_after > 0 ? request.retry_after : kRetryAfterAbort;
+            if (settled == ErrorKind::VersionGone)
+                after = 0; // not known: the version may never come back
             owner.answer(request,
                          Reply {0, settled, settle_ran(settled, request), after, false});
             const bool in_doubt = request.non_repeatable_may_have_run
--- a/src/libserve/entry/problem.cpp
+++ b/src/libserve/entry/problem.cpp
@@ -16,13 +16,17 @@
 /// A request that ends upstreams will do so again until the same request is answered
 /// completely elsewhere, an operator acts or a new version of the service is deployed.
 constexpr Micros kQuarantineRetryAfter = 60 * kSecond;
+/// A version that has ended rarely comes back within the deadline of a stream.
+constexpr Micros kVersionGoneRetryAfter = 60 * kSecond;
 
 Micros
 default_retry_after(const ErrorRow& row)
 {
     if (row.retry == RetryAdvice::No)
         return 0;
-    return row.kind == ErrorKind::Quarantined ? kQuarantineRetryAfter : kDefaultRetryAfter;
+    if (row.kind == ErrorKind::Quarantined)
+        return kQuarantineRetryAfter;
+    return row.kind == ErrorKind::VersionGone ? kVersionGoneRetryAfter : kDefaultRetryAfter;
 }
 
 } // namespace
