Upstreams that name no version are a change of a set's recorded versions

A set that went from v1 to upstreams without a version and back kept the recorded time of v1, so that streams which began without a version could have been joined to v1. present_versions() left out sets whose upstreams name no version, and observe() keeps the state of sets that are left out, while sole_versions() starts anew.

Such a set is now reported with an empty version, which counts as a change once a version has been seen. Sets that never name one have no record.

--- a/src/include/cypressford/version_records.h
+++ b/src/include/cypressford/version_records.h
@@ -35,7 +35,8 @@
 /// only if those before them did not.
 inline constexpr std::size_t kVersionKeepers = 3;
 
-/// By set; sets whose upstreams name no versions are left out.  Nothing: several versions.
+/// By set; sets without upstreams are left out.  Empty: the upstreams name no version.
+/// Nothing: several versions.
 using PresentVersions = std::map<std::string, std::optional<std::string>>;
 
 PresentVersions present_versions(const Snapshot& snapshot);
@@ -52,7 +53,8 @@
     /// taken for the same.  A record that is this much too early counts as correct.
     static constexpr std::int64_t kClockDifferenceMs = 1000;
 
-    /// False if nothing changed.  A set without upstreams keeps its state.
+    /// False if nothing changed.  A set without upstreams keeps its state; one whose
+    /// upstreams have never named a version has none.
     bool observe(const PresentVersions& present, std::int64_t now_ms);
 
     /// All records of the topic.  A record is taken over if it names the version that has
--- a/src/libcypressford/version_records.cpp
+++ b/src/libcypressford/version_records.cpp
@@ -41,7 +41,7 @@
 {
     PresentVersions present;
     for (const UpstreamSet& set : snapshot.sets) {
-        if (!set.names_versions())
+        if (set.versions.empty())
             continue;
         const bool is_sole = set.versions.size() == 1;
         present[set.spec.name]
@@ -55,6 +55,9 @@
 {
     bool changed = false;
     for (const auto& [set_name, version] : present) {
+        const bool is_unnamed = version && version->empty();
+        if (is_unnamed && !m_sets.contains(set_name))
+            continue;
         const auto [at, is_new] = m_sets.try_emplace(set_name);
         State& state = at->second;
         if (!is_new && state.version == version)
--- a/src/libcypressford/version_records_test.cpp
+++ b/src/libcypressford/version_records_test.cpp
@@ -104,5 +104,35 @@
     CHECK(records.sole().at("model").since_ms == kStartMs + 5000);
 }
 
+/// Guards against a version that counts as the only one since before upstreams without a
+/// version served the set, whose streams would then be joined to its own.
+TEST_CASE("upstreams that name no version are a change of a set's versions")
+{
+    UpstreamTable table("a");
+    Bundle bundle;
+    bundle.version = 1;
+    bundle.upstream_sets.emplace_back();
+    bundle.upstream_sets.back().name = "model";
+    UpstreamMember member;
+    member.identity = "i1";
+    member.upstream_set = "model";
+    member.address = "10.0.0.1:1";
+    member.hall = "a";
+    member.slots = 4;
+    VersionRecords records;
+    const auto serve = [&](const std::string& version, std::int64_t at_ms) {
+        member.version = version;
+        records.observe(present_versions(*table.build(bundle, {member})), at_ms);
+    };
+    serve("v1", kStartMs);
+    records.apply_listing({{"model", encode(record("v1", kMinuteMs))}}, kGeneration,
+                          kStartMs + 10);
+    REQUIRE(records.sole().at("model").since_ms == kMinuteMs);
+    serve("", kStartMs + 1000);
+    serve("v1", kStartMs + 2000);
+    const RecordedVersions sole = records.sole();
+    CHECK((!sole.contains("model") || sole.at("model").since_ms >= kStartMs + 2000));
+}
+
 } // namespace
 } // namespace cypressford
