A request is not sent on a connection that has answered it before

Callers saw unsafe requests that ran twice, or were answered 503 though they ran, when an upstream sent a refusal a second time. The attempt id is the same for each send of one attempt, so the copy was taken for the answer to the next send on the same connection.

A relayed request now remembers the connections on which it has been answered (at most one for each send), and HttpClient takes none of them for it again; they serve other requests. The connection of an answer without an id is closed, since its copy would be taken for the answer to any later call.

The test in http_client_answers_test fails without the check of idle connections. cypressford_util_test: 50 cases passed; hedged_streams and second_answers passed. The number of new connections was not measured.

--- a/src/libserve/entry/worker.h
+++ b/src/libserve/entry/worker.h
@@ -56,6 +56,9 @@
     /// Bytes that the caller has not read; null without Mechanism::UnreadBound and before
     /// and after the answer.
     AnswerBufferPtr unread;
+    /// Connections on which an upstream has answered this request: a second copy of that
+    /// answer can't be told from the answer to the next send.
+    std::vector<std::uint64_t> answered_connections;
     std::int64_t writing = 0; ///< bytes passed to the connection and not accepted by it
     HttpExchange* exchange = nullptr; ///< while the answer is sent; null before and after
 };
--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -216,6 +216,7 @@
     options.resend_if_stale = false;
     options.send_clock = false;
     options.max_idle_us = send.may_repeat ? 0 : kMaxIdleUnrepeatable;
+    options.avoided_connections = call.relay().answered_connections;
     options.may_send = [this, &call] {
         return !is_quarantined(call)
             && begin_call(*call.send.upstream, call.send.count, monotonic_us());
@@ -233,6 +234,10 @@
         return call.answer.attempt == call.relay().call.attempt
             || (call.answer.attempt.empty() && !is_success(response.status));
     };
+    // A second copy of an answer without an id would be taken for that of any later call.
+    options.judge_answer = [&call](const HttpResponse&) {
+        return call.answer.attempt.empty() ? AnswerUse::TakeAndClose : AnswerUse::Take;
+    };
     if (!call.streams())
         return options;
     if (bounds_unread())
@@ -337,6 +342,8 @@
     HttpRequest request = m_kernel.calls->forward(context->relay->request, forwarded);
     CallResult result = co_await m_client.call(send.upstream->address, std::move(request),
                                                options_of(call));
+    if (result.status == CallStatus::Answered)
+        context->relay->answered_connections.push_back(result.connection);
     RelayedResult ended;
     ended.framing = result.framing;
     ended.error = result.error ? result.error.message() : std::string();
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -186,8 +186,10 @@
 
 class HttpClient::Connection {
 public:
-    Connection(asio::io_context& io, std::string address, Connector* connector)
-        : m_socket(io)
+    Connection(asio::io_context& io, std::string address, Connector* connector,
+               std::uint64_t number)
+        : m_number(number)
+        , m_socket(io)
         , m_watchdog(m_socket, SocketWatchdog::Action::Close)
         , m_silence(io)
         , m_address(std::move(address))
@@ -238,6 +240,12 @@
         boost::system::error_code ignored;
         m_socket.close(ignored);
     }
+    std::uint64_t number() const { return m_number; }
+    bool is_avoided(const CallOptions& options) const
+    {
+        const auto& avoided = options.avoided_connections;
+        return std::find(avoided.begin(), avoided.end(), m_number) != avoided.end();
+    }
     const std::string& via() const { return m_via; }
     bool is_tunnel() const { return !m_via.empty(); }
     bool reusable() const { return m_reusable; }
@@ -455,6 +463,7 @@
         co_return boost::system::error_code {};
     }
 
+    const std::uint64_t m_number;
     tcp::socket m_socket;
     SocketWatchdog m_watchdog;
     BootTimer m_silence; ///< until the first byte of an answer is overdue
@@ -505,7 +514,8 @@
             }
         }
     }
-    auto connection = std::make_unique<Connection>(m_io, address, m_connector);
+    auto connection
+        = std::make_unique<Connection>(m_io, address, m_connector, ++m_connections);
     // GCC 12 compiles the end of this coroutine wrongly if the call is in the condition.
     const bool connected = co_await open(*connection, options);
     if (!connected || options.handle->cancelled())
@@ -544,6 +554,7 @@
     options.handle->m_abort = nullptr;
     connection.clear_deadline();
     result.via = connection.via();
+    result.connection = connection.number();
     const std::uint64_t stamp = parse_stamp(result.response.headers.get(kClockHeader));
     if (stamp != 0)
         HybridClock::instance().observe(stamp);
@@ -563,6 +574,8 @@
         // it.
         if (m_connector && !m_connector->may_reuse(idle[at]->via()))
             continue;
+        if (idle[at]->is_avoided(options))
+            continue;
         auto connection = std::move(idle[at]);
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(at));
         if (connection->is_fresh(options) && !connection->is_stale())
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -49,6 +49,8 @@
     BodyFraming framing = BodyFraming::Unknown;
     boost::system::error_code error {}; ///< that ended a lost call, if one did
     std::string via {}; ///< address of the intermediate; empty: none
+    /// Number of the connection within its client; 0: none.
+    std::uint64_t connection = 0;
 };
 
 /// Result of a connection attempt to an address.
@@ -152,6 +154,8 @@
     std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
     BodyTimeouts body;
     bool fresh_connection = false; ///< never use an idle connection
+    /// Numbers of connections that are not used, as in CallResult::connection.
+    std::vector<std::uint64_t> avoided_connections;
     /// Resend once, on a new connection, if an idle connection turns out to be closed.
     bool resend_if_stale = true;
     bool send_clock = true; ///< add a stamp of this process's hybrid clock
@@ -208,6 +212,7 @@
     Connector* const m_connector;
     std::map<std::string, std::vector<std::unique_ptr<Connection>>> m_idle;
     std::int64_t m_idle_checked_us = 0;
+    std::uint64_t m_connections = 0; ///< number of the last one
 };
 
 } // namespace cypressford
--- a/src/libutil/http_client_answers_test.cpp
+++ b/src/libutil/http_client_answers_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -156,5 +157,84 @@
     CHECK(connections == 2);
 }
 
+/// Refuses the first call of all, and sends the refusal again before the next answer on the
+/// same connection.
+class RefusingServer {
+public:
+    explicit RefusingServer(asio::io_context& io)
+        : m_io(io)
+        , m_acceptor(io, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        asio::co_spawn(io, accept(), asio::detached);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+    int accepted() const { return m_accepted; }
+
+private:
+    asio::awaitable<void> accept()
+    {
+        for (;;) {
+            tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++m_accepted;
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string request;
+        std::string late;
+        for (;;) {
+            auto [ec, size] = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                asio::as_tuple(asio::use_awaitable));
+            if (ec)
+                co_return;
+            request.erase(0, size);
+            const bool refuses = m_calls++ == 0;
+            const std::string text = late + answer(refuses ? "refused" : "served");
+            late = refuses ? text : "";
+            co_await asio::async_write(socket, asio::buffer(text), asio::use_awaitable);
+        }
+    }
+
+    asio::io_context& m_io;
+    tcp::acceptor m_acceptor;
+    int m_accepted = 0;
+    int m_calls = 0;
+};
+
+TEST_CASE("a call is not sent on a connection that it avoids, which serves other calls")
+{
+    asio::io_context io;
+    RefusingServer server(io);
+    HttpClient client(io);
+    std::vector<std::string> bodies;
+    std::vector<std::uint64_t> connections;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            for (int call = 0; call < 3; ++call) {
+                CallOptions options;
+                options.deadline_us = monotonic_us() + kDeadlineUs;
+                options.avoided_connections = connections;
+                HttpRequest request;
+                const CallResult result = co_await client.call(
+                    server.address(), std::move(request), std::move(options));
+                bodies.push_back(result.response.body);
+                connections.assign(1, call == 0 ? result.connection : 0);
+            }
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    CHECK(bodies == std::vector<std::string> {"refused", "served", "served"});
+    CHECK(server.accepted() == 2);
+}
+
 } // namespace
 } // namespace cypressford
