While versions differ, the origins of streams are kept in the platform's store

Callers whose streams broke off when all daemons were killed while two software versions served were refused as version_unknown, though both versions were there: which version began a stream was kept in the memory of daemons only.

While the versions of a set differ, and for a minute after, each daemon also sends its notes of that set to the daemon that ranks first for the set's name. The three keepers of a set, which are asked about streams anyway, read them after a start. The number of calls depends on the sets, not on daemons or upstreams; a fleet whose versions don't differ writes nothing. A sole version that is replaced by another without overlap counts as a difference as well.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -34,7 +34,8 @@
     Upstreams,
     Daemons,
     Suspects,
-    Versions ///< read by the daemons that write it; not passed on to others
+    Versions, ///< read by the daemons that write it; not passed on to others
+    Origins ///< of streams; read by the daemons that may write it
 };
 
 /// The topic's name in logs.
--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -74,9 +74,12 @@
     bool operator==(const SoleVersion&) const = default;
 };
 
+using RequestsByOrigin = std::map<StreamOrigin, std::vector<std::string>>;
+
 /// Message to a daemon that keeps origins, and its answer.
 struct StreamOriginBatch {
-    std::map<StreamOrigin, std::vector<std::string>> known; ///< requests by origin
+    RequestsByOrigin known;
+    RequestsByOrigin to_store; ///< to be written to the platform's store
     std::vector<std::string> wanted; ///< requests whose origins the answer must name
     std::string upstream_set; ///< of the wanted requests
     /// In an answer: of that set; its times are those that have passed.
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -49,9 +49,11 @@
     case DirectoryTopic::Suspects:
         return "suspects";
     case DirectoryTopic::Versions:
+        return "versions";
+    case DirectoryTopic::Origins:
         break;
     }
-    return "versions";
+    return "origins";
 }
 
 bool
--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -343,6 +343,7 @@
     case DirectoryTopic::Suspects:
         return apply_suspects(record, at, change);
     case DirectoryTopic::Versions:
+    case DirectoryTopic::Origins:
         return false;
     case DirectoryTopic::Daemons:
         break;
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -10,6 +10,7 @@
 #include "cypressford.pb.h"
 #include "libutil/crypto.h"
 #include "mix.h"
+#include "origin_codec.h"
 
 namespace cypressford {
 
@@ -17,13 +18,8 @@
 encode(const StreamOriginBatch& batch)
 {
     proto::StreamOriginBatch out;
-    for (const auto& [origin, requests] : batch.known) {
-        proto::StreamOrigins* item = out.add_known();
-        item->set_upstream_set(origin.upstream_set);
-        item->set_version(origin.version);
-        for (const std::string& request : requests)
-            item->add_requests(request);
-    }
+    encode_origins(batch.known, *out.mutable_known());
+    encode_origins(batch.to_store, *out.mutable_to_store());
     for (const std::string& request : batch.wanted)
         out.add_wanted(request);
     out.set_upstream_set(batch.upstream_set);
@@ -56,10 +52,8 @@
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
         return fail(ErrorKind::BadRequest, "malformed origins of streams");
     StreamOriginBatch batch;
-    for (const proto::StreamOrigins& item : in.known()) {
-        auto& requests = batch.known[{item.upstream_set(), item.version()}];
-        requests.insert(requests.end(), item.requests().begin(), item.requests().end());
-    }
+    batch.known = decode_origins(in.known());
+    batch.to_store = decode_origins(in.to_store());
     batch.wanted.assign(in.wanted().begin(), in.wanted().end());
     batch.upstream_set = in.upstream_set();
     if (in.has_sole()) {
--- a/src/libserve/daemon.cpp
+++ b/src/libserve/daemon.cpp
@@ -26,6 +26,7 @@
 #include "libserve/hall/placement_service.h"
 #include "libserve/operator/operator_pages.h"
 #include "libserve/pieces/piece_service.h"
+#include "libserve/streams/origin_writer.h"
 #include "libserve/streams/stream_origins.h"
 #include "libserve/streams/version_writer.h"
 #include "libserve/suspects/end_watch.h"
@@ -111,6 +112,11 @@
         streams = std::make_unique<StreamOrigins>(workers.front()->io(), kernel);
         kernel.streams = streams.get();
         versions = std::make_unique<VersionWriter>(control, kernel, *directory);
+        origins = std::make_unique<OriginWriter>(control, kernel, *directory);
+        streams->on_store(
+            [this](RequestsByOrigin stored) { origins->add(std::move(stored)); });
+        origins->on_read(
+            [this](RequestsByOrigin read) { streams->restore(std::move(read)); });
         kernel.on_suspension_detected
             = [this] { asio::post(control, [this] { directory->on_resumed(); }); };
         kernel.on_peer_unreachable = [this](std::string address) {
@@ -264,6 +270,7 @@
     std::unique_ptr<EndWatch> ends;
     std::unique_ptr<SuspectWriter> suspects;
     std::unique_ptr<VersionWriter> versions;
+    std::unique_ptr<OriginWriter> origins;
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> metrics;
     ReadSettings read_settings;
@@ -303,6 +310,7 @@
             return started;
         impl.suspects->start();
         impl.versions->start();
+        impl.origins->start();
     } else if (auto started = impl.log->start(); !started) {
         return started;
     }
--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -173,20 +173,23 @@
 }
 
 asio::awaitable<Result<std::vector<DirectoryRecord>>>
-DirectoryWatch::list(DirectoryTopic topic)
+DirectoryWatch::list(DirectoryTopic topic, std::string prefix)
 {
     std::vector<DirectoryRecord> records;
-    std::string after;
+    std::string after = prefix;
     for (;;) {
         auto page = co_await m_store.newest(topic, after);
         if (!page)
             co_return tl::unexpected(page.error());
-        const bool is_last = !page->more || page->records.empty();
+        const bool is_last = !page->more || page->records.empty()
+            || !page->records.back().key.starts_with(prefix);
+        if (!is_last)
+            after = page->records.back().key;
         for (DirectoryRecord& record : page->records)
-            records.push_back(std::move(record));
+            if (record.key.starts_with(prefix))
+                records.push_back(std::move(record));
         if (is_last)
             co_return records;
-        after = records.back().key;
     }
 }
 
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -78,8 +78,10 @@
 
     boost::asio::awaitable<Result<void>> write(DirectoryTopic topic,
                                                DirectoryRecord record);
-    /// The newest record of each key of a topic that this class does not follow.
-    boost::asio::awaitable<Result<std::vector<DirectoryRecord>>> list(DirectoryTopic topic);
+    /// The newest record of each key with that prefix, of a topic that this class does not
+    /// follow.
+    boost::asio::awaitable<Result<std::vector<DirectoryRecord>>>
+    list(DirectoryTopic topic, std::string prefix = {});
     /// Of the directory's log, as far as it is known here.
     LogGeneration generation() const { return m_view.generation(); }
 
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -101,11 +101,15 @@
     m_kernel.sole_versions.store(after);
     if (!before)
         return;
-    for (const auto& [set_name, sole] : *before)
-        if (!after->contains(set_name) && m_kernel.streams) {
-            LogEvent("versions_differ").kv("set", set_name).kv("before", sole.version);
-            m_kernel.streams->on_versions_differ(set_name);
-        }
+    for (const auto& [set_name, sole] : *before) {
+        const auto now_sole = after->find(set_name);
+        const bool is_same
+            = now_sole != after->end() && now_sole->second.version == sole.version;
+        if (is_same || !m_kernel.streams)
+            continue;
+        LogEvent("versions_differ").kv("set", set_name).kv("before", sole.version);
+        m_kernel.streams->on_versions_differ(set_name);
+    }
 }
 
 // ----------------------------------------------------------------- suspects
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -82,6 +82,20 @@
     return sole && monotonic_us() - sole->since >= StreamOriginTable::kLifetime;
 }
 
+/// After a restart of all daemons, only the platform's store tells at which of several
+/// versions a stream began.
+bool
+StreamOrigins::differed_lately(const std::string& set_name)
+{
+    const Micros now = monotonic_us();
+    if (!sole_version(set_name)) {
+        m_differed_at[set_name] = now;
+        return true;
+    }
+    const auto at = m_differed_at.find(set_name);
+    return at != m_differed_at.end() && now - at->second < StreamOriginTable::kLifetime;
+}
+
 void
 StreamOrigins::record(std::string request, StreamOrigin origin)
 {
@@ -96,6 +110,7 @@
 StreamOrigins::on_versions_differ(std::string set_name)
 {
     asio::post(m_io, [this, set_name = std::move(set_name)] {
+        m_differed_at[set_name] = monotonic_us();
         for (const auto& [version, requests] :
              m_origins.own_streams(set_name, monotonic_us()))
             for (const std::string& request : requests)
@@ -122,10 +137,37 @@
     for (const std::string& address :
          holders(request, kOriginHolders, kOriginHoldersInHall))
         m_unsent[address].known[origin].push_back(request);
+    if (differed_lately(origin.upstream_set))
+        store_later(request, origin);
     if (is_first && !m_unsent.empty())
         asio::co_spawn(m_io, flush(), asio::detached);
 }
 
+/// One daemon writes all origins of a set, so that the number of calls to the store does
+/// not grow with the fleet.
+void
+StreamOrigins::store_later(const std::string& request, const StreamOrigin& origin)
+{
+    if (!m_kernel.knows_all_daemons.load())
+        return;
+    const std::vector<std::string> first = holders(origin.upstream_set, 1, 0);
+    if (first.empty())
+        m_on_store({{origin, {request}}});
+    else
+        m_unsent[first.front()].to_store[origin].push_back(request);
+}
+
+void
+StreamOrigins::restore(RequestsByOrigin origins)
+{
+    asio::post(m_io, [this, origins = std::move(origins)] {
+        const Micros now = monotonic_us();
+        for (const auto& [origin, requests] : origins)
+            for (const std::string& request : requests)
+                m_origins.record(request, origin, false, now);
+    });
+}
+
 asio::awaitable<void>
 StreamOrigins::flush()
 {
@@ -227,6 +269,8 @@
         for (const auto& [origin, requests] : batch->known)
             for (const std::string& request : requests)
                 m_origins.record(request, origin, false, now);
+        if (!batch->to_store.empty())
+            m_on_store(batch->to_store);
         for (const std::string& request : batch->wanted)
             if (const auto origin = m_origins.find(request, now))
                 answer.known[*origin].push_back(request);
--- a/src/libserve/streams/stream_origins.h
+++ b/src/libserve/streams/stream_origins.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,8 +36,18 @@
 
     /// A stream of this daemon began.  Any thread may call this.
     void record(std::string request, StreamOrigin origin);
-    /// From now on the upstreams of a set differ in version.  Any thread may call this.
+    /// A set has upstreams of another version than its only one so far.  Any thread may
+    /// call this.
     void on_versions_differ(std::string set_name);
+    /// Called with origins that this daemon must write to the platform's store.  Any thread
+    /// calls it.
+    void on_store(std::function<void(RequestsByOrigin)> action)
+    {
+        m_on_store = std::move(action);
+    }
+    /// Origins that were read from the platform's store.  Any thread may call this.
+    void restore(RequestsByOrigin origins);
+
     /// What is known of a stream of that set here and at the daemons that keep its origin.
     /// May be awaited on any thread.
     boost::asio::awaitable<StreamHistory> find(std::string request, std::string set_name);
@@ -52,6 +63,8 @@
     std::optional<Micros> recorded_since(const std::string& set_name,
                                          const std::string& version) const;
     bool is_only_version(const std::string& set_name) const;
+    bool differed_lately(const std::string& set_name);
+    void store_later(const std::string& request, const StreamOrigin& origin);
     void send_later(const std::string& request, const StreamOrigin& origin);
     boost::asio::awaitable<void> flush();
     boost::asio::awaitable<void> send(std::string address, StreamOriginBatch batch);
@@ -69,6 +82,8 @@
     PeerLink m_link;
     StreamOriginTable m_origins;
     std::map<std::string, StreamOriginBatch> m_unsent; ///< by address
+    std::map<std::string, Micros> m_differed_at; ///< by set
+    std::function<void(RequestsByOrigin)> m_on_store;
 };
 
 } // namespace cypressford
