Coroutines wait for a time with one function

Four classes of the daemon had the same pause() member, and eight places the same three lines of a timer. pause_for() takes their place; its callers lose includes and constants that only those lines needed.

No behaviour changed.

--- a/src/libserve/directory/directory_watch.cpp
+++ b/src/libserve/directory/directory_watch.cpp
@@ -15,6 +15,7 @@
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -87,14 +88,6 @@
     return {};
 }
 
-asio::awaitable<void>
-DirectoryWatch::pause(Micros time)
-{
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(time));
-    co_await timer.async_wait(kToTuple);
-}
-
 // ------------------------------------------------------- this daemon's record
 
 void
@@ -139,7 +132,7 @@
 DirectoryWatch::publish_own()
 {
     while (m_view.time_until_publish(monotonic_us()) > 0)
-        co_await pause(kPublishPollInterval);
+        co_await pause_for(m_io, kPublishPollInterval);
     int failures = 0;
     while (!m_kernel.stopping.load()) {
         const bool written = co_await publish_once();
@@ -152,7 +145,7 @@
         m_publish_timer.expires_after(std::chrono::microseconds(delay));
         const auto [cancelled] = co_await m_publish_timer.async_wait(kToTuple);
         if (cancelled)
-            co_await pause(m_view.time_to_republish());
+            co_await pause_for(m_io, m_view.time_to_republish());
     }
 }
 
@@ -160,7 +153,7 @@
 DirectoryWatch::log_calls_loop()
 {
     for (;;) {
-        co_await pause(kCallReportInterval);
+        co_await pause_for(m_io, kCallReportInterval);
         m_store.log_calls(to_string(source().role));
     }
 }
@@ -225,7 +218,7 @@
         record_contact(done.has_value());
         bring_into_force(); // entries that were valid for a limited time may have expired
         if (!done) {
-            co_await pause(m_view.record_failure(topic, monotonic_us()));
+            co_await pause_for(m_io, m_view.record_failure(topic, monotonic_us()));
             continue;
         }
         view.failures = 0;
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -148,7 +148,6 @@
     /// have lost.
     void recover_from_restore(std::string_view reported_by);
     boost::asio::awaitable<void> clear_suspicion_later(std::string peers_address);
-    boost::asio::awaitable<void> pause(Micros time);
 
     DirectorySource source() const;
     /// The reader's answer is late or still arriving, so a topic without updates is no
--- a/src/libserve/directory/directory_watch_peers.cpp
+++ b/src/libserve/directory/directory_watch_peers.cpp
@@ -11,13 +11,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/peers/peer_link.h"
-#include "libutil/boot_clock.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -150,7 +149,7 @@
     const std::vector<std::string> feeds = peer_feed_addresses();
     for (std::size_t next = 0; m_view.must_list(); ++next) {
         if (!m_view.needs_referral()) {
-            co_await pause(kReferralRetryDelay);
+            co_await pause_for(m_io, kReferralRetryDelay);
             continue;
         }
         const bool is_first_round = next < feeds.size();
@@ -163,7 +162,7 @@
             m_view.on_peers_unresponsive();
             m_topic_timers.at(DirectoryTopic::Daemons).cancel();
         }
-        co_await pause(m_view.with_jitter(kReferralRetryDelay));
+        co_await pause_for(m_io, m_view.with_jitter(kReferralRetryDelay));
     }
 }
 
@@ -172,7 +171,7 @@
 {
     for (Micros delay = m_view.time_until_referral(monotonic_us()); delay > 0;
          delay = m_view.time_until_referral(monotonic_us()))
-        co_await pause(delay);
+        co_await pause_for(m_io, delay);
     co_return m_view.refer(own_record());
 }
 
@@ -263,7 +262,7 @@
         }
         if (answers)
             co_return;
-        co_await pause(kPeerCheckInterval);
+        co_await pause_for(m_io, kPeerCheckInterval);
     }
 }
 
--- a/src/libserve/directory/directory_watch_reader.cpp
+++ b/src/libserve/directory/directory_watch_reader.cpp
@@ -13,9 +13,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -75,7 +75,7 @@
                 m_topic_timers.at(topic).cancel();
         }
         if (!complete)
-            co_await pause(kReaderPollInterval);
+            co_await pause_for(m_io, kReaderPollInterval);
     }
 }
 
@@ -128,7 +128,8 @@
 asio::awaitable<void>
 DirectoryWatch::clear_suspicion_later(std::string peers_address)
 {
-    co_await pause(m_view.must_list() ? kReaderSuspicionTimeAtStart : kReaderSuspicionTime);
+    co_await pause_for(
+        m_io, m_view.must_list() ? kReaderSuspicionTimeAtStart : kReaderSuspicionTime);
     m_view.daemons().trust(peers_address);
 }
 
--- a/src/libserve/pieces/piece_maker.cpp
+++ b/src/libserve/pieces/piece_maker.cpp
@@ -14,9 +14,9 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/pieces/piece_maker_impl.h"
-#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -143,9 +143,7 @@
 asio::awaitable<void>
 PieceMaker::log_verdicts_later(std::string set_name)
 {
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(kVerdictLogInterval));
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, kVerdictLogInterval);
     SetQueue& set_queue = set_queue_of(set_name);
     const VerdictCounts counts = std::exchange(set_queue.verdicts, {});
     LogEvent("capacity")
@@ -258,9 +256,7 @@
 asio::awaitable<void>
 PieceMaker::dispatch_later(std::string set_name, Micros pause)
 {
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(pause));
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, pause);
     set_queue_of(set_name).recheck_scheduled = false;
     dispatch(set_name);
 }
--- a/src/libserve/pieces/release_outbox.cpp
+++ b/src/libserve/pieces/release_outbox.cpp
@@ -6,12 +6,10 @@
 #include <chrono>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
-#include "libutil/boot_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -19,7 +17,6 @@
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Time for which releases wait for others of the same set; limits the messages of one
 /// daemon to a leader to 200 per second.
 constexpr std::chrono::milliseconds kLinger {5};
@@ -77,9 +74,7 @@
 asio::awaitable<void>
 ReleaseOutbox::flush()
 {
-    BootTimer timer(m_io);
-    timer.expires_after(kLinger);
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, kLinger);
     m_flushing = false;
     for (auto& [set_name, releases] : std::exchange(m_releases, {}))
         m_send(std::move(releases));
--- a/src/libserve/pieces/result_keepers.cpp
+++ b/src/libserve/pieces/result_keepers.cpp
@@ -4,19 +4,16 @@
 #include "libserve/pieces/result_keepers.h"
 
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include "libserve/upstream_says.h"
-#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -24,7 +21,6 @@
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Results that are not released expire by themselves, so a lost call costs memory only.
 constexpr Micros kReleaseTimeout = 500 * kMillisecond;
 /// Minimum interval between checks whether a holder accepts calls again.
@@ -92,10 +88,7 @@
         const Micros opens = unavailable_until(*holder, RatePart::Granted);
         if (opens <= now && holder->self_report->limit().take(RatePart::Granted, now))
             co_return;
-        BootTimer timer(m_io);
-        timer.expires_after(
-            std::chrono::microseconds(std::max(opens - now, kMinPollInterval)));
-        co_await timer.async_wait(kToTuple);
+        co_await pause_for(m_io, std::max(opens - now, kMinPollInterval));
     }
 }
 
--- a/src/libserve/relay/arrival.cpp
+++ b/src/libserve/relay/arrival.cpp
@@ -9,19 +9,16 @@
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 #include <cypressford/configuration_age.h>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace cypressford {
 
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Interval of the checks whether this daemon, after a suspension, has read the directory's
 /// changes.
 constexpr std::chrono::milliseconds kCatchUpInterval {5};
@@ -165,9 +162,7 @@
     const auto deadline = deadline_of(request, received_at);
     while (m_kernel.is_catching_up(monotonic_us())
            && (!deadline || monotonic_us() < *deadline)) {
-        BootTimer timer(m_io);
-        timer.expires_after(kCatchUpInterval);
-        co_await timer.async_wait(kToTuple);
+        co_await pause_for(m_io, kCatchUpInterval);
     }
 }
 
--- a/src/libserve/streams/origin_writer.cpp
+++ b/src/libserve/streams/origin_writer.cpp
@@ -4,20 +4,17 @@
 #include "libserve/streams/origin_writer.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/version_records.h>
 
-#include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -25,7 +22,6 @@
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Interval of the checks whether this daemon ranks among the keepers of another set.
 constexpr Micros kRankInterval = 100 * kMillisecond;
 /// Delay after a call that failed; doubles after each failure, up to the maximum.
@@ -47,14 +43,6 @@
     asio::co_spawn(m_io, read_all(), asio::detached);
 }
 
-asio::awaitable<void>
-OriginWriter::pause(Micros time)
-{
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(time));
-    co_await timer.async_wait(kToTuple);
-}
-
 void
 OriginWriter::add(RequestsByOrigin origins)
 {
@@ -71,7 +59,7 @@
 OriginWriter::write_all()
 {
     Micros delay = kFirstRetryDelay;
-    co_await pause(OriginOutbox::kGatherTime);
+    co_await pause_for(m_io, OriginOutbox::kGatherTime);
     while (!m_outbox.empty()) {
         DirectoryRecord record = m_outbox.take(wall_ms());
         const auto written
@@ -81,7 +69,7 @@
             delay = kFirstRetryDelay;
             continue;
         }
-        co_await pause(delay);
+        co_await pause_for(m_io, delay);
         delay = std::min(2 * delay, kMaxRetryDelay);
     }
     m_writing = false;
@@ -94,14 +82,14 @@
     for (;;) {
         const std::string set_name = unread_set();
         if (set_name.empty()) {
-            co_await pause(kRankInterval);
+            co_await pause_for(m_io, kRankInterval);
             continue;
         }
         if (co_await read(set_name)) {
             delay = kFirstRetryDelay;
             continue;
         }
-        co_await pause(delay);
+        co_await pause_for(m_io, delay);
         delay = std::min(2 * delay, kMaxRetryDelay);
     }
 }
--- a/src/libserve/streams/origin_writer.h
+++ b/src/libserve/streams/origin_writer.h
@@ -40,7 +40,6 @@
     /// A set whose records this daemon must read; empty: none at present.
     std::string unread_set() const;
     boost::asio::awaitable<bool> read(const std::string& set_name);
-    boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -17,6 +17,7 @@
 #include "libutil/boot_clock.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -171,9 +172,7 @@
 asio::awaitable<void>
 StreamOrigins::flush()
 {
-    BootTimer timer(m_io);
-    timer.expires_after(kLinger);
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, kLinger);
     for (auto& [address, batch] : std::exchange(m_unsent, {}))
         asio::co_spawn(m_io, send(address, std::move(batch)), asio::detached);
 }
@@ -203,9 +202,7 @@
     history = co_await ask_holders(request, set_name);
     if (history.origin || history.sole)
         co_return history;
-    BootTimer timer(m_io);
-    timer.expires_after(kAskAgainAfter);
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, kAskAgainAfter);
     history = co_await ask_holders(request, set_name);
     co_return history;
 }
--- a/src/libserve/streams/version_writer.cpp
+++ b/src/libserve/streams/version_writer.cpp
@@ -17,6 +17,7 @@
 
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -62,14 +63,6 @@
     asio::co_spawn(m_io, run(), asio::detached);
 }
 
-asio::awaitable<void>
-VersionWriter::pause(Micros time)
-{
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(time));
-    co_await timer.async_wait(kToTuple);
-}
-
 void
 VersionWriter::observe(const Snapshot& snapshot)
 {
@@ -130,7 +123,7 @@
             retry_delay = kFirstRetryDelay;
             continue;
         }
-        co_await pause(retry_delay);
+        co_await pause_for(m_io, retry_delay);
         retry_delay = std::min(2 * retry_delay, kMaxRetryDelay);
     }
 }
--- a/src/libserve/streams/version_writer.h
+++ b/src/libserve/streams/version_writer.h
@@ -34,7 +34,6 @@
     std::vector<std::string> due_sets();
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<bool> check(std::vector<std::string> set_names);
-    boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
     Kernel& m_kernel;
--- a/src/libserve/suspects/end_watch.cpp
+++ b/src/libserve/suspects/end_watch.cpp
@@ -7,20 +7,18 @@
 #include <set>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <cypressford/bundle.h>
 
 #include "libserve/links/tunnel_protocol.h"
-#include "libutil/boot_clock.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/http_client.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -28,7 +26,6 @@
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Time to collect the broken runs of an upstream.  When its process ends, all its
 /// connections close: its runs from one daemon break off within 2 ms of each other.
 constexpr std::chrono::milliseconds kCollectionTime {20};
@@ -99,9 +96,7 @@
 asio::awaitable<void>
 EndWatch::check_ended(UpstreamRun upstream, std::string address)
 {
-    BootTimer timer(m_io);
-    timer.expires_after(kCollectionTime);
-    co_await timer.async_wait(kToTuple);
+    co_await pause_for(m_io, kCollectionTime);
     const PortState state
         = co_await probe_port(m_io, address, monotonic_us() + kProbeTimeout);
     const bool ended = co_await has_ended(address, state);
--- a/src/libserve/suspects/suspect_writer.cpp
+++ b/src/libserve/suspects/suspect_writer.cpp
@@ -4,19 +4,16 @@
 #include "libserve/suspects/suspect_writer.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
-#include "libutil/boot_clock.h"
 #include "libutil/crypto.h"
 #include "libutil/event_log.h"
 #include "libutil/hybrid_clock.h"
+#include "libutil/pause.h"
 
 namespace cypressford {
 
@@ -24,7 +21,6 @@
 
 namespace {
 
-constexpr auto kToTuple = asio::as_tuple(asio::use_awaitable);
 /// Ends that are detected within this time go into one record, so that engines that crash
 /// at the same moment need one call.  A fortieth of the shortest time within which the
 /// other daemons must have the record.
@@ -61,14 +57,6 @@
     asio::co_spawn(m_io, tidy(), asio::detached);
 }
 
-asio::awaitable<void>
-SuspectWriter::pause(Micros time)
-{
-    BootTimer timer(m_io);
-    timer.expires_after(std::chrono::microseconds(time));
-    co_await timer.async_wait(kToTuple);
-}
-
 void
 SuspectWriter::report_end(UpstreamEnd end)
 {
@@ -92,7 +80,7 @@
 asio::awaitable<void>
 SuspectWriter::report_part_later(RequestDigest part)
 {
-    co_await pause(part_delay());
+    co_await pause_for(m_io, part_delay());
     m_parts_to_report.erase(part);
     const SuspectViewPtr suspects = m_kernel.suspects.load();
     if (suspects && suspects->is_suspect(part))
@@ -133,7 +121,7 @@
 SuspectWriter::write_all()
 {
     Micros delay = kFirstRetryDelay;
-    co_await pause(kGatherTime);
+    co_await pause_for(m_io, kGatherTime);
     std::vector<DirectoryRecord> lost = m_directory.lost_suspects(m_prefix);
     // Records that could not be written are retried with the next report.
     (void)co_await write_again(std::move(lost));
@@ -148,7 +136,7 @@
             delay = kFirstRetryDelay;
             continue;
         }
-        co_await pause(delay);
+        co_await pause_for(m_io, delay);
         delay = std::min(2 * delay, kMaxRetryDelay);
         if (const std::size_t dropped = m_outbox.trim(); dropped > 0)
             LogEvent("suspects_unwritten", LogLevel::Warn).kv("records", dropped);
@@ -177,7 +165,7 @@
 SuspectWriter::tidy()
 {
     for (;;) {
-        co_await pause(kCleanupInterval);
+        co_await pause_for(m_io, kCleanupInterval);
         std::vector<DirectoryRecord> lost = m_directory.lost_suspects_of_all();
         const bool all_written = co_await write_again(std::move(lost));
         if (!all_written)
--- a/src/libserve/suspects/suspect_writer.h
+++ b/src/libserve/suspects/suspect_writer.h
@@ -39,7 +39,6 @@
     /// False if a call failed; the records after the failed one are then not written.
     boost::asio::awaitable<bool> write_again(std::vector<DirectoryRecord> records);
     boost::asio::awaitable<void> tidy();
-    boost::asio::awaitable<void> pause(Micros time);
 
     boost::asio::io_context& m_io;
     const Kernel& m_kernel;
