A call waits for its own answer behind a late copy of another one

Callers got 504 for requests that their upstream answered: an extra answer that comes late in place of the one due next names another request, and the call was lost when its head had been read. The answer is now read to its end and skipped, without a word to the caller, and the call's own answer follows; one extra answer for each call, as upstreams may send, and the connection is not used again. A success without an id still loses the call.

--- a/src/libserve/relay/relay.cpp
+++ b/src/libserve/relay/relay.cpp
@@ -229,10 +229,13 @@
         record_upstream_report(*call.send.upstream, call.answer,
                                {call.sent_at, connected, call.relay().call.attempt});
     };
-    options.accepts_answer = [this, &call](const HttpResponse& response) {
+    options.judge_head = [this, &call](const HttpResponse& response) {
+        const std::string& attempt = call.answer.attempt;
+        if (!attempt.empty() && attempt != call.relay().call.attempt)
+            return HeadUse::Skip;
         feed(ResponseStarted {call.send.attempt});
-        return call.answer.attempt == call.relay().call.attempt
-            || (call.answer.attempt.empty() && !is_success(response.status));
+        const bool is_unnamed_success = attempt.empty() && is_success(response.status);
+        return is_unnamed_success ? HeadUse::Refuse : HeadUse::Take;
     };
     // A second copy of an answer without an id would be taken for that of any later call.
     options.judge_answer = [&call](const HttpResponse&) {
--- a/src/libutil/connector_test.cpp
+++ b/src/libutil/connector_test.cpp
@@ -196,7 +196,7 @@
     links.delay = std::chrono::milliseconds(300);
     CallOptions options;
     options.handle = std::make_shared<CallHandle>();
-    options.accepts_answer = [](const HttpResponse&) { return false; };
+    options.judge_head = [](const HttpResponse&) { return HeadUse::Refuse; };
     CHECK(links.call(options).status == CallStatus::Lost);
     links.settle();
     CHECK(links.tunnels == 0);
--- a/src/libutil/http_client.cpp
+++ b/src/libutil/http_client.cpp
@@ -368,15 +368,23 @@
         }
         if (options.on_answer)
             options.on_answer(result.response, m_connected_us);
-        if (options.accepts_answer && !options.accepts_answer(result.response))
+        const HeadUse head_use
+            = options.judge_head ? options.judge_head(result.response) : HeadUse::Take;
+        if (head_use == HeadUse::Refuse)
             co_return AnswerUse::Take;
-        if (options.on_head && result.response.status == 200)
+        const bool is_streamed = head_use == HeadUse::Take && result.response.status == 200;
+        if (is_streamed && options.on_head)
             options.on_head(result.response);
-        const auto body_error = co_await read_body(*parser, options, result.response);
+        const auto body_error
+            = co_await read_body(*parser, options, is_streamed, result.response);
         result.closed_by_peer = is_close(body_error);
         result.error = body_error;
         if (body_error)
             co_return AnswerUse::Take;
+        if (head_use == HeadUse::Skip) {
+            result = lost({});
+            co_return AnswerUse::Skip;
+        }
         result.status = CallStatus::Answered;
         // Bytes after a complete answer belong to no request of this client.
         m_reusable
@@ -440,8 +448,10 @@
             .kv("buffered_bytes", m_buffer.size());
     }
 
-    asio::awaitable<boost::system::error_code>
-    read_body(AnswerParser& parser, const CallOptions& options, HttpResponse& response)
+    asio::awaitable<boost::system::error_code> read_body(AnswerParser& parser,
+                                                         const CallOptions& options,
+                                                         bool is_streamed,
+                                                         HttpResponse& response)
     {
         std::array<char, kChunkBytes> chunk {};
         const std::int64_t until = monotonic_us() + options.body.limit_us;
@@ -458,7 +468,7 @@
                 = co_await http::async_read_some(m_stream, m_buffer, parser, kToTuple);
             const std::size_t got = chunk.size() - parser.get().body().size;
             const std::string_view text(chunk.data(), got);
-            if (options.on_chunk && response.status == 200)
+            if (options.on_chunk && is_streamed)
                 options.on_chunk(text);
             else
                 response.body += text;
--- a/src/libutil/http_client.h
+++ b/src/libutil/http_client.h
@@ -152,6 +152,13 @@
     Skip
 };
 
+/// What an answer's head says about the call that it answers.
+enum class HeadUse : unsigned char {
+    Take,
+    Skip, ///< it answers an earlier call; as for AnswerUse
+    Refuse ///< the call is lost
+};
+
 struct CallOptions {
     std::int64_t deadline_us = 0; ///< point in time, monotonic microseconds
     BodyTimeouts body;
@@ -172,8 +179,8 @@
     /// another call and one that breaks off later, and the time at which the connection was
     /// established (monotonic microseconds).
     std::function<void(const HttpResponse&, std::int64_t connected_us)> on_answer;
-    /// Returns false for an answer that belongs to another call; the call is then lost.
-    std::function<bool(const HttpResponse&)> accepts_answer;
+    /// Judges an answer by its head, which may name its call; empty: Take.
+    std::function<HeadUse(const HttpResponse&)> judge_head;
     /// Judges a complete answer, for answers without an id of their call; empty: Take.
     std::function<AnswerUse(const HttpResponse&)> judge_answer;
     /// Receives the status and header fields of a 200 before the first chunk of its body.
--- a/src/libutil/http_client_answers_test.cpp
+++ b/src/libutil/http_client_answers_test.cpp
@@ -157,6 +157,71 @@
     CHECK(connections == 2);
 }
 
+/// An answer that names its call.
+std::string
+answer_to(const std::string& call, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\nCall: " + call
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// What calls "0", "1", ... receive chunk by chunk; "lost" for a call that is lost.
+std::vector<std::string>
+stream_in_turn(std::vector<std::string> answers, int& connections)
+{
+    asio::io_context io;
+    const std::size_t calls = answers.size();
+    ScriptedServer server(io, std::move(answers));
+    HttpClient client(io);
+    std::vector<std::string> received;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            while (received.size() < calls) {
+                const std::string name = std::to_string(received.size());
+                std::string chunks;
+                CallOptions options;
+                options.deadline_us = monotonic_us() + kDeadlineUs;
+                options.resend_if_stale = false;
+                options.judge_head = [&name](const HttpResponse& head) {
+                    return head.headers.get("Call") == name ? HeadUse::Take : HeadUse::Skip;
+                };
+                options.on_head = [&chunks](const HttpResponse&) { chunks += "|"; };
+                options.on_chunk = [&chunks](std::string_view text) { chunks += text; };
+                HttpRequest request;
+                const CallResult result = co_await client.call(
+                    server.address(), std::move(request), std::move(options));
+                const bool answered = result.status == CallStatus::Answered;
+                received.push_back(answered ? chunks : "lost");
+            }
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    connections = server.accepted();
+    return received;
+}
+
+TEST_CASE("a call waits for its own answer behind a late one that names another call")
+{
+    int connections = 0;
+    const std::string late = answer_to("0", "a");
+    const auto received = stream_in_turn(
+        {late, late + answer_to("1", "b"), answer_to("2", "c")}, connections);
+    CHECK(received == std::vector<std::string> {"|a", "|b", "|c"});
+    CHECK(connections == 2);
+}
+
+TEST_CASE("a call is lost behind more late answers than an upstream may send")
+{
+    int connections = 0;
+    const std::string late = answer_to("0", "a");
+    const auto received = stream_in_turn(
+        {late, late + late + answer_to("1", "b"), answer_to("2", "c")}, connections);
+    CHECK(received == std::vector<std::string> {"|a", "lost", "|c"});
+    CHECK(connections == 2);
+}
+
 /// Refuses the first call of all, and sends the refusal again before the next answer on the
 /// same connection.
 class RefusingServer {
