Pause before reading again after a cut answer without a record

Answers of the store that only their connection ends, and that are cut before their first record, made each daemon read again at once: three daemons on an idle route sent 2,219 calls a second to the store for as long as answers were cut. Nothing reached callers: no record was skipped, and nothing was confirmed.

Cause: an answer with fewer records than the topic has is read on without a delay, also if it brought no record. The store does not hold a request for records that it has.

A page with at least one record is still read on at once. A listing that follows ends the state, since it is whole.

--- a/src/libcypressford/directory_view.cpp
+++ b/src/libcypressford/directory_view.cpp
@@ -136,6 +136,7 @@
     if (std::exchange(view.is_restored, false))
         view.rewrites_until = now + m_timing.outage;
     view.pages.reset();
+    view.is_cut = false;
     view.next = end;
     view.known_end = std::max(view.known_end, end);
     view.listing.end_listing();
--- a/src/libcypressford/directory_view_test.cpp
+++ b/src/libcypressford/directory_view_test.cpp
@@ -199,6 +199,38 @@
     CHECK(view.of(topic).as_of == second);
 }
 
+/// Guards against a daemon that reads without a pause while the directory's answers end
+/// after their head: the directory has records, so it does not hold such a request.
+TEST_CASE("an answer of the directory that is cut before its first record is read again "
+          "after a pause")
+{
+    TextDialect dialect;
+    const DirectoryTiming timing(2 * kSecond, 1200 * kMillisecond);
+    DirectoryView view(dialect, timing, 0, "own", "hall", 400, 0);
+    const DirectoryTopic topic = DirectoryTopic::Configuration;
+    view.begin_listing(topic, 0);
+    view.apply_listed(topic, {{"config", "7"}}, 0);
+    view.end_listing(topic, 1, 0, 0);
+
+    const Micros now = 20 * kSecond;
+    view.of(topic).requested_at = now;
+    view.apply_page(topic, 1, {}, now, 0, now, 3);
+    CHECK(view.of(topic).as_of == 0);
+    CHECK(view.of(topic).next == 1);
+    const Micros pause = view.time_until_read(topic, now);
+    CHECK(pause >= 100 * kMillisecond);
+    CHECK(pause <= kSecond);
+    // The next answer holds a record, so that the rest is read at once.
+    view.of(topic).requested_at = now + pause;
+    view.apply_page(topic, 1, {{"config", "11"}}, now + pause, 0, now + pause, 3);
+    CHECK(view.time_until_read(topic, now + pause) <= 0);
+    // A listing that follows a cut answer is whole.
+    view.apply_page(topic, 2, {}, now + pause, 0, now + pause, 3);
+    CHECK(view.of(topic).is_cut);
+    view.end_listing(topic, 3, now + pause, now + pause);
+    CHECK_FALSE(view.of(topic).is_cut);
+}
+
 /// Guards against a daemon on a thin link reading a large configuration twice, because it
 /// ignored the first one after a listing by another daemon.
 TEST_CASE(
--- a/src/libcypressford/directory_view_timing.cpp
+++ b/src/libcypressford/directory_view_timing.cpp
@@ -175,8 +175,10 @@
     const TopicView& view = of(topic);
     if (!view.next)
         return time_until_listed(topic, now);
+    // An answer that is cut before its first record brings nothing, and the directory does
+    // not hold a request for records that it has.
     if (view.is_cut)
-        return 0;
+        return view.just_changed ? 0 : view.requested_at + kRetryDelay - now;
     const bool is_daemons = topic == DirectoryTopic::Daemons;
     const DirectorySource from = source();
     const DirectoryRole role = from.role;
