--- a/src/libutil/http_server_test.cpp
+++ b/src/libutil/http_server_test.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -152,5 +153,59 @@
     CHECK(answer.accepted < kBodyBytes);
 }
 
+/// The head of the answer with that status and body to that request.
+std::string
+head_of_answer(int status, const std::string& body, const std::string& request)
+{
+    asio::io_context io;
+    HttpServer server(
+        io, HttpLimits {},
+        [&](HttpExchange& exchange) -> asio::awaitable<void> {
+            HttpResponse response;
+            response.status = status;
+            response.body = body;
+            co_await exchange.respond(std::move(response));
+        },
+        [](ErrorKind) { return HttpResponse {}; });
+    const auto port = server.listen({"127.0.0.1", 0});
+    REQUIRE(port);
+    std::string answer;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void> {
+            tcp::socket caller(io);
+            co_await caller.async_connect({asio::ip::make_address("127.0.0.1"), *port},
+                                          asio::use_awaitable);
+            co_await asio::async_write(caller, asio::buffer(request), asio::use_awaitable);
+            co_await asio::async_read_until(caller, asio::dynamic_buffer(answer),
+                                            "\r\n\r\n", asio::use_awaitable);
+            io.stop();
+        },
+        asio::detached);
+    io.run();
+    return answer.substr(0, answer.find("\r\n\r\n"));
+}
+
+/// Guards against answers between daemons that are cut and taken as whole.  A message of
+/// protocol buffers that is cut between two fields is a valid message, so that only the
+/// length tells that a part of it is missing.
+TEST_CASE("each answer states its length")
+{
+    for (const int status : {200, 400, 404, 503})
+        for (const std::size_t size : {0, 1, 100'000})
+            for (const char* request :
+                 {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n",
+                  "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n",
+                  "GET / HTTP/1.0\r\nHost: h\r\n"}) {
+                CAPTURE(status);
+                CAPTURE(size);
+                CAPTURE(request);
+                const std::string head = head_of_answer(status, std::string(size, 'x'),
+                                                        std::string(request) + "\r\n");
+                const std::string length = "\r\nContent-Length: " + std::to_string(size);
+                CHECK((head + "\r\n").find(length + "\r\n") != std::string::npos);
+            }
+}
+
 } // namespace
 } // namespace cypressford
