Origins of a set are written once each 250 ms, whatever the load

The writer paused once and then wrote records back to back for as long as streams began: 143 to 173 records in 6 s at 130 streams/s with writes of 20 ms (28 allowed). The ring of 240 keys, meant for a minute, then turned within seconds, and streams older than that would have been refused after the end of all daemons. Origins of the first set by name kept those of others from being written. Each sender's batch of 5 ms was a message to the keeper.

Each set has one record for each slot of 250 ms, counted by the monotonic clock; sets take turns. Notes for the store wait for 1 ms for each daemon of the fleet, so that a keeper gets at most some 1,000 messages a second. Of more origins than the table keeps, only the newest are passed on after a start.

--- a/src/include/cypressford/origin_records.h
+++ b/src/include/cypressford/origin_records.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,8 +47,9 @@
     /// Returns the number of origins that were dropped, the oldest first.
     std::size_t add(const RequestsByOrigin& origins);
     bool empty() const { return m_pending.empty(); }
-    /// The next record to write.  Its origins stay until drop_taken().
-    DirectoryRecord take(std::int64_t now_ms);
+    /// The next record to write, of a set that has had none within kGatherTime; nothing if
+    /// all have.  Its origins stay until drop_taken().  `now`: monotonic.
+    std::optional<DirectoryRecord> take(std::int64_t now_ms, Micros now);
     /// The record that take() returned was written.
     void drop_taken();
 
@@ -56,11 +58,11 @@
         std::string version;
         std::string request;
     };
-    std::string next_key(const std::string& set_name, std::int64_t now_ms);
 
     std::map<std::string, std::deque<Pending>> m_pending; ///< by set, oldest first
     std::string m_taken_set;
     std::size_t m_taken = 0;
+    std::optional<Micros> m_start; ///< wall time when the monotonic time was 0
     std::map<std::string, std::int64_t> m_last_slot; ///< by set
 };
 
--- a/src/libcypressford/origin_records.cpp
+++ b/src/libcypressford/origin_records.cpp
@@ -75,28 +75,31 @@
     return dropped;
 }
 
-/// Two records of one writer never have the same key within a turn of the ring, also if its
-/// clock is set back.
-std::string
-OriginOutbox::next_key(const std::string& set_name, std::int64_t now_ms)
+/// Slots follow the monotonic clock, so that a wall clock that is set back does not make
+/// the writer replace its own records.
+std::optional<DirectoryRecord>
+OriginOutbox::take(std::int64_t now_ms, Micros now)
 {
-    const std::int64_t by_time = now_ms * kMillisecond / kGatherTime;
-    std::int64_t& last = m_last_slot[set_name];
-    last = std::max(last + 1, by_time);
-    return origin_key_prefix(set_name) + std::to_string(last % kSlots);
-}
-
-DirectoryRecord
-OriginOutbox::take(std::int64_t now_ms)
-{
-    const auto& [set_name, pending] = *m_pending.begin();
+    if (!m_start)
+        m_start = now_ms * kMillisecond - now;
+    const std::int64_t slot = (*m_start + now) / kGatherTime;
+    const auto is_due = [&](const auto& item) {
+        const auto last = m_last_slot.find(item.first);
+        return last == m_last_slot.end() || last->second < slot;
+    };
+    const auto due = std::find_if(m_pending.begin(), m_pending.end(), is_due);
+    if (due == m_pending.end())
+        return std::nullopt;
+    const auto& [set_name, pending] = *due;
+    m_last_slot[set_name] = slot;
     m_taken_set = set_name;
     m_taken = std::min(pending.size(), kMaxOriginsPerRecord);
     OriginRecord record;
     record.written_ms = now_ms;
     for (std::size_t i = 0; i < m_taken; ++i)
         record.known[{set_name, pending[i].version}].push_back(pending[i].request);
-    return {next_key(set_name, now_ms), encode(record)};
+    return DirectoryRecord {origin_key_prefix(set_name) + std::to_string(slot % kSlots),
+                            encode(record)};
 }
 
 /// Origins may have been added meanwhile, and the oldest dropped.
@@ -128,6 +131,14 @@
         return a.written_ms < b.written_ms;
     };
     std::sort(decoded.begin(), decoded.end(), is_older);
+    // The table keeps no more, and the newest count.
+    std::size_t kept = 0;
+    const auto first = std::find_if(decoded.rbegin(), decoded.rend(), [&](const auto& one) {
+        for (const auto& [origin, requests] : one.known)
+            kept += requests.size();
+        return kept > StreamOriginTable::kMaxStreams;
+    });
+    decoded.erase(decoded.begin(), first.base());
     std::vector<RequestsByOrigin> result;
     for (OriginRecord& record : decoded) {
         std::erase_if(record.known, [set_name](const auto& item) {
--- a/src/libcypressford/origin_records_test.cpp
+++ b/src/libcypressford/origin_records_test.cpp
@@ -7,7 +7,7 @@
 
 #include <cypressford/origin_records.h>
 
-#include <set>
+#include <map>
 
 #include <doctest/doctest.h>
 
@@ -29,15 +29,16 @@
     return result;
 }
 
-/// All records that the outbox writes at that time.
+/// All records that the outbox writes from that time on.
 std::vector<DirectoryRecord>
 drain(OriginOutbox& outbox, std::int64_t now_ms)
 {
     std::vector<DirectoryRecord> records;
-    while (!outbox.empty()) {
-        records.push_back(outbox.take(now_ms));
-        outbox.drop_taken();
-    }
+    for (; !outbox.empty(); now_ms += kGatherMs)
+        while (auto record = outbox.take(now_ms, now_ms * kMillisecond)) {
+            records.push_back(*std::move(record));
+            outbox.drop_taken();
+        }
     return records;
 }
 
@@ -70,34 +71,77 @@
 
 TEST_CASE("records replace each other only after the life of a stream, in bounded number")
 {
+    constexpr std::int64_t write_ms = 5;
     OriginOutbox outbox;
-    std::set<std::string> keys;
-    for (std::int64_t i = 0; i < OriginOutbox::kSlots; ++i) {
-        outbox.add({{kFirstVersion, {"a"}}});
-        // Its clock is set back half-way.
-        const std::int64_t now_ms = kNowMs + (i < 100 ? i * kGatherMs : i * kGatherMs / 2);
-        for (const DirectoryRecord& record : drain(outbox, now_ms)) {
-            CHECK(record.key.starts_with(origin_key_prefix("model")));
-            keys.insert(record.key);
+    std::map<std::string, std::string> store;
+    outbox.add({{kFirstVersion, {"first"}}});
+    std::int64_t records = 0;
+    std::int64_t now_ms = kNowMs;
+    // Streams begin without pause; the wall clock is set back half-way.
+    for (; now_ms < kNowMs + kLifetimeMs; now_ms += write_ms) {
+        const std::int64_t wall
+            = now_ms < kNowMs + kLifetimeMs / 2 ? now_ms : now_ms - 9000;
+        if (const auto record = outbox.take(wall, now_ms * kMillisecond)) {
+            store[record->key] = record->value;
+            outbox.drop_taken();
+            ++records;
         }
+        outbox.add({{kFirstVersion, {"request-" + std::to_string(now_ms)}}});
     }
-    CHECK(keys.size() == static_cast<std::size_t>(OriginOutbox::kSlots));
-    outbox.add({{kFirstVersion, {"a"}}});
-    CHECK(keys.contains(drain(outbox, kNowMs).front().key));
+    CHECK(records == OriginOutbox::kSlots);
+    CHECK(store.size() == static_cast<std::size_t>(OriginOutbox::kSlots));
+    const auto next = outbox.take(now_ms, now_ms * kMillisecond);
+    REQUIRE(next);
+    CHECK(store.contains(next->key));
+    std::vector<DirectoryRecord> stored;
+    for (const auto& [key, value] : store)
+        stored.push_back({key, value});
+    const auto read = stored_origins(stored, "model", kNowMs + kLifetimeMs);
+    REQUIRE_FALSE(read.empty());
+    CHECK(read.front().at(kFirstVersion).front() == "first");
+}
+
+/// Guards against sets whose origins are never written while those of another set arrive
+/// during each write.
+TEST_CASE("origins of one set do not keep those of another from being written")
+{
+    OriginOutbox outbox;
+    outbox.add({{kFirstVersion, {"a"}}, {{"other", "v9"}, {"d"}}});
+    const auto first = outbox.take(kNowMs, 0);
+    outbox.drop_taken();
+    outbox.add({{kFirstVersion, {"b"}}});
+    const auto second = outbox.take(kNowMs, 0);
+    REQUIRE((first && second));
+    CHECK(first->key.starts_with(origin_key_prefix("model")));
+    CHECK(second->key.starts_with(origin_key_prefix("other")));
+}
+
+TEST_CASE("of more origins than a daemon keeps the newest are read")
+{
+    std::vector<DirectoryRecord> records;
+    for (std::int64_t i = 0; i < 40; ++i) {
+        const OriginRecord record {
+            {{kFirstVersion, ids(OriginOutbox::kMaxOriginsPerRecord)}}, kNowMs + i};
+        records.push_back({origin_key_prefix("model") + std::to_string(i), encode(record)});
+    }
+    const auto read = stored_origins(records, "model", kNowMs + 100);
+    CHECK(read.size()
+          == StreamOriginTable::kMaxStreams / OriginOutbox::kMaxOriginsPerRecord);
 }
 
 TEST_CASE("many origins are divided into records, and kept until they are written")
 {
     OriginOutbox outbox;
     CHECK(outbox.add({{kFirstVersion, ids(OriginOutbox::kMaxOriginsPerRecord + 1)}}) == 0);
-    const DirectoryRecord unwritten = outbox.take(kNowMs);
-    const auto records = drain(outbox, kNowMs + 1);
+    const auto unwritten = outbox.take(kNowMs, kNowMs * kMillisecond);
+    REQUIRE(unwritten);
+    const auto records = drain(outbox, kNowMs + kGatherMs);
     REQUIRE(records.size() == 2);
     const auto first = decode_origin_record(records[0].value);
     const auto second = decode_origin_record(records[1].value);
     REQUIRE((first && second));
     CHECK(first->known.at(kFirstVersion)
-          == decode_origin_record(unwritten.value)->known.at(kFirstVersion));
+          == decode_origin_record(unwritten->value)->known.at(kFirstVersion));
     CHECK(first->known.at(kFirstVersion).size() == OriginOutbox::kMaxOriginsPerRecord);
     CHECK(second->known.at(kFirstVersion).size() == 1);
 }
--- a/src/libserve/streams/origin_writer.cpp
+++ b/src/libserve/streams/origin_writer.cpp
@@ -59,18 +59,19 @@
 OriginWriter::write_all()
 {
     Micros delay = kFirstRetryDelay;
-    co_await pause_for(m_io, OriginOutbox::kGatherTime);
     while (!m_outbox.empty()) {
-        DirectoryRecord record = m_outbox.take(wall_ms());
-        const auto written
-            = co_await m_directory.write(DirectoryTopic::Origins, std::move(record));
-        if (written) {
-            m_outbox.drop_taken();
-            delay = kFirstRetryDelay;
-            continue;
+        co_await pause_for(m_io, OriginOutbox::kGatherTime);
+        while (auto record = m_outbox.take(wall_ms(), monotonic_us())) {
+            const auto written
+                = co_await m_directory.write(DirectoryTopic::Origins, *std::move(record));
+            if (written) {
+                m_outbox.drop_taken();
+                delay = kFirstRetryDelay;
+                continue;
+            }
+            co_await pause_for(m_io, delay);
+            delay = std::min(2 * delay, kMaxRetryDelay);
         }
-        co_await pause_for(m_io, delay);
-        delay = std::min(2 * delay, kMaxRetryDelay);
     }
     m_writing = false;
 }
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -29,6 +29,10 @@
 /// Time for which origins wait for others that the same daemon keeps.  A caller resumes a
 /// stream no sooner than a round trip after it broke off.
 constexpr std::chrono::milliseconds kLinger {5};
+/// Time for which origins for the store wait for others, for each daemon of the fleet: the
+/// daemon that writes them gets at most one message in this time.
+constexpr std::chrono::milliseconds kStoreLingerPerDaemon {1};
+constexpr std::chrono::milliseconds kMaxStoreLinger {1000};
 /// The second round of questions: an origin may be on its way during the first.
 constexpr std::chrono::milliseconds kAskAgainAfter {30};
 
@@ -152,10 +156,27 @@
     if (!m_kernel.knows_all_daemons.load())
         return;
     const std::vector<std::string> first = holders(origin.upstream_set, 1, 0);
-    if (first.empty())
+    if (first.empty()) {
         m_on_store({{origin, {request}}});
-    else
-        m_unsent[first.front()].to_store[origin].push_back(request);
+        return;
+    }
+    const bool is_first = m_to_store.empty();
+    m_to_store[first.front()][origin].push_back(request);
+    if (is_first)
+        asio::co_spawn(m_io, flush_to_store(), asio::detached);
+}
+
+asio::awaitable<void>
+StreamOrigins::flush_to_store()
+{
+    const std::chrono::milliseconds linger
+        = m_kernel.daemons.load() * kStoreLingerPerDaemon;
+    co_await pause_for(m_io, std::clamp(linger, kLinger, kMaxStoreLinger));
+    for (auto& [address, origins] : std::exchange(m_to_store, {})) {
+        StreamOriginBatch batch;
+        batch.to_store = std::move(origins);
+        asio::co_spawn(m_io, send(address, std::move(batch)), asio::detached);
+    }
 }
 
 void
--- a/src/libserve/streams/stream_origins.h
+++ b/src/libserve/streams/stream_origins.h
@@ -67,6 +67,7 @@
     void store_later(const std::string& request, const StreamOrigin& origin);
     void send_later(const std::string& request, const StreamOrigin& origin);
     boost::asio::awaitable<void> flush();
+    boost::asio::awaitable<void> flush_to_store();
     boost::asio::awaitable<void> send(std::string address, StreamOriginBatch batch);
     boost::asio::awaitable<StreamHistory> find_here(std::string request,
                                                     std::string set_name);
@@ -82,6 +83,7 @@
     PeerLink m_link;
     StreamOriginTable m_origins;
     std::map<std::string, StreamOriginBatch> m_unsent; ///< by address
+    std::map<std::string, RequestsByOrigin> m_to_store; ///< unsent, by address
     std::map<std::string, Micros> m_differed_at; ///< by set
     std::function<void(RequestsByOrigin)> m_on_store;
 };
