Streams of a version go on at no upstream that names none, nor by one daemon's word

Callers whose streams began at a version got 200 and the rest from upstreams that name no version, once only such ones were left: the set named no version, so nobody was asked for the origin. And where one daemon had read the start and the end of a version at once, its longer time outweighed that of daemons that had seen both.

Whoever takes a stream up asks about every set. Sets that never named one go on as before.

--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -84,6 +84,8 @@
     std::string upstream_set; ///< of the wanted requests
     /// In an answer: of that set; its times are those that have passed.
     std::optional<SoleVersion> sole;
+    /// In an answer: time since the sender last saw that set with another version.
+    std::optional<Micros> differed = std::nullopt;
 };
 
 std::string encode(const StreamOriginBatch& batch);
@@ -143,6 +145,8 @@
 struct StreamHistory {
     std::optional<StreamOrigin> origin;
     std::optional<SoleVersion> sole; ///< of the set, as far as it is agreed
+    /// When one of them last saw the set with another version than the present only one.
+    std::optional<Micros> differed_at = std::nullopt;
     std::size_t witnesses = 0; ///< other daemons that were asked and agree
 };
 
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -31,6 +31,8 @@
             out.mutable_sole()->set_recorded_age_ms(
                 static_cast<std::uint64_t>(*batch.sole->recorded_since / kMillisecond));
     }
+    if (batch.differed)
+        out.set_differed_age_ms(static_cast<std::uint64_t>(*batch.differed / kMillisecond));
     return out.SerializeAsString();
 }
 
@@ -62,6 +64,8 @@
         if (in.sole().has_recorded_age_ms())
             batch.sole->recorded_since = age_from(in.sole().recorded_age_ms());
     }
+    if (in.has_differed_age_ms())
+        batch.differed = age_from(in.differed_age_ms());
     return batch;
 }
 
@@ -227,9 +231,15 @@
     const std::optional<StreamOrigin>& origin = query.history.origin;
     if (origin && origin->upstream_set != query.set.spec.name)
         return {ResumeDecision::OtherSet, origin->version};
-    if (origin)
+    const bool names_versions = query.set.names_versions();
+    if (origin && (names_versions || !origin->version.empty()))
         return {ResumeDecision::AtVersion, origin->version};
-    if (!query.set.names_versions())
+    // A daemon that has read the start and the end of a version at once knows less than one
+    // that has seen it.
+    const std::optional<Micros>& differed_at = query.history.differed_at;
+    if (!origin && differed_at && query.now - *differed_at < query.longest_stream)
+        return {ResumeDecision::Unknown, {}};
+    if (!names_versions)
         return {ResumeDecision::Anywhere, {}};
     const std::optional<SoleVersion>& sole = query.history.sole;
     const bool is_known_to_all = query.is_directory_current
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -196,6 +196,45 @@
     CHECK_FALSE(agreed_version({seen(90, 10), seen(90, 10), other}));
 }
 
+TEST_CASE("a daemon that missed a version does not outweigh those that have seen it")
+{
+    UpstreamTable table("a");
+    const SnapshotPtr one = snapshot_of(table, {"v1", "v1"});
+    const Micros now = 100 * kSecond;
+    StreamHistory history;
+    history.sole = SoleVersion {"v1", 0}; // as the one that missed it has observed
+    history.witnesses = ResumeQuery::kNeededWitnesses;
+    history.differed_at = now - kLongest + 1;
+    const auto decide = [&] {
+        return decide_resume({one->sets.front(), history, kLongest, true, now}).decision;
+    };
+    CHECK(decide() == ResumeDecision::Unknown);
+    history.differed_at = now - kLongest;
+    CHECK(decide() == ResumeDecision::AtVersion);
+}
+
+TEST_CASE("upstreams that name no version continue no stream of a version")
+{
+    UpstreamTable table("a");
+    const SnapshotPtr unnamed = snapshot_of(table, {"", ""});
+    const Micros now = 100 * kSecond;
+    StreamHistory history;
+    const auto decide = [&] {
+        return decide_resume({unnamed->sets.front(), history, kLongest, true, now});
+    };
+    history.origin = StreamOrigin {"model", "v1"};
+    CHECK(decide().decision == ResumeDecision::AtVersion);
+    CHECK(decide().version == "v1");
+    history.origin->version.clear();
+    CHECK(decide().decision == ResumeDecision::Anywhere);
+    history.origin.reset();
+    CHECK(decide().decision == ResumeDecision::Anywhere);
+    history.differed_at = now - kLongest + 1;
+    CHECK(decide().decision == ResumeDecision::Unknown);
+    history.differed_at = now - kLongest;
+    CHECK(decide().decision == ResumeDecision::Anywhere);
+}
+
 TEST_CASE("the daemons that are asked for a key are those that rank first for it")
 {
     const TunnelPeers all = daemons(40);
@@ -292,14 +331,19 @@
     batch.wanted = {"r4"};
     batch.upstream_set = "model";
     batch.sole = SoleVersion {"v1", 3 * kSecond, 9 * kSecond};
+    batch.to_store[{"model", "v2"}] = {"r5"};
+    batch.differed = 4 * kSecond;
     const auto copy = decode_stream_origins(encode(batch));
     REQUIRE(copy);
     CHECK(copy->known == batch.known);
     CHECK(copy->wanted == batch.wanted);
     CHECK(copy->upstream_set == "model");
     CHECK(copy->sole == batch.sole);
+    CHECK(copy->to_store == batch.to_store);
+    CHECK(copy->differed == batch.differed);
     CHECK_FALSE(decode_stream_origins("\xff\xff"));
     CHECK_FALSE(decode_stream_origins(encode(StreamOriginBatch {}))->sole);
+    CHECK_FALSE(decode_stream_origins(encode(StreamOriginBatch {}))->differed);
 }
 
 } // namespace
--- a/src/libserve/relay/resume.cpp
+++ b/src/libserve/relay/resume.cpp
@@ -41,7 +41,7 @@
 {
     const RequestSpec& spec = context->spec;
     const UpstreamSet& set = spec.snapshot->sets[context->resolved().sets.front()];
-    if (!context->resolved().spec.stream || !set.names_versions() || !m_kernel.streams)
+    if (!context->resolved().spec.stream || !m_kernel.streams)
         co_return context;
     const std::string began_as = context->relay->call.resumes;
     StreamHistory history = co_await m_kernel.streams->find(began_as, set.spec.name);
--- a/src/libserve/streams/stream_origins.cpp
+++ b/src/libserve/streams/stream_origins.cpp
@@ -36,6 +36,16 @@
 /// The second round of questions: an origin may be on its way during the first.
 constexpr std::chrono::milliseconds kAskAgainAfter {30};
 
+bool
+has_several_versions(const SnapshotPtr& snapshot, const std::string& set_name)
+{
+    if (!snapshot)
+        return false;
+    const auto is_named = [&](const UpstreamSet& set) { return set.spec.name == set_name; };
+    const auto set = std::find_if(snapshot->sets.begin(), snapshot->sets.end(), is_named);
+    return set != snapshot->sets.end() && set->versions.size() > 1;
+}
+
 } // namespace
 
 /// Questions for one origin that are open at several daemons.
@@ -46,6 +56,7 @@
     }
     std::optional<StreamOrigin> found;
     std::vector<std::optional<SoleVersion>> seen; ///< of the set, by this daemon and others
+    std::optional<Micros> differed_at; ///< the latest time that one of them has seen
     std::size_t open = 0;
     BootTimer changed;
 };
@@ -87,18 +98,25 @@
     return sole && monotonic_us() - sole->since >= StreamOriginTable::kLifetime;
 }
 
+std::optional<Micros>
+StreamOrigins::differed_at(const std::string& set_name)
+{
+    if (has_several_versions(m_kernel.snapshot.load(), set_name))
+        m_differed_at[set_name] = monotonic_us();
+    const auto at = m_differed_at.find(set_name);
+    if (at == m_differed_at.end())
+        return std::nullopt;
+    const auto sole = sole_version(set_name);
+    return sole ? std::max(at->second, sole->since) : at->second;
+}
+
 /// After a restart of all daemons, only the platform's store tells at which of several
 /// versions a stream began.
 bool
 StreamOrigins::differed_lately(const std::string& set_name)
 {
-    const Micros now = monotonic_us();
-    if (!sole_version(set_name)) {
-        m_differed_at[set_name] = now;
-        return true;
-    }
-    const auto at = m_differed_at.find(set_name);
-    return at != m_differed_at.end() && now - at->second < StreamOriginTable::kLifetime;
+    const auto at = differed_at(set_name);
+    return at && monotonic_us() - *at < StreamOriginTable::kLifetime;
 }
 
 void
@@ -235,6 +253,7 @@
     const auto inquiry = std::make_shared<Inquiry>(m_io);
     inquiry->found = m_origins.find(request, monotonic_us());
     inquiry->seen.push_back(sole_version(set_name));
+    inquiry->differed_at = differed_at(set_name);
     StreamOriginBatch question;
     if (!request.empty() && request.size() <= StreamOriginTable::kMaxIdChars)
         question.wanted.push_back(request);
@@ -254,7 +273,7 @@
         m_origins.record(request, *inquiry->found, false, monotonic_us());
     const std::size_t needed_records = std::min(kNeededRecords, 1 + asked.size());
     co_return StreamHistory {inquiry->found, agreed_version(inquiry->seen, needed_records),
-                             inquiry->seen.size() - 1};
+                             inquiry->differed_at, inquiry->seen.size() - 1};
 }
 
 asio::awaitable<void>
@@ -272,6 +291,10 @@
         if (sole && sole->recorded_since)
             sole->recorded_since = now - *sole->recorded_since;
         inquiry->seen.push_back(std::move(sole));
+        if (answer->differed)
+            inquiry->differed_at
+                = std::max(inquiry->differed_at.value_or(now - *answer->differed),
+                           now - *answer->differed);
     }
     --inquiry->open;
     inquiry->changed.cancel();
@@ -293,6 +316,8 @@
             if (const auto origin = m_origins.find(request, now))
                 answer.known[*origin].push_back(request);
         answer.sole = sole_version(batch->upstream_set);
+        if (const auto at = differed_at(batch->upstream_set))
+            answer.differed = std::max<Micros>(0, now - *at);
         if (answer.sole)
             answer.sole->since = now - answer.sole->since;
         // The record's age was computed after `now`.
--- a/src/libserve/streams/stream_origins.h
+++ b/src/libserve/streams/stream_origins.h
@@ -63,6 +63,8 @@
     std::optional<Micros> recorded_since(const std::string& set_name,
                                          const std::string& version) const;
     bool is_only_version(const std::string& set_name) const;
+    /// When this daemon last saw another version of a set than its present only one.
+    std::optional<Micros> differed_at(const std::string& set_name);
     bool differed_lately(const std::string& set_name);
     void store_later(const std::string& request, const StreamOrigin& origin);
     void send_later(const std::string& request, const StreamOrigin& origin);
