Admit resumed streams by the median time of whole streams

Callers that resumed a stream with a few seconds left were refused as deadline_unreachable, although the first event was expected in time: admission demanded that the 95th percentile of whole streams fits, but a resumed stream needs only its rest. A retry does not help, since less time is left then. The median of whole streams is now the bound; expected waits and the time to the first event must fit as before.

Test: relay_test, "a resumed stream is admitted if half of all whole streams end in its time left", which failed before.

--- a/src/include/cypressford/admission.h
+++ b/src/include/cypressford/admission.h
@@ -28,7 +28,8 @@
 /// Estimate for one stage of a request at admission.
 struct StageEstimate {
     Micros typical = 0; ///< median service time; 0 while unknown
-    Micros tail = 0; ///< 95th percentile; 0 while unknown
+    /// 95th percentile, or the median for a resumed stream; 0 while unknown
+    Micros tail = 0;
     Micros backlog = 0; ///< time to process the work ahead of this request
     int usable = 0; ///< upstreams that can take calls now
     int waiting = 0; ///< requests in the queue of this stage
--- a/src/include/cypressford/scheduler.h
+++ b/src/include/cypressford/scheduler.h
@@ -48,6 +48,8 @@
     /// Software version at which the stream began that this request continues; empty: it
     /// has not begun.
     std::optional<std::string> version;
+    /// The caller has the first events of a stream and asks for the others.
+    bool resumes_stream = false;
     /// The leader of the upstream set chooses the upstream.
     bool asks_leader = false;
 
--- a/src/libcypressford/relay_fixture.h
+++ b/src/libcypressford/relay_fixture.h
@@ -74,6 +74,7 @@
         spec.deadline = deadline;
         spec.pieces = std::move(pieces);
         spec.asks_leader = asks_leader;
+        spec.resumes_stream = version.has_value();
         spec.version = std::move(version);
         handle(RequestArrived {std::move(spec)});
     }
--- a/src/libcypressford/relay_test.cpp
+++ b/src/libcypressford/relay_test.cpp
@@ -313,6 +313,34 @@
     CHECK(fixture.find<CancelAttempt>());
 }
 
+/// Guards against a refusal of resumed streams, which need only the rest of a stream, for
+/// which there is time in general, because one in ten whole streams takes longer.
+TEST_CASE("a resumed stream is admitted if half of all whole streams end in its time left")
+{
+    RelayFixture fixture;
+    PipelineSpec spec = pipeline(true);
+    spec.stream = true;
+    fixture.publish(spec, {"v1", "v1"});
+    RequestId id = 0;
+    for (int i = 1; i <= 20; ++i) {
+        fixture.arrive(++id, fixture.now + 20 * kSecond);
+        REQUIRE(fixture.find<SendAttempt>());
+        const AttemptId attempt = fixture.find<SendAttempt>()->attempt;
+        fixture.handle(ResponseStarted {attempt});
+        fixture.handle(StreamBegan {attempt});
+        fixture.now += i % 10 == 0 ? 5 * kSecond : kSecond;
+        fixture.handle(AttemptEnded {attempt, AttemptStatus::Ok});
+    }
+    const auto refusal = [&](Micros left, std::optional<std::string> version) {
+        fixture.arrive(++id, fixture.now + left, {}, false, std::move(version));
+        const auto* reply = fixture.find<Reply>();
+        return reply ? reply->error : std::nullopt;
+    };
+    CHECK(refusal(2 * kSecond, std::nullopt) == ErrorKind::DeadlineUnreachable);
+    CHECK_FALSE(refusal(2 * kSecond, "v1"));
+    CHECK(refusal(kSecond / 2, "v1") == ErrorKind::DeadlineUnreachable);
+}
+
 TEST_CASE("an upstream removed from the list gets no calls, also under older snapshots")
 {
     UpstreamTable table("a");
--- a/src/libcypressford/scheduler_admission.cpp
+++ b/src/libcypressford/scheduler_admission.cpp
@@ -246,7 +246,10 @@
     const StageId id = request.pipeline().stage_ids[at];
     StageEstimate result;
     result.typical = typical_time(request, at);
-    result.tail = std::max(result.typical, model.p95(id, now).value_or(result.typical));
+    // What is left of a resumed stream is shorter than a whole one, and each later retry
+    // has less time, so that the median of whole streams is its bound.
+    const auto tail = request.spec.resumes_stream ? model.p50(id, now) : model.p95(id, now);
+    result.tail = std::max(result.typical, tail.value_or(result.typical));
     const StageQueue::Capacity& capacity = capacity_of(request, at);
     result.usable = capacity.usable;
     StageQueue& queue = queue_of(request.set_of(at).id);
--- a/src/libserve/relay/arrival.cpp
+++ b/src/libserve/relay/arrival.cpp
@@ -214,6 +214,7 @@
         = context->arrived + std::min(call->time_left.value_or(of.deadline), of.deadline);
     spec.affinity = affinity_of(*call);
     spec.shared_tokens = shared_tokens_of(*call);
+    spec.resumes_stream = of.stream && !call->last_event.empty();
     spec.pieces = call->pieces;
     spec.pieces.resize(of.piece_stages.size());
     spec.asks_leader = spec.affinity != 0 && of.stages.front().kind == StageKind::Generate;
