Origins dropped during a write are not counted as written

When more origins of a set waited than the outbox keeps, the oldest were dropped also while their record was being written, and as many newer ones were then removed as written. Streams with these origins would have been refused after the end of all daemons. Found by reading.

--- a/src/include/cypressford/origin_records.h
+++ b/src/include/cypressford/origin_records.h
@@ -61,7 +61,7 @@
 
     std::map<std::string, std::deque<Pending>> m_pending; ///< by set, oldest first
     std::string m_taken_set;
-    std::size_t m_taken = 0;
+    std::size_t m_taken = 0; ///< of the oldest of that set
     std::optional<Micros> m_start; ///< wall time when the monotonic time was 0
     std::map<std::string, std::int64_t> m_last_slot; ///< by set
 };
--- a/src/libcypressford/origin_records.cpp
+++ b/src/libcypressford/origin_records.cpp
@@ -67,8 +67,11 @@
         for (const std::string& request : requests)
             if (!request.empty() && request.size() <= StreamOriginTable::kMaxIdChars)
                 pending.push_back({origin.version, request});
-        for (; pending.size() > kMaxOriginsPerSet; ++dropped)
+        for (; pending.size() > kMaxOriginsPerSet; ++dropped) {
             pending.pop_front();
+            if (origin.upstream_set == m_taken_set && m_taken > 0)
+                --m_taken;
+        }
         if (pending.empty())
             m_pending.erase(origin.upstream_set);
     }
@@ -102,7 +105,6 @@
                             encode(record)};
 }
 
-/// Origins may have been added meanwhile, and the oldest dropped.
 void
 OriginOutbox::drop_taken()
 {
@@ -110,7 +112,7 @@
     if (at == m_pending.end())
         return;
     std::deque<Pending>& pending = at->second;
-    const std::size_t written = std::min(std::exchange(m_taken, 0), pending.size());
+    const std::size_t written = std::exchange(m_taken, 0);
     pending.erase(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(written));
     if (pending.empty())
         m_pending.erase(at);
--- a/src/libcypressford/origin_records_test.cpp
+++ b/src/libcypressford/origin_records_test.cpp
@@ -155,6 +155,16 @@
     const auto last = decode_origin_record(records.back().value);
     REQUIRE(last);
     CHECK(last->known.at(kFirstVersion).back() == "latest");
+    // Those that are dropped during a write are no longer among the written ones.
+    const Micros later = (kNowMs + kLifetimeMs) * kMillisecond;
+    outbox.add({{kFirstVersion, ids(OriginOutbox::kMaxOriginsPerSet)}});
+    REQUIRE(outbox.take(kNowMs, later));
+    CHECK(outbox.add({{kFirstVersion, {"during the write"}}}) == 1);
+    outbox.drop_taken();
+    std::size_t left = 0;
+    for (const DirectoryRecord& record : drain(outbox, kNowMs + 2 * kLifetimeMs))
+        left += decode_origin_record(record.value)->known.at(kFirstVersion).size();
+    CHECK(left == OriginOutbox::kMaxOriginsPerSet + 1 - OriginOutbox::kMaxOriginsPerRecord);
     outbox.add(
         {{kFirstVersion, {std::string(StreamOriginTable::kMaxIdChars + 1, 'x'), ""}}});
     CHECK(outbox.empty());
