Tests release their block of ports when their daemons have ended

Each set-up of steps locked a block until its process ended, so that this test alone held up to ten of twelve blocks. Ports on which stand-ins of an earlier set-up still listen are not free, and are passed over as before.

--- a/testsuite/common/cluster.py
+++ b/testsuite/common/cluster.py
@@ -31,6 +31,27 @@
 _held_blocks = []
 
 
+class Ports:
+    """Free ports of a block, which is locked until release() or the end of this process."""
+
+    def __init__(self, lock, first):
+        self.lock = lock
+        self.ports = (port for port in range(first, first + PORT_BLOCK) if is_free(port))
+        _held_blocks.append(self)
+
+    def __iter__(self):
+        return self
+
+    def __next__(self):
+        return next(self.ports)
+
+    def release(self):
+        """After the daemons on these ports have ended."""
+        if self in _held_blocks:
+            _held_blocks.remove(self)
+            self.lock.close()
+
+
 def free_ports():
     """A block of ports that no other test on this machine uses.  Checking for free ports
     is not enough: daemons share a port on purpose (SO_REUSEPORT), so two tests on the same
@@ -42,9 +63,7 @@
         except OSError:
             lock.close()
             continue
-        _held_blocks.append(lock)  # held until this process ends
-        first = FIRST_PORT + block * PORT_BLOCK
-        return (port for port in range(first, first + PORT_BLOCK) if is_free(port))
+        return Ports(lock, FIRST_PORT + block * PORT_BLOCK)
     raise RuntimeError("no free block of ports")
 
 
