--- a/src/libcypressford/origin_records_test.cpp
+++ b/src/libcypressford/origin_records_test.cpp
@@ -94,6 +94,7 @@
     REQUIRE(next);
     CHECK(store.contains(next->key));
     std::vector<DirectoryRecord> stored;
+    stored.reserve(store.size());
     for (const auto& [key, value] : store)
         stored.push_back({key, value});
     const auto read = stored_origins(stored, "model", kNowMs + kLifetimeMs);
