--- a/src/libcypressford/origin_records_test.cpp
+++ b/src/libcypressford/origin_records_test.cpp
@@ -156,7 +156,7 @@
     const auto last = decode_origin_record(records.back().value);
     REQUIRE(last);
     CHECK(last->known.at(kFirstVersion).back() == "latest");
-    // Those that are dropped during a write are no longer among the written ones.
+    // Origins that are dropped during a write are not among the written ones.
     const Micros later = (kNowMs + kLifetimeMs) * kMillisecond;
     outbox.add({{kFirstVersion, ids(OriginOutbox::kMaxOriginsPerSet)}});
     REQUIRE(outbox.take(kNowMs, later));
