--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -135,6 +135,9 @@
     /// Allows any node to lead, whatever its capacity.
     void allow_weak_leaders();
 
+    /// Names of the sets that are led.
+    void set_led_sets(std::vector<std::string> sets);
+
 private:
     struct Known {
         DaemonRecord record;
@@ -174,6 +177,7 @@
     Micros m_record_timeout;
     Micros m_read_at = 0;
     bool m_weak_nodes_lead = false;
+    std::vector<std::string> m_led_sets;
     std::uint64_t m_peers_revision = 0;
     std::map<std::string, Known> m_daemons; ///< by node
     std::multimap<std::string, std::string> m_nodes_at; ///< by peers_address
--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -73,6 +73,7 @@
     bool stopping = false;
     std::string feed_address; ///< "ip:port" of its directory feed, for other daemons
     double capacity = 1; ///< processor power of its node, relative to the others
+    bool places_by_load = false; ///< its build knows LeaderRule::ByLoad
 };
 
 /// Features that a deployment needs according to the platform's own settings.
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -161,6 +161,12 @@
     invalidate_derived();
 }
 
+void
+DaemonTable::set_led_sets(std::vector<std::string> sets)
+{
+    m_led_sets = std::move(sets);
+}
+
 void
 DaemonTable::record_response(const std::string& peers_address, Micros now)
 {
@@ -502,6 +508,7 @@
     out.set_stopping(record.stopping);
     out.set_feed_address(record.feed_address);
     out.set_capacity(record.capacity);
+    out.set_places_by_load(record.places_by_load);
     return out.SerializeAsString();
 }
 
@@ -512,8 +519,9 @@
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
         || in.node().empty())
         return fail(ErrorKind::BadRequest, "malformed daemon record");
-    return DaemonRecord {in.node(),     in.hall(),     in.address(),      in.incarnation(),
-                         in.sequence(), in.stopping(), in.feed_address(), in.capacity()};
+    return DaemonRecord {in.node(),         in.hall(),     in.address(),
+                         in.incarnation(),  in.sequence(), in.stopping(),
+                         in.feed_address(), in.capacity(), in.places_by_load()};
 }
 
 } // namespace cypressford
