A daemon tells who leads each set, and what leading costs it

Signs of life now go to the leaders of sets that have one: before, the daemons that a hash gave for the other sets were asked as well. No placement is changed.

--- a/src/include/cypressford/daemon_table.h
+++ b/src/include/cypressford/daemon_table.h
@@ -137,6 +137,11 @@
 
     /// Names of the sets that are led.
     void set_led_sets(std::vector<std::string> sets);
+    const std::vector<std::string>& led_sets() const { return m_led_sets; }
+
+    /// Processor power of the node at that address, relative to the others; 0 if it is not
+    /// known.
+    double capacity_of(const std::string& peers_address) const;
 
 private:
     struct Known {
--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -167,6 +167,13 @@
     m_led_sets = std::move(sets);
 }
 
+double
+DaemonTable::capacity_of(const std::string& peers_address) const
+{
+    const auto at = m_nodes_at.find(peers_address);
+    return at == m_nodes_at.end() ? 0 : m_daemons.at(at->second).record.capacity;
+}
+
 void
 DaemonTable::record_response(const std::string& peers_address, Micros now)
 {
--- a/src/libserve/kernel.h
+++ b/src/libserve/kernel.h
@@ -70,6 +70,7 @@
         knows_all_daemons; ///< see DirectoryView::knows_fleet(); true without a directory
     std::atomic<std::uint64_t> directory_calls {0}; ///< to the platform, since the start
     std::atomic<int> evacuated_halls {0};
+    std::atomic<int> led_sets {0}; ///< upstream sets that this daemon leads
     std::atomic<std::uint64_t> invalid_records {0}; ///< in the directory, since the start
     /// When a worker thread last detected that it had been suspended; the initial value
     /// lies far in the past.
--- a/src/libserve/operator/metrics.cpp
+++ b/src/libserve/operator/metrics.cpp
@@ -99,6 +99,29 @@
     return result;
 }
 
+void
+add_leader_work(const LeaderWorkBySet& work_by_set, std::vector<MetricFamily>& out)
+{
+    MetricFamily queries
+        = family("cypressford_leader_queries_total",
+                 "Queries answered as the leader of an upstream set, by upstream set.",
+                 MetricType::Counter);
+    MetricFamily seconds = family(
+        "cypressford_leader_seconds_total",
+        "Processor time of decisions as the leader of an upstream set, by upstream set.",
+        MetricType::Counter);
+    for (const auto& [set, work] : work_by_set) {
+        ClientMetric metric;
+        metric.label = {{"upstreams", set}};
+        metric.counter.value = static_cast<double>(work.queries);
+        queries.metric.push_back(metric);
+        metric.counter.value = std::chrono::duration<double>(work.cpu_time).count();
+        seconds.metric.push_back(metric);
+    }
+    out.push_back(std::move(queries));
+    out.push_back(std::move(seconds));
+}
+
 MetricFamily
 failures_of_tasks(const TaskFailures& failures)
 {
@@ -231,6 +254,7 @@
     add_scheduler(snapshot.scheduler, families);
     families.push_back(refusals_by_set(snapshot.capacity_refused));
     families.push_back(failures_of_tasks(snapshot.task_failures));
+    add_leader_work(snapshot.leader_work, families);
     for (const Gauge& gauge : gauges) {
         MetricFamily result
             = family(gauge.name.c_str(), gauge.help.c_str(), MetricType::Gauge);
--- a/src/libserve/operator/metrics.h
+++ b/src/libserve/operator/metrics.h
@@ -14,6 +14,7 @@
 
 #include <cypressford/scheduler.h>
 
+#include "libserve/pieces/leader_work.h"
 #include "libutil/task.h"
 
 namespace cypressford {
@@ -55,6 +56,7 @@
     std::uint64_t connections = 0;
     std::uint64_t in_progress = 0;
     TaskFailures task_failures; ///< of the process, not of one thread
+    LeaderWorkBySet leader_work; ///< of the process
 
     void merge(const MetricsSnapshot& other);
 };
--- a/src/libserve/operator/operator_pages.cpp
+++ b/src/libserve/operator/operator_pages.cpp
@@ -8,6 +8,7 @@
 
 #include "libserve/entry/worker.h"
 #include "libserve/operator/metrics.h"
+#include "libserve/pieces/piece_service.h"
 #include "libutil/hybrid_clock.h"
 #include "libutil/task.h"
 
@@ -51,6 +52,8 @@
         total.merge(co_await asio::co_spawn(worker->io(), collect(), asio::use_awaitable));
     }
     total.task_failures = task_failures();
+    if (kernel.pieces)
+        total.leader_work = co_await kernel.pieces->leader_work();
     const SnapshotPtr snapshot = kernel.snapshot.load();
     const double version = snapshot ? static_cast<double>(snapshot->bundle->version) : 0;
     const SuspectViewPtr suspects = kernel.suspects.load();
@@ -75,6 +78,8 @@
          static_cast<double>(kernel.served_tunnels.load())},
         {"cypressford_hall_daemons", "Live daemons of the hall.",
          static_cast<double>(kernel.daemons_in_hall.load())},
+        {"cypressford_led_sets", "Upstream sets that this daemon leads.",
+         static_cast<double>(kernel.led_sets.load())},
         {"cypressford_directory_calls", "Calls to the platform's directory.",
          static_cast<double>(kernel.directory_calls.load())},
         {"cypressford_unread_records", "Records of the directory that can't be read.",
--- a/src/libserve/peers/peer_watch.cpp
+++ b/src/libserve/peers/peer_watch.cpp
@@ -64,6 +64,47 @@
     publish_tunnel_peers();
 }
 
+std::string
+PeerWatch::leader_of(std::string_view set_name)
+{
+    update_led_sets();
+    std::string leader = m_daemons.leader_of(set_name);
+    report_leader(set_name, leader);
+    return leader;
+}
+
+void
+PeerWatch::update_led_sets()
+{
+    const SnapshotPtr snapshot = m_kernel.snapshot.load();
+    if (!snapshot || snapshot->generation == m_sets_generation)
+        return;
+    m_sets_generation = snapshot->generation;
+    std::vector<std::string> sets;
+    for (const UpstreamSet& set : snapshot->sets)
+        if (set.spec.has_leader())
+            sets.push_back(set.spec.name);
+    m_daemons.set_led_sets(std::move(sets));
+}
+
+void
+PeerWatch::report_leader(std::string_view set_name, const std::string& leader)
+{
+    const auto known = m_reported_leaders.find(set_name);
+    if (known != m_reported_leaders.end() && known->second == leader)
+        return;
+    LogEvent("leader_changed")
+        .kv("set", set_name)
+        .kv("leader", leader)
+        .kv("before", known == m_reported_leaders.end() ? "" : known->second)
+        .kv("capacity",
+            leader.empty() ? m_kernel.settings.capacity : m_daemons.capacity_of(leader));
+    m_reported_leaders.insert_or_assign(std::string(set_name), leader);
+    const auto led = std::count_if(m_reported_leaders.begin(), m_reported_leaders.end(),
+                                   [](const auto& item) { return item.second.empty(); });
+    m_kernel.led_sets.store(static_cast<int>(led));
+}
+
 /// The list is copied only if it may have changed: keepalives arrive several times a
 /// second.
 void
@@ -126,10 +167,10 @@
     if (!snapshot || monotonic_us() - m_leaders_checked_at < kLeaderCheckInterval)
         return;
     m_leaders_checked_at = monotonic_us();
+    update_led_sets();
     std::set<std::string> checked;
-    for (const UpstreamSet& set : snapshot->sets)
-        for (std::string& address :
-             m_daemons.next_leaders(set.spec.name, kCheckedLeadersPerSet))
+    for (const std::string& set : m_daemons.led_sets())
+        for (std::string& address : m_daemons.next_leaders(set, kCheckedLeadersPerSet))
             checked.insert(std::move(address));
     for (const std::string& address : checked)
         spawn_task(m_io, "leader_check", check(address));
--- a/src/libserve/peers/peer_watch.h
+++ b/src/libserve/peers/peer_watch.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -28,10 +29,7 @@
     void apply_records(const std::vector<DaemonRecord>& records);
 
     /// Address of the daemon that leads the set; empty for this daemon itself.
-    std::string leader_of(std::string_view set_name) const
-    {
-        return m_daemons.leader_of(set_name);
-    }
+    std::string leader_of(std::string_view set_name);
 
     /// Sets the list of daemons that the hall's reader reports as unreachable.  They lead
     /// no set while they are on the list.
@@ -41,6 +39,8 @@
     void suspect(const std::string& address);
 
 private:
+    void update_led_sets();
+    void report_leader(std::string_view set_name, const std::string& leader);
     void publish_tunnel_peers();
     void check_leaders();
     boost::asio::awaitable<void> check(std::string address);
@@ -54,6 +54,9 @@
         m_reported_unreachable; ///< unreachable daemons as reported by the hall's reader
     std::set<std::string>
         m_locally_suspected; ///< suspected by this daemon's own observation
+    /// Generation of the snapshot that the sets of m_daemons were taken from.
+    std::uint64_t m_sets_generation = 0;
+    std::map<std::string, std::string, std::less<>> m_reported_leaders; ///< by set
     /// What the published peers for tunnels were derived from.
     std::uint64_t m_published_revision = 0;
     int m_published_alive = 0;
--- a/src/libserve/pieces/piece_service.cpp
+++ b/src/libserve/pieces/piece_service.cpp
@@ -84,6 +84,14 @@
     });
 }
 
+asio::awaitable<LeaderWorkBySet>
+PieceService::leader_work()
+{
+    const auto collect
+        = [this]() -> asio::awaitable<LeaderWorkBySet> { co_return m_leader.work(); };
+    co_return co_await asio::co_spawn(m_io, collect(), asio::use_awaitable);
+}
+
 void
 PieceService::submit(std::uint64_t request, PiecesRequest wanted, Done done)
 {
--- a/src/libserve/pieces/piece_service.h
+++ b/src/libserve/pieces/piece_service.h
@@ -53,6 +53,9 @@
     /// Replaces the addresses of the daemons that the reader of this hall cannot reach.
     void set_unreachable(std::set<std::string> addresses);
 
+    /// What this daemon has done as a leader.
+    boost::asio::awaitable<LeaderWorkBySet> leader_work();
+
     /// To be called on the service's own thread.
     bool is_idle() const { return m_jobs.empty() && m_leader.is_idle(); }
 
--- a/src/libserve/pieces/set_leader.cpp
+++ b/src/libserve/pieces/set_leader.cpp
@@ -49,6 +49,7 @@
 asio::awaitable<PieceAnswer>
 SetLeader::make(PieceOrder order, std::shared_ptr<PieceMaker::Ticket> ticket)
 {
+    ++m_work[order.upstream_set].queries;
     return m_maker.make(std::move(order), std::move(ticket));
 }
 
@@ -100,7 +101,7 @@
     exchange.watch([ticket] { ticket->cancel(); });
     HttpResponse response;
     response.content_type = "application/x-protobuf";
-    response.body = encode(co_await m_maker.make(*std::move(order), ticket));
+    response.body = encode(co_await make(*std::move(order), ticket));
     co_await exchange.respond(std::move(response));
 }
 
@@ -126,8 +127,10 @@
 {
     CapacityVerdicts verdicts;
     verdicts.reserve(queries.size());
-    for (const SetQuery& query : queries)
+    for (const SetQuery& query : queries) {
+        const LeaderWorkScope work(m_work[query.upstream_set]);
         verdicts.push_back(m_maker.reserve(query));
+    }
     return verdicts;
 }
 
@@ -140,6 +143,7 @@
     for (const UpstreamSet& set : snapshot->sets) {
         if (set.spec.name != query.upstream_set)
             continue;
+        const LeaderWorkScope work(m_work[query.upstream_set]);
         PromptPlacer& placer
             = m_placers
                   .try_emplace(query.upstream_set, m_kernel.settings.scheduler.switches)
@@ -174,6 +178,7 @@
 void
 SetLeader::take_releases(const Releases& releases)
 {
+    const LeaderWorkScope work(m_work[releases.upstream_set]);
     if (const auto placer = m_placers.find(releases.upstream_set);
         placer != m_placers.end()) {
         for (const std::string& attempt : releases.unreachable)
--- a/src/libserve/pieces/set_leader.h
+++ b/src/libserve/pieces/set_leader.h
@@ -16,6 +16,7 @@
 #include "libserve/kernel.h"
 #include "libserve/links/tunnel_server.h"
 #include "libserve/links/upstream_connector.h"
+#include "libserve/pieces/leader_work.h"
 #include "libserve/pieces/piece_maker.h"
 #include "libserve/pieces/result_keepers.h"
 #include "libutil/http_server.h"
@@ -40,6 +41,8 @@
     CapacityVerdicts reserve(const SetQueries& queries);
     void take_releases(const Releases& releases);
 
+    const LeaderWorkBySet& work() const { return m_work; }
+
     bool is_idle() const { return m_maker.is_idle() && m_tunnels.open() == 0; }
 
 private:
@@ -55,6 +58,7 @@
     TunnelServer m_tunnels;
     HttpServer m_server;
     std::map<std::string, PromptPlacer> m_placers; ///< by upstream set
+    LeaderWorkBySet m_work;
 };
 
 } // namespace cypressford
