A version that came and left between two reads counts as seen

A node that read the start and the end of replicas in one batch never had them in force, took the version before for the only one all the time, and nobody was left who knew better.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <cypressford/claims.h>
@@ -165,6 +166,9 @@
     std::vector<UpstreamMember> members() const;
     /// Changes of members() since the last call; the first call reports all members as new.
     std::vector<MemberChange> take_changes();
+    /// Versions of all records that were applied since the last call, also of upstreams
+    /// that members() has never contained.
+    VersionsBySet take_applied_versions() { return std::exchange(m_applied_versions, {}); }
     /// Counts changes of members() and evacuations().
     std::uint64_t revision() const { return m_revision; }
 
@@ -186,6 +190,7 @@
     EvacuationTable m_evacuations;
     std::map<std::string, Known> m_known;
     std::set<std::string> m_changed; ///< identities changed since take_changes()
+    VersionsBySet m_applied_versions; ///< since take_applied_versions()
     Micros m_expiry_due = std::numeric_limits<Micros>::max(); ///< earliest expiry
     std::uint64_t m_revision = 0;
 };
--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -114,9 +115,16 @@
 using SoleVersions = std::map<std::string, SoleVersion>;
 
 /// The sole versions after the change to this snapshot.  A set without upstreams keeps its
-/// entry: what comes next may be of another version.
+/// entry: what comes next may be of another version.  `brief_sets`: sets of which another
+/// version came and left since the snapshot before.
 SoleVersions sole_versions(const SoleVersions& before, const Snapshot& snapshot,
-                           Micros now);
+                           const std::set<std::string>& brief_sets, Micros now);
+
+/// Sets in whose applied records a version occurs that is neither in `before` nor in the
+/// snapshot: other daemons may have begun streams there that break off only later.
+std::set<std::string> sets_with_brief_versions(const VersionsBySet& applied,
+                                               const SoleVersions& before,
+                                               const Snapshot& snapshot);
 
 /// Where a resumed stream may go on.
 enum class ResumeDecision : unsigned char {
--- a/src/include/cypressford/upstream.h
+++ b/src/include/cypressford/upstream.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -333,6 +334,9 @@
     bool operator==(const UpstreamMember&) const = default;
 };
 
+/// Software versions of upstreams, by set.
+using VersionsBySet = std::map<std::string, std::set<std::string>>;
+
 /// Change of one upstream in the platform's list.
 struct MemberChange {
     std::optional<UpstreamMember> before; ///< nothing: it is new
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -120,8 +120,11 @@
     const bool returned = known.removal_at >= 0;
     known.removal_at = -1;
     known.member = std::move(member);
-    if (changed)
+    if (changed) {
+        const UpstreamMember& applied = known.member;
+        m_applied_versions[applied.upstream_set].insert(applied.version);
         mark_changed(record.member.identity);
+    }
     return changed || returned;
 }
 
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -183,7 +183,8 @@
 }
 
 SoleVersions
-sole_versions(const SoleVersions& before, const Snapshot& snapshot, Micros now)
+sole_versions(const SoleVersions& before, const Snapshot& snapshot,
+              const std::set<std::string>& brief_sets, Micros now)
 {
     SoleVersions result;
     for (const UpstreamSet& set : snapshot.sets) {
@@ -196,13 +197,31 @@
             continue;
         }
         const std::string& version = set.versions.begin()->first;
-        const bool is_same = known != before.end() && known->second.version == version;
+        const bool is_same = known != before.end() && known->second.version == version
+            && !brief_sets.contains(set.spec.name);
         result[set.spec.name]
             = {version, is_same ? known->second.since : now, std::nullopt};
     }
     return result;
 }
 
+std::set<std::string>
+sets_with_brief_versions(const VersionsBySet& applied, const SoleVersions& before,
+                         const Snapshot& snapshot)
+{
+    std::set<std::string> brief_sets;
+    for (const UpstreamSet& set : snapshot.sets) {
+        const auto of_set = applied.find(set.spec.name);
+        const auto sole = before.find(set.spec.name);
+        if (of_set == applied.end() || sole == before.end())
+            continue;
+        for (const std::string& version : of_set->second)
+            if (version != sole->second.version && !set.versions.contains(version))
+                brief_sets.insert(set.spec.name);
+    }
+    return brief_sets;
+}
+
 std::optional<SoleVersion>
 agreed_version(const std::vector<std::optional<SoleVersion>>& seen,
                std::size_t needed_records)
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -5,6 +5,7 @@
 /// Guards against streams that go on at another software version than the one that began
 /// them, and against streams that are refused although their version is known.
 
+#include <cypressford/directory.h>
 #include <cypressford/stream_origin.h>
 
 #include <set>
@@ -156,21 +157,51 @@
 TEST_CASE("a version counts as the only one since no other was listed")
 {
     UpstreamTable table("a");
-    SoleVersions sole = sole_versions({}, *snapshot_of(table, {"v1", "v1"}), 1);
+    SoleVersions sole = sole_versions({}, *snapshot_of(table, {"v1", "v1"}), {}, 1);
     CHECK(sole.at("model") == SoleVersion {"v1", 1});
-    sole = sole_versions(sole, *snapshot_of(table, {"v1"}), 2);
+    sole = sole_versions(sole, *snapshot_of(table, {"v1"}), {}, 2);
     CHECK(sole.at("model").since == 1);
     // A set that loses all upstreams has had no other version.
-    sole = sole_versions(sole, *snapshot_of(table, {}), 3);
+    sole = sole_versions(sole, *snapshot_of(table, {}), {}, 3);
     CHECK(sole.at("model").since == 1);
-    sole = sole_versions(sole, *snapshot_of(table, {"v1", "v2"}), 4);
+    sole = sole_versions(sole, *snapshot_of(table, {"v1", "v2"}), {}, 4);
     CHECK(sole.empty());
-    sole = sole_versions(sole, *snapshot_of(table, {"v2"}), 5);
+    sole = sole_versions(sole, *snapshot_of(table, {"v2"}), {}, 5);
     CHECK(sole.at("model") == SoleVersion {"v2", 5});
-    sole = sole_versions(sole, *snapshot_of(table, {"v1"}), 6);
+    sole = sole_versions(sole, *snapshot_of(table, {"v1"}), {}, 6);
     CHECK(sole.at("model") == SoleVersion {"v1", 6});
 }
 
+TEST_CASE("a version that came and left between two snapshots was not missed")
+{
+    UpstreamTable table("a");
+    DirectoryFold fold(0);
+    const auto apply = [&fold](const std::string& identity, const std::string& version) {
+        fold.apply({member(identity, version, 5), 1});
+    };
+    apply("1", "v1");
+    (void)fold.take_changes();
+    const VersionsBySet first = fold.take_applied_versions();
+    const SnapshotPtr snapshot = snapshot_of(table, {"v1"});
+    CHECK(sets_with_brief_versions(first, {}, *snapshot).empty());
+    const SoleVersions before = sole_versions({}, *snapshot, {}, 1);
+    // The first record of an upstream of another version, and its end, are read at once.
+    apply("2", "v2");
+    fold.drop("2", 2, false);
+    fold.expire(2);
+    CHECK(fold.take_changes().empty());
+    const auto brief
+        = sets_with_brief_versions(fold.take_applied_versions(), before, *snapshot);
+    CHECK(brief == std::set<std::string> {"model"});
+    CHECK(sole_versions(before, *snapshot, brief, 2).at("model").since == 2);
+    // Upstreams of the same version come and go.
+    apply("3", "v1");
+    fold.drop("3", 3, false);
+    fold.expire(3);
+    CHECK(
+        sets_with_brief_versions(fold.take_applied_versions(), before, *snapshot).empty());
+}
+
 TEST_CASE("daemons that have seen different versions agree on none")
 {
     const std::optional<SoleVersion> fresh = SoleVersion {"v1", 90};
--- a/src/libserve/directory/directory_watch.h
+++ b/src/libserve/directory/directory_watch.h
@@ -41,8 +41,10 @@
     /// Called after each change of the snapshot.
     void on_change(std::function<void()> action) { m_on_change = std::move(action); }
 
-    /// Called with each new snapshot, before streams are resumed by its versions.
-    void on_versions(std::function<void(const Snapshot&)> action)
+    /// Called with each new snapshot, before streams are resumed by its versions, and with
+    /// the sets of which another version came and left since the snapshot before.
+    void
+    on_versions(std::function<void(const Snapshot&, const std::set<std::string>&)> action)
     {
         m_on_versions = std::move(action);
     }
@@ -193,7 +195,7 @@
     std::uint64_t m_unreachable_revision = 0; ///< of the list from the queried daemon
     std::function<void(std::set<std::string>)> m_on_unreachable;
     std::function<void()> m_on_change;
-    std::function<void(const Snapshot&)> m_on_versions;
+    std::function<void(const Snapshot&, const std::set<std::string>&)> m_on_versions;
     std::function<void()> m_on_suspects_lost;
     std::function<void(std::vector<DaemonRecord>)> m_on_daemons;
 };
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -6,6 +6,8 @@
 
 #include "libserve/directory/directory_watch.h"
 
+#include <set>
+#include <string>
 #include <utility>
 
 #include "libserve/streams/stream_origins.h"
@@ -90,11 +92,15 @@
 void
 DirectoryWatch::update_sole_versions(const Snapshot& snapshot)
 {
-    if (m_on_versions)
-        m_on_versions(snapshot);
     const auto before = m_kernel.sole_versions.load();
-    SoleVersions now
-        = sole_versions(before ? *before : SoleVersions {}, snapshot, monotonic_us());
+    const VersionsBySet applied = m_view.fold().take_applied_versions();
+    std::set<std::string> brief_sets;
+    if (before)
+        brief_sets = sets_with_brief_versions(applied, *before, snapshot);
+    if (m_on_versions)
+        m_on_versions(snapshot, brief_sets);
+    SoleVersions now = sole_versions(before ? *before : SoleVersions {}, snapshot,
+                                     brief_sets, monotonic_us());
     if (before && *before == now)
         return;
     const auto after = std::make_shared<const SoleVersions>(std::move(now));
@@ -103,11 +109,14 @@
         return;
     for (const auto& [set_name, sole] : *before) {
         const auto now_sole = after->find(set_name);
-        const bool is_same
-            = now_sole != after->end() && now_sole->second.version == sole.version;
+        const bool is_same = now_sole != after->end()
+            && now_sole->second.version == sole.version && !brief_sets.contains(set_name);
         if (is_same || !m_kernel.streams)
             continue;
-        LogEvent("versions_differ").kv("set", set_name).kv("before", sole.version);
+        LogEvent("versions_differ")
+            .kv("set", set_name)
+            .kv("before", sole.version)
+            .kv("brief", brief_sets.contains(set_name));
         m_kernel.streams->on_versions_differ(set_name);
     }
 }
--- a/src/libserve/streams/version_writer.cpp
+++ b/src/libserve/streams/version_writer.cpp
@@ -59,14 +59,23 @@
 void
 VersionWriter::start()
 {
-    m_directory.on_versions([this](const Snapshot& snapshot) { observe(snapshot); });
+    m_directory.on_versions(
+        [this](const Snapshot& snapshot, const std::set<std::string>& brief_sets) {
+            observe(snapshot, brief_sets);
+        });
     spawn_restarting_task(m_io, "version_write", [this] { return run(); });
 }
 
 void
-VersionWriter::observe(const Snapshot& snapshot)
+VersionWriter::observe(const Snapshot& snapshot, const std::set<std::string>& brief_sets)
 {
-    if (!m_records.observe(present_versions(snapshot), hybrid_ms()))
+    PresentVersions several;
+    for (const std::string& set_name : brief_sets)
+        several[set_name] = std::nullopt;
+    const std::int64_t now = hybrid_ms();
+    const bool differed = m_records.observe(several, now);
+    const bool changed = m_records.observe(present_versions(snapshot), now);
+    if (!differed && !changed)
         return;
     publish();
     m_timer.cancel();
--- a/src/libserve/streams/version_writer.h
+++ b/src/libserve/streams/version_writer.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,7 @@
     void start();
 
 private:
-    void observe(const Snapshot& snapshot);
+    void observe(const Snapshot& snapshot, const std::set<std::string>& brief_sets);
     void publish();
     /// A set that this daemon must compare with its record now.
     struct DueSet {
