A daemon that lists upstreams anew has not seen what came between

The rest of the fault before: where the records of the version that came and left are gone (the log discarded them, or the reader that answers has started since and knows only what is listed), the node gets a listing and goes on from it as if it had read all. Change: after a listing that is not its first, a daemon no longer says that it has observed a set's only version for longer.

--- a/src/include/cypressford/directory.h
+++ b/src/include/cypressford/directory.h
@@ -166,6 +166,9 @@
     std::vector<UpstreamMember> members() const;
     /// Changes of members() since the last call; the first call reports all members as new.
     std::vector<MemberChange> take_changes();
+    /// True if all upstreams were listed anew since the last call: records that came and
+    /// went after those read before may have been missed.
+    bool take_was_relisted() { return std::exchange(m_was_relisted, false); }
     /// Versions of all records that were applied since the last call, also of upstreams
     /// that members() has never contained.
     VersionsBySet take_applied_versions() { return std::exchange(m_applied_versions, {}); }
@@ -191,6 +194,8 @@
     std::map<std::string, Known> m_known;
     std::set<std::string> m_changed; ///< identities changed since take_changes()
     VersionsBySet m_applied_versions; ///< since take_applied_versions()
+    bool m_was_listed = false;
+    bool m_was_relisted = false; ///< since take_was_relisted()
     Micros m_expiry_due = std::numeric_limits<Micros>::max(); ///< earliest expiry
     std::uint64_t m_revision = 0;
 };
--- a/src/include/cypressford/stream_origin.h
+++ b/src/include/cypressford/stream_origin.h
@@ -114,11 +114,19 @@
 /// By set.  Sets with several versions are left out.
 using SoleVersions = std::map<std::string, SoleVersion>;
 
+/// What happened between two snapshots that neither of them shows.
+struct VersionGaps {
+    /// Sets of which another version came and left.
+    std::set<std::string> brief_sets {};
+    /// Upstreams of any set and version may have come and left: their records were not read
+    /// one after the other.
+    bool is_unobserved = false;
+};
+
 /// The sole versions after the change to this snapshot.  A set without upstreams keeps its
-/// entry: what comes next may be of another version.  `brief_sets`: sets of which another
-/// version came and left since the snapshot before.
+/// entry: what comes next may be of another version.
 SoleVersions sole_versions(const SoleVersions& before, const Snapshot& snapshot,
-                           const std::set<std::string>& brief_sets, Micros now);
+                           const VersionGaps& gaps, Micros now);
 
 /// Sets in whose applied records a version occurs that is neither in `before` nor in the
 /// snapshot: other daemons may have begun streams there that break off only later.
--- a/src/libcypressford/directory_fold.cpp
+++ b/src/libcypressford/directory_fold.cpp
@@ -4,6 +4,7 @@
 #include <cypressford/directory.h>
 
 #include <algorithm>
+#include <utility>
 
 #include <cypressford/mutation.h>
 
@@ -79,6 +80,10 @@
     for (auto& [identity, known] : m_known)
         if (!known.listed)
             schedule_removal(known, now, after_outage);
+    if (std::exchange(m_was_listed, true)) {
+        m_was_relisted = true;
+        ++m_revision;
+    }
 }
 
 bool
--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -183,8 +183,8 @@
 }
 
 SoleVersions
-sole_versions(const SoleVersions& before, const Snapshot& snapshot,
-              const std::set<std::string>& brief_sets, Micros now)
+sole_versions(const SoleVersions& before, const Snapshot& snapshot, const VersionGaps& gaps,
+              Micros now)
 {
     SoleVersions result;
     for (const UpstreamSet& set : snapshot.sets) {
@@ -198,7 +198,7 @@
         }
         const std::string& version = set.versions.begin()->first;
         const bool is_same = known != before.end() && known->second.version == version
-            && !brief_sets.contains(set.spec.name);
+            && !gaps.is_unobserved && !gaps.brief_sets.contains(set.spec.name);
         result[set.spec.name]
             = {version, is_same ? known->second.since : now, std::nullopt};
     }
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -193,7 +193,7 @@
     const auto brief
         = sets_with_brief_versions(fold.take_applied_versions(), before, *snapshot);
     CHECK(brief == std::set<std::string> {"model"});
-    CHECK(sole_versions(before, *snapshot, brief, 2).at("model").since == 2);
+    CHECK(sole_versions(before, *snapshot, {brief}, 2).at("model").since == 2);
     // Upstreams of the same version come and go.
     apply("3", "v1");
     fold.drop("3", 3, false);
@@ -202,6 +202,30 @@
         sets_with_brief_versions(fold.take_applied_versions(), before, *snapshot).empty());
 }
 
+TEST_CASE("a version is not known to have been the only one while records were missed")
+{
+    UpstreamTable table("a");
+    DirectoryFold fold(0);
+    const auto list = [&fold] {
+        fold.begin_listing();
+        fold.apply({member("1", "v1", 5), 1});
+        fold.end_listing(0, false);
+    };
+    list();
+    CHECK_FALSE(fold.take_was_relisted());
+    const std::uint64_t revision = fold.revision();
+    list();
+    CHECK(fold.revision() > revision);
+    CHECK(fold.take_was_relisted());
+    CHECK_FALSE(fold.take_was_relisted());
+    const SnapshotPtr snapshot = snapshot_of(table, {"v1"});
+    const SoleVersions before = sole_versions({}, *snapshot, {}, 1);
+    CHECK(sole_versions(before, *snapshot, {{}, true}, 2).at("model").since == 2);
+    // The keepers' records still tell since when.
+    const std::optional<SoleVersion> recorded = SoleVersion {"v1", 2, 1};
+    CHECK(agreed_version({recorded, recorded})->since == 1);
+}
+
 TEST_CASE("daemons that have seen different versions agree on none")
 {
     const std::optional<SoleVersion> fresh = SoleVersion {"v1", 90};
--- a/src/libserve/directory/directory_watch_in_force.cpp
+++ b/src/libserve/directory/directory_watch_in_force.cpp
@@ -6,7 +6,6 @@
 
 #include "libserve/directory/directory_watch.h"
 
-#include <set>
 #include <string>
 #include <utility>
 
@@ -94,15 +93,18 @@
 {
     const auto before = m_kernel.sole_versions.load();
     const VersionsBySet applied = m_view.fold().take_applied_versions();
-    std::set<std::string> brief_sets;
+    VersionGaps gaps;
+    gaps.is_unobserved = m_view.fold().take_was_relisted();
     if (before)
-        brief_sets = sets_with_brief_versions(applied, *before, snapshot);
+        gaps.brief_sets = sets_with_brief_versions(applied, *before, snapshot);
     if (m_on_versions)
-        m_on_versions(snapshot, brief_sets);
-    SoleVersions now = sole_versions(before ? *before : SoleVersions {}, snapshot,
-                                     brief_sets, monotonic_us());
+        m_on_versions(snapshot, gaps.brief_sets);
+    SoleVersions now
+        = sole_versions(before ? *before : SoleVersions {}, snapshot, gaps, monotonic_us());
     if (before && *before == now)
         return;
+    if (gaps.is_unobserved)
+        LogEvent("versions_unobserved").kv("sets", now.size());
     const auto after = std::make_shared<const SoleVersions>(std::move(now));
     m_kernel.sole_versions.store(after);
     if (!before)
@@ -110,13 +112,14 @@
     for (const auto& [set_name, sole] : *before) {
         const auto now_sole = after->find(set_name);
         const bool is_same = now_sole != after->end()
-            && now_sole->second.version == sole.version && !brief_sets.contains(set_name);
+            && now_sole->second.version == sole.version
+            && !gaps.brief_sets.contains(set_name);
         if (is_same || !m_kernel.streams)
             continue;
         LogEvent("versions_differ")
             .kv("set", set_name)
             .kv("before", sole.version)
-            .kv("brief", brief_sets.contains(set_name));
+            .kv("brief", gaps.brief_sets.contains(set_name));
         m_kernel.streams->on_versions_differ(set_name);
     }
 }
