A daemon that answers again leads its sets at all daemons again

Cause: a reader applies its own list of daemons that don't answer, a follower that of its reader. One that turned from reader to follower kept the list it had applied, and nothing took the entry back: its reader had none to send.

--- a/src/libcypressford/leader_placement_test.cpp
+++ b/src/libcypressford/leader_placement_test.cpp
@@ -174,6 +174,8 @@
             }
         }
     }
+    MESSAGE("sets that move when a leader goes: ", static_cast<double>(moved) / changes,
+            " of ", set_count);
     CHECK(moved <= 3 * changes);
 }
 
--- a/src/libserve/directory/directory_watch_reader.cpp
+++ b/src/libserve/directory/directory_watch_reader.cpp
@@ -89,7 +89,8 @@
 
 /// After a change of role or reader, all topic loops check their schedule at once: a daemon
 /// that has become a reader must not wait for the time at which updates from its former
-/// reader would have been overdue.
+/// reader would have been overdue.  What the former source said of daemons that don't
+/// answer no longer counts: it does not tell this daemon when they answer again.
 void
 DirectoryWatch::update_source(const DirectorySource& from)
 {
@@ -99,6 +100,10 @@
     m_role = from.role;
     m_source_node = node;
     m_unreachable_revision = 0;
+    if (m_on_unreachable)
+        m_on_unreachable(from.role == DirectoryRole::Follower
+                             ? std::set<std::string> {}
+                             : m_view.unreachable().list().addresses);
     LogEvent("directory_source")
         .kv("role", to_string(from.role))
         .kv("asks", node)
