A capacity that is none makes its node the weakest, not the leader of all sets

Found by reading the placement of leaders: a record whose capacity is not a number, negative or infinite came through the decoder as it was, and the node would have led every set. It is bounded where the record is decoded. The new lines of daemon_table_test fail without this (nan, -1 and inf).

--- a/src/libcypressford/daemon_table.cpp
+++ b/src/libcypressford/daemon_table.cpp
@@ -13,6 +13,16 @@
 
 namespace {
 
+/// Capacity that a record may state.  Anything that is no capacity counts as the weakest: a
+/// record whose capacity is not a number would make its node lead every set.
+constexpr double kMaxCapacity = 1e6;
+
+double
+bounded_capacity(double stated)
+{
+    return stated > 0 ? std::min(stated, kMaxCapacity) : 0;
+}
+
 /// Approximate number of daemons that query one reader, which sends each large record to
 /// every one of them.
 constexpr std::size_t kFollowersPerReader = 32;
@@ -531,9 +541,11 @@
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))
         || in.node().empty())
         return fail(ErrorKind::BadRequest, "malformed daemon record");
-    return DaemonRecord {in.node(),         in.hall(),     in.address(),
-                         in.incarnation(),  in.sequence(), in.stopping(),
-                         in.feed_address(), in.capacity(), in.places_by_load()};
+    return DaemonRecord {in.node(),          in.hall(),
+                         in.address(),       in.incarnation(),
+                         in.sequence(),      in.stopping(),
+                         in.feed_address(),  bounded_capacity(in.capacity()),
+                         in.places_by_load()};
 }
 
 } // namespace cypressford
--- a/src/libcypressford/daemon_table_test.cpp
+++ b/src/libcypressford/daemon_table_test.cpp
@@ -1,5 +1,6 @@
 // Copyright (c) 2026 The cypressford authors.
 // SPDX-License-Identifier: Apache-2.0
+#include <limits>
 #include <map>
 #include <set>
 
@@ -300,6 +301,13 @@
     CHECK(after->incarnation == 42);
     CHECK(after->sequence == 7);
     CHECK_FALSE(decode_daemon("not a record"));
+    DaemonRecord odd = before;
+    for (const double capacity : {std::numeric_limits<double>::quiet_NaN(), -1.0}) {
+        odd.capacity = capacity;
+        CHECK(decode_daemon(encode(odd))->capacity == 0);
+    }
+    odd.capacity = std::numeric_limits<double>::infinity();
+    CHECK(decode_daemon(encode(odd))->capacity == 1e6);
 }
 
 } // namespace
