--- a/src/libcypressford/stream_origin.cpp
+++ b/src/libcypressford/stream_origin.cpp
@@ -191,14 +191,16 @@
         const auto known = before.find(set.spec.name);
         if (set.versions.size() > 1)
             continue;
+        const bool has_gap = gaps.is_unobserved || gaps.brief_sets.contains(set.spec.name);
         if (set.versions.empty()) {
             if (known != before.end())
-                result.insert(*known);
+                result.insert(*known).first->second.since
+                    = has_gap ? now : known->second.since;
             continue;
         }
         const std::string& version = set.versions.begin()->first;
-        const bool is_same = known != before.end() && known->second.version == version
-            && !gaps.is_unobserved && !gaps.brief_sets.contains(set.spec.name);
+        const bool is_same
+            = known != before.end() && known->second.version == version && !has_gap;
         result[set.spec.name]
             = {version, is_same ? known->second.since : now, std::nullopt};
     }
--- a/src/libcypressford/stream_origin_test.cpp
+++ b/src/libcypressford/stream_origin_test.cpp
@@ -221,6 +221,9 @@
     const SnapshotPtr snapshot = snapshot_of(table, {"v1"});
     const SoleVersions before = sole_versions({}, *snapshot, {}, 1);
     CHECK(sole_versions(before, *snapshot, {{}, true}, 2).at("model").since == 2);
+    // What comes next to a set without upstreams may be of the version before.
+    const SnapshotPtr empty = snapshot_of(table, {});
+    CHECK(sole_versions(before, *empty, {{}, true}, 2).at("model").since == 2);
     // The keepers' records still tell since when.
     const std::optional<SoleVersion> recorded = SoleVersion {"v1", 2, 1};
     CHECK(agreed_version({recorded, recorded})->since == 1);
